--- /dev/null
+++ b/crates/quartzlever-clients/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients.
--- /dev/null
+++ b/crates/quartzlever-core/src/config.rs
@@ -0,0 +1,135 @@
+//! What a controller is told at its start.
+
+use quartzlever_wire::{Micros, SECOND};
+
+/// A team with its guarantee and its limit; 0 means none.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Team {
+    pub name: String,
+    pub cpus: f64,
+    pub cpus_max: f64,
+    pub gpus: f64,
+    pub gpus_max: f64,
+}
+
+impl Team {
+    /// Whether the team has a limit, so that its jobs have to run in one part.
+    pub fn limited(&self) -> bool {
+        self.cpus_max > 0.0 || self.gpus_max > 0.0
+    }
+}
+
+/// An aim of the users on starting or finishing.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Objective {
+    Deadline { class: String, share: f64, times: f64 },
+    Wait { class: String, share: f64, within: Micros },
+    Finished { class: String, share: f64, within: Micros },
+}
+
+/// The times that workers keep to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorkerTimes {
+    pub report: Micros,
+    pub lease: Micros,
+    pub cancel: Micros,
+}
+
+/// The operator's own settings, each with its default.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Operator {
+    /// How many random peers an idle controller asks.
+    pub peers_asked: usize,
+    /// Share of the victim's ready tasks that is stolen.
+    pub steal_fraction: f64,
+    /// First wait after a failed steal.
+    pub steal_start: Micros,
+    /// Longest wait after failed steals.
+    pub steal_cap: Micros,
+    /// Life of the lease that a controller's parts hang on.
+    pub hold_life: Micros,
+    /// How long a part must be absent before a peer takes it over.
+    pub takeover_after: Micros,
+    /// How long a home node must have stayed up before its part is handed back.
+    pub handback_after: Micros,
+    /// How long a machine may be idle before it is returned.
+    pub idle_return: Micros,
+    /// How long a machine may be silent before it is returned.
+    pub silent_return: Micros,
+    /// Shortest time between two writes of one job's progress.
+    pub progress_write: Micros,
+}
+
+impl Default for Operator {
+    fn default() -> Self {
+        Operator {
+            peers_asked: 2,
+            steal_fraction: 0.5,
+            steal_start: SECOND,
+            steal_cap: 16 * SECOND,
+            hold_life: 15 * SECOND,
+            takeover_after: 2 * SECOND,
+            handback_after: 5 * SECOND,
+            idle_return: 45 * SECOND,
+            silent_return: 10 * SECOND,
+            progress_write: SECOND,
+        }
+    }
+}
+
+/// Everything a controller knows from its settings.
+#[derive(Clone, Debug)]
+pub struct Config {
+    pub node: String,
+    pub zone: String,
+    /// All controller names, its own among them; each names a part.
+    pub nodes: Vec<String>,
+    pub zones: Vec<String>,
+    pub teams: Vec<Team>,
+    pub objectives: Vec<Objective>,
+    pub workers: WorkerTimes,
+    pub value_bytes: usize,
+    pub txn_ops: usize,
+    pub list_lag: Micros,
+    pub operator: Operator,
+}
+
+/// How fast the steady clocks of two machines may drift apart, in parts of 10,000
+/// (the protocol's 0.05%), doubled to be on the safe side.
+const DRIFT_PER_10K: Micros = 10;
+
+/// A span after which any other machine's clock has surely counted `span`.
+pub fn surely_after(span: Micros) -> Micros {
+    span + span * DRIFT_PER_10K / 10_000
+}
+
+/// A span within which no other machine's clock has counted `span`.
+pub fn surely_within(span: Micros) -> Micros {
+    span - span * DRIFT_PER_10K / 10_000
+}
+
+impl Config {
+    pub fn team(&self, name: &str) -> Option<&Team> {
+        self.teams.iter().find(|t| t.name == name)
+    }
+
+    pub fn limited(&self, team: &str) -> bool {
+        self.team(team).is_some_and(Team::limited)
+    }
+
+    /// The part that runs all jobs of a limited team, chosen by the team's name.
+    pub fn part_of_team(&self, team: &str) -> &str {
+        let mut names: Vec<&String> = self.nodes.iter().collect();
+        names.sort();
+        // FNV-1a: the same on every node and in every version.
+        let hash = team.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |h, b| {
+            (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)
+        });
+        names[(hash % names.len() as u64) as usize]
+    }
+
+    /// How long a silent machine needs to lose its lease for certain.
+    pub fn lease_gone_after(&self) -> Micros {
+        surely_after(self.workers.lease) + SECOND
+    }
+}
--- /dev/null
+++ b/crates/quartzlever-core/src/lib.rs
@@ -0,0 +1,27 @@
+//! The decisions of quartzlever, without I/O, clock or thread.
+//!
+//! [`Core`] owns all state of a process. [`Core::step`] takes the time and a batch of
+//! [`Command`]s and returns [`Effect`]s; every answer to an effect comes back as a command.
+//! The same commands at the same times give the same effects.
+//!
+//! - [`jobs`]: submissions, lookups, cancellations, and the record of each job.
+//! - [`part`]: a part's queue, its holder, its machines' reports, and recovery.
+//! - [`placement`]: which task goes where.
+//! - [`stealing`]: the adaptive work stealing between parts.
+//! - [`fleet`]: renting, returning, and suspicion of machines.
+
+mod config;
+mod engine;
+pub mod fleet;
+mod holding;
+pub mod jobs;
+pub mod machine;
+mod messages;
+pub mod part;
+pub mod placement;
+mod reports;
+pub mod stealing;
+
+pub use config::{Config, Objective, Operator, Team, WorkerTimes};
+pub use engine::Core;
+pub use messages::{Command, Effect, Lane, RequestId, Token};
--- /dev/null
+++ b/crates/quartzlever-core/src/messages.rs
@@ -0,0 +1,79 @@
+//! What goes into the core and what comes out.
+
+use quartzlever_wire::cloud::{CloudCall, CloudReply};
+use quartzlever_wire::peers::{PeerAnswer, PeerRequest};
+use quartzlever_wire::state::{StateCall, StateReply};
+use quartzlever_wire::users::JobSpec;
+use quartzlever_wire::workers::{Report, WorkerCall, WorkerReply};
+use quartzlever_wire::{CallError, Micros};
+
+/// Names a request from outside that waits for its answer.
+pub type RequestId = u64;
+
+/// Names an effect whose answer is awaited.
+pub type Token = u64;
+
+/// One piece of work for the core.
+#[derive(Clone, Debug)]
+pub enum Command {
+    Submit { id: RequestId, spec: Box<JobSpec> },
+    Lookup { id: RequestId, job: String },
+    Abort { id: RequestId, job: String },
+    Ready { id: RequestId },
+    Report { id: RequestId, report: Report },
+    Peer { id: RequestId, request: PeerRequest, from: String },
+    State { token: Token, result: Result<StateReply, CallError> },
+    Cloud { token: Token, result: Result<CloudReply, CallError> },
+    Worker { token: Token, result: Result<WorkerReply, CallError> },
+    Asked { token: Token, result: Result<PeerAnswer, CallError> },
+    /// Time passes; `wall` is the time of day in microseconds since 1970.
+    Tick { wall: Micros },
+}
+
+impl Command {
+    /// Order under load: what workers and other services say first, then decisions, then users.
+    pub fn class(&self) -> u8 {
+        match self {
+            Command::Report { .. }
+            | Command::State { .. }
+            | Command::Cloud { .. }
+            | Command::Worker { .. }
+            | Command::Asked { .. } => 0,
+            Command::Tick { .. } | Command::Peer { .. } | Command::Ready { .. } => 1,
+            Command::Lookup { .. } | Command::Abort { .. } | Command::Submit { .. } => 2,
+        }
+    }
+}
+
+/// How urgent a call to the state service is; each lane has threads of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Lane {
+    /// Leases and parts.
+    Hold,
+    /// Open watches.
+    Watch,
+    /// Claims, progress, moves.
+    Work,
+    /// What users ask for.
+    User,
+}
+
+/// One thing that the core wants done.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// Answer an HTTP request. After `until` the answer must not be given any more; a 503
+    /// takes its place.
+    Answer {
+        id: RequestId,
+        status: u16,
+        body: serde_json::Value,
+        retry_after_s: Option<u32>,
+        until: Option<Micros>,
+    },
+    AnswerPeer { id: RequestId, answer: PeerAnswer },
+    State { token: Token, lane: Lane, call: StateCall },
+    Cloud { token: Token, call: CloudCall },
+    /// Call a worker, but not after `until`.
+    Worker { token: Token, address: String, call: WorkerCall, until: Micros },
+    Peer { token: Token, node: String, request: PeerRequest },
+}
--- /dev/null
+++ b/crates/quartzlever-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
--- /dev/null
+++ b/crates/quartzlever-wire/src/lib.rs
@@ -0,0 +1,45 @@
+//! The wire formats of quartzlever, in one package that clients can use too.
+//!
+//! Each module holds the serde types of one conversation: [`users`], [`workers`],
+//! [`cloud`], [`state`] and [`peers`]. Names inside the code follow the usual terms
+//! (task, attempt, session, term, lease); the names that travel are given by serde
+//! attributes and appear nowhere else.
+
+pub mod cloud;
+pub mod peers;
+pub mod ranges;
+pub mod state;
+pub mod users;
+pub mod workers;
+
+pub use ranges::Ranges;
+
+/// A span or a point of time in whole microseconds.
+pub type Micros = u64;
+
+/// One second in [`Micros`].
+pub const SECOND: Micros = 1_000_000;
+
+/// The largest request body that the protocol allows.
+pub const MAX_BODY: usize = 64 * 1024;
+
+/// Converts seconds from the wire to whole microseconds; never negative.
+pub fn micros_from_secs(secs: f64) -> Micros {
+    if secs.is_finite() && secs > 0.0 { (secs * 1e6).round().min(1e18) as Micros } else { 0 }
+}
+
+/// Converts whole microseconds to the seconds of the wire.
+pub fn secs_from_micros(micros: Micros) -> f64 {
+    micros as f64 / 1e6
+}
+
+/// Why a call brought no answer that can be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum CallError {
+    /// The call was certainly not carried out and will not be.
+    #[error("not carried out")]
+    Refused,
+    /// The call may have been carried out, or may still be.
+    #[error("outcome unknown")]
+    Unknown,
+}
--- /dev/null
+++ b/crates/quartzlever-wire/src/peers.rs
@@ -0,0 +1,71 @@
+//! Controllers <-> controllers: frames of a length and a `bincode` message.
+
+use std::io::{self, Read, Write};
+
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+/// The largest frame that a peer may send.
+pub const MAX_FRAME: u32 = 1 << 20;
+
+/// What one controller asks another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerRequest {
+    /// How many ready tasks do you have?
+    Counts,
+    /// Hand over ready tasks to `part`, which the asker holds under `term`.
+    Steal { part: String, term: u64, thief: ThiefRoom },
+    /// These machines were rented by `part` and will report soon.
+    Rented { part: String, hosts: Vec<String> },
+}
+
+/// What the thief could run, so that the victim does not move what would only wait there.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ThiefRoom {
+    /// Free room by machine type, zone and kind.
+    pub free: Vec<Room>,
+}
+
+/// Free room on one machine.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Room {
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+    pub cpus: f64,
+    pub gpus: f64,
+    pub ram_gb: f64,
+}
+
+/// What the asked controller answers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerAnswer {
+    /// Ready tasks that could move, over all parts held.
+    Counts { ready: u32 },
+    /// The move is committed; each row is a job's record (JSON) with its stamp.
+    Stolen { jobs: Vec<(String, u64, String)> },
+    /// Nothing to move, or not able to.
+    Nothing,
+}
+
+/// Writes one message as a frame.
+pub fn send<T: Serialize>(out: &mut impl Write, message: &T) -> io::Result<()> {
+    let body = bincode::serialize(message).map_err(io::Error::other)?;
+    let length = u32::try_from(body.len()).map_err(io::Error::other)?;
+    let mut frame = Vec::with_capacity(body.len() + 4);
+    frame.extend_from_slice(&length.to_be_bytes());
+    frame.extend_from_slice(&body);
+    out.write_all(&frame)
+}
+
+/// Reads one message; a frame over the limit or one that does not parse is an error.
+pub fn receive<T: DeserializeOwned>(from: &mut impl Read) -> io::Result<T> {
+    let mut length = [0; 4];
+    from.read_exact(&mut length)?;
+    let length = u32::from_be_bytes(length);
+    if length > MAX_FRAME {
+        return Err(io::Error::new(io::ErrorKind::InvalidData, "frame too long"));
+    }
+    let mut body = vec![0; length as usize];
+    from.read_exact(&mut body)?;
+    bincode::deserialize(&body).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))
+}
--- /dev/null
+++ b/crates/quartzlever-wire/src/state.rs
@@ -0,0 +1,226 @@
+//! Controllers <-> state service: its protocol, and the records that quartzlever keeps there.
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::Ranges;
+use crate::users::{JobPhase, JobSpec};
+
+pub const PARTS: &str = "parts/";
+pub const LIVE: &str = "live/";
+pub const OVER: &str = "over/";
+pub const HOSTS: &str = "hosts/";
+
+/// A key with its value and the revision of its last change.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    pub path: String,
+    pub v: Value,
+    pub stamp: u64,
+    #[serde(default)]
+    pub charter: Option<u64>,
+}
+
+/// A page of keys.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Rows {
+    pub rows: Vec<Row>,
+    #[serde(default)]
+    pub has_next: bool,
+    pub epoch: u64,
+}
+
+/// A condition of a transaction: the key stands at this stamp, 0 for absent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Condition {
+    pub path: String,
+    pub stamp: u64,
+}
+
+/// A change of a transaction.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Change {
+    Write {
+        write: String,
+        v: Value,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        charter: Option<u64>,
+    },
+    Delete {
+        delete: String,
+    },
+}
+
+/// An atomic transaction.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Txn {
+    #[serde(rename = "if")]
+    pub conditions: Vec<Condition>,
+    #[serde(rename = "apply", default)]
+    pub changes: Vec<Change>,
+}
+
+impl Txn {
+    pub fn when(mut self, path: impl Into<String>, stamp: u64) -> Self {
+        self.conditions.push(Condition { path: path.into(), stamp });
+        self
+    }
+
+    pub fn write(mut self, path: impl Into<String>, v: Value) -> Self {
+        self.changes.push(Change::Write { write: path.into(), v, charter: None });
+        self
+    }
+
+    pub fn write_held(mut self, path: impl Into<String>, v: Value, lease: u64) -> Self {
+        self.changes.push(Change::Write { write: path.into(), v, charter: Some(lease) });
+        self
+    }
+
+    pub fn delete(mut self, path: impl Into<String>) -> Self {
+        self.changes.push(Change::Delete { delete: path.into() });
+        self
+    }
+}
+
+/// Answer to a transaction: the revision, and the failed conditions if it was refused.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TxnAnswer {
+    pub epoch: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub failed: Option<Vec<String>>,
+}
+
+/// A lease to be granted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HoldRequest {
+    pub life_ms: u64,
+}
+
+/// A granted lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HoldAnswer {
+    pub charter: u64,
+}
+
+/// One change in the log of a watch.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Event {
+    Write { write: String, v: Value, stamp: u64 },
+    Delete { delete: String, stamp: u64 },
+}
+
+/// Answer to a watch.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WatchAnswer {
+    pub epoch: u64,
+    #[serde(default)]
+    pub log: Vec<Event>,
+}
+
+/// Value of `parts/{name}`: which process holds the part. The key's stamp is the term.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartRecord {
+    pub node: String,
+    /// Differs between processes of one node, so that a process knows its own write again.
+    pub process: u64,
+}
+
+/// Tasks of a job that one part answers for since the given term of that part.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Share {
+    pub part: String,
+    pub term: u64,
+    pub tasks: Ranges,
+}
+
+/// Value of `live/{ref}`: an accepted job that is neither done nor cancelled.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LiveRecord {
+    pub job: JobSpec,
+    /// Time of day of the submission, in microseconds since 1970.
+    pub since: u64,
+    pub started: bool,
+    pub shares: Vec<Share>,
+    pub finished: Ranges,
+}
+
+impl LiveRecord {
+    /// The tasks of `part` that are not recorded as finished.
+    pub fn owned_by(&self, part: &str) -> Ranges {
+        let mut owned = Ranges::default();
+        for share in self.shares.iter().filter(|s| s.part == part) {
+            owned.add(&share.tasks);
+        }
+        owned.subtract(&self.finished);
+        owned
+    }
+
+    /// The part's tasks that entered it under `term`, so never ran for an earlier holder.
+    pub fn entered_under(&self, part: &str, term: u64) -> Ranges {
+        let mut out = Ranges::default();
+        for share in self.shares.iter().filter(|s| s.part == part && s.term == term) {
+            out.add(&share.tasks);
+        }
+        out
+    }
+
+    /// Moves tasks from one part to another under the given term of the latter.
+    pub fn move_tasks(&mut self, tasks: &Ranges, from: &str, to: &str, term: u64) {
+        for share in self.shares.iter_mut().filter(|s| s.part == from) {
+            share.tasks.subtract(tasks);
+        }
+        match self.shares.iter_mut().find(|s| s.part == to && s.term == term) {
+            Some(share) => share.tasks.add(tasks),
+            None => self.shares.push(Share { part: to.into(), term, tasks: tasks.clone() }),
+        }
+        self.shares.retain(|s| !s.tasks.is_empty());
+    }
+}
+
+/// Value of `over/{ref}`: a job that is done or cancelled, kept for good.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OverRecord {
+    pub phase: JobPhase,
+    pub done: u32,
+}
+
+/// Value of `hosts/{name}`: a machine and the part that it belongs to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostRecord {
+    pub part: String,
+    pub address: String,
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+}
+
+/// A call to the state service.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StateCall {
+    Get(String),
+    List { prefix: String, from: Option<String> },
+    Txn(Txn),
+    Grant { life_ms: u64 },
+    Renew { lease: u64 },
+    Watch { from: u64, hold_ms: u64 },
+}
+
+/// What the state service answered.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StateReply {
+    Row(Option<Row>),
+    Rows(Rows),
+    /// The transaction is in force at this revision.
+    Committed(u64),
+    /// Some conditions did not hold: these keys.
+    Conflict(Vec<String>),
+    /// The lease that the call names has ended.
+    NoLease,
+    Granted(u64),
+    Renewed,
+    Watched(WatchAnswer),
+    /// The watch started too far back; the keys have to be read again.
+    TooOld,
+}
