--- a/crates/quartzlever-clients/src/lib.rs
+++ b/crates/quartzlever-clients/src/lib.rs
@@ -1,1 +1,19 @@
-//! Clients.
+//! Clients of everything that a controller calls: the state service, the cloud, workers and
+//! other controllers.
+//!
+//! Every call has a deadline, connections are reused, and calls that count against a rate limit
+//! of the region go through a [`Budget`]. A call ends in an answer or in a
+//! [`CallError`](quartzlever_wire::CallError) that says whether it may have been carried out.
+
+mod budget;
+mod cloud;
+mod http;
+mod peer;
+mod state;
+mod worker;
+
+pub use budget::Budget;
+pub use cloud::CloudClient;
+pub use peer::PeerClient;
+pub use state::StateClient;
+pub use worker::WorkerClient;
--- a/crates/quartzlever-core/src/config.rs
+++ b/crates/quartzlever-core/src/config.rs
@@ -92,6 +92,8 @@
     pub txn_ops: usize,
     pub list_lag: Micros,
     pub operator: Operator,
+    /// Notes of less weight than this are not even written.
+    pub notes: crate::messages::Weight,
 }
 
 /// How fast the steady clocks of two machines may drift apart, in parts of 10,000
--- /dev/null
+++ b/crates/quartzlever-core/src/engine.rs
@@ -0,0 +1,373 @@
+//! The one owner of all state of a process.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+use quartzlever_wire::cloud::{CloudCall, CloudReply, MachineType};
+use quartzlever_wire::peers::{PeerAnswer, PeerRequest};
+use quartzlever_wire::state::{HostRecord, LiveRecord, OverRecord, PartRecord, StateCall, StateReply};
+use quartzlever_wire::workers::{Report, WorkerCall, WorkerReply};
+use quartzlever_wire::{CallError, Micros, Ranges};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::config::Config;
+use crate::fleet::CloudWork;
+use crate::jobs::Purpose;
+use crate::messages::{Command, Effect, Lane, RequestId, Token, Weight};
+use crate::part::Part;
+use crate::placement::Paces;
+use crate::stealing::Stealing;
+
+/// What an answer from the state service belongs to.
+#[derive(Debug)]
+pub(crate) enum Waiting {
+    Grant { sent: Micros },
+    Renew { sent: Micros, lease: u64 },
+    Acquire { part: String },
+    Release { part: String },
+    ListParts { from_epoch: Option<u64> },
+    ListHosts { from_epoch: Option<u64> },
+    Watch,
+    LoadJobs { part: String, term: u64 },
+    LoadHosts { part: String, term: u64 },
+    ReadLive { purpose: Purpose },
+    ReadOver { purpose: Purpose },
+    Accept { id: RequestId, record: Box<LiveRecord> },
+    Cancel { id: RequestId, job: String, done: u32, tries: u32 },
+    JobWrite { part: String, term: u64, job: String, finished: Ranges, over: bool },
+    Reread { part: String, term: u64, job: String },
+    RereadOver { part: String, term: u64, job: String },
+    StealWrite { part: String, term: u64, request: Option<RequestId>, moved: Vec<crate::stealing::Move> },
+    Claim { id: RequestId, part: String, term: u64, report: Box<Report>, record: HostRecord },
+    DropHosts { part: String, term: u64, hosts: Vec<String> },
+}
+
+/// What an answer from a worker belongs to.
+#[derive(Debug)]
+pub(crate) struct WorkerWait {
+    pub part: String,
+    pub term: u64,
+    pub machine: String,
+    pub runs: Vec<crate::machine::SlotKey>,
+}
+
+/// The state lease that all parts of this process hang on.
+#[derive(Debug, Default)]
+pub(crate) struct Hold {
+    pub lease: Option<u64>,
+    /// Until then the lease is surely alive.
+    pub sure_until: Micros,
+    pub waiting: bool,
+    pub next: Micros,
+}
+
+/// What this process knows of the keys `parts/` and `hosts/`; never a basis for safety.
+#[derive(Debug, Default)]
+pub(crate) struct Mirror {
+    pub loaded_parts: bool,
+    pub loaded_hosts: bool,
+    pub loading: bool,
+    pub retry_at: Micros,
+    pub watching: bool,
+    pub watch_at: Micros,
+    pub epoch: u64,
+    pub parts: BTreeMap<String, (PartRecord, u64)>,
+    pub hosts: HashMap<String, (HostRecord, u64)>,
+}
+
+impl Mirror {
+    pub fn loaded(&self) -> bool {
+        self.loaded_parts && self.loaded_hosts
+    }
+}
+
+/// Final states that were read or written; only these may be remembered.
+#[derive(Debug, Default)]
+pub(crate) struct Finals {
+    known: HashMap<String, OverRecord>,
+    order: VecDeque<String>,
+}
+
+impl Finals {
+    const MOST: usize = 20_000;
+
+    pub fn get(&self, id: &str) -> Option<&OverRecord> {
+        self.known.get(id)
+    }
+
+    pub fn put(&mut self, id: &str, over: OverRecord) {
+        if self.known.insert(id.to_owned(), over).is_none() {
+            self.order.push_back(id.to_owned());
+            if self.order.len() > Self::MOST
+                && let Some(old) = self.order.pop_front()
+            {
+                self.known.remove(&old);
+            }
+        }
+    }
+}
+
+/// All state of a controller.
+pub struct Core {
+    pub(crate) cfg: Config,
+    pub(crate) rng: SmallRng,
+    /// Tells this process from earlier ones of the same node.
+    pub(crate) process: u64,
+    pub(crate) started: Micros,
+    pub(crate) now: Micros,
+    /// Time of day minus steady time.
+    pub(crate) wall_offset: Option<i64>,
+    next_token: Token,
+    pub(crate) out: Vec<Effect>,
+    pub(crate) state_waits: HashMap<Token, Waiting>,
+    pub(crate) worker_waits: HashMap<Token, WorkerWait>,
+    pub(crate) cloud_waits: HashMap<Token, CloudWork>,
+    pub(crate) peer_waits: HashMap<Token, crate::stealing::PeerWork>,
+    pub(crate) hold: Hold,
+    pub(crate) mirror: Mirror,
+    pub(crate) parts: BTreeMap<String, Part>,
+    pub(crate) busy_parts: BTreeSet<String>,
+    pub(crate) releasing: BTreeSet<String>,
+    /// Since when each absent part has been missing.
+    pub(crate) absent_since: BTreeMap<String, Micros>,
+    /// Home nodes that ask for their part: since when, and last asked.
+    pub(crate) home_asks: BTreeMap<String, (Micros, Micros)>,
+    pub(crate) types: Option<BTreeMap<String, MachineType>>,
+    pub(crate) cloud: crate::fleet::Cloud,
+    pub(crate) finals: Finals,
+    pub(crate) user_calls: usize,
+    pub(crate) stealing: Stealing,
+    pub(crate) paces: Paces,
+}
+
+impl Core {
+    /// A controller that has just started. `seed` must differ between processes of one node.
+    pub fn new(cfg: Config, seed: u64, now: Micros) -> Self {
+        Core {
+            stealing: Stealing::new(&cfg),
+            cfg,
+            rng: SmallRng::seed_from_u64(seed),
+            process: seed,
+            started: now,
+            now,
+            wall_offset: None,
+            next_token: 0,
+            out: Vec::new(),
+            state_waits: HashMap::new(),
+            worker_waits: HashMap::new(),
+            cloud_waits: HashMap::new(),
+            peer_waits: HashMap::new(),
+            hold: Hold::default(),
+            mirror: Mirror::default(),
+            parts: BTreeMap::new(),
+            busy_parts: BTreeSet::new(),
+            releasing: BTreeSet::new(),
+            absent_since: BTreeMap::new(),
+            home_asks: BTreeMap::new(),
+            types: None,
+            cloud: crate::fleet::Cloud::default(),
+            finals: Finals::default(),
+            user_calls: 0,
+            paces: Paces::default(),
+        }
+    }
+
+    /// Works through a batch and says what is to be done.
+    pub fn step(&mut self, now: Micros, mut commands: Vec<Command>) -> Vec<Effect> {
+        self.now = self.now.max(now);
+        commands.sort_by_key(Command::class);
+        for command in commands {
+            self.take(command);
+        }
+        self.keep_hold();
+        self.keep_mirror();
+        self.keep_parts();
+        self.decide();
+        std::mem::take(&mut self.out)
+    }
+
+    fn take(&mut self, command: Command) {
+        match command {
+            Command::Submit { id, spec } => self.submit(id, spec),
+            Command::Lookup { id, job } => self.lookup(id, job),
+            Command::Abort { id, job } => self.abort(id, job),
+            Command::Ready { id } => self.ready(id),
+            Command::Report { id, report } => self.hello(id, report),
+            Command::Peer { id, request } => self.peer_request(id, request),
+            Command::State { token, result } => {
+                if let Some(waiting) = self.state_waits.remove(&token) {
+                    self.state_answer(waiting, result);
+                }
+            }
+            Command::Cloud { token, result } => {
+                if let Some(work) = self.cloud_waits.remove(&token) {
+                    self.cloud_answer(work, result);
+                }
+            }
+            Command::Worker { token, result } => {
+                if let Some(wait) = self.worker_waits.remove(&token) {
+                    self.worker_answer(token, wait, result);
+                }
+            }
+            Command::Asked { token, result } => {
+                if let Some(work) = self.peer_waits.remove(&token) {
+                    self.peer_answer(work, result);
+                }
+            }
+            Command::Tick { wall } => {
+                self.wall_offset = Some(wall as i64 - self.now as i64);
+            }
+        }
+    }
+
+    /// Whether this process surely holds its lease, so may act for its parts.
+    pub(crate) fn sure(&self) -> bool {
+        self.hold.lease.is_some() && self.now < self.hold.sure_until
+    }
+
+    /// The present time of day.
+    pub(crate) fn wall(&self) -> Micros {
+        (self.now as i64 + self.wall_offset.unwrap_or(0)).max(0) as Micros
+    }
+
+    pub(crate) fn token(&mut self) -> Token {
+        self.next_token += 1;
+        self.next_token
+    }
+
+    pub(crate) fn state(&mut self, lane: Lane, call: StateCall, waiting: Waiting) {
+        let token = self.token();
+        self.state_waits.insert(token, waiting);
+        self.out.push(Effect::State { token, lane, call });
+    }
+
+    pub(crate) fn cloud_call(&mut self, call: CloudCall, work: CloudWork) {
+        let token = self.token();
+        self.cloud_waits.insert(token, work);
+        self.out.push(Effect::Cloud { token, call });
+    }
+
+    pub(crate) fn worker_call(&mut self, address: String, call: WorkerCall, wait: WorkerWait) -> Token {
+        let token = self.token();
+        self.worker_waits.insert(token, wait);
+        let until = self.hold.sure_until;
+        self.out.push(Effect::Worker { token, address, call, until });
+        token
+    }
+
+    pub(crate) fn ask_peer(
+        &mut self,
+        node: &str,
+        request: PeerRequest,
+        work: crate::stealing::PeerWork,
+    ) {
+        let token = self.token();
+        self.peer_waits.insert(token, work);
+        self.out.push(Effect::Peer { token, node: node.to_owned(), request });
+    }
+
+    pub(crate) fn answer(&mut self, id: RequestId, status: u16, body: serde_json::Value) {
+        self.out.push(Effect::Answer { id, status, body, retry_after_s: None, until: None });
+    }
+
+    /// Tells a user to come back, at once.
+    pub(crate) fn later(&mut self, id: RequestId, status: u16, why: &str) {
+        let body = serde_json::json!({ "error": why });
+        self.out.push(Effect::Answer { id, status, body, retry_after_s: Some(1), until: None });
+    }
+
+    /// Leaves a line in the log, if it is of enough weight.
+    pub(crate) fn note(&mut self, weight: Weight, text: impl FnOnce() -> String) {
+        if weight <= self.cfg.notes {
+            self.out.push(Effect::Note { weight, text: text() });
+        }
+    }
+
+    fn ready(&mut self, id: RequestId) {
+        // A node without a part can still look up, cancel and accept into another's part; it is
+        // of no use only while it has no picture of the service at all.
+        if self.mirror.loaded() && self.wall_offset.is_some() {
+            self.answer(id, 200, serde_json::json!({ "ready": true }));
+        } else {
+            self.later(id, 503, "starting");
+        }
+    }
+
+    fn state_answer(&mut self, waiting: Waiting, result: Result<StateReply, CallError>) {
+        match waiting {
+            Waiting::Grant { sent } => self.granted(sent, result),
+            Waiting::Renew { sent, lease } => self.renewed(sent, lease, result),
+            Waiting::Acquire { part } => self.acquired(&part, result),
+            Waiting::Release { part } => {
+                self.busy_parts.remove(&part);
+            }
+            Waiting::ListParts { from_epoch } => self.parts_listed(from_epoch, result),
+            Waiting::ListHosts { from_epoch } => self.hosts_listed(from_epoch, result),
+            Waiting::Watch => self.watched(result),
+            Waiting::LoadJobs { part, term } => self.jobs_loaded(&part, term, result),
+            Waiting::LoadHosts { part, term } => self.hosts_loaded(&part, term, result),
+            Waiting::ReadLive { purpose } => self.live_read(purpose, result),
+            Waiting::ReadOver { purpose } => self.over_read(purpose, result),
+            Waiting::Accept { id, record } => self.accept_answered(id, *record, result),
+            Waiting::Cancel { id, job, done, tries } => {
+                self.cancel_answered(id, job, done, tries, result);
+            },
+            Waiting::JobWrite { part, term, job, finished, over } => {
+                self.job_written(&part, term, &job, finished, over, result);
+            }
+            Waiting::Reread { part, term, job } => self.reread(&part, term, &job, result),
+            Waiting::RereadOver { part, term, job } => self.reread_over(&part, term, &job, result),
+            Waiting::StealWrite { part, term, request, moved } => {
+                self.steal_written(&part, term, request, moved, result);
+            }
+            Waiting::Claim { id, part, term, report, record } => {
+                self.claimed(id, &part, term, *report, record, result);
+            }
+            Waiting::DropHosts { part, term, hosts } => {
+                self.hosts_dropped(&part, term, hosts, result);
+            }
+        }
+    }
+
+    fn cloud_answer(&mut self, work: CloudWork, result: Result<CloudReply, CallError>) {
+        self.cloud_done(work, result);
+    }
+
+    fn worker_answer(
+        &mut self,
+        token: Token,
+        wait: WorkerWait,
+        result: Result<WorkerReply, CallError>,
+    ) {
+        self.worker_done(token, wait, result);
+    }
+
+    fn peer_answer(&mut self, work: crate::stealing::PeerWork, result: Result<PeerAnswer, CallError>) {
+        self.peer_done(work, result);
+    }
+
+    /// All decisions of this moment.
+    fn decide(&mut self) {
+        let names: Vec<String> = self.parts.keys().cloned().collect();
+        for name in &names {
+            self.expire_silent(name);
+            if let Some(part) = self.parts.get_mut(name)
+                && part.try_open_barrier()
+            {
+                let after = (self.now - part.acquired) / 1000;
+                self.note(Weight::Info, || format!("part {name}: recovered after {after} ms"));
+            }
+            if self.sure() {
+                self.place(name);
+                self.call_workers(name);
+            }
+            self.write_jobs(name);
+        }
+        self.keep_fleet();
+        self.keep_stealing();
+    }
+
+    pub(crate) fn part_at(&mut self, name: &str, term: u64) -> Option<&mut Part> {
+        self.parts.get_mut(name).filter(|p| p.term == term)
+    }
+}
--- /dev/null
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -0,0 +1,598 @@
+//! The machines of a part: renting for its queue, returning, and suspicion.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+
+use quartzlever_wire::cloud::{CloudCall, CloudReply, Hire, MachineType, RentalPhase, Rentals};
+use quartzlever_wire::peers::PeerRequest;
+use quartzlever_wire::state::{HOSTS, StateCall};
+use quartzlever_wire::{CallError, Micros, SECOND, micros_from_secs};
+
+use crate::engine::{Core, Waiting};
+use crate::machine::Amounts;
+use crate::messages::{Lane, Weight};
+use crate::part::Part;
+use crate::placement::{latest_start, type_allowed};
+use crate::stealing::PeerWork;
+
+const TICK: Micros = SECOND / 2;
+const CATALOGUE_EVERY: Micros = 120 * SECOND;
+const LIST_EVERY: Micros = 15 * SECOND;
+const RETRY: Micros = SECOND;
+/// How long a refused kind of machine is not asked for again.
+const REFUSED_FOR: Micros = 10 * SECOND;
+/// The most machines in one request for them.
+const MOST_PER_HIRE: u32 = 50;
+const MOST_PER_RETURN: usize = 100;
+/// Machines in excess of this many are not rented in one round.
+const MOST_PER_ROUND: u32 = 16;
+/// Failures in a row that make a machine suspect.
+const SUSPECT_ERRORS: u32 = 2;
+/// Pace in thousandths of the usual from which a machine crawls, and over how many tasks.
+const CRAWL_PACE: u32 = 2200;
+const CRAWL_TASKS: usize = 3;
+const REMEMBERED: usize = 4000;
+
+/// What an answer from the cloud belongs to.
+#[derive(Debug)]
+pub(crate) enum CloudWork {
+    Catalogue,
+    Hire { part: String, term: u64, hire: Hire },
+    Return { part: Option<(String, u64)>, hosts: Vec<String> },
+    List { seen: Vec<quartzlever_wire::cloud::Rental> },
+}
+
+/// What the whole process knows of the cloud.
+#[derive(Debug, Default)]
+pub(crate) struct Cloud {
+    /// Machines that a peer has rented, with the part they are for.
+    pub hints: HashMap<String, String>,
+    hint_order: VecDeque<String>,
+    /// Machines whose claim is under way.
+    pub claiming: HashSet<String>,
+    catalogue_at: Micros,
+    catalogue_waiting: bool,
+    list_at: Micros,
+    list_waiting: bool,
+    tick_at: Micros,
+}
+
+impl Cloud {
+    pub fn hint(&mut self, host: String, part: &str) {
+        if self.hints.insert(host.clone(), part.to_owned()).is_none() {
+            self.hint_order.push_back(host);
+            if self.hint_order.len() > REMEMBERED
+                && let Some(old) = self.hint_order.pop_front()
+            {
+                self.hints.remove(&old);
+            }
+        }
+    }
+}
+
+/// A rented machine that has not reported yet.
+#[derive(Clone, Debug)]
+pub struct Expected {
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+    pub since: Micros,
+}
+
+/// A kind of machine that can be asked for: type, zone, spot.
+type Offer = (String, String, bool);
+
+/// A request for machines without an answer yet; it is repeated under its name.
+#[derive(Clone, Debug)]
+struct OpenHire {
+    hire: Hire,
+    since: Micros,
+    retry_at: Option<Micros>,
+}
+
+/// The fleet side of a part.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    pub expected: BTreeMap<String, Expected>,
+    /// Machines that were returned; late reports of them claim nothing.
+    pub gone: BTreeSet<String>,
+    /// Keys of returned machines that are still to be removed.
+    pub to_drop: Vec<String>,
+    hires: BTreeMap<String, OpenHire>,
+    hired: u64,
+    refused: BTreeMap<Offer, Micros>,
+    return_at: Micros,
+}
+
+impl Fleet {
+    /// A machine has reported, to this part or to another.
+    pub fn arrived(&mut self, host: &str, _now: Micros) {
+        self.expected.remove(host);
+    }
+}
+
+/// Room of one kind that will be there or could be rented.
+struct Bin {
+    offer: Offer,
+    free: Amounts,
+}
+
+fn offer_allowed(spec: &quartzlever_wire::users::JobSpec, kind: &MachineType, offer: &Offer) -> bool {
+    type_allowed(spec, kind)
+        && spec.zone.as_ref().is_none_or(|z| *z == offer.1)
+        && (spec.spot || !offer.2)
+}
+
+fn price(kind: &MachineType, spot: bool) -> f64 {
+    if spot { kind.market_price.unwrap_or(f64::INFINITY) } else { kind.hourly }
+}
+
+impl Core {
+    /// All renting and returning of this moment.
+    pub(crate) fn keep_fleet(&mut self) {
+        if self.now < self.cloud.tick_at {
+            return;
+        }
+        self.cloud.tick_at = self.now + TICK;
+        if !self.cloud.catalogue_waiting && self.now >= self.cloud.catalogue_at {
+            self.cloud.catalogue_waiting = true;
+            self.cloud_call(CloudCall::Catalogue, CloudWork::Catalogue);
+        }
+        if !self.sure() || self.types.is_none() {
+            return;
+        }
+        if !self.cloud.list_waiting && self.now >= self.cloud.list_at && !self.parts.is_empty() {
+            self.cloud.list_waiting = true;
+            let work = CloudWork::List { seen: Vec::new() };
+            self.cloud_call(CloudCall::List { from: None }, work);
+        }
+        let names: Vec<String> =
+            self.parts.values().filter(|p| p.active()).map(|p| p.name.clone()).collect();
+        for name in names {
+            self.rent(&name);
+            self.return_machines(&name);
+            self.drop_keys(&name);
+        }
+    }
+
+    pub(crate) fn cloud_done(&mut self, work: CloudWork, result: Result<CloudReply, CallError>) {
+        match work {
+            CloudWork::Catalogue => {
+                self.cloud.catalogue_waiting = false;
+                if let Ok(CloudReply::Catalogue(catalogue)) = result {
+                    self.cloud.catalogue_at = self.now + CATALOGUE_EVERY;
+                    self.types = Some(
+                        catalogue.types.into_iter().map(|t| (t.name.clone(), t)).collect(),
+                    );
+                    for part in self.parts.values_mut() {
+                        part.place_wanted = true;
+                    }
+                } else {
+                    self.cloud.catalogue_at = self.now + RETRY;
+                }
+            }
+            CloudWork::Hire { part, term, hire } => self.hired(&part, term, hire, result),
+            CloudWork::Return { part, hosts } => {
+                if let Some((part, term)) = part {
+                    self.returned(&part, term, hosts, result);
+                }
+            }
+            CloudWork::List { seen } => self.listed(seen, result),
+        }
+    }
+
+    fn rent(&mut self, name: &str) {
+        let now = self.now;
+        let Some(types) = &self.types else { return };
+        let Some(part) = self.parts.get_mut(name) else { return };
+        let mut calls: Vec<Hire> = Vec::new();
+        for open in part.fleet.hires.values_mut() {
+            if open.retry_at.is_some_and(|t| now >= t) {
+                open.retry_at = None;
+                calls.push(open.hire.clone());
+            }
+        }
+        part.fleet.refused.retain(|_, until| *until > now);
+        let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
+        part.shortage(&self.cfg, &self.paces, types, now, &mut wanted);
+        let mut most = MOST_PER_ROUND;
+        for ((kind, zone, spot), count) in wanted {
+            let count = count.min(MOST_PER_HIRE).min(most);
+            if count == 0 {
+                break;
+            }
+            most -= count;
+            part.fleet.hired += 1;
+            // Never used before or after: the term is unique and the counter its holder's.
+            let hire = Hire {
+                name: format!("{}.{}.{}", part.name, part.term, part.fleet.hired),
+                kind,
+                zone,
+                spot,
+                count,
+            };
+            let open = OpenHire { hire: hire.clone(), since: now, retry_at: None };
+            part.fleet.hires.insert(hire.name.clone(), open);
+            calls.push(hire);
+        }
+        let term = part.term;
+        for hire in calls {
+            self.note(Weight::Info, || {
+                let Hire { kind, zone, spot, count, .. } = &hire;
+                format!("part {name}: asks for {count} {kind} in {zone}, spot {spot}")
+            });
+            let work = CloudWork::Hire { part: name.to_owned(), term, hire: hire.clone() };
+            self.cloud_call(CloudCall::Rent(hire), work);
+        }
+    }
+
+    fn hired(
+        &mut self,
+        name: &str,
+        term: u64,
+        hire: Hire,
+        result: Result<CloudReply, CallError>,
+    ) {
+        let now = self.now;
+        let known: HashSet<String> = self.mirror.hosts.keys().cloned().collect();
+        let Some(part) = self.part_at(name, term) else { return };
+        match result {
+            Ok(CloudReply::Rented(hosts)) => {
+                let since = part.fleet.hires.remove(&hire.name).map_or(now, |o| o.since);
+                if (hosts.len() as u32) < hire.count {
+                    let offer = (hire.kind.clone(), hire.zone.clone(), hire.spot);
+                    part.fleet.refused.insert(offer, now + REFUSED_FOR);
+                }
+                for host in &hosts {
+                    if !known.contains(host) && !part.fleet.gone.contains(host) {
+                        let expected = Expected {
+                            kind: hire.kind.clone(),
+                            zone: hire.zone.clone(),
+                            spot: hire.spot,
+                            since,
+                        };
+                        part.fleet.expected.insert(host.clone(), expected);
+                    }
+                }
+                for host in &hosts {
+                    self.cloud.hint(host.clone(), name);
+                }
+                for node in self.cfg.nodes.clone() {
+                    if node != self.cfg.node {
+                        let request =
+                            PeerRequest::Rented { part: name.to_owned(), hosts: hosts.clone() };
+                        self.ask_peer(&node, request, PeerWork::Told);
+                    }
+                }
+            }
+            Ok(CloudReply::NoCapacity) => {
+                let what = format!("{} in {}, spot {}", hire.kind, hire.zone, hire.spot);
+                part.fleet.hires.remove(&hire.name);
+                let offer = (hire.kind, hire.zone, hire.spot);
+                part.fleet.refused.insert(offer, now + REFUSED_FOR);
+                self.note(Weight::Info, || format!("part {name}: no capacity for {what}"));
+            }
+            _ => {
+                if let Some(open) = part.fleet.hires.get_mut(&hire.name) {
+                    open.retry_at = Some(now + RETRY);
+                }
+            }
+        }
+    }
+
+    fn return_machines(&mut self, name: &str) {
+        let now = self.now;
+        let operator = self.cfg.operator.clone();
+        let Some(types) = &self.types else { return };
+        let Some(part) = self.parts.get_mut(name) else { return };
+        if now < part.fleet.return_at {
+            return;
+        }
+        for machine in part.machines.values_mut().filter(|m| !m.returning) {
+            machine.return_wanted = machine.return_wanted.or_else(|| {
+                let crawls = machine.pace.len() >= CRAWL_TASKS
+                    && machine.pace.iter().sum::<u32>() / machine.pace.len() as u32 > CRAWL_PACE;
+                if now.saturating_sub(machine.heard) > operator.silent_return {
+                    Some("silent")
+                } else if machine.errors >= SUSPECT_ERRORS && machine.failed_jobs.len() > 1 {
+                    Some("fails")
+                } else if crawls {
+                    Some("crawls")
+                } else if machine
+                    .idle_since
+                    .is_some_and(|t| now.saturating_sub(t) > operator.idle_return)
+                    && machine.session > 0
+                {
+                    Some("idle")
+                } else {
+                    None
+                }
+            });
+            if machine.return_wanted == Some("silent")
+                && now.saturating_sub(machine.heard) < operator.silent_return
+            {
+                machine.return_wanted = None;
+            }
+        }
+        let mut hosts: Vec<String> = part
+            .machines
+            .values()
+            .filter(|m| {
+                !m.returning
+                    && match m.return_wanted {
+                        Some("silent") => true,
+                        // Everything else waits until the machine has no work.
+                        Some(_) => !m.busy() && m.slots.values().all(|s| s.settled),
+                        None => false,
+                    }
+            })
+            .map(|m| m.name.clone())
+            .collect();
+        let late: Vec<String> = part
+            .fleet
+            .expected
+            .iter()
+            .filter(|(_, e)| {
+                let boot = types.get(&e.kind).map_or(60.0, |t| t.ready_s);
+                now.saturating_sub(e.since) > micros_from_secs(3.0 * boot) + 20 * SECOND
+            })
+            .map(|(host, _)| host.clone())
+            .collect();
+        for host in late {
+            part.fleet.expected.remove(&host);
+            hosts.push(host);
+        }
+        hosts.truncate(MOST_PER_RETURN);
+        if hosts.is_empty() {
+            return;
+        }
+        for host in &hosts {
+            if let Some(machine) = part.machines.get_mut(host) {
+                machine.returning = true;
+            }
+        }
+        let why: Vec<String> = hosts
+            .iter()
+            .map(|h| {
+                let why = part.machines.get(h).and_then(|m| m.return_wanted);
+                format!("{h} ({})", why.unwrap_or("never came up"))
+            })
+            .collect();
+        let part = Some((name.to_owned(), part.term));
+        self.note(Weight::Info, || format!("part {name}: returns {}", why.join(", ")));
+        self.cloud_call(
+            CloudCall::Return(hosts.clone()),
+            CloudWork::Return { part, hosts },
+        );
+    }
+
+    fn returned(
+        &mut self,
+        name: &str,
+        term: u64,
+        hosts: Vec<String>,
+        result: Result<CloudReply, CallError>,
+    ) {
+        let now = self.now;
+        let Some(part) = self.part_at(name, term) else { return };
+        if !matches!(result, Ok(CloudReply::Returned)) {
+            part.fleet.return_at = now + 2 * RETRY;
+            for host in hosts {
+                if let Some(machine) = part.machines.get_mut(&host) {
+                    machine.returning = false;
+                }
+            }
+            return;
+        }
+        for host in hosts {
+            // The machine is gone, with everything on it.
+            part.empty_machine(&host);
+            if part.machines.remove(&host).is_some() {
+                part.fleet.to_drop.push(host.clone());
+            }
+            part.fleet.gone.insert(host);
+            while part.fleet.gone.len() > REMEMBERED {
+                part.fleet.gone.pop_first();
+            }
+        }
+        part.place_wanted = true;
+    }
+
+    fn drop_keys(&mut self, name: &str) {
+        let most = self.cfg.txn_ops.max(1);
+        let Some(part) = self.parts.get_mut(name) else { return };
+        if part.fleet.to_drop.is_empty() {
+            return;
+        }
+        let count = part.fleet.to_drop.len().min(most);
+        let hosts: Vec<String> = part.fleet.to_drop.drain(..count).collect();
+        let mut txn = part.txn();
+        for host in &hosts {
+            txn = txn.delete(format!("{HOSTS}{host}"));
+        }
+        let waiting = Waiting::DropHosts { part: name.to_owned(), term: part.term, hosts };
+        self.state(Lane::Work, StateCall::Txn(txn), waiting);
+    }
+
+    fn listed(
+        &mut self,
+        mut seen: Vec<quartzlever_wire::cloud::Rental>,
+        result: Result<CloudReply, CallError>,
+    ) {
+        self.cloud.list_waiting = false;
+        self.cloud.list_at = self.now + LIST_EVERY;
+        let Ok(CloudReply::Listed(Rentals { hosts, has_next })) = result else { return };
+        seen.extend(hosts);
+        if has_next && let Some(last) = seen.last() {
+            self.cloud.list_waiting = true;
+            let call = CloudCall::List { from: Some(last.name.clone()) };
+            return self.cloud_call(call, CloudWork::List { seen });
+        }
+        let mut strays = Vec::new();
+        for rental in &seen {
+            let owner = self.parts.values_mut().find(|p| p.machines.contains_key(&rental.name));
+            if let Some(part) = owner {
+                if rental.phase == RentalPhase::Failed
+                    && let Some(machine) = part.machines.get_mut(&rental.name)
+                {
+                    machine.return_wanted = Some("silent");
+                }
+                continue;
+            }
+            let claimed = self.mirror.hosts.contains_key(&rental.name);
+            let expected = self.parts.values().any(|p| p.fleet.expected.contains_key(&rental.name));
+            let boot = self
+                .types
+                .as_ref()
+                .and_then(|t| t.get(&rental.kind))
+                .map_or(60.0, |t| t.ready_s);
+            let old = rental.held_s > 4.0 * boot + 60.0;
+            let failed = rental.phase == RentalPhase::Failed;
+            if !claimed && (failed || (old && !expected)) {
+                strays.push(rental.name.clone());
+            }
+        }
+        strays.truncate(MOST_PER_RETURN);
+        if !strays.is_empty() {
+            for part in self.parts.values_mut() {
+                for host in &strays {
+                    part.fleet.expected.remove(host);
+                }
+            }
+            self.cloud_call(
+                CloudCall::Return(strays.clone()),
+                CloudWork::Return { part: None, hosts: strays },
+            );
+        }
+    }
+}
+
+impl Part {
+    /// What should be rented for the ready tasks that neither the machines at hand nor those
+    /// coming up can serve in time.
+    fn shortage(
+        &self,
+        cfg: &crate::config::Config,
+        paces: &crate::placement::Paces,
+        types: &BTreeMap<String, MachineType>,
+        now: Micros,
+        wanted: &mut BTreeMap<Offer, u32>,
+    ) {
+        let mut bins: Vec<Bin> = Vec::new();
+        let mut cpus = 0.0;
+        for machine in self.machines.values().filter(|m| m.fenced && m.return_wanted.is_none()) {
+            if let Some(kind) = types.get(&machine.record.kind) {
+                cpus += kind.cpus;
+            }
+        }
+        let mut coming = |kind: &str, zone: &str, spot: bool, count: u32| {
+            let Some(t) = types.get(kind) else { return };
+            for _ in 0..count {
+                cpus += t.cpus;
+                bins.push(Bin {
+                    offer: (kind.to_owned(), zone.to_owned(), spot),
+                    free: Amounts::of_type(t),
+                });
+            }
+        };
+        for e in self.fleet.expected.values() {
+            let boot = types.get(&e.kind).map_or(60.0, |t| t.ready_s);
+            // One that is long overdue is not counted on.
+            if now.saturating_sub(e.since) < micros_from_secs(1.8 * boot) + 3 * SECOND {
+                coming(&e.kind, &e.zone, e.spot, 1);
+            }
+        }
+        for open in self.fleet.hires.values() {
+            coming(&open.hire.kind, &open.hire.zone, open.hire.spot, open.hire.count);
+        }
+        // Work ahead in the queue, in processor-seconds; what runs counts by what is left of it.
+        let mut ahead = 0.0;
+        for slot in self.live_slots() {
+            let ran = slot.running_since.map_or(0, |t| now.saturating_sub(t));
+            ahead += slot.expect.saturating_sub(ran) as f64 / 1e6 * slot.need.cpus;
+        }
+        for id in self.queue_order(cfg, paces) {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            if job.failed_on.len() > 2 {
+                // Fails everywhere; machines would not help it.
+                continue;
+            }
+            let spec = job.spec();
+            let need = job.need();
+            let expect = paces.expect(spec).max(SECOND);
+            let mut left = job.ready.len();
+            for bin in &mut bins {
+                let Some(kind) = types.get(&bin.offer.0) else { continue };
+                while left > 0
+                    && bin.free.fits(&need)
+                    && offer_allowed(spec, kind, &bin.offer)
+                {
+                    bin.free.take(&need);
+                    left -= 1;
+                }
+            }
+            let work = f64::from(job.ready.len()) * need.cpus * expect as f64 / 1e6;
+            ahead += work;
+            if left == 0 {
+                continue;
+            }
+            let latest = latest_start(cfg, paces, job);
+            if cpus > 0.0 {
+                let drained = now + micros_from_secs(ahead / cpus * 1.2);
+                let last_start = drained.saturating_sub(expect);
+                if last_start <= latest {
+                    continue;
+                }
+            }
+            while left > 0 {
+                let Some(offer) = self.cheapest(cfg, types, job, left, now) else { break };
+                let Some(kind) = types.get(&offer.0) else { break };
+                let mut free = Amounts::of_type(kind);
+                let count = free.count(&need).min(left).max(1);
+                for _ in 0..count {
+                    free.take(&need);
+                }
+                left -= count;
+                cpus += kind.cpus;
+                *wanted.entry(offer.clone()).or_default() += 1;
+                bins.push(Bin { offer, free });
+            }
+        }
+    }
+
+    /// The cheapest offer for `left` tasks of a job.
+    fn cheapest(
+        &self,
+        cfg: &crate::config::Config,
+        types: &BTreeMap<String, MachineType>,
+        job: &crate::part::PartJob,
+        left: u32,
+        now: Micros,
+    ) -> Option<Offer> {
+        let spec = job.spec();
+        let need = job.need();
+        let mut best: Option<(f64, Offer)> = None;
+        for kind in types.values() {
+            let count = Amounts::of_type(kind).count(&need).min(left);
+            if count == 0 {
+                continue;
+            }
+            for zone in &kind.zones {
+                for spot in [true, false] {
+                    let offer = (kind.name.clone(), zone.clone(), spot);
+                    if !offer_allowed(spec, kind, &offer)
+                        || self.fleet.refused.get(&offer).is_some_and(|until| *until > now)
+                    {
+                        continue;
+                    }
+                    // At the same price the holder's own zone: reports take the shorter way.
+                    let far = if *zone == cfg.zone { 1.0 } else { 1.01 };
+                    let cost = price(kind, spot) / f64::from(count) * far;
+                    if cost.is_finite() && best.as_ref().is_none_or(|b| cost < b.0) {
+                        best = Some((cost, offer));
+                    }
+                }
+            }
+        }
+        best.map(|(_, offer)| offer)
+    }
+}
--- /dev/null
+++ b/crates/quartzlever-core/src/holding.rs
@@ -0,0 +1,509 @@
+//! Holding parts: the lease, taking a part, losing it, handing it back, and the picture of
+//! `parts/` and `hosts/` that a watch keeps fresh.
+
+use quartzlever_wire::peers::PeerRequest;
+use quartzlever_wire::state::{
+    Event, HOSTS, HostRecord, LIVE, LiveRecord, OVER, OverRecord, PARTS, PartRecord, Row, Rows,
+    StateCall, StateReply, Txn,
+};
+use quartzlever_wire::{CallError, Micros, SECOND};
+use rand::Rng;
+use serde::de::DeserializeOwned;
+
+use crate::config::surely_within;
+use crate::engine::{Core, Waiting};
+use crate::messages::{Lane, Weight};
+use crate::part::Part;
+use crate::stealing::PeerWork;
+
+/// Kept back from a hold's life for answers and calls that are on their way out.
+const HOLD_MARGIN: Micros = SECOND;
+const RETRY: Micros = SECOND / 2;
+/// Shortest time between two watches; each one counts as a request.
+const WATCH_PAUSE: Micros = 250_000;
+const WATCH_HOLD_MS: u64 = 20_000;
+/// Home asks for its part this often, and counts as gone after this long without asking.
+const HOME_ASK: Micros = SECOND;
+const HOME_GONE: Micros = 3 * SECOND;
+/// At a start the peers may only be a little slower to come up.
+const START_GRACE: Micros = 8 * SECOND;
+
+pub(crate) fn parse<T: DeserializeOwned>(row: &Row) -> Option<T> {
+    serde_json::from_value(row.v.clone()).ok()
+}
+
+impl Core {
+    /// Keeps the process's lease alive.
+    pub(crate) fn keep_hold(&mut self) {
+        if self.hold.waiting || self.now < self.hold.next {
+            return;
+        }
+        self.hold.waiting = true;
+        let sent = self.now;
+        match self.hold.lease {
+            None => {
+                let life_ms = self.cfg.operator.hold_life / 1000;
+                self.state(Lane::Hold, StateCall::Grant { life_ms }, Waiting::Grant { sent });
+            }
+            Some(lease) => {
+                self.state(Lane::Hold, StateCall::Renew { lease }, Waiting::Renew { sent, lease });
+            }
+        }
+    }
+
+    fn extend_hold(&mut self, sent: Micros) {
+        let life = surely_within(self.cfg.operator.hold_life);
+        self.hold.sure_until = self.hold.sure_until.max(sent + life.saturating_sub(HOLD_MARGIN));
+        self.hold.next = sent + self.cfg.operator.hold_life / 6;
+    }
+
+    pub(crate) fn granted(&mut self, sent: Micros, result: Result<StateReply, CallError>) {
+        self.hold.waiting = false;
+        if let Ok(StateReply::Granted(lease)) = result {
+            self.hold.lease = Some(lease);
+            self.hold.sure_until = 0;
+            self.extend_hold(sent);
+        } else {
+            self.hold.next = self.now + RETRY;
+        }
+    }
+
+    pub(crate) fn renewed(
+        &mut self,
+        sent: Micros,
+        lease: u64,
+        result: Result<StateReply, CallError>,
+    ) {
+        self.hold.waiting = false;
+        if self.hold.lease != Some(lease) {
+            return;
+        }
+        match result {
+            Ok(StateReply::Renewed) => self.extend_hold(sent),
+            Ok(StateReply::NoLease) => self.lose_all(),
+            _ => self.hold.next = self.now + RETRY,
+        }
+    }
+
+    /// The lease is gone, and with it every part.
+    fn lose_all(&mut self) {
+        self.hold.lease = None;
+        self.hold.sure_until = 0;
+        self.hold.next = self.now;
+        self.note(Weight::Info, || "lease lost, and all parts with it".into());
+        self.parts.clear();
+    }
+
+    pub(crate) fn lose_part(&mut self, name: &str, term: u64) {
+        if self.parts.get(name).is_some_and(|p| p.term == term) {
+            self.parts.remove(name);
+            self.note(Weight::Info, || format!("part {name}: lost, term {term}"));
+        }
+    }
+
+    /// Keeps the picture of parts and machines, and the watch that feeds it.
+    pub(crate) fn keep_mirror(&mut self) {
+        if !self.mirror.loaded() {
+            if !self.mirror.loading && self.now >= self.mirror.retry_at {
+                self.mirror.loading = true;
+                self.mirror.loaded_parts = false;
+                self.mirror.loaded_hosts = false;
+                let call = StateCall::List { prefix: PARTS.into(), from: None };
+                self.state(Lane::Hold, call, Waiting::ListParts { from_epoch: None });
+            }
+            return;
+        }
+        if !self.mirror.watching && self.now >= self.mirror.watch_at {
+            self.mirror.watching = true;
+            self.mirror.watch_at = self.now + WATCH_PAUSE;
+            let call = StateCall::Watch { from: self.mirror.epoch, hold_ms: WATCH_HOLD_MS };
+            self.state(Lane::Watch, call, Waiting::Watch);
+        }
+    }
+
+    fn mirror_failed(&mut self) {
+        self.mirror.loading = false;
+        self.mirror.retry_at = self.now + RETRY;
+    }
+
+    pub(crate) fn parts_listed(
+        &mut self,
+        from_epoch: Option<u64>,
+        result: Result<StateReply, CallError>,
+    ) {
+        let Ok(StateReply::Rows(rows)) = result else { return self.mirror_failed() };
+        let epoch = from_epoch.unwrap_or(rows.epoch);
+        if from_epoch.is_none() {
+            self.mirror.parts.clear();
+        }
+        for row in &rows.rows {
+            self.part_seen(&row.path, parse(row), row.stamp);
+        }
+        if let Some(from) = next_page(&rows) {
+            let call = StateCall::List { prefix: PARTS.into(), from: Some(from) };
+            return self.state(Lane::Hold, call, Waiting::ListParts { from_epoch: Some(epoch) });
+        }
+        self.mirror.loaded_parts = true;
+        self.mirror.epoch = epoch;
+        self.mirror.hosts.clear();
+        let call = StateCall::List { prefix: HOSTS.into(), from: None };
+        self.state(Lane::Hold, call, Waiting::ListHosts { from_epoch: Some(epoch) });
+    }
+
+    pub(crate) fn hosts_listed(
+        &mut self,
+        from_epoch: Option<u64>,
+        result: Result<StateReply, CallError>,
+    ) {
+        let Ok(StateReply::Rows(rows)) = result else { return self.mirror_failed() };
+        for row in &rows.rows {
+            if let Some(record) = parse::<HostRecord>(row) {
+                let name = row.path[HOSTS.len()..].to_owned();
+                self.mirror.hosts.insert(name, (record, row.stamp));
+            }
+        }
+        if let Some(from) = next_page(&rows) {
+            let call = StateCall::List { prefix: HOSTS.into(), from: Some(from) };
+            return self.state(Lane::Hold, call, Waiting::ListHosts { from_epoch });
+        }
+        self.mirror.loading = false;
+        self.mirror.loaded_hosts = true;
+        // The picture has a gap where changes were missed; the parts are read again in full.
+        for part in self.parts.values_mut().filter(|p| p.jobs_loaded) {
+            part.load_jobs_at = Some(self.now);
+        }
+    }
+
+    pub(crate) fn watched(&mut self, result: Result<StateReply, CallError>) {
+        self.mirror.watching = false;
+        match result {
+            Ok(StateReply::Watched(answer)) => {
+                for event in answer.log {
+                    self.event(event);
+                }
+                self.mirror.epoch = self.mirror.epoch.max(answer.epoch);
+            }
+            Ok(StateReply::TooOld) => {
+                self.mirror.loaded_parts = false;
+                self.mirror.loaded_hosts = false;
+                self.mirror.loading = false;
+            }
+            _ => self.mirror.watch_at = self.now + RETRY,
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        match event {
+            Event::Write { write, v, stamp } => {
+                let row = Row { path: write, v, stamp, charter: None };
+                if row.path.starts_with(PARTS) {
+                    self.part_seen(&row.path, parse(&row), stamp);
+                } else if let Some(name) = row.path.strip_prefix(HOSTS) {
+                    if let Some(record) = parse::<HostRecord>(&row) {
+                        let name = name.to_owned();
+                        self.host_seen(&name, record, stamp);
+                    }
+                } else if row.path.starts_with(LIVE) {
+                    if let Some(record) = parse::<LiveRecord>(&row) {
+                        self.absorb(record, stamp);
+                    }
+                } else if let Some(id) = row.path.strip_prefix(OVER)
+                    && let Some(over) = parse::<OverRecord>(&row)
+                {
+                    let id = id.to_owned();
+                    self.job_over(&id, over);
+                }
+            }
+            Event::Delete { delete, stamp } => {
+                if let Some(name) = delete.strip_prefix(PARTS) {
+                    if self.mirror.parts.get(name).is_some_and(|(_, s)| *s <= stamp) {
+                        self.mirror.parts.remove(name);
+                    }
+                    if self.parts.get(name).is_some_and(|p| p.term <= stamp) {
+                        self.parts.remove(name);
+                    }
+                } else if let Some(name) = delete.strip_prefix(HOSTS)
+                    && self.mirror.hosts.get(name).is_some_and(|(_, s)| *s <= stamp)
+                {
+                    self.mirror.hosts.remove(name);
+                }
+            }
+        }
+    }
+
+    fn part_seen(&mut self, path: &str, record: Option<PartRecord>, stamp: u64) {
+        let (Some(name), Some(record)) = (path.strip_prefix(PARTS), record) else { return };
+        if self.mirror.parts.get(name).is_some_and(|(_, s)| *s > stamp) {
+            return;
+        }
+        let mine = record.process == self.process && record.node == self.cfg.node;
+        if self.parts.get(name).is_some_and(|p| p.term < stamp) {
+            // Somebody took the part over, or a later acquisition of ours came into force.
+            self.parts.remove(name);
+        }
+        self.mirror.parts.insert(name.to_owned(), (record, stamp));
+        if mine {
+            let name = name.to_owned();
+            self.begin_part(&name, stamp);
+        }
+    }
+
+    fn host_seen(&mut self, name: &str, record: HostRecord, stamp: u64) {
+        let now = self.now;
+        if let Some(part) = self.parts.get_mut(&record.part)
+            && part.active()
+            && !part.machines.contains_key(name)
+            && !part.fleet.gone.contains(name)
+            && stamp > part.term
+        {
+            // A claim of ours whose answer was lost; claims of earlier terms fail by then.
+            part.add_machine(name, record.clone(), true, now);
+        }
+        for part in self.parts.values_mut().filter(|p| p.name != record.part) {
+            part.fleet.arrived(name, now);
+        }
+        self.mirror.hosts.insert(name.to_owned(), (record, stamp));
+    }
+
+    /// Takes, asks for and hands back parts.
+    pub(crate) fn keep_parts(&mut self) {
+        self.load_parts();
+        if !self.mirror.loaded() || !self.sure() {
+            return;
+        }
+        for name in self.cfg.nodes.clone() {
+            let home = name == self.cfg.node;
+            let entry = self.mirror.parts.get(&name).cloned();
+            match entry {
+                None => {
+                    let grace = if home {
+                        0
+                    } else {
+                        let spread = self.rng.random_range(0..SECOND);
+                        self.cfg.operator.takeover_after + spread
+                    };
+                    let start_grace = if home { 0 } else { START_GRACE };
+                    let since = *self.absent_since.entry(name.clone()).or_insert(self.now);
+                    let due = (since + grace).max(self.started + start_grace);
+                    if self.now >= due {
+                        self.acquire(&name, 0);
+                    }
+                }
+                Some((record, stamp)) => {
+                    self.absent_since.remove(&name);
+                    if record.node == self.cfg.node && record.process != self.process {
+                        // Our own former process held it; that process is dead.
+                        self.acquire(&name, stamp);
+                    } else if record.node == self.cfg.node {
+                        if self.releasing.contains(&name) || self.wanted_back(&name) {
+                            self.release(&name, stamp);
+                        }
+                    } else if home {
+                        self.ask_home(&record.node);
+                    }
+                }
+            }
+        }
+    }
+
+    fn acquire(&mut self, name: &str, stamp: u64) {
+        let Some(lease) = self.hold.lease else { return };
+        if !self.busy_parts.insert(name.to_owned()) {
+            return;
+        }
+        self.releasing.remove(name);
+        let record = PartRecord { node: self.cfg.node.clone(), process: self.process };
+        let key = format!("{PARTS}{name}");
+        let Ok(value) = serde_json::to_value(&record) else { return };
+        let txn = Txn::default().when(key.clone(), stamp).write_held(key, value, lease);
+        self.state(Lane::Hold, StateCall::Txn(txn), Waiting::Acquire { part: name.to_owned() });
+    }
+
+    pub(crate) fn acquired(&mut self, name: &str, result: Result<StateReply, CallError>) {
+        self.busy_parts.remove(name);
+        match result {
+            Ok(StateReply::Committed(epoch)) => {
+                let record = PartRecord { node: self.cfg.node.clone(), process: self.process };
+                self.part_seen(&format!("{PARTS}{name}"), Some(record), epoch);
+            }
+            Ok(StateReply::NoLease) => self.lose_all(),
+            // The watch shows who was quicker, or that an unknown outcome was a success.
+            _ => {
+                self.absent_since.insert(name.to_owned(), self.now);
+            }
+        }
+    }
+
+    /// Starts acting as a part's holder: reads its jobs and machines first.
+    fn begin_part(&mut self, name: &str, term: u64) {
+        if self.releasing.contains(name) || self.parts.get(name).is_some_and(|p| p.term >= term) {
+            return;
+        }
+        self.note(Weight::Info, || format!("part {name}: held, term {term}"));
+        self.parts.insert(name.to_owned(), Part::new(name, term, self.now));
+    }
+
+    /// Reads what a part still has to read.
+    fn load_parts(&mut self) {
+        let now = self.now;
+        let mut calls = Vec::new();
+        for part in self.parts.values_mut() {
+            if part.load_jobs_at.is_some_and(|t| now >= t) {
+                part.load_jobs_at = None;
+                part.listed.clear();
+                calls.push((part.name.clone(), part.term, true));
+            }
+            if part.load_hosts_at.is_some_and(|t| now >= t) {
+                part.load_hosts_at = None;
+                calls.push((part.name.clone(), part.term, false));
+            }
+        }
+        for (part, term, jobs) in calls {
+            if jobs {
+                let call = StateCall::List { prefix: LIVE.into(), from: None };
+                self.state(Lane::Hold, call, Waiting::LoadJobs { part, term });
+            } else {
+                let call = StateCall::List { prefix: HOSTS.into(), from: None };
+                self.state(Lane::Hold, call, Waiting::LoadHosts { part, term });
+            }
+        }
+    }
+
+    pub(crate) fn jobs_loaded(
+        &mut self,
+        name: &str,
+        term: u64,
+        result: Result<StateReply, CallError>,
+    ) {
+        let (now, wall) = (self.now, self.wall());
+        let cfg = &self.cfg;
+        let Some(part) = self.parts.get_mut(name).filter(|p| p.term == term) else { return };
+        let Ok(StateReply::Rows(rows)) = result else {
+            part.load_jobs_at = Some(now + RETRY);
+            return;
+        };
+        for row in &rows.rows {
+            if let Some(record) = parse::<LiveRecord>(row) {
+                part.listed.insert(record.job.id.clone());
+                if self.finals.get(&record.job.id).is_some() {
+                    continue;
+                }
+                part.absorb(cfg, record, row.stamp, now, wall);
+            }
+        }
+        if let Some(from) = next_page(&rows) {
+            let call = StateCall::List { prefix: LIVE.into(), from: Some(from) };
+            let part = name.to_owned();
+            return self.state(Lane::Hold, call, Waiting::LoadJobs { part, term });
+        }
+        // Jobs that are known here but not listed ended while the watch had a gap.
+        let ended: Vec<String> = part
+            .jobs
+            .iter()
+            .filter(|(id, job)| job.stamp <= rows.epoch && !part.listed.contains(*id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        part.listed.clear();
+        part.jobs_loaded = true;
+        for job in ended {
+            let call = StateCall::Get(format!("{OVER}{job}"));
+            let part = name.to_owned();
+            self.state(Lane::Work, call, Waiting::RereadOver { part, term, job });
+        }
+    }
+
+    pub(crate) fn hosts_loaded(
+        &mut self,
+        name: &str,
+        term: u64,
+        result: Result<StateReply, CallError>,
+    ) {
+        let now = self.now;
+        let Some(part) = self.parts.get_mut(name).filter(|p| p.term == term) else { return };
+        let Ok(StateReply::Rows(rows)) = result else {
+            part.load_hosts_at = Some(now + RETRY);
+            return;
+        };
+        for row in &rows.rows {
+            if let Some(record) = parse::<HostRecord>(row)
+                && record.part == name
+            {
+                part.add_machine(&row.path[HOSTS.len()..], record, row.stamp > term, now);
+            }
+        }
+        match next_page(&rows) {
+            Some(from) => {
+                let call = StateCall::List { prefix: HOSTS.into(), from: Some(from) };
+                let part = name.to_owned();
+                self.state(Lane::Hold, call, Waiting::LoadHosts { part, term });
+            }
+            None => part.hosts_loaded = true,
+        }
+    }
+
+    /// Takes a job's record into every part held here.
+    pub(crate) fn absorb(&mut self, record: LiveRecord, stamp: u64) {
+        // A watch may tell of earlier writes after this process has ended the job itself.
+        if self.finals.get(&record.job.id).is_some() {
+            return;
+        }
+        let (now, wall) = (self.now, self.wall());
+        for part in self.parts.values_mut() {
+            part.absorb(&self.cfg, record.clone(), stamp, now, wall);
+        }
+    }
+
+    /// A job is done or cancelled for good.
+    pub(crate) fn job_over(&mut self, id: &str, over: OverRecord) {
+        self.finals.put(id, over);
+        for part in self.parts.values_mut() {
+            part.drop_job(id);
+        }
+    }
+
+    fn ask_home(&mut self, holder: &str) {
+        if self.now < self.stealing.next_home_ask {
+            return;
+        }
+        self.stealing.next_home_ask = self.now + HOME_ASK;
+        let request = PeerRequest::HandBack { part: self.cfg.node.clone() };
+        let holder = holder.to_owned();
+        self.ask_peer(&holder, request, PeerWork::Told);
+    }
+
+    /// A home node asks for its part.
+    pub(crate) fn home_asks(&mut self, part: &str) {
+        let now = self.now;
+        let entry = self.home_asks.entry(part.to_owned()).or_insert((now, now));
+        if now.saturating_sub(entry.1) > HOME_GONE {
+            entry.0 = now;
+        }
+        entry.1 = now;
+    }
+
+    fn wanted_back(&self, part: &str) -> bool {
+        part != self.cfg.node
+            && self.home_asks.get(part).is_some_and(|(since, last)| {
+                last.saturating_sub(*since) >= self.cfg.operator.handback_after
+                    && self.now.saturating_sub(*last) < HOME_GONE
+            })
+    }
+
+    /// Stops acting for a part and then gives up its key.
+    fn release(&mut self, name: &str, stamp: u64) {
+        self.note(Weight::Info, || format!("part {name}: handed back"));
+        self.parts.remove(name);
+        self.home_asks.remove(name);
+        self.releasing.insert(name.to_owned());
+        if !self.busy_parts.insert(name.to_owned()) {
+            return;
+        }
+        let key = format!("{PARTS}{name}");
+        let txn = Txn::default().when(key.clone(), stamp).delete(key);
+        self.state(Lane::Hold, StateCall::Txn(txn), Waiting::Release { part: name.to_owned() });
+    }
+}
+
+fn next_page(rows: &Rows) -> Option<String> {
+    if rows.has_next { rows.rows.last().map(|r| r.path.clone()) } else { None }
+}
--- /dev/null
+++ b/crates/quartzlever-core/src/jobs.rs
@@ -0,0 +1,499 @@
+//! Jobs: what users ask for, and the writing of each job's record.
+
+use quartzlever_wire::state::{
+    LIVE, LiveRecord, OVER, OverRecord, PARTS, Row, Share, StateCall, StateReply, Txn,
+};
+use quartzlever_wire::users::{JobAnswer, JobPhase, JobSpec, JobView};
+use quartzlever_wire::workers::TaskId;
+use quartzlever_wire::{CallError, Micros, Ranges, SECOND};
+
+use crate::config::Config;
+use crate::engine::{Core, Waiting};
+use crate::holding::parse;
+use crate::messages::{Lane, RequestId};
+use crate::part::{Part, live_key};
+
+/// Users' requests under way beyond which new ones are shed at once.
+const MOST_USER_CALLS: usize = 64;
+/// Submissions are shed earlier, so that lookups and cancellations still pass.
+const MOST_SUBMISSIONS: usize = 40;
+const CANCEL_TRIES: u32 = 6;
+const WRITE_RETRY: Micros = SECOND / 2;
+
+/// Why a job is read from the state service.
+#[derive(Debug)]
+pub(crate) enum Purpose {
+    /// Whether a submission that cannot be accepted is of a known job; `refuse` says whether an
+    /// unknown one is refused for good.
+    Submit { id: RequestId, job: String, refuse: bool },
+    Lookup { id: RequestId, job: String },
+    Abort { id: RequestId, job: String, tries: u32 },
+}
+
+impl Purpose {
+    fn request(&self) -> RequestId {
+        match self {
+            Purpose::Submit { id, .. } | Purpose::Lookup { id, .. } | Purpose::Abort { id, .. } => *id,
+        }
+    }
+
+    fn job(&self) -> &str {
+        match self {
+            Purpose::Submit { job, .. } | Purpose::Lookup { job, .. } | Purpose::Abort { job, .. } => job,
+        }
+    }
+}
+
+/// Whether a job could ever run, as far as is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Fits,
+    Never,
+    /// The machine types are not known yet.
+    Unsure,
+}
+
+/// Decides whether a job can ever run.
+pub fn verdict<'a>(
+    cfg: &Config,
+    types: Option<impl Iterator<Item = &'a quartzlever_wire::cloud::MachineType>>,
+    spec: &JobSpec,
+) -> Verdict {
+    let Some(team) = cfg.team(&spec.team) else { return Verdict::Never };
+    let over = |want: f64, most: f64| most > 0.0 && want > most;
+    if over(spec.cpus, team.cpus_max) || over(spec.gpus, team.gpus_max) {
+        return Verdict::Never;
+    }
+    let Some(mut types) = types else { return Verdict::Unsure };
+    let fits = types.any(|t| {
+        crate::placement::type_allowed(spec, t)
+            && crate::machine::Amounts::of_type(t).fits(&crate::machine::Amounts::of_job(spec))
+    });
+    if fits { Verdict::Fits } else { Verdict::Never }
+}
+
+impl Core {
+    fn user_answer(&mut self, id: RequestId, status: u16, job: &str, phase: JobPhase) {
+        let body = JobAnswer { id: job.to_owned(), phase };
+        let body = serde_json::to_value(body).unwrap_or_default();
+        self.answer(id, status, body);
+    }
+
+    /// Starts a call for a user, unless too many are under way.
+    fn user_call(&mut self, call: StateCall, waiting: Waiting) {
+        self.user_calls += 1;
+        self.state(Lane::User, call, waiting);
+    }
+
+    fn read(&mut self, purpose: Purpose) {
+        let call = StateCall::Get(live_key(purpose.job()));
+        self.user_call(call, Waiting::ReadLive { purpose });
+    }
+
+    pub(crate) fn submit(&mut self, id: RequestId, spec: Box<JobSpec>) {
+        if let Some(over) = self.finals.get(&spec.id) {
+            let phase = over.phase;
+            return self.user_answer(id, 200, &spec.id, phase);
+        }
+        if self.user_calls >= MOST_SUBMISSIONS {
+            return self.later(id, 429, "busy");
+        }
+        let types = self.types.as_ref().map(|t| t.values());
+        let refuse = match verdict(&self.cfg, types, &spec) {
+            Verdict::Fits => None,
+            Verdict::Never => Some(true),
+            Verdict::Unsure => Some(false),
+        };
+        let target = self.accept_target(&spec);
+        let (Some((part, term)), None) = (target, refuse) else {
+            let refuse = refuse.unwrap_or(false);
+            return self.read(Purpose::Submit { id, job: spec.id.clone(), refuse });
+        };
+        let since = self.wall();
+        let record = LiveRecord {
+            since,
+            started: false,
+            shares: vec![Share { part: part.clone(), term, tasks: Ranges::first(spec.tasks) }],
+            finished: Ranges::default(),
+            job: (*spec).clone(),
+        };
+        let Ok(value) = serde_json::to_value(&record) else {
+            return self.later(id, 503, "cannot be written");
+        };
+        if value.to_string().len() > self.cfg.value_bytes {
+            // Known submissions are far below this; nothing could ever be kept of such a one.
+            return self.answer(id, 400, serde_json::json!({ "error": "too long to keep" }));
+        }
+        let live = live_key(&spec.id);
+        let mut txn =
+            Txn::default().when(live.clone(), 0).when(format!("{OVER}{}", spec.id), 0);
+        if term > 0 {
+            txn = txn.when(format!("{PARTS}{part}"), term);
+        }
+        let txn = txn.write(live, value);
+        self.user_call(StateCall::Txn(txn), Waiting::Accept { id, record: Box::new(record) });
+    }
+
+    /// The part that a new job enters, with its term.
+    fn accept_target(&self, spec: &JobSpec) -> Option<(String, u64)> {
+        if self.cfg.limited(&spec.team) {
+            let part = self.cfg.part_of_team(&spec.team);
+            let term = self.mirror.parts.get(part).map_or(0, |(_, stamp)| *stamp);
+            return Some((part.to_owned(), term));
+        }
+        if !self.sure() {
+            return None;
+        }
+        let part =
+            self.parts.get(&self.cfg.node).or_else(|| self.parts.values().next())?;
+        Some((part.name.clone(), part.term))
+    }
+
+    pub(crate) fn accept_answered(
+        &mut self,
+        id: RequestId,
+        record: LiveRecord,
+        result: Result<StateReply, CallError>,
+    ) {
+        self.user_calls -= 1;
+        let job = record.job.id.clone();
+        match result {
+            Ok(StateReply::Committed(stamp)) => {
+                // Whichever node holds the part hears of it by the watch; here it may start now.
+                self.absorb(record, stamp);
+                self.user_answer(id, 201, &job, JobPhase::Queued);
+            }
+            Ok(StateReply::Conflict(failed)) => {
+                let known = failed.iter().any(|k| k.starts_with(LIVE) || k.starts_with(OVER));
+                if known {
+                    self.read(Purpose::Submit { id, job, refuse: false });
+                } else {
+                    self.later(id, 503, "the part has changed hands");
+                }
+            }
+            _ => self.later(id, 503, "not written"),
+        }
+    }
+
+    pub(crate) fn lookup(&mut self, id: RequestId, job: String) {
+        if let Some(over) = self.finals.get(&job).cloned() {
+            return self.view_over(id, &job, &over);
+        }
+        if self.user_calls >= MOST_USER_CALLS {
+            return self.later(id, 503, "busy");
+        }
+        self.read(Purpose::Lookup { id, job });
+    }
+
+    pub(crate) fn abort(&mut self, id: RequestId, job: String) {
+        if let Some(over) = self.finals.get(&job) {
+            let phase = over.phase;
+            return self.user_answer(id, 200, &job, phase);
+        }
+        if self.user_calls >= MOST_USER_CALLS {
+            return self.later(id, 503, "busy");
+        }
+        self.read(Purpose::Abort { id, job, tries: 0 });
+    }
+
+    fn view_over(&mut self, id: RequestId, job: &str, over: &OverRecord) {
+        let view =
+            JobView { id: job.to_owned(), phase: over.phase, done: over.done, running: 0 };
+        self.answer(id, 200, serde_json::to_value(view).unwrap_or_default());
+    }
+
+    pub(crate) fn live_read(&mut self, purpose: Purpose, result: Result<StateReply, CallError>) {
+        self.user_calls -= 1;
+        let row: Row = match result {
+            Ok(StateReply::Row(Some(row))) => row,
+            Ok(StateReply::Row(None)) => {
+                let call = StateCall::Get(format!("{OVER}{}", purpose.job()));
+                return self.user_call(call, Waiting::ReadOver { purpose });
+            }
+            _ => return self.later(purpose.request(), 503, "the state service gives no answer"),
+        };
+        let Some(record) = parse::<LiveRecord>(&row) else {
+            return self.later(purpose.request(), 503, "unreadable record");
+        };
+        match purpose {
+            Purpose::Submit { id, job, .. } => {
+                let phase = live_phase(&record);
+                self.user_answer(id, 200, &job, phase);
+            }
+            Purpose::Lookup { id, job } => {
+                let running: usize = self
+                    .parts
+                    .values()
+                    .filter_map(|p| p.jobs.get(&job))
+                    .map(|j| j.located.len())
+                    .sum();
+                let view = JobView {
+                    phase: live_phase(&record),
+                    done: record.finished.len(),
+                    running: running as u32,
+                    id: job,
+                };
+                self.answer(id, 200, serde_json::to_value(view).unwrap_or_default());
+            }
+            Purpose::Abort { id, job, tries } => {
+                let done = record.finished.len();
+                let over = OverRecord { phase: JobPhase::Aborted, done };
+                let live = live_key(&job);
+                let txn = Txn::default()
+                    .when(live.clone(), row.stamp)
+                    .delete(live)
+                    .write(format!("{OVER}{job}"), serde_json::json!(over));
+                self.user_call(StateCall::Txn(txn), Waiting::Cancel { id, job, done, tries });
+            }
+        }
+    }
+
+    pub(crate) fn over_read(&mut self, purpose: Purpose, result: Result<StateReply, CallError>) {
+        self.user_calls -= 1;
+        let over = match result {
+            Ok(StateReply::Row(Some(row))) => parse::<OverRecord>(&row),
+            Ok(StateReply::Row(None)) => {
+                return match purpose {
+                    Purpose::Submit { id, refuse: true, .. } => {
+                        self.answer(id, 422, serde_json::json!({ "error": "can never run" }));
+                    }
+                    Purpose::Submit { id, .. } => self.later(id, 503, "cannot decide yet"),
+                    Purpose::Lookup { id, .. } | Purpose::Abort { id, .. } => {
+                        self.answer(id, 404, serde_json::json!({ "error": "unknown job" }));
+                    }
+                };
+            }
+            _ => None,
+        };
+        let Some(over) = over else {
+            return self.later(purpose.request(), 503, "the state service gives no answer");
+        };
+        let job = purpose.job().to_owned();
+        self.job_over(&job, over.clone());
+        match purpose {
+            Purpose::Lookup { id, .. } => self.view_over(id, &job, &over),
+            Purpose::Submit { id, .. } | Purpose::Abort { id, .. } => {
+                self.user_answer(id, 200, &job, over.phase);
+            }
+        }
+    }
+
+    pub(crate) fn cancel_answered(
+        &mut self,
+        id: RequestId,
+        job: String,
+        done: u32,
+        tries: u32,
+        result: Result<StateReply, CallError>,
+    ) {
+        self.user_calls -= 1;
+        match result {
+            Ok(StateReply::Committed(_)) => {
+                self.job_over(&job, OverRecord { phase: JobPhase::Aborted, done });
+                self.user_answer(id, 200, &job, JobPhase::Aborted);
+            }
+            Ok(StateReply::Conflict(_)) if tries < CANCEL_TRIES => {
+                self.read(Purpose::Abort { id, job, tries: tries + 1 });
+            }
+            _ => self.later(id, 503, "not written"),
+        }
+    }
+
+    /// Writes what has changed of the part's jobs, each job at most once at a time.
+    pub(crate) fn write_jobs(&mut self, name: &str) {
+        let now = self.now;
+        let progress = self.cfg.operator.progress_write;
+        let value_bytes = self.cfg.value_bytes;
+        let Some(part) = self.parts.get_mut(name).filter(|p| p.active()) else { return };
+        let term = part.term;
+        let base = part.txn();
+        let mut writes = Vec::new();
+        let mut done_with = Vec::new();
+        for (id, job) in &mut part.jobs {
+            if job.writing || now < job.write_after {
+                continue;
+            }
+            if job.idle() && !job.wants_write {
+                if job.record.owned_by(name).is_empty() {
+                    done_with.push(id.clone());
+                }
+                continue;
+            }
+            if !(job.doubtful || job.wants_write || !job.finished.is_empty()) {
+                continue;
+            }
+            let mut record = job.record.clone();
+            record.finished.add(&job.finished);
+            record.started = record.started || !job.located.is_empty() || !record.finished.is_empty();
+            let all = record.finished.len() >= record.job.tasks;
+            let live = live_key(id);
+            let txn = base.clone().when(live.clone(), job.stamp);
+            let txn = if all {
+                let over = OverRecord { phase: JobPhase::Done, done: record.job.tasks };
+                txn.delete(live).write(format!("{OVER}{id}"), serde_json::json!(over))
+            } else {
+                let value = serde_json::json!(record);
+                // Too many gaps to be kept: more tasks have to finish first. What is not
+                // recorded is not cleared on the machines either.
+                if value.to_string().len() > value_bytes {
+                    job.write_after = now + 2 * progress;
+                    continue;
+                }
+                txn.write(live, value)
+            };
+            job.writing = true;
+            job.wants_write = false;
+            job.write_after = now + progress;
+            writes.push((
+                txn,
+                Waiting::JobWrite {
+                    part: name.to_owned(),
+                    term,
+                    job: id.clone(),
+                    finished: job.finished.clone(),
+                    over: all,
+                },
+            ));
+        }
+        for id in done_with {
+            part.jobs.remove(&id);
+        }
+        for (txn, waiting) in writes {
+            self.state(Lane::Work, StateCall::Txn(txn), waiting);
+        }
+    }
+
+    pub(crate) fn job_written(
+        &mut self,
+        name: &str,
+        term: u64,
+        id: &str,
+        finished: Ranges,
+        over: bool,
+        result: Result<StateReply, CallError>,
+    ) {
+        let now = self.now;
+        let key = format!("{PARTS}{name}");
+        let Some(part) = self.part_at(name, term) else { return };
+        let Some(job) = part.jobs.get_mut(id) else { return };
+        job.writing = false;
+        match result {
+            Ok(StateReply::Committed(stamp)) => {
+                if over {
+                    let done = job.record.job.tasks;
+                    return self.job_over(id, OverRecord { phase: JobPhase::Done, done });
+                }
+                job.finished.subtract(&finished);
+                if stamp > job.stamp {
+                    job.stamp = stamp;
+                    job.record.finished.add(&finished);
+                    job.record.started = true;
+                }
+                if job.doubtful {
+                    // Ours came into force at that stamp, so the doubtful one never will.
+                    job.doubtful = false;
+                    let cut = std::mem::take(&mut job.cutting);
+                    job.ready.add(&cut);
+                    part.place_wanted = true;
+                }
+            }
+            Ok(StateReply::Conflict(failed)) => {
+                if failed.contains(&key) {
+                    return self.lose_part(name, term);
+                }
+                job.writing = true;
+                self.reread_job(name, term, id);
+            }
+            Ok(_) | Err(_) => {
+                job.wants_write = true;
+                job.write_after = now + WRITE_RETRY;
+            }
+        }
+    }
+
+    pub(crate) fn reread_job(&mut self, part: &str, term: u64, job: &str) {
+        let waiting = Waiting::Reread { part: part.into(), term, job: job.into() };
+        self.state(Lane::Work, StateCall::Get(live_key(job)), waiting);
+    }
+
+    pub(crate) fn reread(
+        &mut self,
+        name: &str,
+        term: u64,
+        id: &str,
+        result: Result<StateReply, CallError>,
+    ) {
+        let now = self.now;
+        let Some(part) = self.part_at(name, term) else { return };
+        let Some(job) = part.jobs.get_mut(id) else { return };
+        job.writing = false;
+        match result {
+            Ok(StateReply::Row(Some(row))) => {
+                if let Some(record) = parse::<LiveRecord>(&row) {
+                    self.absorb(record, row.stamp);
+                }
+            }
+            Ok(StateReply::Row(None)) => {
+                job.writing = true;
+                let waiting =
+                    Waiting::RereadOver { part: name.into(), term, job: id.to_owned() };
+                self.state(Lane::Work, StateCall::Get(format!("{OVER}{id}")), waiting);
+            }
+            _ => {
+                job.wants_write = true;
+                job.write_after = now + WRITE_RETRY;
+            }
+        }
+    }
+
+    pub(crate) fn reread_over(
+        &mut self,
+        name: &str,
+        term: u64,
+        id: &str,
+        result: Result<StateReply, CallError>,
+    ) {
+        let now = self.now;
+        if let Ok(StateReply::Row(Some(row))) = &result
+            && let Some(over) = parse::<OverRecord>(row)
+        {
+            return self.job_over(id, over);
+        }
+        if let Some(part) = self.part_at(name, term)
+            && let Some(job) = part.jobs.get_mut(id)
+        {
+            job.writing = false;
+            job.wants_write = true;
+            job.write_after = now + WRITE_RETRY;
+        }
+    }
+}
+
+fn live_phase(record: &LiveRecord) -> JobPhase {
+    if record.started || !record.finished.is_empty() { JobPhase::Running } else { JobPhase::Queued }
+}
+
+impl Part {
+    /// Notes that a task is done; it counts once the record says so.
+    pub fn finish(&mut self, id: &str, index: u32, now: Micros) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.ready.remove(index);
+        job.held.remove(index);
+        if let Some(place) = job.located.get(&index).cloned()
+            && let Some(machine) = self.machines.get_mut(&place.machine)
+            && let Some(slot) =
+                machine.slots.get_mut(&(TaskId { job: id.to_owned(), index }, place.attempt))
+        {
+            // Another attempt, if that is what it is, has no use any more.
+            slot.wanted = slot.exited();
+        }
+        if job.record.owned_by(&self.name).contains(index) {
+            job.finished.insert(index);
+            let all = job.record.finished.len() + job.finished.len() >= job.record.job.tasks;
+            if all {
+                job.write_after = now;
+            }
+        }
+        self.place_wanted = true;
+    }
+}
--- /dev/null
+++ b/crates/quartzlever-core/src/machine.rs
@@ -0,0 +1,225 @@
+//! A machine as its part knows it: its session, its reports, and the attempts that may be on it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use quartzlever_wire::Micros;
+use quartzlever_wire::cloud::MachineType;
+use quartzlever_wire::state::HostRecord;
+use quartzlever_wire::users::{JobSpec, Rank};
+use quartzlever_wire::workers::{Cause, Order, TaskId, TaskPhase};
+
+use crate::messages::Token;
+
+/// Amounts of a machine, or what a task takes of one.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Amounts {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub ram_gb: f64,
+}
+
+impl Amounts {
+    pub fn of_job(spec: &JobSpec) -> Self {
+        Amounts { cpus: spec.cpus, gpus: spec.gpus, ram_gb: spec.ram_gb }
+    }
+
+    pub fn of_type(kind: &MachineType) -> Self {
+        Amounts { cpus: kind.cpus, gpus: kind.gpus, ram_gb: kind.ram_gb }
+    }
+
+    pub fn fits(&self, need: &Amounts) -> bool {
+        const SLACK: f64 = 1e-9;
+        self.cpus + SLACK >= need.cpus
+            && self.gpus + SLACK >= need.gpus
+            && self.ram_gb + SLACK >= need.ram_gb
+    }
+
+    pub fn take(&mut self, need: &Amounts) {
+        self.cpus -= need.cpus;
+        self.gpus -= need.gpus;
+        self.ram_gb -= need.ram_gb;
+    }
+
+    pub fn give(&mut self, need: &Amounts) {
+        self.cpus += need.cpus;
+        self.gpus += need.gpus;
+        self.ram_gb += need.ram_gb;
+    }
+
+    /// How many tasks of `need` fit.
+    pub fn count(&self, need: &Amounts) -> u32 {
+        let by = |have: f64, want: f64| if want > 0.0 { have / want + 1e-9 } else { 1e6 };
+        let most = by(self.cpus, need.cpus)
+            .min(by(self.gpus, need.gpus))
+            .min(by(self.ram_gb, need.ram_gb));
+        most.max(0.0) as u32
+    }
+}
+
+/// What became of the last direct call that carried an attempt's `run`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direct {
+    /// None was made, or it was answered.
+    Settled,
+    InFlight,
+    /// It was given up and may still arrive, minutes late. Such an attempt is never cleared in
+    /// this session: a cleared attempt would be started again by the late command.
+    Doubtful,
+}
+
+/// An attempt that is on a machine, or may be.
+#[derive(Clone, Debug)]
+pub struct Slot {
+    pub need: Amounts,
+    pub rank: Rank,
+    /// Team and class of the job; empty for an attempt of a job that is not known here.
+    pub team: String,
+    pub class: String,
+    pub image: String,
+    pub expect: Micros,
+    /// When the command was first given, or the attempt first seen.
+    pub since: Micros,
+    /// When it was first reported running.
+    pub running_since: Option<Micros>,
+    pub phase: Option<TaskPhase>,
+    pub cause: Option<Cause>,
+    pub wanted: bool,
+    pub leeway_s: f64,
+    pub direct: Direct,
+    /// Its end has been taken account of.
+    pub settled: bool,
+    /// The command was handed to the worker's address at least once.
+    pub sent: bool,
+    pub kill_sent: Option<Micros>,
+}
+
+impl Slot {
+    pub fn exited(&self) -> bool {
+        self.phase == Some(TaskPhase::Exited)
+    }
+}
+
+/// Names an attempt on a machine.
+pub type SlotKey = (TaskId, u64);
+
+/// A claimed machine of a part.
+#[derive(Clone, Debug)]
+pub struct Machine {
+    pub name: String,
+    pub record: HostRecord,
+    pub session: u64,
+    pub tick: u64,
+    /// It has shown or accepted this term's baton: no command of an earlier holder has any
+    /// effect on it now.
+    pub fenced: bool,
+    /// Nothing that an earlier holder started is on it without our knowing.
+    pub proven: bool,
+    /// Last newer report of any kind.
+    pub heard: Micros,
+    /// Last time a report was answered 200; the worker's lease counts from before that.
+    pub answered: Micros,
+    pub up_since: Micros,
+    pub idle_since: Option<Micros>,
+    /// The cloud takes it away at about this time.
+    pub warned_until: Option<Micros>,
+    pub slots: BTreeMap<SlotKey, Slot>,
+    pub images: BTreeSet<String>,
+    /// A direct call in flight.
+    pub call: Option<Token>,
+    pub no_call_before: Micros,
+    pub returning: bool,
+    pub return_wanted: Option<&'static str>,
+    /// Failures in a row of jobs that failed nowhere else, and those jobs.
+    pub errors: u32,
+    pub failed_jobs: BTreeSet<String>,
+    pub good: u32,
+    /// Run times of its last tasks against what their class usually takes, in thousandths.
+    pub pace: Vec<u32>,
+}
+
+impl Machine {
+    pub fn new(name: &str, record: HostRecord, now: Micros) -> Self {
+        Machine {
+            name: name.to_owned(),
+            record,
+            session: 0,
+            tick: 0,
+            fenced: false,
+            proven: false,
+            heard: now,
+            answered: now,
+            up_since: now,
+            idle_since: Some(now),
+            warned_until: None,
+            slots: BTreeMap::new(),
+            images: BTreeSet::new(),
+            call: None,
+            no_call_before: 0,
+            returning: false,
+            return_wanted: None,
+            errors: 0,
+            failed_jobs: BTreeSet::new(),
+            good: 0,
+            pace: Vec::new(),
+        }
+    }
+
+    /// Whether the machine may get new tasks.
+    pub fn open(&self, now: Micros, quiet: Micros) -> bool {
+        self.fenced
+            && self.session > 0
+            && !self.returning
+            && self.return_wanted.is_none()
+            && self.warned_until.is_none()
+            && now.saturating_sub(self.heard) < quiet
+    }
+
+    /// What is free, counting everything that may be on the machine as taken.
+    pub fn free(&self, total: Amounts) -> Amounts {
+        let mut free = total;
+        for slot in self.slots.values().filter(|s| !s.exited()) {
+            free.take(&slot.need);
+        }
+        free
+    }
+
+    pub fn busy(&self) -> bool {
+        self.slots.values().any(|s| !s.exited())
+    }
+
+    /// Whether anything waits to be said to the worker that is worth a call of its own.
+    pub fn urgent_orders(&self) -> bool {
+        self.slots.values().any(|s| {
+            !s.exited() && ((s.wanted && !s.sent) || (!s.wanted && s.kill_sent.is_none()))
+        })
+    }
+
+    /// The commands that bring the worker to what is wanted. `clearable` says whether an
+    /// exited attempt is accounted for.
+    pub fn orders(&self, clearable: impl Fn(&SlotKey, &Slot) -> bool) -> Vec<Order> {
+        const MOST: usize = 200;
+        let mut orders = Vec::new();
+        for (key, slot) in &self.slots {
+            let (task, attempt) = (key.0.clone(), key.1);
+            if slot.exited() {
+                if slot.settled && slot.direct == Direct::Settled && clearable(key, slot) {
+                    orders.push(Order::Clear { task, attempt });
+                }
+            } else if !slot.wanted && slot.phase.is_some() {
+                let saving = slot.phase == Some(TaskPhase::Saving) && slot.leeway_s > 0.0;
+                if !saving {
+                    orders.push(Order::Kill { task, attempt, leeway_s: slot.leeway_s });
+                }
+            }
+        }
+        for (key, slot) in &self.slots {
+            // A `run` without effect may be repeated. An unwanted attempt that was never reported
+            // is not: it leaves the table once a later report proves that it is not there.
+            if slot.wanted && !slot.exited() && slot.phase.is_none() {
+                orders.push(Order::Run { task: key.0.clone(), attempt: key.1 });
+            }
+        }
+        orders.truncate(MOST);
+        orders
+    }
+}
--- a/crates/quartzlever-core/src/messages.rs
+++ b/crates/quartzlever-core/src/messages.rs
@@ -21,7 +21,7 @@
     Abort { id: RequestId, job: String },
     Ready { id: RequestId },
     Report { id: RequestId, report: Report },
-    Peer { id: RequestId, request: PeerRequest, from: String },
+    Peer { id: RequestId, request: PeerRequest },
     State { token: Token, result: Result<StateReply, CallError> },
     Cloud { token: Token, result: Result<CloudReply, CallError> },
     Worker { token: Token, result: Result<WorkerReply, CallError> },
@@ -58,6 +58,14 @@
     User,
 }
 
+/// How much a note in the log matters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Weight {
+    Error,
+    Info,
+    Debug,
+}
+
 /// One thing that the core wants done.
 #[derive(Clone, Debug)]
 pub enum Effect {
@@ -70,6 +78,8 @@
         retry_after_s: Option<u32>,
         until: Option<Micros>,
     },
+    /// A line for the log.
+    Note { weight: Weight, text: String },
     AnswerPeer { id: RequestId, answer: PeerAnswer },
     State { token: Token, lane: Lane, call: StateCall },
     Cloud { token: Token, call: CloudCall },
--- /dev/null
+++ b/crates/quartzlever-core/src/part.rs
@@ -0,0 +1,332 @@
+//! A part: the queue of one controller name, the machines that belong to it, and what its
+//! present holder knows of both.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use quartzlever_wire::state::{HostRecord, LIVE, LiveRecord, PARTS, Txn};
+use quartzlever_wire::users::JobSpec;
+use quartzlever_wire::workers::TaskId;
+use quartzlever_wire::{Micros, Ranges};
+
+use crate::config::Config;
+use crate::fleet::Fleet;
+use crate::machine::{Amounts, Machine, Slot};
+
+/// Where a task may be.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    pub machine: String,
+    pub attempt: u64,
+}
+
+/// A job with tasks in this part.
+#[derive(Clone, Debug)]
+pub struct PartJob {
+    pub record: LiveRecord,
+    pub stamp: u64,
+    /// May be placed at once.
+    pub ready: Ranges,
+    /// May have been started by an earlier holder; waits for the recovery barrier.
+    pub held: Ranges,
+    /// Cut off for a thief, the move not committed yet.
+    pub cutting: Ranges,
+    /// On a machine, or possibly so.
+    pub located: BTreeMap<u32, Place>,
+    /// Reported done, not recorded yet.
+    pub finished: Ranges,
+    /// A write of this job's record is under way.
+    pub writing: bool,
+    /// An earlier write of unknown outcome may still come into force; only another write at the
+    /// same stamp can settle that.
+    pub doubtful: bool,
+    pub write_after: Micros,
+    pub wants_write: bool,
+    /// When the submission was made, by the steady clock.
+    pub since: Micros,
+    pub due: Option<Micros>,
+    /// Failed attempts here: machines they failed on, and how many.
+    pub failed_on: BTreeSet<String>,
+    pub failures: u32,
+    pub no_start_before: Micros,
+    /// Tasks that were stopped for others once; they are not stopped again.
+    pub stopped: Ranges,
+}
+
+impl PartJob {
+    pub fn spec(&self) -> &JobSpec {
+        &self.record.job
+    }
+
+    pub fn need(&self) -> Amounts {
+        Amounts::of_job(&self.record.job)
+    }
+
+    /// All tasks that this part answers for, as far as it knows.
+    fn known(&self) -> Ranges {
+        let mut all = self.ready.union(&self.held);
+        all.add(&self.cutting);
+        all.add(&self.finished);
+        all.add(&self.located.keys().copied().collect());
+        all
+    }
+
+    /// Whether the work of this part on the job is over and recorded.
+    pub fn idle(&self) -> bool {
+        self.ready.is_empty()
+            && self.held.is_empty()
+            && self.cutting.is_empty()
+            && self.located.is_empty()
+            && self.finished.is_empty()
+            && !self.writing
+            && !self.doubtful
+    }
+}
+
+/// A part that this process holds.
+#[derive(Debug)]
+pub struct Part {
+    pub name: String,
+    /// The stamp of the part's key: the term, and the baton of its commands.
+    pub term: u64,
+    pub acquired: Micros,
+    /// Both are read after the part was acquired, before anything is decided for it.
+    pub jobs_loaded: bool,
+    pub hosts_loaded: bool,
+    /// When to read them (again).
+    pub load_jobs_at: Option<Micros>,
+    pub load_hosts_at: Option<Micros>,
+    /// Jobs seen in the listing under way.
+    pub listed: BTreeSet<String>,
+    pub jobs: BTreeMap<String, PartJob>,
+    pub machines: BTreeMap<String, Machine>,
+    /// Whether every machine is known to hold nothing that an earlier holder started unseen.
+    pub barrier_open: bool,
+    attempts: u64,
+    pub fleet: Fleet,
+    pub place_wanted: bool,
+    /// Jobs whose ready tasks found no room in the last placement.
+    pub short: Vec<String>,
+}
+
+impl Part {
+    pub fn new(name: &str, term: u64, now: Micros) -> Self {
+        Part {
+            name: name.to_owned(),
+            term,
+            acquired: now,
+            jobs_loaded: false,
+            hosts_loaded: false,
+            load_jobs_at: Some(now),
+            load_hosts_at: Some(now),
+            listed: BTreeSet::new(),
+            jobs: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            barrier_open: false,
+            attempts: 0,
+            fleet: Fleet::default(),
+            place_wanted: true,
+            short: Vec::new(),
+        }
+    }
+
+    pub fn active(&self) -> bool {
+        self.jobs_loaded && self.hosts_loaded
+    }
+
+    pub fn key(&self) -> String {
+        format!("{PARTS}{}", self.name)
+    }
+
+    /// A transaction that only the present holder of this part can get into force.
+    pub fn txn(&self) -> Txn {
+        Txn::default().when(self.key(), self.term)
+    }
+
+    /// A number that no attempt ever had: the term is unique and the counter is its holder's.
+    pub fn next_attempt(&mut self) -> u64 {
+        self.attempts += 1;
+        (self.term << 22) + self.attempts
+    }
+
+    /// Takes in a job's record as the state service has it.
+    pub fn absorb(
+        &mut self,
+        cfg: &Config,
+        record: LiveRecord,
+        stamp: u64,
+        now: Micros,
+        wall: Micros,
+    ) {
+        let id = record.job.id.clone();
+        let owned = record.owned_by(&self.name);
+        let known_job = self.jobs.contains_key(&id);
+        if !known_job && owned.is_empty() {
+            return;
+        }
+        let job = self.jobs.entry(id).or_insert_with(|| {
+            let age = wall.saturating_sub(record.since);
+            let since = now.saturating_sub(age);
+            let due = record.job.due_s.map(|s| since + quartzlever_wire::micros_from_secs(s));
+            PartJob {
+                record: record.clone(),
+                stamp: 0,
+                ready: Ranges::default(),
+                held: Ranges::default(),
+                cutting: Ranges::default(),
+                located: BTreeMap::new(),
+                finished: Ranges::default(),
+                writing: false,
+                doubtful: false,
+                write_after: 0,
+                wants_write: false,
+                since,
+                due,
+                failed_on: BTreeSet::new(),
+                failures: 0,
+                no_start_before: 0,
+                stopped: Ranges::default(),
+            }
+        });
+        if stamp <= job.stamp {
+            return;
+        }
+        let fresh = record.entered_under(&self.name, self.term);
+        job.record = record;
+        job.stamp = stamp;
+        if job.doubtful && !job.writing {
+            // The record has moved on, so the doubtful write can no longer come into force.
+            job.doubtful = false;
+            let cut = std::mem::take(&mut job.cutting);
+            job.ready.add(&cut);
+        }
+        let new = owned.minus(&job.known());
+        let at_once = if self.barrier_open {
+            new.clone()
+        } else if cfg.limited(&job.record.job.team) {
+            // The team's limit counts what an earlier holder may have started.
+            Ranges::default()
+        } else {
+            new.intersect(&fresh)
+        };
+        job.held.add(&new.minus(&at_once));
+        job.ready.add(&at_once);
+        job.ready = job.ready.intersect(&owned);
+        job.held = job.held.intersect(&owned);
+        job.cutting = job.cutting.intersect(&owned);
+        job.finished = job.finished.intersect(&owned);
+        self.place_wanted = true;
+        if job.idle() && owned.is_empty() {
+            let id = job.record.job.id.clone();
+            self.jobs.remove(&id);
+        }
+    }
+
+    /// Forgets a job that is over; what is left of it on machines is to end.
+    pub fn drop_job(&mut self, id: &str) {
+        if self.jobs.remove(id).is_some() {
+            self.place_wanted = true;
+        }
+        for machine in self.machines.values_mut() {
+            for (key, slot) in machine.slots.iter_mut() {
+                if key.0.job == id {
+                    slot.wanted = false;
+                    slot.leeway_s = 0.0;
+                    if slot.exited() {
+                        slot.settled = true;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Puts a task that is surely on no machine back into the queue.
+    pub fn requeue(&mut self, task: &TaskId, attempt: u64) {
+        let barrier = self.barrier_open;
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        if job.located.get(&task.index).is_none_or(|p| p.attempt != attempt) {
+            return;
+        }
+        job.located.remove(&task.index);
+        let owned = job.record.owned_by(&self.name);
+        if owned.contains(task.index) && !job.finished.contains(task.index) {
+            // Seen to have ended here, but before the barrier opens another machine could still
+            // hold an attempt of an earlier holder.
+            let fresh = job.record.entered_under(&self.name, self.term).contains(task.index);
+            if barrier || fresh {
+                job.ready.insert(task.index);
+            } else {
+                job.held.insert(task.index);
+            }
+        }
+        self.place_wanted = true;
+    }
+
+    /// Takes everything off a machine that is surely empty.
+    pub fn empty_machine(&mut self, name: &str) {
+        let Some(machine) = self.machines.get_mut(name) else { return };
+        let slots = std::mem::take(&mut machine.slots);
+        for ((task, attempt), slot) in slots {
+            if slot.phase == Some(quartzlever_wire::workers::TaskPhase::Exited) && slot.settled {
+                continue;
+            }
+            self.requeue(&task, attempt);
+        }
+    }
+
+    /// Adds a claimed machine. `ours` says that it was claimed under this very term, so no
+    /// earlier holder ever commanded it.
+    pub fn add_machine(&mut self, name: &str, record: HostRecord, ours: bool, now: Micros) {
+        self.fleet.arrived(name, now);
+        let machine = self
+            .machines
+            .entry(name.to_owned())
+            .or_insert_with(|| Machine::new(name, record, now));
+        if ours {
+            machine.fenced = true;
+            machine.proven = true;
+        }
+    }
+
+    /// Opens the recovery barrier once every machine is proven.
+    pub fn try_open_barrier(&mut self) -> bool {
+        if self.barrier_open || !self.active() || self.machines.values().any(|m| !m.proven) {
+            return false;
+        }
+        self.barrier_open = true;
+        self.place_wanted = true;
+        for job in self.jobs.values_mut() {
+            let held = std::mem::take(&mut job.held);
+            job.ready.add(&held);
+        }
+        true
+    }
+
+    /// What a team's tasks may be using in this part, and whether that is known in full: an
+    /// attempt of a forgotten job could be anybody's.
+    pub fn team_use(&self, team: &str) -> (Amounts, bool) {
+        let mut sum = Amounts::default();
+        let mut certain = true;
+        for slot in self.live_slots() {
+            if slot.team == team {
+                sum.give(&slot.need);
+            } else if slot.team.is_empty() {
+                certain = false;
+            }
+        }
+        (sum, certain)
+    }
+
+    pub fn live_slots(&self) -> impl Iterator<Item = &Slot> {
+        self.machines.values().flat_map(|m| m.slots.values()).filter(|s| !s.exited())
+    }
+
+    /// Ready tasks that could run now.
+    pub fn ready_count(&self) -> u32 {
+        self.jobs.values().map(|j| j.ready.len()).sum()
+    }
+}
+
+/// The key of a job that is neither done nor cancelled.
+pub fn live_key(id: &str) -> String {
+    format!("{LIVE}{id}")
+}
--- /dev/null
+++ b/crates/quartzlever-core/src/reports.rs
@@ -0,0 +1,565 @@
+//! Workers' reports and calls to workers: claims, sessions, fencing, adoption, commands.
+
+use quartzlever_wire::state::{HOSTS, HostRecord, PARTS, StateCall, StateReply};
+use quartzlever_wire::users::Rank;
+use quartzlever_wire::workers::{
+    Cause, Orders, Report, TaskPhase, TaskReport, WorkerCall, WorkerReply,
+};
+use quartzlever_wire::{CallError, Micros, SECOND, micros_from_secs};
+
+use crate::config::Config;
+use crate::engine::{Core, Waiting, WorkerWait};
+use crate::machine::{Amounts, Direct, Machine, Slot, SlotKey};
+use crate::messages::{Effect, Lane, RequestId};
+use crate::part::{Part, Place};
+use crate::placement::Paces;
+
+/// Wait after a direct call that brought nothing.
+const CALL_PAUSE: Micros = 3 * SECOND;
+/// Direct calls of one part under way at once.
+const MOST_CALLS: usize = 12;
+
+impl Core {
+    /// A worker reports.
+    pub(crate) fn hello(&mut self, id: RequestId, report: Report) {
+        let holder = self.parts.iter().find(|(_, p)| p.machines.contains_key(&report.host));
+        if let Some((name, _)) = holder {
+            let name = name.clone();
+            return self.hello_own(id, &name, &report);
+        }
+        if !self.mirror.loaded() {
+            return self.later(id, 503, "starting");
+        }
+        if let Some((record, _)) = self.mirror.hosts.get(&report.host) {
+            let part = record.part.clone();
+            return self.redirect(id, &part);
+        }
+        // An unclaimed machine goes to the part that rented it, if that is known.
+        let hinted = self.cloud.hints.get(&report.host).cloned();
+        match hinted {
+            Some(part) if !self.parts.contains_key(&part) && self.holder_of(&part).is_some() => {
+                self.redirect(id, &part);
+            }
+            hinted => self.claim(id, report, hinted),
+        }
+    }
+
+    fn holder_of(&self, part: &str) -> Option<&str> {
+        let (record, _) = self.mirror.parts.get(part)?;
+        (record.node != self.cfg.node).then_some(record.node.as_str())
+    }
+
+    fn redirect(&mut self, id: RequestId, part: &str) {
+        match self.holder_of(part) {
+            Some(node) => {
+                let body = serde_json::json!({ "steward": node });
+                self.answer(id, 421, body);
+            }
+            // Held here but not yet known as a machine of it, or by nobody.
+            None => self.later(id, 503, "not entitled"),
+        }
+    }
+
+    fn claim(&mut self, id: RequestId, report: Report, hinted: Option<String>) {
+        let part = hinted
+            .and_then(|p| self.parts.get(&p))
+            .or_else(|| self.parts.get(&self.cfg.node))
+            .filter(|p| p.active());
+        let Some(part) = part else { return self.later(id, 503, "not entitled") };
+        if !self.sure()
+            || part.fleet.gone.contains(&report.host)
+            || self.cloud.claiming.contains(&report.host)
+        {
+            return self.later(id, 503, "not entitled");
+        }
+        let record = HostRecord {
+            part: part.name.clone(),
+            address: report.address.clone(),
+            kind: report.kind.clone(),
+            zone: report.zone.clone(),
+            spot: report.spot,
+        };
+        let key = format!("{HOSTS}{}", report.host);
+        let txn = part.txn().when(key.clone(), 0).write(key, serde_json::json!(record));
+        let (part, term) = (part.name.clone(), part.term);
+        self.cloud.claiming.insert(report.host.clone());
+        let report = Box::new(report);
+        self.state(
+            Lane::Work,
+            StateCall::Txn(txn),
+            Waiting::Claim { id, part, term, report, record },
+        );
+    }
+
+    pub(crate) fn claimed(
+        &mut self,
+        id: RequestId,
+        name: &str,
+        term: u64,
+        report: Report,
+        record: HostRecord,
+        result: Result<StateReply, CallError>,
+    ) {
+        let now = self.now;
+        self.cloud.claiming.remove(&report.host);
+        match result {
+            Ok(StateReply::Committed(stamp)) => {
+                self.mirror.hosts.insert(report.host.clone(), (record.clone(), stamp));
+                if let Some(part) = self.part_at(name, term) {
+                    part.add_machine(&report.host, record, true, now);
+                    return self.hello_own(id, name, &report);
+                }
+                self.later(id, 503, "not entitled");
+            }
+            Ok(StateReply::Conflict(failed)) => {
+                if failed.contains(&format!("{PARTS}{name}")) {
+                    self.lose_part(name, term);
+                }
+                self.later(id, 503, "claimed by another");
+            }
+            _ => self.later(id, 503, "not written"),
+        }
+    }
+
+    /// A report of a machine of a part that is held here.
+    fn hello_own(&mut self, id: RequestId, name: &str, report: &Report) {
+        let now = self.now;
+        if !self.sure() {
+            return self.later(id, 503, "not entitled");
+        }
+        let until = self.hold.sure_until;
+        let Some(part) = self.parts.get_mut(name).filter(|p| p.active()) else {
+            return self.later(id, 503, "not entitled");
+        };
+        if report.baton > part.term {
+            // Somebody holds a later term, whatever the watch has told so far.
+            return self.later(id, 503, "not entitled");
+        }
+        let newer = part.take_report(&self.cfg, &mut self.paces, report, true, now);
+        part.try_open_barrier();
+        self.place(name);
+        let Some(part) = self.parts.get_mut(name) else { return };
+        let Some(machine) = part.machines.get_mut(&report.host) else {
+            return self.later(id, 503, "not entitled");
+        };
+        // A late report's answer is dropped by the worker; the lease is taken as renewed all
+        // the same, which errs on the safe side.
+        machine.answered = now;
+        let orders =
+            if newer { part.orders_for(&report.host) } else { Vec::new() };
+        let body = Orders { baton: part.term, session: None, orders };
+        self.out.push(Effect::Answer {
+            id,
+            status: 200,
+            body: serde_json::to_value(body).unwrap_or_default(),
+            retry_after_s: None,
+            until: Some(until),
+        });
+    }
+
+    /// Calls workers that have something urgent to be told, or have to be fenced.
+    pub(crate) fn call_workers(&mut self, name: &str) {
+        let now = self.now;
+        let Some(part) = self.parts.get(name).filter(|p| p.active()) else { return };
+        let under_way = part.machines.values().filter(|m| m.call.is_some()).count();
+        let chosen: Vec<String> = part
+            .machines
+            .values()
+            .filter(|m| {
+                m.call.is_none()
+                    && !m.returning
+                    && now >= m.no_call_before
+                    && (!m.fenced || (m.session > 0 && m.urgent_orders()))
+            })
+            .take(MOST_CALLS.saturating_sub(under_way))
+            .map(|m| m.name.clone())
+            .collect();
+        for machine in chosen {
+            self.call_worker(name, &machine);
+        }
+    }
+
+    fn call_worker(&mut self, name: &str, machine_name: &str) {
+        let now = self.now;
+        let Some(part) = self.parts.get_mut(name) else { return };
+        let term = part.term;
+        let Some(machine) = part.machines.get_mut(machine_name) else { return };
+        let address = machine.record.address.clone();
+        let mut runs = Vec::new();
+        let call = if machine.session == 0 {
+            WorkerCall::Status
+        } else {
+            for (key, slot) in &mut machine.slots {
+                if slot.exited() {
+                    continue;
+                }
+                if slot.wanted && slot.phase.is_none() {
+                    slot.sent = true;
+                    if slot.direct == Direct::Settled {
+                        slot.direct = Direct::InFlight;
+                    }
+                    runs.push(key.clone());
+                } else if !slot.wanted {
+                    slot.kill_sent = Some(now);
+                }
+            }
+            let session = Some(machine.session);
+            WorkerCall::Command(Orders { baton: term, session, orders: part.orders_for(machine_name) })
+        };
+        let wait =
+            WorkerWait { part: name.to_owned(), term, machine: machine_name.to_owned(), runs };
+        let token = self.worker_call(address, call, wait);
+        if let Some(machine) =
+            self.parts.get_mut(name).and_then(|p| p.machines.get_mut(machine_name))
+        {
+            machine.call = Some(token);
+        }
+    }
+
+    pub(crate) fn worker_done(
+        &mut self,
+        token: u64,
+        wait: WorkerWait,
+        result: Result<WorkerReply, CallError>,
+    ) {
+        let now = self.now;
+        let Some(part) = self.parts.get_mut(&wait.part).filter(|p| p.term == wait.term) else {
+            return;
+        };
+        let Some(machine) = part.machines.get_mut(&wait.machine) else { return };
+        if machine.call == Some(token) {
+            machine.call = None;
+        }
+        let settled = !matches!(result, Err(CallError::Unknown));
+        for key in &wait.runs {
+            if let Some(slot) = machine.slots.get_mut(key)
+                && slot.direct == Direct::InFlight
+            {
+                slot.direct = if settled { Direct::Settled } else { Direct::Doubtful };
+            }
+        }
+        match result {
+            Ok(WorkerReply::Report(report)) | Ok(WorkerReply::Refused(report)) => {
+                // Another machine may have come to live at the address.
+                if report.host != wait.machine {
+                    machine.no_call_before = now + CALL_PAUSE;
+                    return;
+                }
+                if report.baton > wait.term {
+                    machine.no_call_before = now + CALL_PAUSE;
+                    return;
+                }
+                part.take_report(&self.cfg, &mut self.paces, &report, false, now);
+            }
+            Err(_) => machine.no_call_before = now + CALL_PAUSE,
+        }
+    }
+
+    /// Takes as empty what has been silent for a full lease.
+    pub(crate) fn expire_silent(&mut self, name: &str) {
+        let now = self.now;
+        let gone_after = self.cfg.lease_gone_after();
+        let Some(part) = self.parts.get_mut(name).filter(|p| p.active()) else { return };
+        let acquired = part.acquired;
+        let silent: Vec<String> = part
+            .machines
+            .values()
+            .filter(|m| {
+                now.saturating_sub(m.answered.max(acquired)) > gone_after
+                    && (!m.proven || !m.slots.is_empty())
+            })
+            .map(|m| m.name.clone())
+            .collect();
+        for machine in silent {
+            part.empty_machine(&machine);
+            if let Some(machine) = part.machines.get_mut(&machine) {
+                machine.proven = true;
+            }
+        }
+    }
+
+    pub(crate) fn hosts_dropped(
+        &mut self,
+        name: &str,
+        term: u64,
+        hosts: Vec<String>,
+        result: Result<StateReply, CallError>,
+    ) {
+        let key = format!("{PARTS}{name}");
+        match result {
+            Ok(StateReply::Committed(_)) => {
+                for host in &hosts {
+                    self.mirror.hosts.remove(host);
+                }
+            }
+            Ok(StateReply::Conflict(failed)) if failed.contains(&key) => self.lose_part(name, term),
+            _ => {
+                if let Some(part) = self.part_at(name, term) {
+                    part.fleet.to_drop.extend(hosts);
+                }
+            }
+        }
+    }
+}
+
+impl Part {
+    /// The commands for a machine; notes which `run`s a report's answer carries.
+    pub fn orders_for(&mut self, name: &str) -> Vec<quartzlever_wire::workers::Order> {
+        let jobs = &self.jobs;
+        let Some(machine) = self.machines.get_mut(name) else { return Vec::new() };
+        let orders = machine.orders(|key, slot| {
+            // The result of a finished task is kept on the machine until its end is recorded.
+            slot.cause != Some(Cause::Done)
+                || jobs
+                    .get(&key.0.job)
+                    .is_none_or(|job| job.record.finished.contains(key.0.index))
+        });
+        for slot in machine.slots.values_mut() {
+            if slot.wanted && slot.phase.is_none() {
+                slot.sent = true;
+            }
+        }
+        orders
+    }
+
+    /// Takes in a report; `false` if it is older than what is known. `hello` says that it is a
+    /// report of the worker's own accord, which proves that earlier answers were executed or
+    /// dropped.
+    pub fn take_report(
+        &mut self,
+        cfg: &Config,
+        paces: &mut Paces,
+        report: &Report,
+        hello: bool,
+        now: Micros,
+    ) -> bool {
+        let term = self.term;
+        let Some(machine) = self.machines.get_mut(&report.host) else { return false };
+        if (report.session, report.tick) <= (machine.session, machine.tick) {
+            return false;
+        }
+        if report.session > machine.session && machine.session > 0 {
+            // The lease ran out over there: everything of the earlier session is gone.
+            self.empty_machine(&report.host);
+        }
+        let Some(machine) = self.machines.get_mut(&report.host) else { return false };
+        machine.session = report.session;
+        machine.tick = report.tick;
+        machine.heard = now;
+        machine.record.address.clone_from(&report.address);
+        machine.warned_until =
+            report.warning_s.map(|s| now + micros_from_secs(s));
+        if report.baton >= term {
+            machine.fenced = true;
+            machine.proven = true;
+        }
+        for task in &report.tasks {
+            self.take_task(cfg, paces, &report.host, task, now);
+        }
+        self.take_absent(report, hello);
+        let Some(machine) = self.machines.get_mut(&report.host) else { return true };
+        if machine.busy() {
+            machine.idle_since = None;
+        } else if machine.idle_since.is_none() {
+            machine.idle_since = Some(now);
+        }
+        true
+    }
+
+    /// Attempts that are known here but not in the report.
+    fn take_absent(&mut self, report: &Report, hello: bool) {
+        let Some(machine) = self.machines.get_mut(&report.host) else { return };
+        let listed: std::collections::BTreeSet<(&str, u32, u64)> = report
+            .tasks
+            .iter()
+            .map(|t| (t.task.job.as_str(), t.task.index, t.attempt))
+            .collect();
+        let absent: Vec<SlotKey> = machine
+            .slots
+            .iter()
+            .filter(|((task, attempt), slot)| {
+                if listed.contains(&(task.job.as_str(), task.index, *attempt)) {
+                    return false;
+                }
+                // Seen before, so its `run` is spent: cleared, or lost.
+                let spent = slot.phase.is_some();
+                // Never seen, and nothing that could still start it is under way.
+                let dead = hello && !slot.wanted && slot.direct == Direct::Settled;
+                spent || dead
+            })
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in absent {
+            if let Some(machine) = self.machines.get_mut(&report.host) {
+                machine.slots.remove(&key);
+            }
+            self.requeue(&key.0, key.1);
+        }
+    }
+
+    /// One task of a newer report.
+    fn take_task(
+        &mut self,
+        cfg: &Config,
+        paces: &mut Paces,
+        host: &str,
+        seen: &TaskReport,
+        now: Micros,
+    ) {
+        let key: SlotKey = (seen.task.clone(), seen.attempt);
+        let known = self.machines.get(host).is_some_and(|m| m.slots.contains_key(&key));
+        if !known {
+            self.meet(cfg, host, seen, now);
+        }
+        let Some(machine) = self.machines.get_mut(host) else { return };
+        let Some(slot) = machine.slots.get_mut(&key) else { return };
+        if seen.phase == TaskPhase::Running && slot.running_since.is_none() {
+            slot.running_since = Some(now);
+        }
+        if matches!(seen.phase, TaskPhase::Running | TaskPhase::Pulling) {
+            machine.images.insert(slot.image.clone());
+        }
+        slot.phase = Some(seen.phase);
+        slot.cause = seen.cause;
+        if seen.phase != TaskPhase::Exited || slot.settled {
+            return;
+        }
+        slot.settled = true;
+        let ran = slot.running_since.map(|s| now.saturating_sub(s));
+        let (class, expect) = (slot.class.clone(), slot.expect);
+        match seen.cause {
+            Some(Cause::Done) => {
+                machine.good += 1;
+                machine.errors = 0;
+                machine.failed_jobs.clear();
+                if let Some(ran) = ran
+                    && expect > 0
+                {
+                    let pace = (ran.saturating_mul(1000) / expect).min(1_000_000) as u32;
+                    machine.pace.push(paces.relative(&class, pace));
+                    paces.learn(&class, pace);
+                    if machine.pace.len() > 8 {
+                        machine.pace.remove(0);
+                    }
+                }
+                self.finish(&seen.task.job, seen.task.index, now);
+                if let Some(job) = self.jobs.get_mut(&seen.task.job)
+                    && job.located.get(&seen.task.index).is_some_and(|p| p.attempt == seen.attempt)
+                {
+                    job.located.remove(&seen.task.index);
+                }
+            }
+            Some(Cause::Halted) => self.requeue(&seen.task, seen.attempt),
+            Some(Cause::Error) | Some(Cause::Other) | None => {
+                if let Some(job) = self.jobs.get_mut(&seen.task.job) {
+                    job.failures += 1;
+                    job.failed_on.insert(host.to_owned());
+                    // A job that fails on other machines too says nothing of this one.
+                    if job.failed_on.len() == 1 {
+                        machine.errors += 1;
+                        machine.failed_jobs.insert(seen.task.job.clone());
+                    }
+                    // A mistaken job fails everywhere: it must not hammer the machines.
+                    let wait = (SECOND / 2) << job.failures.min(6);
+                    if job.failed_on.len() > 1 {
+                        job.no_start_before = now + wait;
+                    }
+                }
+                self.requeue(&seen.task, seen.attempt);
+            }
+            Some(Cause::NoRoom | Cause::Busy | Cause::Unknown) => {
+                if let Some(job) = self.jobs.get_mut(&seen.task.job) {
+                    job.no_start_before = now + SECOND;
+                }
+                self.requeue(&seen.task, seen.attempt);
+            }
+        }
+    }
+
+    /// An attempt that this holder has not started: adopted if the task is ours and nowhere
+    /// else, ended otherwise.
+    fn meet(&mut self, cfg: &Config, host: &str, seen: &TaskReport, now: Micros) {
+        let exited = seen.phase == TaskPhase::Exited;
+        let mut slot = Slot {
+            need: Amounts::default(),
+            rank: Rank::BestEffort,
+            team: String::new(),
+            class: String::new(),
+            image: String::new(),
+            expect: 0,
+            since: now,
+            running_since: None,
+            phase: Some(seen.phase),
+            cause: seen.cause,
+            wanted: false,
+            leeway_s: 0.0,
+            direct: Direct::Settled,
+            settled: false,
+            sent: true,
+            kill_sent: None,
+        };
+        if let Some(job) = self.jobs.get_mut(&seen.task.job) {
+            slot.describe(&job.record.job);
+            let index = seen.task.index;
+            let ours = job.record.owned_by(&self.name).contains(index);
+            let free = ours && !job.located.contains_key(&index) && !job.finished.contains(index);
+            let allowed = cfg.team(&job.record.job.team).is_some();
+            if free && !exited && allowed && !job.cutting.contains(index) {
+                slot.wanted = true;
+                job.ready.remove(index);
+                job.held.remove(index);
+                job.located
+                    .insert(index, Place { machine: host.to_owned(), attempt: seen.attempt });
+            }
+        }
+        if let Some(machine) = self.machines.get_mut(host) {
+            machine.slots.insert((seen.task.clone(), seen.attempt), slot);
+        }
+    }
+}
+
+impl Slot {
+    /// Notes what the job says of the attempt.
+    pub fn describe(&mut self, job: &quartzlever_wire::users::JobSpec) {
+        self.need = Amounts::of_job(job);
+        self.rank = job.rank;
+        self.team.clone_from(&job.team);
+        self.class.clone_from(&job.class);
+        self.image.clone_from(&job.image);
+        self.expect = micros_from_secs(job.expect_s);
+    }
+
+    /// A new attempt of a job's task.
+    pub fn new(job: &quartzlever_wire::users::JobSpec, now: Micros) -> Self {
+        let mut slot = Slot {
+            need: Amounts::default(),
+            rank: job.rank,
+            team: String::new(),
+            class: String::new(),
+            image: String::new(),
+            expect: 0,
+            since: now,
+            running_since: None,
+            phase: None,
+            cause: None,
+            wanted: true,
+            leeway_s: 0.0,
+            direct: Direct::Settled,
+            settled: false,
+            sent: false,
+            kill_sent: None,
+        };
+        slot.describe(job);
+        slot
+    }
+}
+
+impl Machine {
+    /// Marks an attempt as unwanted.
+    pub fn stop(&mut self, key: &SlotKey, leeway_s: f64) {
+        if let Some(slot) = self.slots.get_mut(key) {
+            slot.wanted = false;
+            slot.leeway_s = leeway_s;
+        }
+    }
+}
--- /dev/null
+++ b/crates/quartzlever-core/src/stealing.rs
@@ -0,0 +1,441 @@
+//! Adaptive work stealing: an idle part asks a few random peers for their ready counts, steals
+//! half the ready tasks of the most loaded, and doubles its wait after a failure.
+
+use quartzlever_wire::peers::{PeerAnswer, PeerRequest, Room, ThiefRoom};
+use quartzlever_wire::state::{LiveRecord, PARTS, StateCall, StateReply};
+use quartzlever_wire::{CallError, Micros, Ranges, SECOND};
+use rand::seq::IndexedRandom;
+
+use crate::config::Config;
+use crate::engine::{Core, Waiting};
+use crate::machine::Amounts;
+use crate::messages::{Effect, Lane, RequestId, Weight};
+use crate::part::{Part, live_key};
+use crate::placement::machine_allowed;
+
+/// What an answer from a peer belongs to.
+#[derive(Debug)]
+pub(crate) enum PeerWork {
+    Count { round: u64, node: String },
+    Steal { part: String },
+    /// Something was only told.
+    Told,
+}
+
+/// Ranges of one job that a transaction moves, and the job's record after it.
+#[derive(Debug)]
+pub(crate) struct Move {
+    pub job: String,
+    pub cut: Ranges,
+    pub record: LiveRecord,
+}
+
+/// One round of asking for counts.
+#[derive(Debug)]
+struct Round {
+    number: u64,
+    part: String,
+    open: usize,
+    most: Option<(u32, String)>,
+}
+
+/// The thief's side of this process.
+#[derive(Debug)]
+pub(crate) struct Stealing {
+    interval: Micros,
+    next: Micros,
+    rounds: u64,
+    round: Option<Round>,
+    /// A steal is under way.
+    waiting: bool,
+    pub next_home_ask: Micros,
+}
+
+impl Stealing {
+    pub fn new(cfg: &Config) -> Self {
+        Stealing {
+            interval: cfg.operator.steal_start,
+            next: 0,
+            rounds: 0,
+            round: None,
+            waiting: false,
+            next_home_ask: 0,
+        }
+    }
+}
+
+/// Room on open machines, as the thief tells it.
+fn room_of(core: &Core, part: &Part) -> ThiefRoom {
+    let quiet = core.cfg.workers.report * 3;
+    let Some(types) = &core.types else { return ThiefRoom::default() };
+    let free = part
+        .machines
+        .values()
+        .filter(|m| m.open(core.now, quiet))
+        .filter_map(|m| {
+            let free = m.free(Amounts::of_type(types.get(&m.record.kind)?));
+            (free.cpus > 0.0).then(|| Room {
+                kind: m.record.kind.clone(),
+                zone: m.record.zone.clone(),
+                spot: m.record.spot,
+                cpus: free.cpus,
+                gpus: free.gpus,
+                ram_gb: free.ram_gb,
+            })
+        })
+        .collect();
+    ThiefRoom { free }
+}
+
+impl Core {
+    /// An idle part goes looking for work when its wait is over.
+    pub(crate) fn keep_stealing(&mut self) {
+        if self.now < self.stealing.next
+            || self.stealing.waiting
+            || self.stealing.round.is_some()
+            || !self.sure()
+        {
+            return;
+        }
+        let idle = self
+            .parts
+            .values()
+            .find(|p| p.active() && p.ready_count() == 0 && !room_of(self, p).free.is_empty())
+            .map(|p| p.name.clone());
+        let Some(part) = idle else { return };
+        // Parts held by one node lend to each other by the same move, without a message.
+        if let Some((_, victim)) = self
+            .parts
+            .values()
+            .filter(|p| p.name != part && p.active())
+            .map(|p| (p.ready_count(), p.name.clone()))
+            .max()
+            .filter(|(ready, _)| *ready > 0)
+        {
+            self.stealing.next = self.now + self.stealing.interval;
+            let (Some(thief), Some(_)) = (self.parts.get(&part), self.parts.get(&victim)) else {
+                return;
+            };
+            let (term, room) = (thief.term, room_of(self, thief));
+            self.cut_for(None, &victim, &part, term, &room);
+            return;
+        }
+        let peers: Vec<&String> = self.cfg.nodes.iter().filter(|n| **n != self.cfg.node).collect();
+        let asked: Vec<String> = peers
+            .choose_multiple(&mut self.rng, self.cfg.operator.peers_asked)
+            .map(|n| (*n).clone())
+            .collect();
+        if asked.is_empty() {
+            self.stealing.next = self.now + self.cfg.operator.steal_cap;
+            return;
+        }
+        self.stealing.rounds += 1;
+        let number = self.stealing.rounds;
+        self.stealing.round = Some(Round { number, part, open: asked.len(), most: None });
+        for node in asked {
+            let work = PeerWork::Count { round: number, node: node.clone() };
+            self.ask_peer(&node, PeerRequest::Counts, work);
+        }
+    }
+
+    fn steal_failed(&mut self) {
+        self.stealing.waiting = false;
+        self.stealing.next = self.now + self.stealing.interval;
+        self.stealing.interval = (self.stealing.interval * 2).min(self.cfg.operator.steal_cap);
+    }
+
+    fn steal_succeeded(&mut self) {
+        self.stealing.waiting = false;
+        self.stealing.interval = self.cfg.operator.steal_start;
+        self.stealing.next = self.now;
+    }
+
+    pub(crate) fn peer_done(&mut self, work: PeerWork, result: Result<PeerAnswer, CallError>) {
+        match work {
+            PeerWork::Told => {}
+            PeerWork::Count { round, node } => {
+                let Some(open) = self.stealing.round.as_mut().filter(|r| r.number == round) else {
+                    return;
+                };
+                open.open -= 1;
+                if let Ok(PeerAnswer::Counts { ready }) = result
+                    && open.most.as_ref().is_none_or(|m| ready > m.0)
+                {
+                    open.most = Some((ready, node));
+                }
+                if open.open == 0 {
+                    self.steal_from_most();
+                }
+            }
+            PeerWork::Steal { part } => match result {
+                Ok(PeerAnswer::Stolen { jobs }) => {
+                    for (_, stamp, record) in jobs {
+                        if let Ok(record) = serde_json::from_str::<LiveRecord>(&record) {
+                            self.absorb(record, stamp);
+                        }
+                    }
+                    if let Some(part) = self.parts.get_mut(&part) {
+                        part.place_wanted = true;
+                    }
+                    self.steal_succeeded();
+                }
+                // A lost answer does no harm: the move, if made, comes by the watch.
+                _ => self.steal_failed(),
+            },
+        }
+    }
+
+    fn steal_from_most(&mut self) {
+        let Some(round) = self.stealing.round.take() else { return };
+        let target = round.most.filter(|(ready, _)| *ready > 0);
+        let (Some((_, node)), Some(part)) = (target, self.parts.get(&round.part)) else {
+            return self.steal_failed();
+        };
+        let thief = room_of(self, part);
+        if part.ready_count() > 0 || thief.free.is_empty() {
+            // Work of our own has come in the meantime.
+            self.stealing.next = self.now + self.stealing.interval;
+            return;
+        }
+        let request = PeerRequest::Steal { part: part.name.clone(), term: part.term, thief };
+        self.stealing.waiting = true;
+        self.ask_peer(&node, request, PeerWork::Steal { part: round.part });
+    }
+
+    /// A peer asks something.
+    pub(crate) fn peer_request(&mut self, id: RequestId, request: PeerRequest) {
+        let answer = match request {
+            PeerRequest::Counts => {
+                let ready = self
+                    .parts
+                    .values()
+                    .filter(|p| p.active())
+                    .map(|p| p.movable_count(&self.cfg))
+                    .sum();
+                PeerAnswer::Counts { ready }
+            }
+            PeerRequest::HandBack { part } => {
+                self.home_asks(&part);
+                PeerAnswer::Nothing
+            }
+            PeerRequest::Rented { part, hosts } => {
+                for host in hosts {
+                    self.cloud.hint(host, &part);
+                }
+                PeerAnswer::Nothing
+            }
+            PeerRequest::Steal { part, term, thief } => {
+                let victim = self
+                    .parts
+                    .values()
+                    .filter(|p| p.active() && p.name != part)
+                    .max_by_key(|p| p.movable_count(&self.cfg))
+                    .map(|p| p.name.clone());
+                match victim {
+                    Some(victim) if self.sure() => {
+                        return self.cut_for(Some(id), &victim, &part, term, &thief);
+                    }
+                    _ => PeerAnswer::Nothing,
+                }
+            }
+        };
+        self.out.push(Effect::AnswerPeer { id, answer });
+    }
+
+    fn answer_nothing(&mut self, request: Option<RequestId>) {
+        if let Some(id) = request {
+            self.out.push(Effect::AnswerPeer { id, answer: PeerAnswer::Nothing });
+        }
+    }
+
+    /// Cuts ready ranges off the victim's queue and writes the move; the thief is told after
+    /// the write is in force.
+    fn cut_for(
+        &mut self,
+        request: Option<RequestId>,
+        victim: &str,
+        thief: &str,
+        term: u64,
+        room: &ThiefRoom,
+    ) {
+        let fraction = self.cfg.operator.steal_fraction;
+        let most_jobs = self.cfg.txn_ops.clamp(1, 8);
+        let value_bytes = self.cfg.value_bytes;
+        let order = match self.parts.get(victim) {
+            Some(part) => part.queue_order(&self.cfg, &self.paces),
+            None => return self.answer_nothing(request),
+        };
+        let Some(part) = self.parts.get_mut(victim) else { return };
+        let mut left = (f64::from(part.movable_count(&self.cfg)) * fraction).ceil() as u32;
+        let mut txn = part.txn().when(format!("{PARTS}{thief}"), term);
+        let mut free = room.free.clone();
+        let mut moved: Vec<Move> = Vec::new();
+        let mut bytes = 0;
+        for id in order {
+            if left == 0 || moved.len() >= most_jobs {
+                break;
+            }
+            let Some(job) = part.jobs.get_mut(&id) else { continue };
+            if !movable(&self.cfg, job) {
+                continue;
+            }
+            let count = fit_count(&mut free, job, left);
+            if count == 0 {
+                continue;
+            }
+            let cut = job.ready.cut_last(count);
+            let mut record = job.record.clone();
+            record.move_tasks(&cut, victim, thief, term);
+            let value = serde_json::json!(&record);
+            let size = value.to_string().len();
+            if size > value_bytes || bytes + size > 48 * 1024 {
+                job.ready.add(&cut);
+                continue;
+            }
+            bytes += size;
+            left -= cut.len();
+            job.cutting.add(&cut);
+            job.writing = true;
+            txn = txn.when(live_key(&id), job.stamp).write(live_key(&id), value);
+            moved.push(Move { job: id, cut, record });
+        }
+        if moved.is_empty() {
+            return self.answer_nothing(request);
+        }
+        let waiting =
+            Waiting::StealWrite { part: victim.to_owned(), term: part.term, request, moved };
+        self.state(Lane::Work, StateCall::Txn(txn), waiting);
+    }
+
+    pub(crate) fn steal_written(
+        &mut self,
+        name: &str,
+        term: u64,
+        request: Option<RequestId>,
+        moved: Vec<Move>,
+        result: Result<StateReply, CallError>,
+    ) {
+        let now = self.now;
+        if self.part_at(name, term).is_none() {
+            return self.answer_nothing(request);
+        }
+        let Some(part) = self.parts.get_mut(name) else { return };
+        match result {
+            Ok(StateReply::Committed(stamp)) => {
+                let mut jobs = Vec::new();
+                for Move { job: id, cut, record } in moved {
+                    let text = serde_json::json!(&record).to_string();
+                    if let Some(job) = self.parts.get_mut(name).and_then(|p| p.jobs.get_mut(&id)) {
+                        job.writing = false;
+                        job.cutting.subtract(&cut);
+                        if stamp > job.stamp {
+                            job.stamp = stamp;
+                            job.record = record.clone();
+                        }
+                    }
+                    // The thief may be another part of this very process.
+                    self.absorb(record, stamp);
+                    jobs.push((id, stamp, text));
+                }
+                let count = jobs.len();
+                self.note(Weight::Info, || format!("part {name}: tasks of {count} jobs stolen"));
+                match request {
+                    Some(id) => {
+                        let answer = PeerAnswer::Stolen { jobs };
+                        self.out.push(Effect::AnswerPeer { id, answer });
+                    }
+                    None => self.steal_succeeded(),
+                }
+            }
+            Ok(StateReply::Conflict(failed)) => {
+                let mut again = Vec::new();
+                for Move { job: id, cut, .. } in moved {
+                    let Some(job) = part.jobs.get_mut(&id) else { continue };
+                    job.writing = false;
+                    job.cutting.subtract(&cut);
+                    let owned = job.record.owned_by(name);
+                    job.ready.add(&cut.intersect(&owned));
+                    if failed.contains(&live_key(&id)) {
+                        job.writing = true;
+                        again.push(id);
+                    }
+                }
+                part.place_wanted = true;
+                if failed.contains(&part.key()) {
+                    self.lose_part(name, term);
+                }
+                for id in again {
+                    self.reread_job(name, term, &id);
+                }
+                self.answer_nothing(request);
+            }
+            Err(CallError::Refused) | Ok(_) => {
+                for Move { job: id, cut, .. } in moved {
+                    let Some(job) = part.jobs.get_mut(&id) else { continue };
+                    job.writing = false;
+                    job.cutting.subtract(&cut);
+                    job.ready.add(&cut);
+                }
+                part.place_wanted = true;
+                self.answer_nothing(request);
+            }
+            Err(CallError::Unknown) => {
+                // It may still come into force, minutes late. The ranges stay cut until another
+                // write at the same stamp, or a newer record, has settled the matter.
+                for Move { job: id, .. } in moved {
+                    let Some(job) = part.jobs.get_mut(&id) else { continue };
+                    job.writing = false;
+                    job.doubtful = true;
+                    job.wants_write = true;
+                    job.write_after = now + SECOND / 4;
+                }
+                self.answer_nothing(request);
+            }
+        }
+    }
+}
+
+/// Whether tasks of the job may go to another part.
+fn movable(cfg: &Config, job: &crate::part::PartJob) -> bool {
+    let spec = job.spec();
+    // A limited team stays in its part, and zones are counted within one part.
+    !job.writing
+        && !job.doubtful
+        && !job.ready.is_empty()
+        && !cfg.limited(&spec.team)
+        && !spec.one_zone
+        && !spec.spread
+}
+
+/// How many of the job's ready tasks the thief has room for, taking that room.
+fn fit_count(free: &mut [Room], job: &crate::part::PartJob, most: u32) -> u32 {
+    let need = job.need();
+    let mut count = 0;
+    let most = most.min(job.ready.len());
+    for room in free {
+        let record = quartzlever_wire::state::HostRecord {
+            part: String::new(),
+            address: String::new(),
+            kind: room.kind.clone(),
+            zone: room.zone.clone(),
+            spot: room.spot,
+        };
+        if !machine_allowed(job.spec(), &record) {
+            continue;
+        }
+        let mut amounts = Amounts { cpus: room.cpus, gpus: room.gpus, ram_gb: room.ram_gb };
+        while count < most && amounts.fits(&need) {
+            amounts.take(&need);
+            count += 1;
+        }
+        (room.cpus, room.gpus, room.ram_gb) = (amounts.cpus, amounts.gpus, amounts.ram_gb);
+    }
+    count
+}
+
+impl Part {
+    /// Ready tasks that a thief could take.
+    pub fn movable_count(&self, cfg: &Config) -> u32 {
+        self.jobs.values().filter(|j| movable(cfg, j)).map(|j| j.ready.len()).sum()
+    }
+}
--- a/crates/quartzlever-wire/src/peers.rs
+++ b/crates/quartzlever-wire/src/peers.rs
@@ -14,6 +14,8 @@
     Counts,
     /// Hand over ready tasks to `part`, which the asker holds under `term`.
     Steal { part: String, term: u64, thief: ThiefRoom },
+    /// The home node of `part` is up again and asks for it.
+    HandBack { part: String },
     /// These machines were rented by `part` and will report soon.
     Rented { part: String, hosts: Vec<String> },
 }
--- /dev/null
+++ b/crates/quartzlever/src/node.rs
@@ -0,0 +1,261 @@
+//! The core's thread, and the threads that carry out its effects.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam_channel::{Receiver, Sender, select, unbounded};
+use quartzlever_clients::{Budget, CloudClient, PeerClient, StateClient, WorkerClient};
+use quartzlever_core::{Command, Core, Effect, Lane, RequestId, Token, Weight};
+use quartzlever_wire::cloud::CloudCall;
+use quartzlever_wire::peers::{self, PeerAnswer, PeerRequest};
+use quartzlever_wire::state::StateCall;
+use quartzlever_wire::workers::WorkerCall;
+use quartzlever_wire::{CallError, Micros};
+
+use crate::clock::{Clock, wall};
+use crate::inbox::{HttpAnswer, Inbox, Item, Outlet, Reply};
+use crate::server;
+use crate::settings::Settings;
+
+const STACK: usize = 192 * 1024;
+const TICK: Duration = Duration::from_millis(200);
+/// The largest batch of the first queue before users get their turn.
+const BATCH: usize = 64;
+const USER_BATCH: usize = 16;
+const PEER_CONNECTIONS: usize = 32;
+const PEER_IDLE: Duration = Duration::from_secs(60);
+const PEER_PATIENCE: Duration = Duration::from_millis(1800);
+/// Share of a limit that the nodes allow themselves together: bursts of several may meet.
+const SHARE: f64 = 0.95;
+
+struct StateJob {
+    token: Token,
+    call: StateCall,
+}
+
+struct WorkerJob {
+    token: Token,
+    address: String,
+    call: WorkerCall,
+    until: Micros,
+}
+
+struct PeerJob {
+    token: Token,
+    node: String,
+    request: PeerRequest,
+}
+
+/// The queues of the threads that carry out effects.
+struct Hands {
+    lanes: HashMap<Lane, Sender<StateJob>>,
+    cloud: Sender<(Token, CloudCall)>,
+    workers: Sender<WorkerJob>,
+    peers: Sender<PeerJob>,
+}
+
+fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> io::Result<()> {
+    thread::Builder::new().name(name.to_owned()).stack_size(STACK).spawn(work).map(|_| ())
+}
+
+impl Hands {
+    fn start(settings: &Settings, inbox: &Inbox, clock: Clock) -> io::Result<Hands> {
+        let share = SHARE / settings.core.nodes.len() as f64;
+        let requests = Arc::new(Budget::new(settings.state_rps * share));
+        let changes = Arc::new(Budget::new(settings.state_write_rps * share));
+        let client = StateClient::new(&settings.state);
+        let mut lanes = HashMap::new();
+        // Lane, threads, share of the budget left to others, patience.
+        for (lane, threads, keep, patience) in [
+            (Lane::Hold, 2, 0.0, 2000),
+            (Lane::Watch, 1, 0.0, 2000),
+            (Lane::Work, 4, 0.1, 1500),
+            (Lane::User, 4, 0.25, 600),
+        ] {
+            let (sender, receiver) = unbounded::<StateJob>();
+            for _ in 0..threads {
+                let receiver: Receiver<StateJob> = receiver.clone();
+                let (client, inbox) = (client.clone(), inbox.clone());
+                let (requests, changes) = (requests.clone(), changes.clone());
+                let patience = Duration::from_millis(patience);
+                spawn("state", move || {
+                    for StateJob { token, call } in receiver {
+                        let writes = StateClient::changes(&call) as f64;
+                        let allowed = (writes == 0.0 || changes.wait(writes, keep, patience))
+                            && requests.wait(1.0, keep, patience);
+                        let result =
+                            if allowed { client.call(&call) } else { Err(CallError::Refused) };
+                        inbox.tell(Command::State { token, result });
+                    }
+                })?;
+            }
+            lanes.insert(lane, sender);
+        }
+
+        let budget = Arc::new(Budget::new(settings.cloud_rps * share));
+        let (cloud, receiver) = unbounded::<(Token, CloudCall)>();
+        for _ in 0..2 {
+            let client = CloudClient::new(&settings.cloud);
+            let (receiver, inbox, budget) = (receiver.clone(), inbox.clone(), budget.clone());
+            spawn("cloud", move || {
+                for (token, call) in receiver {
+                    let allowed = budget.wait(1.0, 0.0, Duration::from_secs(5));
+                    let result =
+                        if allowed { client.call(&call) } else { Err(CallError::Refused) };
+                    inbox.tell(Command::Cloud { token, result });
+                }
+            })?;
+        }
+
+        let (workers, receiver) = unbounded::<WorkerJob>();
+        let client = WorkerClient::default();
+        for _ in 0..8 {
+            let (receiver, inbox, client) = (receiver.clone(), inbox.clone(), client.clone());
+            spawn("worker", move || {
+                for WorkerJob { token, address, call, until } in receiver {
+                    // The right to command may have run out while the call waited its turn.
+                    let result = if clock.now() < until {
+                        client.call(&address, &call)
+                    } else {
+                        Err(CallError::Refused)
+                    };
+                    inbox.tell(Command::Worker { token, result });
+                }
+            })?;
+        }
+
+        let (peers, receiver) = unbounded::<PeerJob>();
+        let client = Arc::new(PeerClient::default());
+        let addresses: HashMap<String, SocketAddr> = settings.peers.iter().cloned().collect();
+        for _ in 0..3 {
+            let (receiver, inbox, client) = (receiver.clone(), inbox.clone(), client.clone());
+            let addresses = addresses.clone();
+            spawn("peer", move || {
+                for PeerJob { token, node, request } in receiver {
+                    let result = match addresses.get(&node) {
+                        Some(address) => client.call(*address, &request),
+                        None => Err(CallError::Refused),
+                    };
+                    inbox.tell(Command::Asked { token, result });
+                }
+            })?;
+        }
+        Ok(Hands { lanes, cloud, workers, peers })
+    }
+}
+
+/// Serves peers: a thread for each connection, each asking one thing at a time.
+fn serve_peers(address: SocketAddr, inbox: Inbox) -> io::Result<()> {
+    let listener = TcpListener::bind(address)?;
+    server::accept_loop("peers", listener, PEER_CONNECTIONS, move |mut stream| {
+        let set = stream
+            .set_read_timeout(Some(PEER_IDLE))
+            .and_then(|()| stream.set_write_timeout(Some(PEER_PATIENCE)))
+            .and_then(|()| stream.set_nodelay(true));
+        if set.is_err() {
+            return;
+        }
+        while let Ok(request) = peers::receive::<PeerRequest>(&mut stream) {
+            let answer = inbox
+                .ask_for_peer(PEER_PATIENCE, |id| Command::Peer { id, request })
+                .unwrap_or(PeerAnswer::Nothing);
+            if peers::send(&mut stream, &answer).is_err() {
+                return;
+            }
+        }
+    })
+}
+
+/// Runs a controller until the process is ended.
+pub fn run(settings: Settings, seed: u64) -> io::Result<()> {
+    let clock = Clock::new();
+    let (inbox, outlet) = Inbox::new();
+    let hands = Hands::start(&settings, &inbox, clock)?;
+    serve_peers(settings.internal, inbox.clone())?;
+    let connections = (settings.sockets as usize / 3).clamp(16, 600);
+    let bound = server::serve(settings.api, connections, inbox, clock)?;
+    tracing::info!("{} serves {bound}", settings.core.node);
+    let core = Core::new(settings.core, seed, clock.now());
+    work(core, outlet, hands, clock);
+    Ok(())
+}
+
+/// The one owner of all state: takes commands in batches and hands out effects.
+fn work(mut core: Core, outlet: Outlet, hands: Hands, clock: Clock) {
+    let mut waiting: HashMap<RequestId, Reply> = HashMap::new();
+    let mut ticked = None;
+    loop {
+        let mut batch: Vec<Command> = Vec::new();
+        let mut take = |item: Item, batch: &mut Vec<Command>| {
+            if let Some((id, reply)) = item.reply {
+                waiting.insert(id, reply);
+            }
+            batch.push(item.command);
+        };
+        select! {
+            recv(outlet.first) -> item => {
+                let Ok(item) = item else { return };
+                take(item, &mut batch);
+            }
+            recv(outlet.users) -> item => {
+                let Ok(item) = item else { return };
+                take(item, &mut batch);
+            }
+            default(TICK) => {}
+        }
+        for item in outlet.first.try_iter().take(BATCH) {
+            take(item, &mut batch);
+        }
+        for item in outlet.users.try_iter().take(USER_BATCH) {
+            take(item, &mut batch);
+        }
+        let now = clock.now();
+        if ticked.is_none_or(|t| now - t >= TICK.as_micros() as Micros) {
+            ticked = Some(now);
+            batch.push(Command::Tick { wall: wall() });
+        }
+        for effect in core.step(now, batch) {
+            carry_out(effect, &hands, &mut waiting);
+        }
+    }
+}
+
+fn carry_out(effect: Effect, hands: &Hands, waiting: &mut HashMap<RequestId, Reply>) {
+    // A queue or a waiting request that is gone means that nobody wants the result.
+    match effect {
+        Effect::Answer { id, status, body, retry_after_s, until } => {
+            if let Some(Reply::Http(sender)) = waiting.remove(&id) {
+                let body = body.to_string().into_bytes();
+                let _ = sender.send(HttpAnswer { status, body, retry_after_s, until });
+            }
+        }
+        Effect::AnswerPeer { id, answer } => {
+            if let Some(Reply::Peer(sender)) = waiting.remove(&id) {
+                let _ = sender.send(answer);
+            }
+        }
+        Effect::State { token, lane, call } => {
+            if let Some(queue) = hands.lanes.get(&lane) {
+                let _ = queue.send(StateJob { token, call });
+            }
+        }
+        Effect::Cloud { token, call } => {
+            let _ = hands.cloud.send((token, call));
+        }
+        Effect::Worker { token, address, call, until } => {
+            let _ = hands.workers.send(WorkerJob { token, address, call, until });
+        }
+        Effect::Peer { token, node, request } => {
+            let _ = hands.peers.send(PeerJob { token, node, request });
+        }
+        Effect::Note { weight, text } => match weight {
+            Weight::Error => tracing::error!("{text}"),
+            Weight::Info => tracing::info!("{text}"),
+            Weight::Debug => tracing::debug!("{text}"),
+        },
+    }
+}
--- /dev/null
+++ b/crates/quartzlever/src/server.rs
@@ -0,0 +1,308 @@
+//! The HTTP server of users, workers and health checks.
+//!
+//! `tiny_http` was the wish. It keeps a thread for every open connection without any bound,
+//! has no time limit on a half-sent request and no way to close idle connections, and the
+//! sockets, which would allow all that, stay hidden in it. What stands here is its nearest kin:
+//! the same blocking threads, one for each connection, around the `httparse` parser, with a
+//! bound on connections and a deadline on everything.
+
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use quartzlever_core::Command;
+use quartzlever_wire::MAX_BODY;
+use quartzlever_wire::users::{JobSpec, valid_id};
+use quartzlever_wire::workers::Report;
+
+use crate::clock::Clock;
+use crate::inbox::{HttpAnswer, Inbox};
+
+const STACK: usize = 128 * 1024;
+const IDLE: Duration = Duration::from_secs(30);
+/// A request that has begun must be there in full within this time.
+const WHOLE: Duration = Duration::from_secs(5);
+const HEAD: usize = 8 * 1024;
+/// Users give up after 5 s, pollers after 2 s, workers after 4 s.
+const USER_PATIENCE: Duration = Duration::from_millis(4500);
+const LOOKUP_PATIENCE: Duration = Duration::from_millis(1900);
+const WORKER_PATIENCE: Duration = Duration::from_millis(3500);
+
+/// Opens a port and serves it from threads of its own.
+pub fn serve(
+    address: SocketAddr,
+    most: usize,
+    inbox: Inbox,
+    clock: Clock,
+) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind(address)?;
+    let bound = listener.local_addr()?;
+    accept_loop("http", listener, most, move |stream| {
+        let _ = Connection::new(stream, &inbox, clock).run();
+    })?;
+    Ok(bound)
+}
+
+/// Accepts connections for good, at most `most` at a time; more are closed at once.
+pub fn accept_loop(
+    name: &str,
+    listener: TcpListener,
+    most: usize,
+    handle: impl Fn(TcpStream) + Send + Sync + 'static,
+) -> io::Result<()> {
+    let open = Arc::new(AtomicUsize::new(0));
+    let handle = Arc::new(handle);
+    let label = name.to_owned();
+    thread::Builder::new().name(format!("{name}-accept")).stack_size(STACK).spawn(move || {
+        loop {
+            let Ok((stream, _)) = listener.accept() else {
+                // No free sockets, or a connection that was given up.
+                thread::sleep(Duration::from_millis(20));
+                continue;
+            };
+            if open.fetch_add(1, Ordering::Relaxed) >= most {
+                open.fetch_sub(1, Ordering::Relaxed);
+                continue;
+            }
+            let (count, work) = (open.clone(), handle.clone());
+            let started = thread::Builder::new().name(label.clone()).stack_size(STACK).spawn(
+                move || {
+                    work(stream);
+                    count.fetch_sub(1, Ordering::Relaxed);
+                },
+            );
+            if started.is_err() {
+                open.fetch_sub(1, Ordering::Relaxed);
+            }
+        }
+    })?;
+    Ok(())
+}
+
+struct Request {
+    method: String,
+    path: String,
+    body: Vec<u8>,
+    close: bool,
+    too_long: bool,
+}
+
+struct Connection<'a> {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+    inbox: &'a Inbox,
+    clock: Clock,
+}
+
+fn malformed() -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, "malformed request")
+}
+
+impl<'a> Connection<'a> {
+    fn new(stream: TcpStream, inbox: &'a Inbox, clock: Clock) -> Self {
+        Connection { stream, buffer: Vec::new(), inbox, clock }
+    }
+
+    fn run(&mut self) -> io::Result<()> {
+        self.stream.set_nodelay(true)?;
+        self.stream.set_write_timeout(Some(WHOLE))?;
+        loop {
+            let request = match self.read_request() {
+                Ok(Some(request)) => request,
+                Ok(None) => return Ok(()),
+                Err(e) if e.kind() == io::ErrorKind::InvalidData => {
+                    let answer = plain(400, "malformed request");
+                    return self.write_answer(&answer, true);
+                }
+                Err(e) => return Err(e),
+            };
+            let answer = self.route(&request);
+            self.write_answer(&answer, request.close)?;
+            if request.close {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Reads some more; an idle connection is closed after a while.
+    fn fill(&mut self, end: Instant) -> io::Result<usize> {
+        let left = end.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        self.stream.set_read_timeout(Some(left))?;
+        let mut piece = [0; 4096];
+        let count = self.stream.read(&mut piece)?;
+        self.buffer.extend_from_slice(&piece[..count]);
+        Ok(count)
+    }
+
+    fn read_request(&mut self) -> io::Result<Option<Request>> {
+        if self.buffer.is_empty() && self.fill(Instant::now() + IDLE)? == 0 {
+            return Ok(None);
+        }
+        let end = Instant::now() + WHOLE;
+        let (head, mut request, length, expects) = loop {
+            let mut headers = [httparse::EMPTY_HEADER; 48];
+            let mut parsed = httparse::Request::new(&mut headers);
+            match parsed.parse(&self.buffer).map_err(|_| malformed())? {
+                httparse::Status::Complete(head) => {
+                    let mut close = parsed.version == Some(0);
+                    let (mut length, mut expects) = (0, false);
+                    for header in parsed.headers.iter() {
+                        let value = std::str::from_utf8(header.value).unwrap_or("").trim();
+                        match header.name.to_ascii_lowercase().as_str() {
+                            "content-length" => length = value.parse().map_err(|_| malformed())?,
+                            // Nobody sends bodies in chunks here; their end would be missed.
+                            "transfer-encoding" => return Err(malformed()),
+                            "connection" => close = value.eq_ignore_ascii_case("close"),
+                            "expect" => expects = true,
+                            _ => {}
+                        }
+                    }
+                    let request = Request {
+                        method: parsed.method.unwrap_or("").to_owned(),
+                        path: parsed.path.unwrap_or("").to_owned(),
+                        body: Vec::new(),
+                        close,
+                        too_long: length > MAX_BODY,
+                    };
+                    break (head, request, length, expects);
+                }
+                httparse::Status::Partial if self.buffer.len() > HEAD => return Err(malformed()),
+                httparse::Status::Partial => {
+                    if self.fill(end)? == 0 {
+                        return Err(io::ErrorKind::UnexpectedEof.into());
+                    }
+                }
+            }
+        };
+        self.buffer.drain(..head);
+        if expects {
+            self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n")?;
+        }
+        if request.too_long {
+            // Read past it, within reason, so that the answer is not lost with a reset.
+            let mut left = length.min(4 << 20);
+            left -= self.buffer.len().min(left);
+            self.buffer.clear();
+            while left > 0 {
+                let count = self.fill(end)?;
+                if count == 0 {
+                    break;
+                }
+                left -= count.min(left);
+                self.buffer.clear();
+            }
+            request.close = true;
+            return Ok(Some(request));
+        }
+        while self.buffer.len() < length {
+            if self.fill(end)? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+        request.body = self.buffer.drain(..length).collect();
+        if self.buffer.capacity() > 2 * HEAD && self.buffer.is_empty() {
+            self.buffer = Vec::new();
+        }
+        Ok(Some(request))
+    }
+
+    fn route(&self, request: &Request) -> HttpAnswer {
+        let path = request.path.split('?').next().unwrap_or("");
+        let pieces: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+        let allowed = match pieces.as_slice() {
+            ["ready"] => "GET",
+            ["hello"] | ["v2", "runs"] | ["v2", "runs", _, "abort"] => "POST",
+            ["v2", "runs", _] => "GET",
+            _ => return plain(404, "no such path"),
+        };
+        if request.method != allowed {
+            return plain(405, "method not allowed");
+        }
+        if request.too_long {
+            return plain(400, "body too long");
+        }
+        let inbox = self.inbox;
+        let answer = match pieces.as_slice() {
+            ["ready"] => inbox.ask(false, Duration::from_millis(900), |id| Command::Ready { id }),
+            ["hello"] => match Report::parse(&request.body) {
+                Some(report) => {
+                    inbox.ask(false, WORKER_PATIENCE, |id| Command::Report { id, report })
+                }
+                None => return plain(400, "not a report"),
+            },
+            ["v2", "runs"] => match JobSpec::parse(&request.body) {
+                Ok(spec) => inbox.ask(true, USER_PATIENCE, |id| Command::Submit {
+                    id,
+                    spec: Box::new(spec),
+                }),
+                Err(why) => return plain(400, &why.to_string()),
+            },
+            // No job was ever accepted under a name that is none.
+            ["v2", "runs", job, ..] if !valid_id(job) => return plain(404, "unknown job"),
+            ["v2", "runs", job] => {
+                let job = (*job).to_owned();
+                inbox.ask(true, LOOKUP_PATIENCE, |id| Command::Lookup { id, job })
+            }
+            ["v2", "runs", job, _] => {
+                let job = (*job).to_owned();
+                inbox.ask(true, USER_PATIENCE, |id| Command::Abort { id, job })
+            }
+            _ => return plain(404, "no such path"),
+        };
+        let mut answer = answer.unwrap_or_else(busy);
+        if answer.until.is_some_and(|until| self.clock.now() >= until) {
+            // The right to act has run out on the way here.
+            answer = busy();
+        }
+        answer
+    }
+
+    fn write_answer(&mut self, answer: &HttpAnswer, close: bool) -> io::Result<()> {
+        use std::fmt::Write as _;
+        let mut head = String::with_capacity(160);
+        let _ = write!(
+            head,
+            "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n",
+            answer.status,
+            reason(answer.status),
+            answer.body.len()
+        );
+        if let Some(after) = answer.retry_after_s {
+            let _ = write!(head, "Retry-After: {after}\r\n");
+        }
+        head.push_str(if close { "Connection: close\r\n\r\n" } else { "\r\n" });
+        let mut out = head.into_bytes();
+        out.extend_from_slice(&answer.body);
+        self.stream.write_all(&out)
+    }
+}
+
+fn plain(status: u16, why: &str) -> HttpAnswer {
+    let body = serde_json::json!({ "error": why }).to_string().into_bytes();
+    HttpAnswer { status, body, retry_after_s: None, until: None }
+}
+
+fn busy() -> HttpAnswer {
+    HttpAnswer { retry_after_s: Some(1), ..plain(503, "busy") }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        421 => "Misdirected Request",
+        422 => "Unprocessable Entity",
+        429 => "Too Many Requests",
+        503 => "Service Unavailable",
+        _ => "Status",
+    }
+}
