--- a/crates/quartzlever-clients/src/state.rs
+++ b/crates/quartzlever-clients/src/state.rs
@@ -57,8 +57,11 @@
                 }
             }
             StateCall::List { prefix, from } => {
-                let mut request =
-                    self.quick.get(&format!("{base}/keys")).query("under", prefix).query("limit", "1000");
+                let mut request = self
+                    .quick
+                    .get(&format!("{base}/keys"))
+                    .query("under", prefix)
+                    .query("limit", "1000");
                 if let Some(from) = from {
                     request = request.query("from", from);
                 }
--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -4,7 +4,9 @@
 
 use quartzlever_wire::cloud::{CloudCall, CloudReply, MachineType};
 use quartzlever_wire::peers::{PeerAnswer, PeerRequest};
-use quartzlever_wire::state::{HostRecord, LiveRecord, OverRecord, PartRecord, StateCall, StateReply};
+use quartzlever_wire::state::{
+    HostRecord, LiveRecord, OverRecord, PartRecord, StateCall, StateReply,
+};
 use quartzlever_wire::workers::{Report, WorkerCall, WorkerReply};
 use quartzlever_wire::{CallError, Micros, Ranges};
 use rand::SeedableRng;
@@ -21,25 +23,85 @@
 /// What an answer from the state service belongs to.
 #[derive(Debug)]
 pub(crate) enum Waiting {
-    Grant { sent: Micros },
-    Renew { sent: Micros, lease: u64 },
-    Acquire { part: String },
-    Release { part: String },
-    ListParts { from_epoch: Option<u64> },
-    ListHosts { from_epoch: Option<u64> },
+    Grant {
+        sent: Micros,
+    },
+    Renew {
+        sent: Micros,
+        lease: u64,
+    },
+    Acquire {
+        part: String,
+    },
+    Release {
+        part: String,
+    },
+    ListParts {
+        from_epoch: Option<u64>,
+    },
+    ListHosts {
+        from_epoch: Option<u64>,
+    },
     Watch,
-    LoadJobs { part: String, term: u64 },
-    LoadHosts { part: String, term: u64 },
-    ReadLive { purpose: Purpose },
-    ReadOver { purpose: Purpose },
-    Accept { id: RequestId, record: Box<LiveRecord> },
-    Cancel { id: RequestId, job: String, done: u32, tries: u32 },
-    JobWrite { part: String, term: u64, job: String, finished: Ranges, over: bool },
-    Reread { part: String, term: u64, job: String },
-    RereadOver { part: String, term: u64, job: String },
-    StealWrite { part: String, term: u64, request: Option<RequestId>, moved: Vec<crate::stealing::Move> },
-    Claim { id: RequestId, part: String, term: u64, report: Box<Report>, record: HostRecord },
-    DropHosts { part: String, term: u64, hosts: Vec<String> },
+    LoadJobs {
+        part: String,
+        term: u64,
+    },
+    LoadHosts {
+        part: String,
+        term: u64,
+    },
+    ReadLive {
+        purpose: Purpose,
+    },
+    ReadOver {
+        purpose: Purpose,
+    },
+    Accept {
+        id: RequestId,
+        record: Box<LiveRecord>,
+    },
+    Cancel {
+        id: RequestId,
+        job: String,
+        done: u32,
+        tries: u32,
+    },
+    JobWrite {
+        part: String,
+        term: u64,
+        job: String,
+        finished: Ranges,
+        over: bool,
+    },
+    Reread {
+        part: String,
+        term: u64,
+        job: String,
+    },
+    RereadOver {
+        part: String,
+        term: u64,
+        job: String,
+    },
+    StealWrite {
+        part: String,
+        term: u64,
+        request: Option<RequestId>,
+        moved: Vec<crate::stealing::Move>,
+    },
+    Claim {
+        id: RequestId,
+        part: String,
+        term: u64,
+        report: Box<Report>,
+        record: HostRecord,
+    },
+    DropHosts {
+        part: String,
+        term: u64,
+        hosts: Vec<String>,
+    },
 }
 
 /// What an answer from a worker belongs to.
@@ -247,7 +309,12 @@
         self.out.push(Effect::Cloud { token, call });
     }
 
-    pub(crate) fn worker_call(&mut self, address: String, call: WorkerCall, wait: WorkerWait) -> Token {
+    pub(crate) fn worker_call(
+        &mut self,
+        address: String,
+        call: WorkerCall,
+        wait: WorkerWait,
+    ) -> Token {
         let token = self.token();
         self.worker_waits.insert(token, wait);
         let until = self.hold.sure_until;
@@ -311,7 +378,7 @@
             Waiting::Accept { id, record } => self.accept_answered(id, *record, result),
             Waiting::Cancel { id, job, done, tries } => {
                 self.cancel_answered(id, job, done, tries, result);
-            },
+            }
             Waiting::JobWrite { part, term, job, finished, over } => {
                 self.job_written(&part, term, &job, finished, over, result);
             }
@@ -342,7 +409,11 @@
         self.worker_done(token, wait, result);
     }
 
-    fn peer_answer(&mut self, work: crate::stealing::PeerWork, result: Result<PeerAnswer, CallError>) {
+    fn peer_answer(
+        &mut self,
+        work: crate::stealing::PeerWork,
+        result: Result<PeerAnswer, CallError>,
+    ) {
         self.peer_done(work, result);
     }
 
--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -116,7 +116,11 @@
     free: Amounts,
 }
 
-fn offer_allowed(spec: &quartzlever_wire::users::JobSpec, kind: &MachineType, offer: &Offer) -> bool {
+fn offer_allowed(
+    spec: &quartzlever_wire::users::JobSpec,
+    kind: &MachineType,
+    offer: &Offer,
+) -> bool {
     type_allowed(spec, kind)
         && spec.zone.as_ref().is_none_or(|z| *z == offer.1)
         && (spec.spot || !offer.2)
@@ -160,9 +164,8 @@
                 self.cloud.catalogue_waiting = false;
                 if let Ok(CloudReply::Catalogue(catalogue)) = result {
                     self.cloud.catalogue_at = self.now + CATALOGUE_EVERY;
-                    self.types = Some(
-                        catalogue.types.into_iter().map(|t| (t.name.clone(), t)).collect(),
-                    );
+                    self.types =
+                        Some(catalogue.types.into_iter().map(|t| (t.name.clone(), t)).collect());
                     for part in self.parts.values_mut() {
                         part.place_wanted = true;
                     }
@@ -225,13 +228,7 @@
         }
     }
 
-    fn hired(
-        &mut self,
-        name: &str,
-        term: u64,
-        hire: Hire,
-        result: Result<CloudReply, CallError>,
-    ) {
+    fn hired(&mut self, name: &str, term: u64, hire: Hire, result: Result<CloudReply, CallError>) {
         let now = self.now;
         let known: HashSet<String> = self.mirror.hosts.keys().cloned().collect();
         let Some(part) = self.part_at(name, term) else { return };
@@ -287,13 +284,19 @@
         if now < part.fleet.return_at {
             return;
         }
+        // Jobs that were done elsewhere, so that their failures are a machine's.
+        let cleared: BTreeSet<String> =
+            part.jobs.iter().filter(|(_, j)| j.good > 0).map(|(id, _)| id.clone()).collect();
         for machine in part.machines.values_mut().filter(|m| !m.returning) {
             machine.return_wanted = machine.return_wanted.or_else(|| {
                 let crawls = machine.pace.len() >= CRAWL_TASKS
                     && machine.pace.iter().sum::<u32>() / machine.pace.len() as u32 > CRAWL_PACE;
                 if now.saturating_sub(machine.heard) > operator.silent_return {
                     Some("silent")
-                } else if machine.errors >= SUSPECT_ERRORS && machine.failed_jobs.len() > 1 {
+                } else if machine.errors >= SUSPECT_ERRORS
+                    && (machine.failed_jobs.len() > 1
+                        || machine.failed_jobs.iter().any(|j| cleared.contains(j)))
+                {
                     Some("fails")
                 } else if crawls {
                     Some("crawls")
@@ -359,10 +362,7 @@
             .collect();
         let part = Some((name.to_owned(), part.term));
         self.note(Weight::Info, || format!("part {name}: returns {}", why.join(", ")));
-        self.cloud_call(
-            CloudCall::Return(hosts.clone()),
-            CloudWork::Return { part, hosts },
-        );
+        self.cloud_call(CloudCall::Return(hosts.clone()), CloudWork::Return { part, hosts });
     }
 
     fn returned(
@@ -440,11 +440,8 @@
             }
             let claimed = self.mirror.hosts.contains_key(&rental.name);
             let expected = self.parts.values().any(|p| p.fleet.expected.contains_key(&rental.name));
-            let boot = self
-                .types
-                .as_ref()
-                .and_then(|t| t.get(&rental.kind))
-                .map_or(60.0, |t| t.ready_s);
+            let boot =
+                self.types.as_ref().and_then(|t| t.get(&rental.kind)).map_or(60.0, |t| t.ready_s);
             let old = rental.held_s > 4.0 * boot + 60.0;
             let failed = rental.phase == RentalPhase::Failed;
             if !claimed && (failed || (old && !expected)) {
@@ -512,20 +509,21 @@
         }
         for id in self.queue_order(cfg, paces) {
             let Some(job) = self.jobs.get(&id) else { continue };
-            if job.failed_on.len() > 2 {
-                // Fails everywhere; machines would not help it.
+            if job.mistaken() {
+                // Machines would not help it.
                 continue;
             }
+            let usable = |m: &crate::machine::Machine| {
+                !job.failed_on.contains(&m.name) && m.return_wanted.is_none()
+            };
+            let nowhere = !job.failed_on.is_empty() && !self.machines.values().any(usable);
             let spec = job.spec();
             let need = job.need();
             let expect = paces.expect(spec).max(SECOND);
             let mut left = job.ready.len();
             for bin in &mut bins {
                 let Some(kind) = types.get(&bin.offer.0) else { continue };
-                while left > 0
-                    && bin.free.fits(&need)
-                    && offer_allowed(spec, kind, &bin.offer)
-                {
+                while left > 0 && bin.free.fits(&need) && offer_allowed(spec, kind, &bin.offer) {
                     bin.free.take(&need);
                     left -= 1;
                 }
@@ -536,7 +534,7 @@
                 continue;
             }
             let latest = latest_start(cfg, paces, job);
-            if cpus > 0.0 {
+            if cpus > 0.0 && !nowhere {
                 let drained = now + micros_from_secs(ahead / cpus * 1.2);
                 let last_start = drained.saturating_sub(expect);
                 if last_start <= latest {
--- a/crates/quartzlever-core/src/jobs.rs
+++ b/crates/quartzlever-core/src/jobs.rs
@@ -25,21 +25,36 @@
 pub(crate) enum Purpose {
     /// Whether a submission that cannot be accepted is of a known job; `refuse` says whether an
     /// unknown one is refused for good.
-    Submit { id: RequestId, job: String, refuse: bool },
-    Lookup { id: RequestId, job: String },
-    Abort { id: RequestId, job: String, tries: u32 },
+    Submit {
+        id: RequestId,
+        job: String,
+        refuse: bool,
+    },
+    Lookup {
+        id: RequestId,
+        job: String,
+    },
+    Abort {
+        id: RequestId,
+        job: String,
+        tries: u32,
+    },
 }
 
 impl Purpose {
     fn request(&self) -> RequestId {
         match self {
-            Purpose::Submit { id, .. } | Purpose::Lookup { id, .. } | Purpose::Abort { id, .. } => *id,
+            Purpose::Submit { id, .. } | Purpose::Lookup { id, .. } | Purpose::Abort { id, .. } => {
+                *id
+            }
         }
     }
 
     fn job(&self) -> &str {
         match self {
-            Purpose::Submit { job, .. } | Purpose::Lookup { job, .. } | Purpose::Abort { job, .. } => job,
+            Purpose::Submit { job, .. }
+            | Purpose::Lookup { job, .. }
+            | Purpose::Abort { job, .. } => job,
         }
     }
 }
@@ -125,8 +140,7 @@
             return self.answer(id, 400, serde_json::json!({ "error": "too long to keep" }));
         }
         let live = live_key(&spec.id);
-        let mut txn =
-            Txn::default().when(live.clone(), 0).when(format!("{OVER}{}", spec.id), 0);
+        let mut txn = Txn::default().when(live.clone(), 0).when(format!("{OVER}{}", spec.id), 0);
         if term > 0 {
             txn = txn.when(format!("{PARTS}{part}"), term);
         }
@@ -144,8 +158,7 @@
         if !self.sure() {
             return None;
         }
-        let part =
-            self.parts.get(&self.cfg.node).or_else(|| self.parts.values().next())?;
+        let part = self.parts.get(&self.cfg.node).or_else(|| self.parts.values().next())?;
         Some((part.name.clone(), part.term))
     }
 
@@ -197,8 +210,7 @@
     }
 
     fn view_over(&mut self, id: RequestId, job: &str, over: &OverRecord) {
-        let view =
-            JobView { id: job.to_owned(), phase: over.phase, done: over.done, running: 0 };
+        let view = JobView { id: job.to_owned(), phase: over.phase, done: over.done, running: 0 };
         self.answer(id, 200, serde_json::to_value(view).unwrap_or_default());
     }
 
@@ -324,7 +336,8 @@
             }
             let mut record = job.record.clone();
             record.finished.add(&job.finished);
-            record.started = record.started || !job.located.is_empty() || !record.finished.is_empty();
+            record.started =
+                record.started || !job.located.is_empty() || !record.finished.is_empty();
             let all = record.finished.len() >= record.job.tasks;
             let live = live_key(id);
             let txn = base.clone().when(live.clone(), job.stamp);
@@ -435,8 +448,7 @@
             }
             Ok(StateReply::Row(None)) => {
                 job.writing = true;
-                let waiting =
-                    Waiting::RereadOver { part: name.into(), term, job: id.to_owned() };
+                let waiting = Waiting::RereadOver { part: name.into(), term, job: id.to_owned() };
                 self.state(Lane::Work, StateCall::Get(format!("{OVER}{id}")), waiting);
             }
             _ => {
@@ -488,6 +500,7 @@
             slot.wanted = slot.exited();
         }
         if job.record.owned_by(&self.name).contains(index) {
+            job.good += 1;
             job.finished.insert(index);
             let all = job.record.finished.len() + job.finished.len() >= job.record.job.tasks;
             if all {
--- a/crates/quartzlever-core/src/machine.rs
+++ b/crates/quartzlever-core/src/machine.rs
@@ -189,9 +189,9 @@
 
     /// Whether anything waits to be said to the worker that is worth a call of its own.
     pub fn urgent_orders(&self) -> bool {
-        self.slots.values().any(|s| {
-            !s.exited() && ((s.wanted && !s.sent) || (!s.wanted && s.kill_sent.is_none()))
-        })
+        self.slots
+            .values()
+            .any(|s| !s.exited() && ((s.wanted && !s.sent) || (!s.wanted && s.kill_sent.is_none())))
     }
 
     /// The commands that bring the worker to what is wanted. `clearable` says whether an
--- a/crates/quartzlever-core/src/messages.rs
+++ b/crates/quartzlever-core/src/messages.rs
@@ -16,18 +16,49 @@
 /// One piece of work for the core.
 #[derive(Clone, Debug)]
 pub enum Command {
-    Submit { id: RequestId, spec: Box<JobSpec> },
-    Lookup { id: RequestId, job: String },
-    Abort { id: RequestId, job: String },
-    Ready { id: RequestId },
-    Report { id: RequestId, report: Report },
-    Peer { id: RequestId, request: PeerRequest },
-    State { token: Token, result: Result<StateReply, CallError> },
-    Cloud { token: Token, result: Result<CloudReply, CallError> },
-    Worker { token: Token, result: Result<WorkerReply, CallError> },
-    Asked { token: Token, result: Result<PeerAnswer, CallError> },
+    Submit {
+        id: RequestId,
+        spec: Box<JobSpec>,
+    },
+    Lookup {
+        id: RequestId,
+        job: String,
+    },
+    Abort {
+        id: RequestId,
+        job: String,
+    },
+    Ready {
+        id: RequestId,
+    },
+    Report {
+        id: RequestId,
+        report: Report,
+    },
+    Peer {
+        id: RequestId,
+        request: PeerRequest,
+    },
+    State {
+        token: Token,
+        result: Result<StateReply, CallError>,
+    },
+    Cloud {
+        token: Token,
+        result: Result<CloudReply, CallError>,
+    },
+    Worker {
+        token: Token,
+        result: Result<WorkerReply, CallError>,
+    },
+    Asked {
+        token: Token,
+        result: Result<PeerAnswer, CallError>,
+    },
     /// Time passes; `wall` is the time of day in microseconds since 1970.
-    Tick { wall: Micros },
+    Tick {
+        wall: Micros,
+    },
 }
 
 impl Command {
@@ -79,11 +110,33 @@
         until: Option<Micros>,
     },
     /// A line for the log.
-    Note { weight: Weight, text: String },
-    AnswerPeer { id: RequestId, answer: PeerAnswer },
-    State { token: Token, lane: Lane, call: StateCall },
-    Cloud { token: Token, call: CloudCall },
+    Note {
+        weight: Weight,
+        text: String,
+    },
+    AnswerPeer {
+        id: RequestId,
+        answer: PeerAnswer,
+    },
+    State {
+        token: Token,
+        lane: Lane,
+        call: StateCall,
+    },
+    Cloud {
+        token: Token,
+        call: CloudCall,
+    },
     /// Call a worker, but not after `until`.
-    Worker { token: Token, address: String, call: WorkerCall, until: Micros },
-    Peer { token: Token, node: String, request: PeerRequest },
+    Worker {
+        token: Token,
+        address: String,
+        call: WorkerCall,
+        until: Micros,
+    },
+    Peer {
+        token: Token,
+        node: String,
+        request: PeerRequest,
+    },
 }
--- a/crates/quartzlever-core/src/part.rs
+++ b/crates/quartzlever-core/src/part.rs
@@ -12,6 +12,9 @@
 use crate::fleet::Fleet;
 use crate::machine::{Amounts, Machine, Slot};
 
+/// A job that failed on so many machines and was never done is taken as mistaken itself.
+const MISTAKEN_AFTER: usize = 3;
+
 /// Where a task may be.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Place {
@@ -47,6 +50,8 @@
     /// Failed attempts here: machines they failed on, and how many.
     pub failed_on: BTreeSet<String>,
     pub failures: u32,
+    /// Tasks of the job that were done here.
+    pub good: u32,
     pub no_start_before: Micros,
     /// Tasks that were stopped for others once; they are not stopped again.
     pub stopped: Ranges,
@@ -70,6 +75,11 @@
         all
     }
 
+    /// Whether the job fails wherever it is tried.
+    pub fn mistaken(&self) -> bool {
+        self.good == 0 && self.failed_on.len() >= MISTAKEN_AFTER
+    }
+
     /// Whether the work of this part on the job is over and recorded.
     pub fn idle(&self) -> bool {
         self.ready.is_empty()
@@ -183,6 +193,7 @@
                 due,
                 failed_on: BTreeSet::new(),
                 failures: 0,
+                good: 0,
                 no_start_before: 0,
                 stopped: Ranges::default(),
             }
@@ -277,10 +288,8 @@
     /// earlier holder ever commanded it.
     pub fn add_machine(&mut self, name: &str, record: HostRecord, ours: bool, now: Micros) {
         self.fleet.arrived(name, now);
-        let machine = self
-            .machines
-            .entry(name.to_owned())
-            .or_insert_with(|| Machine::new(name, record, now));
+        let machine =
+            self.machines.entry(name.to_owned()).or_insert_with(|| Machine::new(name, record, now));
         if ours {
             machine.fenced = true;
             machine.proven = true;
--- a/crates/quartzlever-core/src/placement.rs
+++ b/crates/quartzlever-core/src/placement.rs
@@ -160,13 +160,11 @@
             let spec = job.spec().clone();
             let need = job.need();
             let failed_on = job.failed_on.clone();
-            let all_failed = !failed_on.is_empty()
-                && machines.iter().all(|m| {
-                    failed_on.contains(&m.name) || !machine_allowed(&spec, &m.record)
-                });
-            loop {
-                let Some(job) = part.jobs.get(&id) else { break };
-                let Some(index) = job.ready.lowest() else { break };
+            // Where it failed it is tried again only when it fails everywhere.
+            let again = job.mistaken();
+            while let Some(job) = part.jobs.get(&id)
+                && let Some(index) = job.ready.lowest()
+            {
                 if !part.team_has_room(&self.cfg, &spec, &need) {
                     break;
                 }
@@ -178,7 +176,7 @@
                         m.free.fits(&need)
                             && machine_allowed(&spec, &m.record)
                             && zones.as_ref().is_none_or(|z| z.contains(&m.record.zone))
-                            && (all_failed || !failed_on.contains(&m.name))
+                            && (again || !failed_on.contains(&m.name))
                     })
                     .min_by(|(_, a), (_, b)| {
                         let key = |m: &Candidate| {
@@ -216,8 +214,7 @@
         let Some(types) = &self.types else { return };
         let Some(part) = self.parts.get_mut(name) else { return };
         // Room that is being made already.
-        let coming: f64 =
-            part.live_slots().filter(|s| !s.wanted).map(|s| s.need.cpus).sum();
+        let coming: f64 = part.live_slots().filter(|s| !s.wanted).map(|s| s.need.cpus).sum();
         let mut coming = coming;
         for id in part.short.clone() {
             let Some(job) = part.jobs.get(&id) else { continue };
@@ -282,7 +279,8 @@
         };
         let (mut cpus, mut gpus) = (0.0, 0.0);
         for job in self.jobs.values().filter(|j| j.spec().team == team.name) {
-            let left = f64::from(job.spec().tasks - job.record.finished.len().min(job.spec().tasks));
+            let left =
+                f64::from(job.spec().tasks - job.record.finished.len().min(job.spec().tasks));
             cpus += left * job.spec().cpus;
             gpus += left * job.spec().gpus;
         }
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -145,8 +145,7 @@
         // A late report's answer is dropped by the worker; the lease is taken as renewed all
         // the same, which errs on the safe side.
         machine.answered = now;
-        let orders =
-            if newer { part.orders_for(&report.host) } else { Vec::new() };
+        let orders = if newer { part.orders_for(&report.host) } else { Vec::new() };
         let body = Orders { baton: part.term, session: None, orders };
         self.out.push(Effect::Answer {
             id,
@@ -204,7 +203,11 @@
                 }
             }
             let session = Some(machine.session);
-            WorkerCall::Command(Orders { baton: term, session, orders: part.orders_for(machine_name) })
+            WorkerCall::Command(Orders {
+                baton: term,
+                session,
+                orders: part.orders_for(machine_name),
+            })
         };
         let wait =
             WorkerWait { part: name.to_owned(), term, machine: machine_name.to_owned(), runs };
@@ -310,9 +313,7 @@
         let orders = machine.orders(|key, slot| {
             // The result of a finished task is kept on the machine until its end is recorded.
             slot.cause != Some(Cause::Done)
-                || jobs
-                    .get(&key.0.job)
-                    .is_none_or(|job| job.record.finished.contains(key.0.index))
+                || jobs.get(&key.0.job).is_none_or(|job| job.record.finished.contains(key.0.index))
         });
         for slot in machine.slots.values_mut() {
             if slot.wanted && slot.phase.is_none() {
@@ -347,8 +348,7 @@
         machine.tick = report.tick;
         machine.heard = now;
         machine.record.address.clone_from(&report.address);
-        machine.warned_until =
-            report.warning_s.map(|s| now + micros_from_secs(s));
+        machine.warned_until = report.warning_s.map(|s| now + micros_from_secs(s));
         if report.baton >= term {
             machine.fenced = true;
             machine.proven = true;
@@ -369,11 +369,8 @@
     /// Attempts that are known here but not in the report.
     fn take_absent(&mut self, report: &Report, hello: bool) {
         let Some(machine) = self.machines.get_mut(&report.host) else { return };
-        let listed: std::collections::BTreeSet<(&str, u32, u64)> = report
-            .tasks
-            .iter()
-            .map(|t| (t.task.job.as_str(), t.task.index, t.attempt))
-            .collect();
+        let listed: std::collections::BTreeSet<(&str, u32, u64)> =
+            report.tasks.iter().map(|t| (t.task.job.as_str(), t.task.index, t.attempt)).collect();
         let absent: Vec<SlotKey> = machine
             .slots
             .iter()
@@ -454,15 +451,18 @@
                 if let Some(job) = self.jobs.get_mut(&seen.task.job) {
                     job.failures += 1;
                     job.failed_on.insert(host.to_owned());
-                    // A job that fails on other machines too says nothing of this one.
-                    if job.failed_on.len() == 1 {
+                    let elsewhere = job.failed_on.len() > 1;
+                    if !elsewhere {
                         machine.errors += 1;
                         machine.failed_jobs.insert(seen.task.job.clone());
                     }
                     // A mistaken job fails everywhere: it must not hammer the machines.
                     let wait = (SECOND / 2) << job.failures.min(6);
-                    if job.failed_on.len() > 1 {
+                    if elsewhere {
                         job.no_start_before = now + wait;
+                        // A job that fails on other machines too says nothing of the first.
+                        let hosts = job.failed_on.clone();
+                        self.acquit(&seen.task.job, &hosts);
                     }
                 }
                 self.requeue(&seen.task, seen.attempt);
@@ -476,6 +476,18 @@
         }
     }
 
+    /// Takes back what a job's failures said of machines.
+    fn acquit(&mut self, job: &str, hosts: &std::collections::BTreeSet<String>) {
+        for host in hosts {
+            if let Some(machine) = self.machines.get_mut(host)
+                && machine.failed_jobs.remove(job)
+                && machine.failed_jobs.is_empty()
+            {
+                machine.errors = 0;
+            }
+        }
+    }
+
     /// An attempt that this holder has not started: adopted if the task is ours and nowhere
     /// else, ended otherwise.
     fn meet(&mut self, cfg: &Config, host: &str, seen: &TaskReport, now: Micros) {
--- a/crates/quartzlever-core/src/stealing.rs
+++ b/crates/quartzlever-core/src/stealing.rs
@@ -16,8 +16,13 @@
 /// What an answer from a peer belongs to.
 #[derive(Debug)]
 pub(crate) enum PeerWork {
-    Count { round: u64, node: String },
-    Steal { part: String },
+    Count {
+        round: u64,
+        node: String,
+    },
+    Steal {
+        part: String,
+    },
     /// Something was only told.
     Told,
 }
--- /dev/null
+++ b/crates/quartzlever-core/tests/safety.rs
@@ -0,0 +1,246 @@
+//! The safety statements, driven against pure cores: messages reordered, repeated, lost and
+//! late, processes killed, machines hung, networks cut.
+
+mod world;
+
+use quartzlever_core::Command;
+use quartzlever_wire::SECOND;
+use quartzlever_wire::users::JobPhase;
+use world::{Luck, World, job};
+
+const NODES: &[&str] = &["one", "two", "three"];
+
+/// Trouble that befalls the world while it has work.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    None,
+    /// A node is killed and starts again after so many tenths of a second.
+    Kill(usize, u64),
+    /// All nodes are killed during an outage of the state service, and start again in it.
+    KillAllInOutage,
+    Outage(u64),
+    /// A machine executes nothing for so many seconds.
+    Hang(u64),
+    /// A node cannot reach any machine, nor they it, for so many seconds.
+    Cut(usize, u64),
+    /// Every task fails on one machine.
+    Faulty,
+    /// A node is stopped for good.
+    Gone(usize),
+}
+
+fn befall(world: &mut World, trouble: Trouble) {
+    match trouble {
+        Trouble::None => world.run(SECOND),
+        Trouble::Kill(n, tenths) => {
+            world.kill(n);
+            world.run(tenths * SECOND / 10);
+            world.start(n);
+        }
+        Trouble::KillAllInOutage => {
+            world.store.outage = true;
+            world.run(SECOND);
+            for n in 0..NODES.len() {
+                world.kill(n);
+            }
+            world.run(2 * SECOND);
+            for n in 0..NODES.len() {
+                world.start(n);
+            }
+            world.run(6 * SECOND);
+            let now = world.now;
+            world.store.end_outage(now);
+        }
+        Trouble::Outage(secs) => {
+            world.store.outage = true;
+            world.run(secs * SECOND);
+            let now = world.now;
+            world.store.end_outage(now);
+        }
+        Trouble::Hang(secs) => {
+            let name = world.workers.keys().next().cloned();
+            if let Some(worker) = name.as_ref().and_then(|n| world.workers.get_mut(n)) {
+                worker.hung = true;
+            }
+            world.run(secs * SECOND);
+            if let Some(worker) = name.as_ref().and_then(|n| world.workers.get_mut(n)) {
+                worker.hung = false;
+            }
+        }
+        Trouble::Cut(n, secs) => {
+            let names: Vec<String> = world.workers.keys().cloned().collect();
+            world.cut.extend(names.into_iter().map(|name| (n, name)));
+            world.run(secs * SECOND);
+            world.cut.clear();
+        }
+        Trouble::Faulty => {
+            if let Some(worker) = world.workers.values_mut().next() {
+                worker.faulty = true;
+            }
+            world.run(SECOND);
+        }
+        Trouble::Gone(n) => world.kill(n),
+    }
+}
+
+#[test]
+fn work_is_done_once_whatever_befalls() {
+    use Trouble::*;
+    let bad = Luck { lost: 4, late: 4 };
+    let good = Luck::default();
+    let cases: &[(&str, Luck, &[Trouble])] = &[
+        ("nothing happens", good, &[None]),
+        ("calls are lost and come late", bad, &[None, None]),
+        ("a node is restarted at once", good, &[Kill(0, 1), Kill(0, 2), Kill(0, 5)]),
+        ("a node is restarted in the middle of an acquisition", bad, &[Kill(1, 1), Kill(1, 1)]),
+        ("nodes roll", bad, &[Kill(0, 20), Kill(1, 20), Kill(2, 20)]),
+        ("a node is away long enough to be taken over", bad, &[Kill(2, 120)]),
+        ("a node goes for good", good, &[Gone(0)]),
+        ("an outage outlasts the holds", bad, &[Outage(9)]),
+        ("all are killed in an outage", bad, &[KillAllInOutage]),
+        ("a machine hangs within its lease", good, &[Hang(3)]),
+        ("a machine hangs and resumes during recovery", bad, &[Hang(10), Kill(0, 1), Hang(6)]),
+        ("a machine hangs over its lease", bad, &[Hang(16)]),
+        ("a cut holds packets across a takeover", bad, &[Cut(0, 5), Kill(0, 90), Cut(1, 6)]),
+        ("one machine fails all", good, &[Faulty]),
+    ];
+    for (n, (name, luck, troubles)) in cases.iter().enumerate() {
+        for seed in 0..6 {
+            let mut world = World::new(100 * n as u64 + seed, NODES);
+            world.run(3 * SECOND);
+            world.luck = *luck;
+            let mut jobs = Vec::new();
+            for k in 0..6 {
+                let mut spec = job(k, 4 + 3 * k);
+                if k == 3 {
+                    spec.team = "tight".into();
+                }
+                spec.one_zone = k == 4;
+                assert_ne!(world.submit_surely(k as usize % 3, &spec), 0, "{name}: no answer");
+                jobs.push(spec.id);
+            }
+            world.run(2 * SECOND);
+            for trouble in *troubles {
+                befall(&mut world, *trouble);
+                world.run(4 * SECOND);
+            }
+            let up = if matches!(troubles.first(), Some(Gone(0))) { 1 } else { 0 };
+            let ended = world.abort_surely(up, &jobs[5]);
+            assert!(ended.is_some(), "{name} {seed}: cancellation is never answered");
+            world.run(150 * SECOND);
+            assert!(world.broken.is_empty(), "{name} {seed}: {:?}", &world.broken[..1]);
+            for id in &jobs[..5] {
+                assert_eq!(world.over(id), Some(JobPhase::Done), "{name} {seed}: {id}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_lost_steal_write_gives_nothing_away_twice() {
+    // One node has all the work, the others are idle: steals happen, and their writes are lost
+    // or come into force late.
+    for seed in 0..12 {
+        let mut world = World::new(seed, NODES);
+        world.run(3 * SECOND);
+        world.run_time = 2 * SECOND;
+        world.luck = Luck { lost: 10, late: 10 };
+        for k in 0..5 {
+            assert_ne!(world.submit_surely(0, &job(k, 20)), 0);
+        }
+        world.run(240 * SECOND);
+        assert!(world.broken.is_empty(), "{seed}: {:?}", &world.broken[..1]);
+        for k in 0..5 {
+            assert_eq!(world.over(&format!("req-{k:06}")), Some(JobPhase::Done), "{seed} {k}");
+        }
+    }
+}
+
+#[test]
+fn cancelling_meets_starting_and_finishing() {
+    // (tenths of a second between acceptance and cancellation, what the answers may be)
+    for (tenths, may) in [
+        (0, vec!["aborted"]),
+        (5, vec!["aborted"]),
+        (30, vec!["aborted", "done"]),
+        (150, vec!["done"]),
+    ] {
+        for seed in 0..4 {
+            let mut world = World::new(seed, NODES);
+            world.run(6 * SECOND);
+            assert_eq!(world.submit_surely(seed as usize % 3, &job(1, 3)), 201);
+            world.run(tenths * SECOND / 10);
+            let phase = world.abort_surely((seed as usize + 1) % 3, "req-000001");
+            assert!(may.contains(&phase.as_deref().unwrap_or("")), "{tenths} {seed}: {phase:?}");
+            world.run(30 * SECOND);
+            assert!(world.broken.is_empty(), "{tenths} {seed}: {:?}", &world.broken[..1]);
+            // Whatever was said stays true, at every node.
+            for n in 0..3 {
+                let id = world.request(n, |id| Command::Lookup { id, job: "req-000001".into() });
+                let answer = world.answer(id, SECOND).map(|a| a.1["phase"].clone());
+                assert_eq!(answer, phase.clone().map(Into::into), "{tenths} {seed} node {n}");
+            }
+        }
+    }
+}
+
+#[test]
+fn submissions_get_the_right_answer() {
+    let mut world = World::new(7, NODES);
+    world.run(3 * SECOND);
+    let unlike = |change: fn(&mut quartzlever_wire::users::JobSpec)| {
+        let mut spec = job(50, 2);
+        change(&mut spec);
+        spec
+    };
+    let cases = [
+        ("new", job(1, 2), 201),
+        ("again", job(1, 2), 200),
+        (
+            "again, with a team that nobody knows",
+            unlike(|s| {
+                s.id = "req-000001".into();
+                s.team = "nobody".into();
+            }),
+            200,
+        ),
+        ("unknown team", unlike(|s| s.team = "nobody".into()), 422),
+        ("too large for any type", unlike(|s| s.cpus = 9.0), 422),
+        ("no such type", unlike(|s| s.types = Some(vec!["x".into()])), 422),
+        ("no such zone", unlike(|s| s.zone = Some("x".into())), 422),
+        (
+            "over the team's limit",
+            unlike(|s| {
+                s.team = "tight".into();
+                s.cpus = 5.0;
+            }),
+            422,
+        ),
+    ];
+    for (n, (name, spec, status)) in cases.into_iter().enumerate() {
+        let id = world.submit(n % 3, spec);
+        assert_eq!(world.answer(id, SECOND).map(|a| a.0), Some(status), "{name}");
+    }
+    for n in 0..3 {
+        let id = world.request(n, |id| Command::Lookup { id, job: "req-000999".into() });
+        assert_eq!(world.answer(id, SECOND).map(|a| a.0), Some(404), "never submitted");
+    }
+    // In an outage everything is answered at once with a time to come back.
+    world.store.outage = true;
+    let id = world.submit(0, job(2, 2));
+    assert_eq!(world.answer(id, SECOND).map(|a| a.0), Some(503), "outage");
+}
+
+#[test]
+fn a_large_job_stays_within_the_limits_of_a_value() {
+    let mut world = World::new(3, NODES);
+    world.run(3 * SECOND);
+    world.run_time = SECOND / 4;
+    assert_eq!(world.submit_surely(0, &job(1, 100_000)), 201);
+    for _ in 0..30 {
+        world.run(2 * SECOND);
+        let size = world.store.get("live/req-000001").map_or(0, |(v, _)| v.to_string().len());
+        assert!(size > 0 && size <= 16 * 1024, "{size}");
+    }
+    assert!(world.broken.is_empty(), "{:?}", &world.broken[..1]);
+}
--- /dev/null
+++ b/crates/quartzlever-standin/src/cloud.rs
@@ -0,0 +1,89 @@
+//! The cloud: rents without end, remembers the names of requests.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use quartzlever_wire::cloud::{
+    Catalogue, CloudCall, CloudReply, MachineType, Rental, RentalPhase, Rentals,
+};
+
+/// A cloud of one machine type in any number of zones.
+#[derive(Debug)]
+pub struct Cloud {
+    pub catalogue: Catalogue,
+    hires: BTreeMap<String, Vec<String>>,
+    pub machines: BTreeMap<String, Rental>,
+    /// Names that were returned.
+    pub gone: BTreeSet<String>,
+    count: u32,
+    pub most: usize,
+}
+
+impl Cloud {
+    pub fn new(cpus: f64, zones: &[&str], most: usize) -> Self {
+        let kind = MachineType {
+            name: "m".into(),
+            cpus,
+            gpus: 0.0,
+            ram_gb: 64.0,
+            cache_gb: 50.0,
+            pull_gb_per_s: 1.0,
+            hourly: 1.0,
+            market_price: Some(0.4),
+            ready_s: 2.0,
+            zones: zones.iter().map(|z| (*z).to_owned()).collect(),
+        };
+        Cloud {
+            catalogue: Catalogue { types: vec![kind] },
+            hires: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            gone: BTreeSet::new(),
+            count: 0,
+            most,
+        }
+    }
+
+    pub fn call(&mut self, call: &CloudCall) -> CloudReply {
+        match call {
+            CloudCall::Catalogue => CloudReply::Catalogue(self.catalogue.clone()),
+            CloudCall::Rent(hire) => {
+                if let Some(hosts) = self.hires.get(&hire.name) {
+                    return CloudReply::Rented(hosts.clone());
+                }
+                let room = self.most.saturating_sub(self.machines.len());
+                let count = (hire.count as usize).min(room);
+                if count == 0 {
+                    return CloudReply::NoCapacity;
+                }
+                let mut hosts = Vec::new();
+                for _ in 0..count {
+                    self.count += 1;
+                    let name = format!("n-{:06}", self.count);
+                    let rental = Rental {
+                        name: name.clone(),
+                        address: format!("{name}:9000"),
+                        kind: hire.kind.clone(),
+                        zone: hire.zone.clone(),
+                        spot: hire.spot,
+                        phase: RentalPhase::Running,
+                        held_s: 1.0,
+                    };
+                    self.machines.insert(name.clone(), rental);
+                    hosts.push(name);
+                }
+                self.hires.insert(hire.name.clone(), hosts.clone());
+                CloudReply::Rented(hosts)
+            }
+            CloudCall::Return(hosts) => {
+                for host in hosts {
+                    self.machines.remove(host);
+                    self.gone.insert(host.clone());
+                }
+                CloudReply::Returned
+            }
+            CloudCall::List { .. } => CloudReply::Listed(Rentals {
+                hosts: self.machines.values().cloned().collect(),
+                has_next: false,
+            }),
+        }
+    }
+}
--- a/crates/quartzlever-standin/src/lib.rs
+++ b/crates/quartzlever-standin/src/lib.rs
@@ -1,1 +1,13 @@
-//! Stand-ins.
+//! Stand-ins for what surrounds a controller, for tests only.
+//!
+//! [`Store`], [`Cloud`] and [`Worker`] are pure: the caller says what time it is. [`http`] puts
+//! them on loopback ports for tests of the real program.
+
+mod cloud;
+pub mod http;
+mod store;
+mod worker;
+
+pub use cloud::Cloud;
+pub use store::Store;
+pub use worker::Worker;
--- a/crates/quartzlever-wire/src/workers.rs
+++ b/crates/quartzlever-wire/src/workers.rs
@@ -113,7 +113,8 @@
         let named = !report.host.is_empty()
             && report.host.len() <= 100
             && report.host.bytes().all(|b| b.is_ascii_graphic() && b != b'/');
-        let sound = report.tasks.iter().all(|t| (t.phase == TaskPhase::Exited) == t.cause.is_some());
+        let sound =
+            report.tasks.iter().all(|t| (t.phase == TaskPhase::Exited) == t.cause.is_some());
         (named && report.session > 0 && sound).then_some(report)
     }
 }
--- a/crates/quartzlever/src/node.rs
+++ b/crates/quartzlever/src/node.rs
@@ -104,8 +104,7 @@
             spawn("cloud", move || {
                 for (token, call) in receiver {
                     let allowed = budget.wait(1.0, 0.0, Duration::from_secs(5));
-                    let result =
-                        if allowed { client.call(&call) } else { Err(CallError::Refused) };
+                    let result = if allowed { client.call(&call) } else { Err(CallError::Refused) };
                     inbox.tell(Command::Cloud { token, result });
                 }
             })?;
--- a/crates/quartzlever/src/server.rs
+++ b/crates/quartzlever/src/server.rs
@@ -68,12 +68,11 @@
                 continue;
             }
             let (count, work) = (open.clone(), handle.clone());
-            let started = thread::Builder::new().name(label.clone()).stack_size(STACK).spawn(
-                move || {
+            let started =
+                thread::Builder::new().name(label.clone()).stack_size(STACK).spawn(move || {
                     work(stream);
                     count.fetch_sub(1, Ordering::Relaxed);
-                },
-            );
+                });
             if started.is_err() {
                 open.fetch_sub(1, Ordering::Relaxed);
             }
@@ -237,10 +236,8 @@
                 None => return plain(400, "not a report"),
             },
             ["v2", "runs"] => match JobSpec::parse(&request.body) {
-                Ok(spec) => inbox.ask(true, USER_PATIENCE, |id| Command::Submit {
-                    id,
-                    spec: Box::new(spec),
-                }),
+                Ok(spec) => inbox
+                    .ask(true, USER_PATIENCE, |id| Command::Submit { id, spec: Box::new(spec) }),
                 Err(why) => return plain(400, &why.to_string()),
             },
             // No job was ever accepted under a name that is none.
--- a/crates/quartzlever/src/settings.rs
+++ b/crates/quartzlever/src/settings.rs
@@ -181,7 +181,11 @@
 }
 
 /// Reads and checks both files.
-pub fn load(config: &Path, operator: Option<&Path>, notes: Weight) -> Result<Settings, BadSettings> {
+pub fn load(
+    config: &Path,
+    operator: Option<&Path>,
+    notes: Weight,
+) -> Result<Settings, BadSettings> {
     let operator = match operator {
         Some(path) => parse_operator(&path.display().to_string(), &read(path)?)?,
         None => Operator::default(),
@@ -292,10 +296,15 @@
             teams,
             objectives,
             workers,
-            value_bytes: (check.amount("params.state.value_kb", state.value_kb, 1.0, 1e6)?
-                * 1024.0) as usize,
+            value_bytes: (check.amount("params.state.value_kb", state.value_kb, 1.0, 1e6)? * 1024.0)
+                as usize,
             txn_ops: check.amount("params.state.txn_ops", state.txn_ops as f64, 2.0, 1e6)? as usize,
-            list_lag: check.span("params.cloud.list_lag_s", params.cloud.list_lag_s, 0.0, 3600.0)?,
+            list_lag: check.span(
+                "params.cloud.list_lag_s",
+                params.cloud.list_lag_s,
+                0.0,
+                3600.0,
+            )?,
             operator,
             notes,
         },
--- /dev/null
+++ b/crates/quartzlever/tests/end_to_end.rs
@@ -0,0 +1,197 @@
+//! The real program with the stand-ins on loopback.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use quartzlever_standin::{Cloud, Store, http};
+use quartzlever_wire::SECOND;
+use serde_json::{Value, json};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_quartzlever");
+
+fn settings(state: &str, cloud: &str) -> String {
+    format!(
+        r#"
+node_name = "one"
+site = "a"
+api_addr = "127.0.0.1:0"
+internal_addr = "127.0.0.1:0"
+a_new_field = true
+[external]
+cloud = "{cloud}"
+state = "{state}"
+[params]
+zones = ["a"]
+[[params.teams]]
+name = "free"
+[params.workers]
+report_s = 1.0
+lease_s = 10.0
+cancel_s = 20.0
+[params.state]
+rps = 500.0
+write_rps = 500.0
+value_kb = 16.0
+txn_ops = 24
+[params.cloud]
+rps = 50.0
+list_lag_s = 1.0
+"#
+    )
+}
+
+fn scratch(name: &str, text: &str) -> PathBuf {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).expect("a scratch file");
+    path
+}
+
+/// A running controller; ended with the test.
+struct Node {
+    child: Child,
+    address: SocketAddr,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn start(config: &Path) -> Node {
+    let mut child = Command::new(PROGRAM)
+        .arg("--config")
+        .arg(config)
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    let mut lines = BufReader::new(child.stderr.take().expect("stderr")).lines();
+    let address = loop {
+        let line = lines.next().expect("a line that names the port").expect("text");
+        if let Some((_, address)) = line.split_once("serves ") {
+            break address.trim().parse().expect("an address");
+        }
+    };
+    thread::spawn(move || lines.for_each(drop));
+    Node { child, address }
+}
+
+fn call(method: &str, url: &str, body: Option<&str>) -> (u16, Value) {
+    let request = ureq::request(method, url).timeout(Duration::from_secs(5));
+    let result = match body {
+        Some(body) => request.send_string(body),
+        None => request.call(),
+    };
+    match result {
+        Ok(response) | Err(ureq::Error::Status(_, response)) => {
+            let status = response.status();
+            let text = response.into_string().unwrap_or_default();
+            (status, serde_json::from_str(&text).unwrap_or(Value::Null))
+        }
+        Err(_) => (0, Value::Null),
+    }
+}
+
+/// Repeats a call until its answer is as wanted.
+fn until(what: &str, mut make: impl FnMut() -> (u16, Value), fine: impl Fn(&(u16, Value)) -> bool) {
+    let mut last = (0, Value::Null);
+    for _ in 0..400 {
+        last = make();
+        if fine(&last) {
+            return;
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    panic!("{what}: {last:?}");
+}
+
+fn job(id: &str, tasks: u32) -> String {
+    json!({
+        "ref": id, "jobclass": "c", "owner": "free", "shape": "batch", "rank": "standard",
+        "shards": tasks, "cpus": 2.0, "gpus": 0, "ram_gb": 1.0, "bundle": "img", "size_gb": 0.5,
+        "together": false, "apart": false, "loaners": true,
+        "expect_s": 1.0, "snapshot_s": 0.0, "flush_s": 0.0
+    })
+    .to_string()
+}
+
+#[test]
+fn jobs_survive_a_kill() {
+    let begin = Instant::now();
+    let store = http::serve_store(Arc::new(Mutex::new(Store::default())), begin).expect("store");
+    let controllers = Arc::new(Mutex::new(vec!["127.0.0.1:1".parse().expect("address")]));
+    let cloud = Cloud::new(8.0, &["a"], 3);
+    let cloud = http::serve_cloud(cloud, controllers.clone(), 10 * SECOND, SECOND, begin);
+    let cloud = cloud.expect("cloud");
+    let config = scratch("one.toml", &settings(&store.to_string(), &cloud.to_string()));
+    let node = start(&config);
+    *controllers.lock().expect("lock") = vec![node.address];
+    let base = format!("http://{}", node.address);
+    until("ready", || call("GET", &format!("{base}/ready"), None), |a| a.0 == 200);
+
+    let runs = format!("{base}/v2/runs");
+    until("accept", || call("POST", &runs, Some(&job("req-1", 3))), |a| a.0 == 201);
+    assert_eq!(call("POST", &runs, Some(&job("req-1", 3))).0, 200, "known");
+    let first = format!("{runs}/req-1");
+    until("done", || call("GET", &first, None), |a| a.1["phase"] == "done" && a.1["done"] == 3);
+
+    // (method, path, body, status)
+    let long = format!("{{\"ref\":\"{}\"}}", "x".repeat(70_000));
+    for (method, path, body, status) in [
+        ("GET", "/v2/runs/req-77", None, 404),
+        ("GET", "/v2/runs/nonsense", None, 404),
+        ("GET", "/elsewhere", None, 404),
+        ("POST", "/ready", Some("{}"), 405),
+        ("GET", "/v2/runs", None, 405),
+        ("POST", "/v2/runs", Some("{"), 400),
+        ("POST", "/v2/runs", Some(long.as_str()), 400),
+        ("POST", "/hello", Some("{\"host\":1}"), 400),
+        ("POST", "/v2/runs/req-77/abort", Some(""), 404),
+    ] {
+        assert_eq!(call(method, &format!("{base}{path}"), body).0, status, "{method} {path}");
+    }
+
+    until("accept", || call("POST", &runs, Some(&job("req-2", 12))), |a| a.0 == 201);
+    drop(node);
+    let node = start(&config);
+    *controllers.lock().expect("lock") = vec![node.address];
+    let runs = format!("http://{}/v2/runs", node.address);
+    let (first, second) = (format!("{runs}/req-1"), format!("{runs}/req-2"));
+    until("lookup", || call("GET", &first, None), |a| a.0 == 200);
+    assert_eq!(call("GET", &first, None).1["phase"], "done", "what was done stays done");
+    until("done", || call("GET", &second, None), |a| a.1["phase"] == "done");
+    let (status, answer) = call("POST", &format!("{second}/abort"), Some(""));
+    assert_eq!((status, &answer["phase"]), (200, &json!("done")), "too late to cancel");
+}
+
+#[test]
+fn bad_settings_end_the_start_with_one_line() {
+    let good = settings("127.0.0.1:1", "127.0.0.1:2");
+    let cases: &[(&str, String, &str, i32, &str)] = &[
+        ("good", good.clone(), "steal_fraction: 0.5\n", 0, ""),
+        ("empty operator file", good.clone(), "", 0, ""),
+        ("missing field", good.replace("site = \"a\"", ""), "", 2, "site"),
+        ("bad address", good.replace("127.0.0.1:1\"", "nowhere\""), "", 2, "external.state"),
+        ("out of range", good.replace("lease_s = 10.0", "lease_s = -1.0"), "", 2, "lease_s"),
+        ("wrong type", good.replace("rps = 500.0", "rps = \"many\""), "", 2, "string"),
+        ("unknown key", good.clone(), "steal_everything: true\n", 2, "steal_everything"),
+        ("operator out of range", good.clone(), "steal_fraction: 7\n", 2, "steal_fraction"),
+    ];
+    for (n, (name, config, operator, code, mentions)) in cases.iter().enumerate() {
+        let config = scratch(&format!("check-{n}.toml"), config);
+        let operator = scratch(&format!("check-{n}.yaml"), operator);
+        let mut command = Command::new(PROGRAM);
+        command.arg("check").arg("--config").arg(config).arg("--operator").arg(operator);
+        let output = command.output().expect("the program runs");
+        let error = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.code(), Some(*code), "{name}: {error}");
+        assert!(error.contains(mentions), "{name}: {error}");
+        assert_eq!(error.lines().count(), usize::from(*code != 0), "{name}: {error}");
+    }
+}
