--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -268,7 +268,10 @@
             .machines
             .values()
             .filter(|m| {
-                now.saturating_sub(m.answered.max(acquired)) > gone_after
+                // A session that was only heard of by a direct call runs out a lease after it
+                // began, and it began before it was heard of. Without `heard`, tasks given to a
+                // machine that had just come back were taken for gone and started elsewhere.
+                now.saturating_sub(m.answered.max(m.heard).max(acquired)) > gone_after
                     && (!m.proven || !m.slots.is_empty())
             })
             .map(|m| m.name.clone())
--- a/crates/quartzlever-core/tests/safety.rs
+++ b/crates/quartzlever-core/tests/safety.rs
@@ -23,6 +23,9 @@
     Hang(u64),
     /// A node cannot reach any machine, nor they it, for so many seconds.
     Cut(usize, u64),
+    /// Nobody can reach the machines for so many seconds while all nodes are restarted; with or
+    /// without a cloud that could take the machines back.
+    Unreachable(u64, bool),
     /// Every task fails on one machine.
     Faulty,
     /// A node is stopped for good.
@@ -73,6 +76,18 @@
             world.run(secs * SECOND);
             world.cut.clear();
         }
+        Trouble::Unreachable(secs, cloud) => {
+            let names: Vec<String> = world.workers.keys().cloned().collect();
+            for n in 0..NODES.len() {
+                world.cut.extend(names.iter().map(|name| (n, name.clone())));
+                world.kill(n);
+                world.start(n);
+            }
+            world.cloud_down = !cloud;
+            world.run(secs * SECOND);
+            world.cut.clear();
+            world.cloud_down = false;
+        }
         Trouble::Faulty => {
             if let Some(worker) = world.workers.values_mut().next() {
                 worker.faulty = true;
@@ -102,6 +117,9 @@
         ("a machine hangs and resumes during recovery", bad, &[Hang(10), Kill(0, 1), Hang(6)]),
         ("a machine hangs over its lease", bad, &[Hang(16)]),
         ("a cut holds packets across a takeover", bad, &[Cut(0, 5), Kill(0, 90), Cut(1, 6)]),
+        ("machines are out of reach across a restart", good, &[Unreachable(8, true)]),
+        ("so they are, with the cloud down", good, &[Unreachable(8, false)]),
+        ("so they are, longer than their lease", bad, &[Unreachable(20, false)]),
         ("one machine fails all", good, &[Faulty]),
     ];
     for (n, (name, luck, troubles)) in cases.iter().enumerate() {
@@ -109,6 +127,10 @@
             let mut world = World::new(100 * n as u64 + seed, NODES);
             world.run(3 * SECOND);
             world.luck = *luck;
+            if matches!(troubles.first(), Some(Unreachable(..))) {
+                // Tasks that outlast the trouble, so that a second start would meet the first.
+                world.run_time = 10 * SECOND;
+            }
             let mut jobs = Vec::new();
             for k in 0..6 {
                 let mut spec = job(k, 4 + 3 * k);
@@ -140,11 +162,11 @@
 fn a_lost_steal_write_gives_nothing_away_twice() {
     // One node has all the work, the others are idle: steals happen, and their writes are lost
     // or come into force late.
-    for seed in 0..12 {
+    for seed in 0..40 {
         let mut world = World::new(seed, NODES);
         world.run(3 * SECOND);
         world.run_time = 2 * SECOND;
-        world.luck = Luck { lost: 10, late: 10 };
+        world.luck = Luck { lost: 5, late: 15 };
         for k in 0..5 {
             assert_ne!(world.submit_surely(0, &job(k, 20)), 0);
         }
--- a/crates/quartzlever-core/tests/world/mod.rs
+++ b/crates/quartzlever-core/tests/world/mod.rs
@@ -110,6 +110,10 @@
     sent: u64,
     watches: Vec<Watch>,
     pub luck: Luck,
+    pub cloud_down: bool,
+    /// Since when each job is over.
+    ended: BTreeMap<String, Micros>,
+    seen_starts: BTreeMap<String, usize>,
     rng: SmallRng,
     requests: BTreeMap<u64, (usize, u64)>,
     request: u64,
@@ -136,6 +140,9 @@
             sent: 0,
             watches: Vec::new(),
             luck: Luck::default(),
+            cloud_down: false,
+            ended: BTreeMap::new(),
+            seen_starts: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(seed),
             requests: BTreeMap::new(),
             request: 1 << 32,
@@ -329,7 +336,9 @@
                 let (lost, late) = self.fate();
                 let delay = self.short();
                 if late && matches!(call, StateCall::Txn(_)) {
-                    let wait = self.rng.random_range(2..60) * SECOND;
+                    // Soon after, or minutes later.
+                    let most = if self.rng.random() { 2 * SECOND } else { 90 * SECOND };
+                    let wait = self.rng.random_range(SECOND / 10..most);
                     self.post(wait, Message::LateState(call));
                     let command = Command::State { token, result: Err(CallError::Unknown) };
                     self.post(1_500_000, Message::ToNode(n, life, Box::new(command)));
@@ -337,6 +346,10 @@
                     self.post(delay, Message::State(n, life, token, call, lost));
                 }
             }
+            Effect::Cloud { token, .. } if self.cloud_down => {
+                let command = Command::Cloud { token, result: Err(CallError::Refused) };
+                self.post(200_000, Message::ToNode(n, life, Box::new(command)));
+            }
             Effect::Cloud { token, call } => {
                 let reply = self.cloud.call(&call);
                 if let CloudReply::Rented(hosts) = &reply {
@@ -474,6 +487,20 @@
                 }
             }
         }
+        for key in self.store.keys("over/") {
+            self.ended.entry(key["over/".len()..].to_owned()).or_insert(self.now);
+        }
+        for (name, worker) in &self.workers {
+            let seen = self.seen_starts.entry(name.clone()).or_default();
+            for (task, at) in &worker.started[*seen..] {
+                let done =
+                    self.ended.get(&task.job).filter(|_| !self.cancelled.contains_key(&task.job));
+                if done.is_some_and(|end| *at > end + SECOND) {
+                    self.broken.push(format!("{}: {task} starts after its end", at - START));
+                }
+            }
+            *seen = worker.started.len();
+        }
         if tight > 4.0 {
             self.broken.push(format!("{}: tight team uses {tight}", self.now - START));
         }
