--- a/crates/quartzlever-core/tests/safety.rs
+++ b/crates/quartzlever-core/tests/safety.rs
@@ -26,6 +26,10 @@
     /// Nobody can reach the machines for so many seconds while all nodes are restarted; with or
     /// without a cloud that could take the machines back.
     Unreachable(u64, bool),
+    /// One machine is out of everybody's reach for so many seconds, with the cloud down.
+    Lose(u64),
+    /// One node alone gets no answer from the state service for so many seconds.
+    Lonely(usize, u64),
     /// Every task fails on one machine.
     Faulty,
     /// A node is stopped for good.
@@ -88,6 +92,20 @@
             world.cut.clear();
             world.cloud_down = false;
         }
+        Trouble::Lose(secs) => {
+            let busy = world.workers.iter().find(|(_, w)| !w.running().is_empty());
+            let name = busy.map(|(name, _)| name.clone()).unwrap_or_default();
+            world.cut.extend((0..NODES.len()).map(|n| (n, name.clone())));
+            world.cloud_down = true;
+            world.run(secs * SECOND);
+            world.cut.clear();
+            world.cloud_down = false;
+        }
+        Trouble::Lonely(n, secs) => {
+            world.lonely.insert(n);
+            world.run(secs * SECOND);
+            world.lonely.clear();
+        }
         Trouble::Faulty => {
             if let Some(worker) = world.workers.values_mut().next() {
                 worker.faulty = true;
@@ -120,6 +138,9 @@
         ("machines are out of reach across a restart", good, &[Unreachable(8, true)]),
         ("so they are, with the cloud down", good, &[Unreachable(8, false)]),
         ("so they are, longer than their lease", bad, &[Unreachable(20, false)]),
+        ("a machine is out of reach, with the cloud down", good, &[Lose(9)]),
+        ("so it is, for longer than its lease", bad, &[Lose(18)]),
+        ("a node alone is refused by the state service", bad, &[Lonely(0, 12), Lonely(1, 3)]),
         ("one machine fails all", good, &[Faulty]),
     ];
     for (n, (name, luck, troubles)) in cases.iter().enumerate() {
@@ -127,13 +148,16 @@
             let mut world = World::new(100 * n as u64 + seed, NODES);
             world.run(3 * SECOND);
             world.luck = *luck;
-            if matches!(troubles.first(), Some(Unreachable(..))) {
-                // Tasks that outlast the trouble, so that a second start would meet the first.
-                world.run_time = 10 * SECOND;
+            let mut more = 3;
+            if matches!(troubles.first(), Some(Unreachable(..) | Lose(_))) {
+                // Tasks that outlast the trouble, so that a second start would meet the first,
+                // and room for that.
+                world.run_time = 11 * SECOND;
+                more = 0;
             }
             let mut jobs = Vec::new();
             for k in 0..6 {
-                let mut spec = job(k, 4 + 3 * k);
+                let mut spec = job(k, 4 + more * k);
                 if k == 3 {
                     spec.team = "tight".into();
                 }
@@ -165,8 +189,8 @@
     for seed in 0..40 {
         let mut world = World::new(seed, NODES);
         world.run(3 * SECOND);
-        world.run_time = 2 * SECOND;
-        world.luck = Luck { lost: 5, late: 15 };
+        world.run_time = SECOND;
+        world.luck = Luck { lost: 5, late: 25 };
         for k in 0..5 {
             assert_ne!(world.submit_surely(0, &job(k, 20)), 0);
         }
--- a/crates/quartzlever-core/tests/world/mod.rs
+++ b/crates/quartzlever-core/tests/world/mod.rs
@@ -111,6 +111,8 @@
     watches: Vec<Watch>,
     pub luck: Luck,
     pub cloud_down: bool,
+    /// Nodes that alone get no answer from the state service.
+    pub lonely: BTreeSet<usize>,
     /// Since when each job is over.
     ended: BTreeMap<String, Micros>,
     seen_starts: BTreeMap<String, usize>,
@@ -141,6 +143,7 @@
             watches: Vec::new(),
             luck: Luck::default(),
             cloud_down: false,
+            lonely: BTreeSet::new(),
             ended: BTreeMap::new(),
             seen_starts: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(seed),
@@ -254,7 +257,9 @@
                 }
             }
             Message::State(n, life, token, call, lost) => {
-                let mut result = self.store.call(now, &call);
+                let refused = Err(CallError::Refused);
+                let lonely = self.lonely.contains(&n);
+                let mut result = if lonely { refused } else { self.store.call(now, &call) };
                 let mut delay = self.short();
                 if lost {
                     result = Err(CallError::Unknown);
@@ -316,6 +321,7 @@
                 Ok(StateReply::Watched(answer)) => !answer.log.is_empty() || self.now >= watch.end,
                 _ => false,
             };
+            let ready = ready && !self.lonely.contains(&watch.node);
             if ready && self.lives[watch.node] == watch.life {
                 let token = watch.token;
                 batches.entry(watch.node).or_default().push(Command::State { token, result });
@@ -488,14 +494,17 @@
             }
         }
         for key in self.store.keys("over/") {
-            self.ended.entry(key["over/".len()..].to_owned()).or_insert(self.now);
+            let id = &key["over/".len()..];
+            if !self.ended.contains_key(id) && self.over(id) == Some(JobPhase::Done) {
+                self.ended.insert(id.to_owned(), self.now);
+            }
         }
         for (name, worker) in &self.workers {
             let seen = self.seen_starts.entry(name.clone()).or_default();
             for (task, at) in &worker.started[*seen..] {
                 let done =
                     self.ended.get(&task.job).filter(|_| !self.cancelled.contains_key(&task.job));
-                if done.is_some_and(|end| *at > end + SECOND) {
+                if self.ended.get(&task.job).is_some_and(|end| at > end) {
                     self.broken.push(format!("{}: {task} starts after its end", at - START));
                 }
             }
