--- a/crates/quartzlever-core/src/config.rs
+++ b/crates/quartzlever-core/src/config.rs
@@ -70,7 +70,7 @@
             hold_life: 15 * SECOND,
             takeover_after: 2 * SECOND,
             handback_after: 5 * SECOND,
-            idle_return: 45 * SECOND,
+            idle_return: 12 * SECOND,
             silent_return: 10 * SECOND,
             progress_write: SECOND,
         }
