Preempt in time for wait aims; a stopped task may be stopped again as a last resort

Images being fetched also counted as cached, so rush tasks were sent where they waited 2.5 s for the image. Ruled out: direct calls (0.5 s from placement to running where the image is there), stealing.

--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -428,6 +428,10 @@
                 let after = (self.now - part.acquired) / 1000;
                 self.note(Weight::Info, || format!("part {name}: recovered after {after} ms"));
             }
+            let lines = self.parts.get_mut(name).map(|p| std::mem::take(&mut p.notes));
+            for line in lines.into_iter().flatten() {
+                self.note(Weight::Debug, || format!("part {name}: {line}"));
+            }
             if self.sure() {
                 self.place(name);
                 self.call_workers(name);
--- a/crates/quartzlever-core/src/machine.rs
+++ b/crates/quartzlever-core/src/machine.rs
@@ -123,6 +123,7 @@
     /// The cloud takes it away at about this time.
     pub warned_until: Option<Micros>,
     pub slots: BTreeMap<SlotKey, Slot>,
+    /// Images that tasks have run from, so that the machine has them.
     pub images: BTreeSet<String>,
     /// A direct call in flight.
     pub call: Option<Token>,
@@ -183,6 +184,12 @@
         free
     }
 
+    /// Images that are being fetched for a task.
+    pub fn pulling(&self) -> BTreeSet<String> {
+        let waits = |s: &&Slot| matches!(s.phase, None | Some(TaskPhase::Pulling));
+        self.slots.values().filter(waits).map(|s| s.image.clone()).collect()
+    }
+
     pub fn busy(&self) -> bool {
         self.slots.values().any(|s| !s.exited())
     }
--- a/crates/quartzlever-core/src/part.rs
+++ b/crates/quartzlever-core/src/part.rs
@@ -113,6 +113,8 @@
     pub barrier_open: bool,
     attempts: u64,
     pub fleet: Fleet,
+    /// Lines for the log at its most detailed, taken up with the next decisions.
+    pub notes: Vec<String>,
     pub place_wanted: bool,
     /// Jobs whose ready tasks found no room in the last placement.
     pub short: Vec<String>,
@@ -134,6 +136,7 @@
             barrier_open: false,
             attempts: 0,
             fleet: Fleet::default(),
+            notes: Vec::new(),
             place_wanted: true,
             short: Vec::new(),
         }
--- a/crates/quartzlever-core/src/placement.rs
+++ b/crates/quartzlever-core/src/placement.rs
@@ -16,8 +16,13 @@
 
 /// A machine that was not heard of for so many report intervals gets no new tasks.
 const QUIET_REPORTS: u64 = 3;
-/// How long a job that finds no room may wait before work of lower rank gives way.
-const PREEMPT_AFTER: Micros = SECOND;
+/// Work of lower rank gives way so long before a start becomes too late: what it takes to stop
+/// one task and start another.
+const PREEMPT_AHEAD: Micros = 5 * SECOND / 2;
+/// What stopping a task again counts for, next to the work lost in processor-microseconds.
+const STOPPED_TWICE: f64 = 1e12;
+/// Room that frees by itself, or a thief, gets this long first.
+const PREEMPT_AFTER: Micros = SECOND / 5;
 
 /// Whether a job may run on a machine type at all (room aside).
 pub fn type_allowed(spec: &JobSpec, kind: &MachineType) -> bool {
@@ -69,7 +74,8 @@
     record: HostRecord,
     free: Amounts,
     cpus: f64,
-    images: BTreeSet<String>,
+    cached: BTreeSet<String>,
+    pulling: BTreeSet<String>,
     doubtful: bool,
 }
 
@@ -145,7 +151,8 @@
                     record: m.record.clone(),
                     free: m.free(total),
                     cpus: total.cpus.max(1e-6),
-                    images: m.images.clone(),
+                    cached: m.images.clone(),
+                    pulling: m.pulling(),
                     doubtful: m.errors > 0,
                 })
             })
@@ -181,7 +188,14 @@
                     .min_by(|(_, a), (_, b)| {
                         let key = |m: &Candidate| {
                             let left = (m.free.cpus - need.cpus) / m.cpus;
-                            (m.doubtful, !m.images.contains(&spec.image), !m.record.spot, left)
+                            let image = if m.cached.contains(&spec.image) {
+                                0
+                            } else if m.pulling.contains(&spec.image) {
+                                1
+                            } else {
+                                2
+                            };
+                            (m.doubtful, image, !m.record.spot, left)
                         };
                         key(a).partial_cmp(&key(b)).unwrap_or(std::cmp::Ordering::Equal)
                     })
@@ -192,7 +206,7 @@
                 };
                 let target = &mut machines[chosen];
                 target.free.take(&need);
-                target.images.insert(spec.image.clone());
+                target.pulling.insert(spec.image.clone());
                 let host = target.name.clone();
                 part.start(&id, index, &host, now);
                 if let Some(job) = part.jobs.get_mut(&id)
@@ -219,7 +233,7 @@
         for id in part.short.clone() {
             let Some(job) = part.jobs.get(&id) else { continue };
             let latest = latest_start(&self.cfg, &self.paces, job);
-            if now < job.since + PREEMPT_AFTER || now + 2 * SECOND < latest {
+            if now < job.since + PREEMPT_AFTER || now + PREEMPT_AHEAD < latest {
                 part.place_wanted = true;
                 continue;
             }
@@ -337,19 +351,21 @@
             let mut stoppable: Vec<(f64, &SlotKey, &Slot)> = machine
                 .slots
                 .iter()
-                .filter(|(key, s)| {
+                .filter(|(_, s)| {
                     let lower = s.rank > spec.rank;
                     let borrowed = claims
                         && s.team != spec.team
                         && !s.team.is_empty()
                         && !self.inside_guarantee(cfg, &s.team);
-                    let again =
-                        self.jobs.get(&key.0.job).is_none_or(|j| j.stopped.contains(key.0.index));
-                    s.wanted && !s.exited() && !again && (lower || borrowed)
+                    s.wanted && !s.exited() && (lower || borrowed)
                 })
                 .map(|(k, s)| {
                     let ran = s.running_since.map_or(0, |t| now.saturating_sub(t));
-                    (ran as f64 * s.need.cpus.max(0.1), k, s)
+                    // A task is stopped a second time only when nothing else will do.
+                    let again =
+                        self.jobs.get(&k.0.job).is_none_or(|j| j.stopped.contains(k.0.index));
+                    let dear = if again { STOPPED_TWICE } else { 0.0 };
+                    (ran as f64 * s.need.cpus.max(0.1) + dear, k, s)
                 })
                 .collect();
             stoppable.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -362,6 +378,11 @@
                 lost += cost;
                 stops.push(key.clone());
             }
+            // Fetching the image takes its time on the way to the start as well.
+            if !machine.images.contains(&spec.image) {
+                let pull = spec.image_gb / kind.pull_gb_per_s.max(0.01);
+                lost += pull * 1e6 * need.cpus.max(0.1);
+            }
             let better = best.as_ref().is_none_or(|b| lost < b.0);
             if free.fits(need) && !stops.is_empty() && better {
                 best = Some((lost, machine.name.clone(), stops));
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -415,8 +415,14 @@
         let Some(slot) = machine.slots.get_mut(&key) else { return };
         if seen.phase == TaskPhase::Running && slot.running_since.is_none() {
             slot.running_since = Some(now);
-        }
-        if matches!(seen.phase, TaskPhase::Running | TaskPhase::Pulling) {
+            let placed = (now - slot.since) / 1000;
+            let since = self.jobs.get(&seen.task.job).map_or(0, |j| (now - j.since) / 1000);
+            let (task, class) = (&seen.task, &slot.class);
+            let text = format!("{task} of {class} runs on {host}, {placed} ms after its \
+                placement, {since} ms after its submission");
+            self.notes.push(text);
+        }
+        if seen.phase == TaskPhase::Running {
             machine.images.insert(slot.image.clone());
         }
         slot.phase = Some(seen.phase);
