Jobs that can meet no aim any more queue behind those that can, within their rank

Cause: order by the earliest latest start lets a backlog of hopeless jobs push every later job over its deadline too. Now each job is ranked by the next aim that it can still meet (the times of the objectives included); one that has missed all goes last.

--- a/crates/quartzlever-core/src/config.rs
+++ b/crates/quartzlever-core/src/config.rs
@@ -27,6 +27,17 @@
     Finished { class: String, share: f64, within: Micros },
 }
 
+impl Objective {
+    /// The class of jobs that the aim is on.
+    pub fn class(&self) -> &str {
+        match self {
+            Objective::Deadline { class, .. }
+            | Objective::Wait { class, .. }
+            | Objective::Finished { class, .. } => class,
+        }
+    }
+}
+
 /// The times that workers keep to.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WorkerTimes {
--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -11,7 +11,7 @@
 use crate::machine::Amounts;
 use crate::messages::{Lane, Weight};
 use crate::part::Part;
-use crate::placement::{latest_start, type_allowed};
+use crate::placement::{type_allowed, urgency};
 use crate::stealing::PeerWork;
 
 const TICK: Micros = SECOND / 2;
@@ -507,7 +507,7 @@
             let ran = slot.running_since.map_or(0, |t| now.saturating_sub(t));
             ahead += slot.expect.saturating_sub(ran) as f64 / 1e6 * slot.need.cpus;
         }
-        for id in self.queue_order(cfg, paces) {
+        for id in self.queue_order(cfg, paces, now) {
             let Some(job) = self.jobs.get(&id) else { continue };
             if job.mistaken() {
                 // Machines would not help it.
@@ -533,7 +533,7 @@
             if left == 0 {
                 continue;
             }
-            let latest = latest_start(cfg, paces, job);
+            let latest = urgency(cfg, paces, job, now).latest;
             if cpus > 0.0 && !nowhere {
                 let drained = now + micros_from_secs(ahead / cpus * 1.2);
                 let last_start = drained.saturating_sub(expect);
--- a/crates/quartzlever-core/src/placement.rs
+++ b/crates/quartzlever-core/src/placement.rs
@@ -79,23 +79,45 @@
     doubtful: bool,
 }
 
-/// When a job's tasks should have started for the aims on it to be met.
-pub fn latest_start(cfg: &Config, paces: &Paces, job: &PartJob) -> Micros {
+/// When the ready tasks of a job have to start for the next aim on it that can still be met.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Urgency {
+    /// Every aim on the job is missed already; others go first.
+    pub missed: bool,
+    pub latest: Micros,
+}
+
+/// How a job that has neither a deadline nor an aim is treated.
+const NO_AIM: Micros = 60 * SECOND;
+
+/// What presses most for a job, of what can still be met.
+pub fn urgency(cfg: &Config, paces: &Paces, job: &PartJob, now: Micros) -> Urgency {
     let spec = job.spec();
     let expect = paces.expect(spec);
-    let mut latest = job.due.map_or(job.since + 60 * SECOND, |due| due.saturating_sub(expect));
-    for objective in &cfg.objectives {
+    let by = |end: Micros| end.saturating_sub(expect);
+    let span = job.due.map(|due| due.saturating_sub(job.since));
+    let mut latest: Vec<Micros> = Vec::new();
+    if let Some(span) = span {
+        latest.push(by(job.since + span));
+    }
+    for objective in cfg.objectives.iter().filter(|o| o.class() == spec.class) {
         match objective {
-            Objective::Wait { class, within, .. } if *class == spec.class => {
-                latest = latest.min(job.since + within);
-            }
-            Objective::Finished { class, within, .. } if *class == spec.class => {
-                latest = latest.min((job.since + within).saturating_sub(expect));
+            Objective::Wait { within, .. } => latest.push(job.since + within),
+            Objective::Finished { within, .. } => latest.push(by(job.since + within)),
+            Objective::Deadline { times, .. } => {
+                if let Some(span) = span {
+                    latest.push(by(job.since + (span as f64 * times) as Micros));
+                }
             }
-            _ => {}
         }
     }
-    latest
+    if latest.is_empty() {
+        return Urgency { missed: false, latest: job.since + NO_AIM };
+    }
+    match latest.iter().filter(|l| **l >= now).min() {
+        Some(latest) => Urgency { missed: false, latest: *latest },
+        None => Urgency { missed: true, latest: job.since },
+    }
 }
 
 /// Zones in which another task of the job may start now.
@@ -157,7 +179,7 @@
                 })
             })
             .collect();
-        let order = part.queue_order(&self.cfg, &self.paces);
+        let order = part.queue_order(&self.cfg, &self.paces, now);
         for id in order {
             let Some(job) = part.jobs.get(&id) else { continue };
             if job.no_start_before > now {
@@ -232,8 +254,8 @@
         let mut coming = coming;
         for id in part.short.clone() {
             let Some(job) = part.jobs.get(&id) else { continue };
-            let latest = latest_start(&self.cfg, &self.paces, job);
-            if now < job.since + PREEMPT_AFTER || now + PREEMPT_AHEAD < latest {
+            let urgency = urgency(&self.cfg, &self.paces, job, now);
+            if now < job.since + PREEMPT_AFTER || now + PREEMPT_AHEAD < urgency.latest {
                 part.place_wanted = true;
                 continue;
             }
@@ -271,7 +293,7 @@
 
 impl Part {
     /// Jobs with ready tasks: by rank, guarantee and time.
-    pub fn queue_order(&self, cfg: &Config, paces: &Paces) -> Vec<String> {
+    pub fn queue_order(&self, cfg: &Config, paces: &Paces, now: Micros) -> Vec<String> {
         let mut guaranteed: HashMap<&str, bool> = HashMap::new();
         for job in self.jobs.values() {
             let team = job.spec().team.as_str();
@@ -281,7 +303,7 @@
             self.jobs.iter().filter(|(_, j)| !j.ready.is_empty()).collect();
         order.sort_by_key(|(id, job)| {
             let inside = guaranteed.get(job.spec().team.as_str()).copied().unwrap_or(false);
-            (!inside, job.spec().rank, latest_start(cfg, paces, job), job.since, id.to_string())
+            (!inside, job.spec().rank, urgency(cfg, paces, job, now), job.since, id.to_string())
         });
         order.into_iter().map(|(id, _)| id.clone()).collect()
     }
--- a/crates/quartzlever-core/src/stealing.rs
+++ b/crates/quartzlever-core/src/stealing.rs
@@ -267,7 +267,7 @@
         let most_jobs = self.cfg.txn_ops.clamp(1, 8);
         let value_bytes = self.cfg.value_bytes;
         let order = match self.parts.get(victim) {
-            Some(part) => part.queue_order(&self.cfg, &self.paces),
+            Some(part) => part.queue_order(&self.cfg, &self.paces, self.now),
             None => return self.answer_nothing(request),
         };
         let Some(part) = self.parts.get_mut(victim) else { return };
