--- a/crates/quartzlever-core/src/placement.rs
+++ b/crates/quartzlever-core/src/placement.rs
@@ -19,8 +19,8 @@
 /// Work of lower rank gives way so long before a start becomes too late: what it takes to stop
 /// one task and start another.
 const PREEMPT_AHEAD: Micros = 5 * SECOND / 2;
-/// What stopping a task again counts for, next to the work lost in processor-microseconds.
-const STOPPED_TWICE: f64 = 1e12;
+/// Lost work that stopping a task again counts for on top of what is lost.
+const STOPPED_AGAIN: Micros = 4 * SECOND;
 /// Room that frees by itself, or a thief, gets this long first.
 const PREEMPT_AFTER: Micros = SECOND / 5;
 
@@ -383,11 +383,11 @@
                 })
                 .map(|(k, s)| {
                     let ran = s.running_since.map_or(0, |t| now.saturating_sub(t));
-                    // A task is stopped a second time only when nothing else will do.
+                    // Sparing them for good made the older ones pay, and lost more work.
                     let again =
                         self.jobs.get(&k.0.job).is_none_or(|j| j.stopped.contains(k.0.index));
-                    let dear = if again { STOPPED_TWICE } else { 0.0 };
-                    (ran as f64 * s.need.cpus.max(0.1) + dear, k, s)
+                    let ran = if again { ran + STOPPED_AGAIN } else { ran };
+                    (ran as f64 * s.need.cpus.max(0.1), k, s)
                 })
                 .collect();
             stoppable.sort_by(|a, b| a.0.total_cmp(&b.0));
