--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -20,6 +20,10 @@
 const RETRY: Micros = SECOND;
 /// How long a refused kind of machine is not asked for again.
 const REFUSED_FOR: Micros = 10 * SECOND;
+/// A queue that is gone within this time brings no machines, not even cheap ones.
+const EAGER: Micros = 15 * SECOND;
+/// An offer counts as cheap up to this many times the lowest price for the job.
+const CHEAP: f64 = 1.5;
 /// The most machines in one request for them.
 const MOST_PER_HIRE: u32 = 50;
 const MOST_PER_RETURN: usize = 100;
@@ -534,15 +538,20 @@
                 continue;
             }
             let latest = urgency(cfg, paces, job, now).latest;
+            // Cheap machines come for any queue that is not gone soon, others only for an aim.
+            let mut cheap_only = false;
             if cpus > 0.0 && !nowhere {
                 let drained = now + micros_from_secs(ahead / cpus * 1.2);
                 let last_start = drained.saturating_sub(expect);
-                if last_start <= latest {
+                if last_start <= latest.min(now + EAGER) {
                     continue;
                 }
+                cheap_only = last_start <= latest;
             }
             while left > 0 {
-                let Some(offer) = self.cheapest(cfg, types, job, left, now) else { break };
+                let Some(offer) = self.cheapest(cfg, types, job, left, now, cheap_only) else {
+                    break;
+                };
                 let Some(kind) = types.get(&offer.0) else { break };
                 let mut free = Amounts::of_type(kind);
                 let count = free.count(&need).min(left).max(1);
@@ -565,10 +574,12 @@
         job: &crate::part::PartJob,
         left: u32,
         now: Micros,
+        cheap_only: bool,
     ) -> Option<Offer> {
         let spec = job.spec();
         let need = job.need();
         let mut best: Option<(f64, Offer)> = None;
+        let mut lowest = f64::INFINITY;
         for kind in types.values() {
             let count = Amounts::of_type(kind).count(&need).min(left);
             if count == 0 {
@@ -577,9 +588,11 @@
             for zone in &kind.zones {
                 for spot in [true, false] {
                     let offer = (kind.name.clone(), zone.clone(), spot);
-                    if !offer_allowed(spec, kind, &offer)
-                        || self.fleet.refused.get(&offer).is_some_and(|until| *until > now)
-                    {
+                    if !offer_allowed(spec, kind, &offer) {
+                        continue;
+                    }
+                    lowest = lowest.min(price(kind, spot) / f64::from(count));
+                    if self.fleet.refused.get(&offer).is_some_and(|until| *until > now) {
                         continue;
                     }
                     // At the same price the holder's own zone: reports take the shorter way.
@@ -591,6 +604,6 @@
                 }
             }
         }
-        best.map(|(_, offer)| offer)
+        best.filter(|(cost, _)| !cheap_only || *cost <= lowest * CHEAP).map(|(_, offer)| offer)
     }
 }
