Two broken rules mended: older records taken for news, runs that outlive a clear

The latest stamp of each job is now remembered, and older records are dropped. A kill and a clear by the second could overtake a run in the first, which then started the attempt anew. A clear now waits for the next report. Ruled out: the crash two seconds before (the same orders were given without it).

--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -169,6 +169,40 @@
     }
 }
 
+/// The latest stamp of each job's record that was seen or written, so that an older record,
+/// which a watch may bring late, is never taken for news: a part that had given away its last
+/// tasks of a job took them back from such a record, and started them a second time.
+#[derive(Debug, Default)]
+pub(crate) struct Stamps {
+    known: HashMap<String, u64>,
+    order: VecDeque<String>,
+}
+
+impl Stamps {
+    const MOST: usize = 20_000;
+
+    /// Notes a stamp; `false` if a later one is known.
+    pub fn saw(&mut self, id: &str, stamp: u64) -> bool {
+        match self.known.get_mut(id) {
+            Some(latest) if *latest > stamp => false,
+            Some(latest) => {
+                *latest = stamp;
+                true
+            }
+            None => {
+                self.known.insert(id.to_owned(), stamp);
+                self.order.push_back(id.to_owned());
+                if self.order.len() > Self::MOST
+                    && let Some(old) = self.order.pop_front()
+                {
+                    self.known.remove(&old);
+                }
+                true
+            }
+        }
+    }
+}
+
 /// All state of a controller.
 pub struct Core {
     pub(crate) cfg: Config,
@@ -197,6 +231,7 @@
     pub(crate) types: Option<BTreeMap<String, MachineType>>,
     pub(crate) cloud: crate::fleet::Cloud,
     pub(crate) finals: Finals,
+    pub(crate) stamps: Stamps,
     pub(crate) user_calls: usize,
     pub(crate) stealing: Stealing,
     pub(crate) paces: Paces,
@@ -229,6 +264,7 @@
             types: None,
             cloud: crate::fleet::Cloud::default(),
             finals: Finals::default(),
+            stamps: Stamps::default(),
             user_calls: 0,
             paces: Paces::default(),
         }
--- a/crates/quartzlever-core/src/holding.rs
+++ b/crates/quartzlever-core/src/holding.rs
@@ -385,7 +385,8 @@
         for row in &rows.rows {
             if let Some(record) = parse::<LiveRecord>(row) {
                 part.listed.insert(record.job.id.clone());
-                if self.finals.get(&record.job.id).is_some() {
+                let id = &record.job.id;
+                if self.finals.get(id).is_some() || !self.stamps.saw(id, row.stamp) {
                     continue;
                 }
                 part.absorb(cfg, record, row.stamp, now, wall);
@@ -444,7 +445,8 @@
     /// Takes a job's record into every part held here.
     pub(crate) fn absorb(&mut self, record: LiveRecord, stamp: u64) {
         // A watch may tell of earlier writes after this process has ended the job itself.
-        if self.finals.get(&record.job.id).is_some() {
+        let id = &record.job.id;
+        if self.finals.get(id).is_some() || !self.stamps.saw(id, stamp) {
             return;
         }
         let (now, wall) = (self.now, self.wall());
--- a/crates/quartzlever-core/src/jobs.rs
+++ b/crates/quartzlever-core/src/jobs.rs
@@ -387,6 +387,9 @@
     ) {
         let now = self.now;
         let key = format!("{PARTS}{name}");
+        if let Ok(StateReply::Committed(stamp)) = result {
+            self.stamps.saw(id, stamp);
+        }
         let Some(part) = self.part_at(name, term) else { return };
         let Some(job) = part.jobs.get_mut(id) else { return };
         job.writing = false;
--- a/crates/quartzlever-core/src/lib.rs
+++ b/crates/quartzlever-core/src/lib.rs
@@ -19,6 +19,8 @@
 mod messages;
 pub mod part;
 pub mod placement;
+#[cfg(test)]
+mod regressions;
 mod reports;
 pub mod stealing;
 
--- a/crates/quartzlever-core/src/machine.rs
+++ b/crates/quartzlever-core/src/machine.rs
@@ -86,6 +86,10 @@
     pub wanted: bool,
     pub leeway_s: f64,
     pub direct: Direct,
+    /// The answer to a report carries its `run`, and no later report has come: the answer may
+    /// still be under way. Answers and direct commands go by different connections, so that a
+    /// late answer would start the attempt again if it were killed and cleared meanwhile.
+    pub in_answer: bool,
     /// Its end has been taken account of.
     pub settled: bool,
     /// The command was handed to the worker's address at least once.
@@ -209,7 +213,8 @@
         for (key, slot) in &self.slots {
             let (task, attempt) = (key.0.clone(), key.1);
             if slot.exited() {
-                if slot.settled && slot.direct == Direct::Settled && clearable(key, slot) {
+                let spent = slot.direct == Direct::Settled && !slot.in_answer;
+                if slot.settled && spent && clearable(key, slot) {
                     orders.push(Order::Clear { task, attempt });
                 }
             } else if !slot.wanted && slot.phase.is_some() {
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -145,7 +145,7 @@
         // A late report's answer is dropped by the worker; the lease is taken as renewed all
         // the same, which errs on the safe side.
         machine.answered = now;
-        let orders = if newer { part.orders_for(&report.host) } else { Vec::new() };
+        let orders = if newer { part.orders_for(&report.host, true) } else { Vec::new() };
         let body = Orders { baton: part.term, session: None, orders };
         self.out.push(Effect::Answer {
             id,
@@ -206,7 +206,7 @@
             WorkerCall::Command(Orders {
                 baton: term,
                 session,
-                orders: part.orders_for(machine_name),
+                orders: part.orders_for(machine_name, false),
             })
         };
         let wait =
@@ -309,8 +309,13 @@
 }
 
 impl Part {
-    /// The commands for a machine; notes which `run`s a report's answer carries.
-    pub fn orders_for(&mut self, name: &str) -> Vec<quartzlever_wire::workers::Order> {
+    /// The commands for a machine; notes which `run`s they carry if they are the answer to a
+    /// report.
+    pub fn orders_for(
+        &mut self,
+        name: &str,
+        answer: bool,
+    ) -> Vec<quartzlever_wire::workers::Order> {
         let jobs = &self.jobs;
         let Some(machine) = self.machines.get_mut(name) else { return Vec::new() };
         let orders = machine.orders(|key, slot| {
@@ -321,6 +326,7 @@
         for slot in machine.slots.values_mut() {
             if slot.wanted && slot.phase.is_none() {
                 slot.sent = true;
+                slot.in_answer |= answer;
             }
         }
         orders
@@ -356,6 +362,10 @@
             machine.fenced = true;
             machine.proven = true;
         }
+        if hello {
+            // A worker has one report under way at a time: earlier answers are spent.
+            machine.slots.values_mut().for_each(|s| s.in_answer = false);
+        }
         for task in &report.tasks {
             self.take_task(cfg, paces, &report.host, task, now);
         }
@@ -418,8 +428,10 @@
             let placed = (now - slot.since) / 1000;
             let since = self.jobs.get(&seen.task.job).map_or(0, |j| (now - j.since) / 1000);
             let (task, class) = (&seen.task, &slot.class);
-            let text = format!("{task} of {class} runs on {host}, {placed} ms after its \
-                placement, {since} ms after its submission");
+            let text = format!(
+                "{task} of {class} runs on {host}, {placed} ms after its \
+                placement, {since} ms after its submission"
+            );
             self.notes.push(text);
         }
         if seen.phase == TaskPhase::Running {
@@ -515,6 +527,7 @@
             wanted: false,
             leeway_s: 0.0,
             direct: Direct::Settled,
+            in_answer: false,
             settled: false,
             sent: true,
             kill_sent: None,
@@ -566,6 +579,7 @@
             wanted: true,
             leeway_s: 0.0,
             direct: Direct::Settled,
+            in_answer: false,
             settled: false,
             sent: false,
             kill_sent: None,
--- a/crates/quartzlever-core/tests/safety.rs
+++ b/crates/quartzlever-core/tests/safety.rs
@@ -202,6 +202,33 @@
     }
 }
 
+#[test]
+fn preempting_what_was_hardly_started_starts_nothing_twice() {
+    // Urgent jobs keep displacing tasks whose `run` is still on its way, by two roads: the
+    // answer to a report and a direct command.
+    for seed in 0..25 {
+        let mut world = World::new(seed, NODES);
+        world.run(3 * SECOND);
+        world.run_time = 4 * SECOND;
+        world.luck = Luck { lost: 0, late: 12 };
+        for k in 0..4 {
+            assert_ne!(world.submit_surely(k as usize % 3, &job(k, 16)), 0);
+        }
+        for k in 10..22 {
+            let mut spec = job(k, 4);
+            spec.rank = quartzlever_wire::users::Rank::Urgent;
+            spec.due_s = Some(5.0);
+            assert_ne!(world.submit_surely(k as usize % 3, &spec), 0);
+            world.run(SECOND);
+        }
+        world.run(120 * SECOND);
+        assert!(world.broken.is_empty(), "{seed}: {:?}", &world.broken[..1]);
+        for k in (0..4).chain(10..22) {
+            assert_eq!(world.over(&format!("req-{k:06}")), Some(JobPhase::Done), "{seed} {k}");
+        }
+    }
+}
+
 #[test]
 fn cancelling_meets_starting_and_finishing() {
     // (tenths of a second between acceptance and cancellation, what the answers may be)
--- a/crates/quartzlever-core/tests/world/mod.rs
+++ b/crates/quartzlever-core/tests/world/mod.rs
@@ -232,7 +232,7 @@
         for (_, _, message) in due {
             self.deliver(message, &mut batches);
         }
-        self.poll_watches(&mut batches);
+        self.poll_watches();
         for n in 0..self.cores.len() {
             let mut batch = batches.remove(&n).unwrap_or_default();
             if now.is_multiple_of(4 * STEP) {
@@ -312,7 +312,7 @@
         }
     }
 
-    fn poll_watches(&mut self, batches: &mut BTreeMap<usize, Vec<Command>>) {
+    fn poll_watches(&mut self) {
         let watches = std::mem::take(&mut self.watches);
         for watch in watches {
             let call = StateCall::Watch { from: watch.from, hold_ms: 0 };
@@ -323,8 +323,10 @@
             };
             let ready = ready && !self.lonely.contains(&watch.node);
             if ready && self.lives[watch.node] == watch.life {
-                let token = watch.token;
-                batches.entry(watch.node).or_default().push(Command::State { token, result });
+                // What a watch tells may be a good deal older than what calls have brought.
+                let command = Command::State { token: watch.token, result };
+                let delay = if self.rng.random() { 0 } else { self.rng.random_range(0..SECOND) };
+                self.post(delay, Message::ToNode(watch.node, watch.life, Box::new(command)));
             } else {
                 self.watches.push(watch);
             }
@@ -450,10 +452,19 @@
             }
             let (lost, _) = self.fate();
             let mut next = node;
+            let mut after = SECOND;
             match self.answers.remove(&id) {
                 Some((200, body)) if !lost => {
                     if let Ok(orders) = serde_json::from_value::<Orders>(body) {
-                        let delay = self.short();
+                        // Now and then a packet is lost and resent; the worker waits with its
+                        // next report.
+                        let (_, late) = self.fate();
+                        let delay = if late {
+                            self.rng.random_range(SECOND / 2..3 * SECOND)
+                        } else {
+                            self.short()
+                        };
+                        after = after.max(delay + STEP);
                         let hello =
                             Message::Hello(node, name.clone(), Box::new(orders), sent, session);
                         self.post(delay, hello);
@@ -467,7 +478,7 @@
                 Some((200, _)) | None => {}
                 Some(_) => next = (node + 1) % self.cores.len(),
             }
-            self.next_report.insert(name, (next, self.now + SECOND));
+            self.next_report.insert(name, (next, self.now + after));
         }
     }
 
@@ -502,8 +513,6 @@
         for (name, worker) in &self.workers {
             let seen = self.seen_starts.entry(name.clone()).or_default();
             for (task, at) in &worker.started[*seen..] {
-                let done =
-                    self.ended.get(&task.job).filter(|_| !self.cancelled.contains_key(&task.job));
                 if self.ended.get(&task.job).is_some_and(|end| at > end) {
                     self.broken.push(format!("{}: {task} starts after its end", at - START));
                 }
