Keep an idle machine as long as a cheap one takes to boot, a dear one for less

Now the wait costs as much as a new boot would: the type's ready_s, times the share of the lowest price in its own. Ruled out: renting for refused types (asked again every 10 s, but it brings no machines). The setting idle_return_s became idle_boots.

--- a/crates/quartzlever-core/src/config.rs
+++ b/crates/quartzlever-core/src/config.rs
@@ -63,8 +63,8 @@
     pub takeover_after: Micros,
     /// How long a home node must have stayed up before its part is handed back.
     pub handback_after: Micros,
-    /// How long a machine may be idle before it is returned.
-    pub idle_return: Micros,
+    /// How long a cheap machine may be idle before it is returned, in boot times of its type.
+    pub idle_boots: f64,
     /// How long a machine may be silent before it is returned.
     pub silent_return: Micros,
     /// Shortest time between two writes of one job's progress.
@@ -81,7 +81,7 @@
             hold_life: 15 * SECOND,
             takeover_after: 2 * SECOND,
             handback_after: 5 * SECOND,
-            idle_return: 12 * SECOND,
+            idle_boots: 1.0,
             silent_return: 10 * SECOND,
             progress_write: SECOND,
         }
--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -134,6 +134,19 @@
     if spot { kind.market_price.unwrap_or(f64::INFINITY) } else { kind.hourly }
 }
 
+/// How long an idle machine is kept: as long as waiting for a cheap one of its type to boot
+/// would cost, so a dear machine for less.
+fn idle_life(
+    types: &BTreeMap<String, MachineType>,
+    record: &quartzlever_wire::state::HostRecord,
+    boots: f64,
+) -> Micros {
+    let Some(kind) = types.get(&record.kind) else { return 30 * SECOND };
+    let cheapest = kind.market_price.unwrap_or(kind.hourly).min(kind.hourly);
+    let ratio = cheapest / price(kind, record.spot).max(1e-9);
+    micros_from_secs(boots * kind.ready_s * ratio)
+}
+
 impl Core {
     /// All renting and returning of this moment.
     pub(crate) fn keep_fleet(&mut self) {
@@ -304,10 +317,9 @@
                     Some("fails")
                 } else if crawls {
                     Some("crawls")
-                } else if machine
-                    .idle_since
-                    .is_some_and(|t| now.saturating_sub(t) > operator.idle_return)
-                    && machine.session > 0
+                } else if machine.idle_since.is_some_and(|t| {
+                    now.saturating_sub(t) > idle_life(types, &machine.record, operator.idle_boots)
+                }) && machine.session > 0
                 {
                     Some("idle")
                 } else {
--- a/crates/quartzlever/src/settings.rs
+++ b/crates/quartzlever/src/settings.rs
@@ -118,7 +118,7 @@
     hold_life_s: Option<f64>,
     takeover_after_s: Option<f64>,
     handback_after_s: Option<f64>,
-    idle_return_s: Option<f64>,
+    idle_boots: Option<f64>,
     silent_return_s: Option<f64>,
     progress_write_s: Option<f64>,
 }
@@ -209,13 +209,15 @@
     if let Some(share) = entry.steal_fraction {
         out.steal_fraction = check.amount("steal_fraction", share, 0.01, 1.0)?;
     }
+    if let Some(boots) = entry.idle_boots {
+        out.idle_boots = check.amount("idle_boots", boots, 0.0, 1000.0)?;
+    }
     let spans = [
         ("steal_start_s", entry.steal_start_s, &mut out.steal_start, 0.01, 60.0),
         ("steal_cap_s", entry.steal_cap_s, &mut out.steal_cap, 0.01, 600.0),
         ("hold_life_s", entry.hold_life_s, &mut out.hold_life, 3.0, 300.0),
         ("takeover_after_s", entry.takeover_after_s, &mut out.takeover_after, 0.0, 600.0),
         ("handback_after_s", entry.handback_after_s, &mut out.handback_after, 0.0, 600.0),
-        ("idle_return_s", entry.idle_return_s, &mut out.idle_return, 1.0, 86_400.0),
         ("silent_return_s", entry.silent_return_s, &mut out.silent_return, 3.0, 86_400.0),
         ("progress_write_s", entry.progress_write_s, &mut out.progress_write, 0.05, 60.0),
     ];
