A pressed part tells its peers, which come at once and make room for urgent tasks

Cause: with its own lower work all stopped, a part with a burst of rush-dye had tasks waiting for 7 to 14 s while peers ran loom-plan; those were not idle, so never asked, or had backed off to 16 s. Now a part that has to start tasks at once and can make no room says so; a peer then goes stealing without waiting out its interval, and counts what lower work could give way as room. The victim still cuts and commits; nothing is pushed. Ruled out: images (cached where they waited), the rate of placing (0.5 s to a running task).

--- a/crates/quartzlever-core/src/config.rs
+++ b/crates/quartzlever-core/src/config.rs
@@ -65,6 +65,9 @@
     pub handback_after: Micros,
     /// How long a cheap machine may be idle before it is returned, in boot times of its type.
     pub idle_boots: f64,
+    /// How much a part's machines may cost together, in the lowest prices of their types, before
+    /// dear ones are no longer rented.
+    pub price_cap: f64,
     /// How long a machine may be silent before it is returned.
     pub silent_return: Micros,
     /// Shortest time between two writes of one job's progress.
@@ -82,6 +85,7 @@
             takeover_after: 2 * SECOND,
             handback_after: 5 * SECOND,
             idle_boots: 1.0,
+            price_cap: 1000.0,
             silent_return: 10 * SECOND,
             progress_write: SECOND,
         }
--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -475,6 +475,7 @@
             self.write_jobs(name);
         }
         self.keep_fleet();
+        self.tell_pressed();
         self.keep_stealing();
     }
 
--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -134,6 +134,11 @@
     if spot { kind.market_price.unwrap_or(f64::INFINITY) } else { kind.hourly }
 }
 
+/// The lowest price that machines of a type are to be had for.
+fn cheapest_price(kind: &MachineType) -> f64 {
+    kind.market_price.unwrap_or(kind.hourly).min(kind.hourly)
+}
+
 /// How long an idle machine is kept: as long as waiting for a cheap one of its type to boot
 /// would cost, so a dear machine for less.
 fn idle_life(
@@ -142,8 +147,7 @@
     boots: f64,
 ) -> Micros {
     let Some(kind) = types.get(&record.kind) else { return 30 * SECOND };
-    let cheapest = kind.market_price.unwrap_or(kind.hourly).min(kind.hourly);
-    let ratio = cheapest / price(kind, record.spot).max(1e-9);
+    let ratio = cheapest_price(kind) / price(kind, record.spot).max(1e-9);
     micros_from_secs(boots * kind.ready_s * ratio)
 }
 
@@ -492,15 +496,21 @@
     ) {
         let mut bins: Vec<Bin> = Vec::new();
         let mut cpus = 0.0;
+        // What the part's machines cost an hour, and would cost at their types' lowest prices.
+        let (mut paid, mut lowest) = (0.0, 0.0);
         for machine in self.machines.values().filter(|m| m.fenced && m.return_wanted.is_none()) {
             if let Some(kind) = types.get(&machine.record.kind) {
                 cpus += kind.cpus;
+                paid += price(kind, machine.record.spot);
+                lowest += cheapest_price(kind);
             }
         }
         let mut coming = |kind: &str, zone: &str, spot: bool, count: u32| {
             let Some(t) = types.get(kind) else { return };
             for _ in 0..count {
                 cpus += t.cpus;
+                paid += price(t, spot);
+                lowest += cheapest_price(t);
                 bins.push(Bin {
                     offer: (kind.to_owned(), zone.to_owned(), spot),
                     free: Amounts::of_type(t),
@@ -550,21 +560,29 @@
                 continue;
             }
             let latest = urgency(cfg, paces, job, now).latest;
-            // Cheap machines come for any queue that is not gone soon, others only for an aim.
-            let mut cheap_only = false;
-            if cpus > 0.0 && !nowhere {
-                let drained = now + micros_from_secs(ahead / cpus * 1.2);
-                let last_start = drained.saturating_sub(expect);
-                if last_start <= latest.min(now + EAGER) {
-                    continue;
-                }
-                cheap_only = last_start <= latest;
-            }
             while left > 0 {
+                // Cheap machines come for any queue that is not gone soon, others only for an
+                // aim, and only as many as it takes: one machine serves several waves.
+                let mut cheap_only = false;
+                if cpus > 0.0 && !nowhere {
+                    let drained = now + micros_from_secs(ahead / cpus * 1.2);
+                    let last_start = drained.saturating_sub(expect);
+                    if last_start <= latest.min(now + EAGER) {
+                        break;
+                    }
+                    cheap_only = last_start <= latest;
+                }
                 let Some(offer) = self.cheapest(cfg, types, job, left, now, cheap_only) else {
                     break;
                 };
                 let Some(kind) = types.get(&offer.0) else { break };
+                let (more, least) = (price(kind, offer.2), cheapest_price(kind));
+                let dear = more > least * CHEAP && spec.spot;
+                if dear && paid + more > (lowest + least) * cfg.operator.price_cap {
+                    break;
+                }
+                paid += more;
+                lowest += least;
                 let mut free = Amounts::of_type(kind);
                 let count = free.count(&need).min(left).max(1);
                 for _ in 0..count {
--- a/crates/quartzlever-core/src/part.rs
+++ b/crates/quartzlever-core/src/part.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use quartzlever_wire::state::{HostRecord, LIVE, LiveRecord, PARTS, Txn};
-use quartzlever_wire::users::JobSpec;
+use quartzlever_wire::users::{JobSpec, Rank};
 use quartzlever_wire::workers::TaskId;
 use quartzlever_wire::{Micros, Ranges};
 
@@ -118,6 +118,8 @@
     pub place_wanted: bool,
     /// Jobs whose ready tasks found no room in the last placement.
     pub short: Vec<String>,
+    /// Tasks should start now, and no room can be made for them here.
+    pub pressed: bool,
 }
 
 impl Part {
@@ -139,6 +141,7 @@
             notes: Vec::new(),
             place_wanted: true,
             short: Vec::new(),
+            pressed: false,
         }
     }
 
@@ -332,9 +335,9 @@
         self.machines.values().flat_map(|m| m.slots.values()).filter(|s| !s.exited())
     }
 
-    /// Ready tasks that could run now.
-    pub fn ready_count(&self) -> u32 {
-        self.jobs.values().map(|j| j.ready.len()).sum()
+    /// Ready tasks of this rank or above.
+    pub fn ready_count(&self, rank: Rank) -> u32 {
+        self.jobs.values().filter(|j| j.spec().rank <= rank).map(|j| j.ready.len()).sum()
     }
 }
 
--- a/crates/quartzlever-core/src/placement.rs
+++ b/crates/quartzlever-core/src/placement.rs
@@ -162,6 +162,7 @@
         };
         part.place_wanted = false;
         part.short.clear();
+        part.pressed = false;
         let mut machines: Vec<Candidate> = part
             .machines
             .values()
@@ -267,6 +268,7 @@
                 let Some((machine, stops)) =
                     part.cheapest_stops(&self.cfg, types, &spec, &need, now, quiet)
                 else {
+                    part.pressed = true;
                     break;
                 };
                 let count = stops.len();
--- a/crates/quartzlever-core/src/stealing.rs
+++ b/crates/quartzlever-core/src/stealing.rs
@@ -3,12 +3,13 @@
 
 use quartzlever_wire::peers::{PeerAnswer, PeerRequest, Room, ThiefRoom};
 use quartzlever_wire::state::{LiveRecord, PARTS, StateCall, StateReply};
+use quartzlever_wire::users::Rank;
 use quartzlever_wire::{CallError, Micros, Ranges, SECOND};
 use rand::seq::IndexedRandom;
 
 use crate::config::Config;
 use crate::engine::{Core, Waiting};
-use crate::machine::Amounts;
+use crate::machine::{Amounts, Slot};
 use crate::messages::{Effect, Lane, RequestId, Weight};
 use crate::part::{Part, live_key};
 use crate::placement::machine_allowed;
@@ -40,6 +41,7 @@
 struct Round {
     number: u64,
     part: String,
+    rank: Rank,
     open: usize,
     most: Option<(u32, String)>,
 }
@@ -53,6 +55,9 @@
     round: Option<Round>,
     /// A steal is under way.
     waiting: bool,
+    /// When a peer last said that it is pressed, and when this node may next say so.
+    peer_pressed: Option<Micros>,
+    next_press: Micros,
     pub next_home_ask: Micros,
 }
 
@@ -64,13 +69,19 @@
             rounds: 0,
             round: None,
             waiting: false,
+            peer_pressed: None,
+            next_press: 0,
             next_home_ask: 0,
         }
     }
 }
 
-/// Room on open machines, as the thief tells it.
-fn room_of(core: &Core, part: &Part) -> ThiefRoom {
+/// How long a peer's word that it is pressed counts, and how often it is given.
+const PRESSED: Micros = SECOND;
+
+/// Room on open machines, as the thief tells it; for tasks of a rank, what lower work could give
+/// way to counts as room.
+fn room_of(core: &Core, part: &Part, rank: Rank) -> ThiefRoom {
     let quiet = core.cfg.workers.report * 3;
     let Some(types) = &core.types else { return ThiefRoom::default() };
     let free = part
@@ -78,7 +89,9 @@
         .values()
         .filter(|m| m.open(core.now, quiet))
         .filter_map(|m| {
-            let free = m.free(Amounts::of_type(types.get(&m.record.kind)?));
+            let mut free = m.free(Amounts::of_type(types.get(&m.record.kind)?));
+            let lower = |s: &&Slot| s.wanted && !s.exited() && s.rank > rank;
+            m.slots.values().filter(lower).for_each(|s| free.give(&s.need));
             (free.cpus > 0.0).then(|| Room {
                 kind: m.record.kind.clone(),
                 zone: m.record.zone.clone(),
@@ -102,18 +115,13 @@
         {
             return;
         }
-        let idle = self
-            .parts
-            .values()
-            .find(|p| p.active() && p.ready_count() == 0 && !room_of(self, p).free.is_empty())
-            .map(|p| p.name.clone());
-        let Some(part) = idle else { return };
+        let Some((part, rank)) = self.thief() else { return };
         // Parts held by one node lend to each other by the same move, without a message.
         if let Some((_, victim)) = self
             .parts
             .values()
             .filter(|p| p.name != part && p.active())
-            .map(|p| (p.ready_count(), p.name.clone()))
+            .map(|p| (p.movable_count(&self.cfg, rank), p.name.clone()))
             .max()
             .filter(|(ready, _)| *ready > 0)
         {
@@ -121,8 +129,8 @@
             let (Some(thief), Some(_)) = (self.parts.get(&part), self.parts.get(&victim)) else {
                 return;
             };
-            let (term, room) = (thief.term, room_of(self, thief));
-            self.cut_for(None, &victim, &part, term, &room);
+            let (term, room) = (thief.term, room_of(self, thief, rank));
+            self.cut_for(None, &victim, &part, term, rank, &room);
             return;
         }
         let peers: Vec<&String> = self.cfg.nodes.iter().filter(|n| **n != self.cfg.node).collect();
@@ -136,10 +144,45 @@
         }
         self.stealing.rounds += 1;
         let number = self.stealing.rounds;
-        self.stealing.round = Some(Round { number, part, open: asked.len(), most: None });
+        self.stealing.round = Some(Round { number, part, rank, open: asked.len(), most: None });
         for node in asked {
             let work = PeerWork::Count { round: number, node: node.clone() };
-            self.ask_peer(&node, PeerRequest::Counts, work);
+            self.ask_peer(&node, PeerRequest::Counts { rank }, work);
+        }
+    }
+
+    /// The part that goes stealing, and the lowest rank it would take: one without any ready
+    /// task and with free room; or, while a peer is pressed, one that could let lower work give
+    /// way and has no ready task of that rank itself.
+    fn thief(&self) -> Option<(String, Rank)> {
+        let all = Rank::BestEffort;
+        let fits = |p: &Part, rank| {
+            p.active() && p.ready_count(rank) == 0 && !room_of(self, p, rank).free.is_empty()
+        };
+        let named = |p: &Part, rank| Some((p.name.clone(), rank));
+        if let Some(part) = self.parts.values().find(|p| fits(p, all)) {
+            return named(part, all);
+        }
+        self.stealing.peer_pressed.filter(|t| self.now.saturating_sub(*t) < PRESSED)?;
+        for rank in [Rank::Standard, Rank::Urgent, Rank::Prod] {
+            if let Some(part) = self.parts.values().find(|p| fits(p, rank)) {
+                return named(part, rank);
+            }
+        }
+        None
+    }
+
+    /// Tells the peers that tasks should start now and cannot.
+    pub(crate) fn tell_pressed(&mut self) {
+        let pressed = self.parts.values().any(|p| p.pressed);
+        if !pressed || self.now < self.stealing.next_press {
+            return;
+        }
+        self.stealing.next_press = self.now + PRESSED;
+        for node in self.cfg.nodes.clone() {
+            if node != self.cfg.node {
+                self.ask_peer(&node, PeerRequest::Pressed, PeerWork::Told);
+            }
         }
     }
 
@@ -196,13 +239,14 @@
         let (Some((_, node)), Some(part)) = (target, self.parts.get(&round.part)) else {
             return self.steal_failed();
         };
-        let thief = room_of(self, part);
-        if part.ready_count() > 0 || thief.free.is_empty() {
+        let rank = round.rank;
+        let thief = room_of(self, part, rank);
+        if part.ready_count(rank) > 0 || thief.free.is_empty() {
             // Work of our own has come in the meantime.
             self.stealing.next = self.now + self.stealing.interval;
             return;
         }
-        let request = PeerRequest::Steal { part: part.name.clone(), term: part.term, thief };
+        let request = PeerRequest::Steal { part: part.name.clone(), term: part.term, rank, thief };
         self.stealing.waiting = true;
         self.ask_peer(&node, request, PeerWork::Steal { part: round.part });
     }
@@ -210,12 +254,19 @@
     /// A peer asks something.
     pub(crate) fn peer_request(&mut self, id: RequestId, request: PeerRequest) {
         let answer = match request {
-            PeerRequest::Counts => {
+            PeerRequest::Pressed => {
+                // The wait after failures is over early: there is something to be had.
+                self.stealing.peer_pressed = Some(self.now);
+                self.stealing.interval = self.cfg.operator.steal_start;
+                self.stealing.next = self.now;
+                PeerAnswer::Nothing
+            }
+            PeerRequest::Counts { rank } => {
                 let ready = self
                     .parts
                     .values()
                     .filter(|p| p.active())
-                    .map(|p| p.movable_count(&self.cfg))
+                    .map(|p| p.movable_count(&self.cfg, rank))
                     .sum();
                 PeerAnswer::Counts { ready }
             }
@@ -229,16 +280,16 @@
                 }
                 PeerAnswer::Nothing
             }
-            PeerRequest::Steal { part, term, thief } => {
+            PeerRequest::Steal { part, term, rank, thief } => {
                 let victim = self
                     .parts
                     .values()
                     .filter(|p| p.active() && p.name != part)
-                    .max_by_key(|p| p.movable_count(&self.cfg))
+                    .max_by_key(|p| p.movable_count(&self.cfg, rank))
                     .map(|p| p.name.clone());
                 match victim {
                     Some(victim) if self.sure() => {
-                        return self.cut_for(Some(id), &victim, &part, term, &thief);
+                        return self.cut_for(Some(id), &victim, &part, term, rank, &thief);
                     }
                     _ => PeerAnswer::Nothing,
                 }
@@ -261,6 +312,7 @@
         victim: &str,
         thief: &str,
         term: u64,
+        rank: Rank,
         room: &ThiefRoom,
     ) {
         let fraction = self.cfg.operator.steal_fraction;
@@ -271,7 +323,7 @@
             None => return self.answer_nothing(request),
         };
         let Some(part) = self.parts.get_mut(victim) else { return };
-        let mut left = (f64::from(part.movable_count(&self.cfg)) * fraction).ceil() as u32;
+        let mut left = (f64::from(part.movable_count(&self.cfg, rank)) * fraction).ceil() as u32;
         let mut txn = part.txn().when(format!("{PARTS}{thief}"), term);
         let mut free = room.free.clone();
         let mut moved: Vec<Move> = Vec::new();
@@ -281,7 +333,7 @@
                 break;
             }
             let Some(job) = part.jobs.get_mut(&id) else { continue };
-            if !movable(&self.cfg, job) {
+            if !movable(&self.cfg, job, rank) {
                 continue;
             }
             let count = fit_count(&mut free, job, left);
@@ -401,10 +453,11 @@
 }
 
 /// Whether tasks of the job may go to another part.
-fn movable(cfg: &Config, job: &crate::part::PartJob) -> bool {
+fn movable(cfg: &Config, job: &crate::part::PartJob, rank: Rank) -> bool {
     let spec = job.spec();
     // A limited team stays in its part, and zones are counted within one part.
     !job.writing
+        && spec.rank <= rank
         && !job.doubtful
         && !job.ready.is_empty()
         && !cfg.limited(&spec.team)
@@ -440,7 +493,7 @@
 
 impl Part {
     /// Ready tasks that a thief could take.
-    pub fn movable_count(&self, cfg: &Config) -> u32 {
-        self.jobs.values().filter(|j| movable(cfg, j)).map(|j| j.ready.len()).sum()
+    pub fn movable_count(&self, cfg: &Config, rank: Rank) -> u32 {
+        self.jobs.values().filter(|j| movable(cfg, j, rank)).map(|j| j.ready.len()).sum()
     }
 }
--- a/crates/quartzlever-wire/src/peers.rs
+++ b/crates/quartzlever-wire/src/peers.rs
@@ -4,16 +4,21 @@
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
+use crate::users::Rank;
+
 /// The largest frame that a peer may send.
 pub const MAX_FRAME: u32 = 1 << 20;
 
 /// What one controller asks another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerRequest {
-    /// How many ready tasks do you have?
-    Counts,
-    /// Hand over ready tasks to `part`, which the asker holds under `term`.
-    Steal { part: String, term: u64, thief: ThiefRoom },
+    /// How many ready tasks of this rank or above do you have?
+    Counts { rank: Rank },
+    /// Hand over ready tasks of this rank or above to `part`, which the asker holds under `term`.
+    Steal { part: String, term: u64, rank: Rank, thief: ThiefRoom },
+    /// The asker has tasks that should start now and nowhere to start them: whoever has room
+    /// may come for them without waiting out its interval.
+    Pressed,
     /// The home node of `part` is up again and asks for it.
     HandBack { part: String },
     /// These machines were rented by `part` and will report soon.
--- a/crates/quartzlever/src/settings.rs
+++ b/crates/quartzlever/src/settings.rs
@@ -119,6 +119,7 @@
     takeover_after_s: Option<f64>,
     handback_after_s: Option<f64>,
     idle_boots: Option<f64>,
+    price_cap: Option<f64>,
     silent_return_s: Option<f64>,
     progress_write_s: Option<f64>,
 }
@@ -212,6 +213,9 @@
     if let Some(boots) = entry.idle_boots {
         out.idle_boots = check.amount("idle_boots", boots, 0.0, 1000.0)?;
     }
+    if let Some(cap) = entry.price_cap {
+        out.price_cap = check.amount("price_cap", cap, 1.0, 1000.0)?;
+    }
     let spans = [
         ("steal_start_s", entry.steal_start_s, &mut out.steal_start, 0.01, 60.0),
         ("steal_cap_s", entry.steal_cap_s, &mut out.steal_cap, 0.01, 600.0),
