Cap the price of a part's machines at 1.25 times the lowest of their types

Ruled out: renting later (40 s, 100 s too late: no change in price), fewer for a job (no change). Kept at 1.25; price_cap in the operator's file changes it.

--- a/crates/quartzlever-core/src/config.rs
+++ b/crates/quartzlever-core/src/config.rs
@@ -85,7 +85,7 @@
             takeover_after: 2 * SECOND,
             handback_after: 5 * SECOND,
             idle_boots: 1.0,
-            price_cap: 1000.0,
+            price_cap: 1.25,
             silent_return: 10 * SECOND,
             progress_write: SECOND,
         }
