Machines behind a cut get their whole lease; taken ones are returned at once

When all of three or more machines of a zone fall silent together it is taken for a cut. On a spot notice, tasks that can save their progress are stopped in time to do so. Ruled out: shorter patience for all (a machine behind a cut is then lost even sooner).

--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -29,6 +29,8 @@
 const MOST_PER_RETURN: usize = 100;
 /// Machines in excess of this many are not rented in one round.
 const MOST_PER_ROUND: u32 = 16;
+/// So many machines of a zone fall silent together only when the zone is cut off.
+const CUT_MACHINES: usize = 3;
 /// Failures in a row that make a machine suspect.
 const SUSPECT_ERRORS: u32 = 2;
 /// Pace in thousandths of the usual from which a machine crawls, and over how many tasks.
@@ -308,12 +310,24 @@
         // Jobs that were done elsewhere, so that their failures are a machine's.
         let cleared: BTreeSet<String> =
             part.jobs.iter().filter(|(_, j)| j.good > 0).map(|(id, _)| id.clone()).collect();
+        let cut = part.zones_cut(now, operator.silent_return);
+        let patience = self.cfg.lease_gone_after();
+        let report = self.cfg.workers.report;
         for machine in part.machines.values_mut().filter(|m| !m.returning) {
+            // Behind a cut machines go on working: they are given their whole lease.
+            let silent_return = if cut.contains(&machine.record.zone) {
+                patience.max(operator.silent_return)
+            } else {
+                operator.silent_return
+            };
+            let quiet = now.saturating_sub(machine.heard);
             machine.return_wanted = machine.return_wanted.or_else(|| {
                 let crawls = machine.pace.len() >= CRAWL_TASKS
                     && machine.pace.iter().sum::<u32>() / machine.pace.len() as u32 > CRAWL_PACE;
-                if now.saturating_sub(machine.heard) > operator.silent_return {
+                if quiet > silent_return {
                     Some("silent")
+                } else if machine.warned_until.is_some_and(|t| now > t) && quiet > 2 * report {
+                    Some("taken")
                 } else if machine.errors >= SUSPECT_ERRORS
                     && (machine.failed_jobs.len() > 1
                         || machine.failed_jobs.iter().any(|j| cleared.contains(j)))
@@ -330,9 +344,7 @@
                     None
                 }
             });
-            if machine.return_wanted == Some("silent")
-                && now.saturating_sub(machine.heard) < operator.silent_return
-            {
+            if matches!(machine.return_wanted, Some("silent" | "taken")) && quiet < report {
                 machine.return_wanted = None;
             }
         }
@@ -342,7 +354,7 @@
             .filter(|m| {
                 !m.returning
                     && match m.return_wanted {
-                        Some("silent") => true,
+                        Some("silent" | "taken" | "failed") => true,
                         // Everything else waits until the machine has no work.
                         Some(_) => !m.busy() && m.slots.values().all(|s| s.settled),
                         None => false,
@@ -454,7 +466,7 @@
                 if rental.phase == RentalPhase::Failed
                     && let Some(machine) = part.machines.get_mut(&rental.name)
                 {
-                    machine.return_wanted = Some("silent");
+                    machine.return_wanted = Some("failed");
                 }
                 continue;
             }
@@ -484,6 +496,19 @@
 }
 
 impl Part {
+    /// Zones that seem to be cut off: all of several machines there fell silent together.
+    fn zones_cut(&self, now: Micros, silent: Micros) -> BTreeSet<String> {
+        let mut zones: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+        for machine in self.machines.values().filter(|m| m.session > 0 && !m.returning) {
+            let entry = zones.entry(machine.record.zone.as_str()).or_default();
+            entry.0 += 1;
+            entry.1 += usize::from(now.saturating_sub(machine.heard) > silent / 2);
+        }
+        let cut =
+            zones.into_iter().filter(|(_, (all, quiet))| *all >= CUT_MACHINES && all == quiet);
+        cut.map(|(zone, _)| zone.to_owned()).collect()
+    }
+
     /// What should be rented for the ready tasks that neither the machines at hand nor those
     /// coming up can serve in time.
     fn shortage(
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -370,6 +370,7 @@
             self.take_task(cfg, paces, &report.host, task, now);
         }
         self.take_absent(report, hello);
+        self.save_before_taken(report);
         let Some(machine) = self.machines.get_mut(&report.host) else { return true };
         if machine.busy() {
             machine.idle_since = None;
@@ -379,6 +380,23 @@
         true
     }
 
+    /// On a spot notice, stops the tasks that can still save their progress; the others may yet
+    /// come to their end.
+    fn save_before_taken(&mut self, report: &Report) {
+        let Some(left) = report.warning_s else { return };
+        let Some(machine) = self.machines.get_mut(&report.host) else { return };
+        let jobs = &self.jobs;
+        for ((task, _), slot) in &mut machine.slots {
+            let Some(job) = jobs.get(&task.job).map(|j| &j.record.job) else { continue };
+            // The notice may run half as long as it says.
+            let saves = job.checkpoint_s > 0.0 && job.save_s <= left / 2.0;
+            if saves && slot.wanted && slot.phase == Some(TaskPhase::Running) {
+                slot.wanted = false;
+                slot.leeway_s = job.save_s;
+            }
+        }
+    }
+
     /// Attempts that are known here but not in the report.
     fn take_absent(&mut self, report: &Report, hello: bool) {
         let Some(machine) = self.machines.get_mut(&report.host) else { return };
