--- a/crates/quartzlever-core/src/config.rs
+++ b/crates/quartzlever-core/src/config.rs
@@ -43,7 +43,6 @@
 pub struct WorkerTimes {
     pub report: Micros,
     pub lease: Micros,
-    pub cancel: Micros,
 }
 
 /// The operator's own settings, each with its default.
@@ -105,7 +104,6 @@
     pub workers: WorkerTimes,
     pub value_bytes: usize,
     pub txn_ops: usize,
-    pub list_lag: Micros,
     pub operator: Operator,
     /// Notes of less weight than this are not even written.
     pub notes: crate::messages::Weight,
--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -111,7 +111,7 @@
 
 impl Fleet {
     /// A machine has reported, to this part or to another.
-    pub fn arrived(&mut self, host: &str, _now: Micros) {
+    pub fn arrived(&mut self, host: &str) {
         self.expected.remove(host);
     }
 }
@@ -317,8 +317,11 @@
             // Behind a cut machines go on working: they are given their whole lease.
             let silent_return = if cut.contains(&machine.record.zone) {
                 patience.max(operator.silent_return)
-            } else {
+            } else if machine.proven {
                 operator.silent_return
+            } else {
+                // It holds up the recovery of the whole part.
+                operator.silent_return / 2
             };
             let quiet = now.saturating_sub(machine.heard);
             machine.return_wanted = machine.return_wanted.or_else(|| {
--- a/crates/quartzlever-core/src/holding.rs
+++ b/crates/quartzlever-core/src/holding.rs
@@ -260,7 +260,7 @@
             part.add_machine(name, record.clone(), true, now);
         }
         for part in self.parts.values_mut().filter(|p| p.name != record.part) {
-            part.fleet.arrived(name, now);
+            part.fleet.arrived(name);
         }
         self.mirror.hosts.insert(name.to_owned(), (record, stamp));
     }
--- a/crates/quartzlever-core/src/machine.rs
+++ b/crates/quartzlever-core/src/machine.rs
@@ -122,7 +122,6 @@
     pub heard: Micros,
     /// Last time a report was answered 200; the worker's lease counts from before that.
     pub answered: Micros,
-    pub up_since: Micros,
     pub idle_since: Option<Micros>,
     /// The cloud takes it away at about this time.
     pub warned_until: Option<Micros>,
@@ -137,7 +136,6 @@
     /// Failures in a row of jobs that failed nowhere else, and those jobs.
     pub errors: u32,
     pub failed_jobs: BTreeSet<String>,
-    pub good: u32,
     /// Run times of its last tasks against what their class usually takes, in thousandths.
     pub pace: Vec<u32>,
 }
@@ -153,7 +151,6 @@
             proven: false,
             heard: now,
             answered: now,
-            up_since: now,
             idle_since: Some(now),
             warned_until: None,
             slots: BTreeMap::new(),
@@ -164,7 +161,6 @@
             return_wanted: None,
             errors: 0,
             failed_jobs: BTreeSet::new(),
-            good: 0,
             pace: Vec::new(),
         }
     }
--- a/crates/quartzlever-core/src/part.rs
+++ b/crates/quartzlever-core/src/part.rs
@@ -293,7 +293,7 @@
     /// Adds a claimed machine. `ours` says that it was claimed under this very term, so no
     /// earlier holder ever commanded it.
     pub fn add_machine(&mut self, name: &str, record: HostRecord, ours: bool, now: Micros) {
-        self.fleet.arrived(name, now);
+        self.fleet.arrived(name);
         let machine =
             self.machines.entry(name.to_owned()).or_insert_with(|| Machine::new(name, record, now));
         if ours {
--- a/crates/quartzlever-core/src/regressions.rs
+++ b/crates/quartzlever-core/src/regressions.rs
@@ -67,10 +67,9 @@
         zones: vec!["a".into()],
         teams: vec![Team { name: "free".into(), ..Team::default() }],
         objectives: Vec::new(),
-        workers: WorkerTimes { report: SECOND, lease: 10 * SECOND, cancel: 20 * SECOND },
+        workers: WorkerTimes { report: SECOND, lease: 10 * SECOND },
         value_bytes: 16 * 1024,
         txn_ops: 24,
-        list_lag: SECOND,
         operator: Operator::default(),
         notes: Weight::Error,
     };
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -465,7 +465,6 @@
         let (class, expect) = (slot.class.clone(), slot.expect);
         match seen.cause {
             Some(Cause::Done) => {
-                machine.good += 1;
                 machine.errors = 0;
                 machine.failed_jobs.clear();
                 if let Some(ran) = ran
@@ -531,25 +530,9 @@
     /// else, ended otherwise.
     fn meet(&mut self, cfg: &Config, host: &str, seen: &TaskReport, now: Micros) {
         let exited = seen.phase == TaskPhase::Exited;
-        let mut slot = Slot {
-            need: Amounts::default(),
-            rank: Rank::BestEffort,
-            team: String::new(),
-            class: String::new(),
-            image: String::new(),
-            expect: 0,
-            since: now,
-            running_since: None,
-            phase: Some(seen.phase),
-            cause: seen.cause,
-            wanted: false,
-            leeway_s: 0.0,
-            direct: Direct::Settled,
-            in_answer: false,
-            settled: false,
-            sent: true,
-            kill_sent: None,
-        };
+        let mut slot = Slot::blank(now);
+        (slot.phase, slot.cause) = (Some(seen.phase), seen.cause);
+        (slot.wanted, slot.sent) = (false, true);
         if let Some(job) = self.jobs.get_mut(&seen.task.job) {
             slot.describe(&job.record.job);
             let index = seen.task.index;
@@ -581,11 +564,11 @@
         self.expect = micros_from_secs(job.expect_s);
     }
 
-    /// A new attempt of a job's task.
-    pub fn new(job: &quartzlever_wire::users::JobSpec, now: Micros) -> Self {
-        let mut slot = Slot {
+    /// An attempt of which nothing is known yet.
+    fn blank(now: Micros) -> Self {
+        Slot {
             need: Amounts::default(),
-            rank: job.rank,
+            rank: Rank::BestEffort,
             team: String::new(),
             class: String::new(),
             image: String::new(),
@@ -601,7 +584,12 @@
             settled: false,
             sent: false,
             kill_sent: None,
-        };
+        }
+    }
+
+    /// A new attempt of a job's task.
+    pub fn new(job: &quartzlever_wire::users::JobSpec, now: Micros) -> Self {
+        let mut slot = Slot::blank(now);
         slot.describe(job);
         slot
     }
--- a/crates/quartzlever-core/tests/world/mod.rs
+++ b/crates/quartzlever-core/tests/world/mod.rs
@@ -28,10 +28,9 @@
             Team { name: "tight".into(), cpus_max: 4.0, ..Team::default() },
         ],
         objectives: Vec::new(),
-        workers: WorkerTimes { report: SECOND, lease: LEASE, cancel: 20 * SECOND },
+        workers: WorkerTimes { report: SECOND, lease: LEASE },
         value_bytes: 16 * 1024,
         txn_ops: 24,
-        list_lag: SECOND,
         operator: Operator {
             hold_life: 5 * SECOND,
             takeover_after: SECOND,
--- a/crates/quartzlever/src/settings.rs
+++ b/crates/quartzlever/src/settings.rs
@@ -84,7 +84,6 @@
 struct WorkersEntry {
     report_s: f64,
     lease_s: f64,
-    cancel_s: f64,
 }
 
 #[derive(Deserialize)]
@@ -98,7 +97,6 @@
 #[derive(Deserialize)]
 struct CloudEntry {
     rps: f64,
-    list_lag_s: f64,
 }
 
 #[derive(Deserialize)]
@@ -281,7 +279,6 @@
     let workers = WorkerTimes {
         report: check.span("params.workers.report_s", params.workers.report_s, 0.1, 3600.0)?,
         lease: check.span("params.workers.lease_s", params.workers.lease_s, 1.0, 86_400.0)?,
-        cancel: check.span("params.workers.cancel_s", params.workers.cancel_s, 1.0, 86_400.0)?,
     };
     let state = &params.state;
     Ok(Settings {
@@ -305,12 +302,6 @@
             value_bytes: (check.amount("params.state.value_kb", state.value_kb, 1.0, 1e6)? * 1024.0)
                 as usize,
             txn_ops: check.amount("params.state.txn_ops", state.txn_ops as f64, 2.0, 1e6)? as usize,
-            list_lag: check.span(
-                "params.cloud.list_lag_s",
-                params.cloud.list_lag_s,
-                0.0,
-                3600.0,
-            )?,
             operator,
             notes,
         },
