--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -11,7 +11,7 @@
 use crate::machine::Amounts;
 use crate::messages::{Lane, Weight};
 use crate::part::Part;
-use crate::placement::{type_allowed, urgency};
+use crate::placement::{type_allowed, urgency, zones_open};
 use crate::stealing::PeerWork;
 
 const TICK: Micros = SECOND / 2;
@@ -636,6 +636,8 @@
     ) -> Option<Offer> {
         let spec = job.spec();
         let need = job.need();
+        // A job whose tasks must be together has no use for machines in another zone.
+        let zones = zones_open(self, job, &cfg.zones);
         let mut best: Option<(f64, Offer)> = None;
         let mut lowest = f64::INFINITY;
         for kind in types.values() {
@@ -646,7 +648,8 @@
             for zone in &kind.zones {
                 for spot in [true, false] {
                     let offer = (kind.name.clone(), zone.clone(), spot);
-                    if !offer_allowed(spec, kind, &offer) {
+                    let open = zones.as_ref().is_none_or(|z| z.contains(zone));
+                    if !open || !offer_allowed(spec, kind, &offer) {
                         continue;
                     }
                     lowest = lowest.min(price(kind, spot) / f64::from(count));
--- a/crates/quartzlever-core/src/lib.rs
+++ b/crates/quartzlever-core/src/lib.rs
@@ -20,6 +20,8 @@
 pub mod part;
 pub mod placement;
 #[cfg(test)]
+mod placement_tests;
+#[cfg(test)]
 mod regressions;
 mod reports;
 pub mod stealing;
--- a/crates/quartzlever-core/src/placement.rs
+++ b/crates/quartzlever-core/src/placement.rs
@@ -121,7 +121,7 @@
 }
 
 /// Zones in which another task of the job may start now.
-fn zones_open(part: &Part, job: &PartJob, zones: &[String]) -> Option<Vec<String>> {
+pub(crate) fn zones_open(part: &Part, job: &PartJob, zones: &[String]) -> Option<Vec<String>> {
     let spec = job.spec();
     if !spec.one_zone && !spec.spread {
         return None;
--- a/crates/quartzlever-core/src/regressions.rs
+++ b/crates/quartzlever-core/src/regressions.rs
@@ -15,9 +15,9 @@
 use crate::placement::Paces;
 use crate::stealing::Move;
 
-const NOW: Micros = 1_000 * SECOND;
+pub(crate) const NOW: Micros = 1_000 * SECOND;
 
-fn spec(tasks: u32) -> JobSpec {
+pub(crate) fn spec(tasks: u32) -> JobSpec {
     JobSpec {
         id: "req-1".into(),
         class: "c".into(),
@@ -59,13 +59,16 @@
 }
 
 /// A controller that holds part "one" under term 5, with one open machine.
-fn core() -> Core {
+pub(crate) fn core() -> Core {
     let cfg = Config {
         node: "one".into(),
         zone: "a".into(),
         nodes: vec!["one".into(), "two".into()],
-        zones: vec!["a".into()],
-        teams: vec![Team { name: "free".into(), ..Team::default() }],
+        zones: vec!["a".into(), "b".into()],
+        teams: vec![
+            Team { name: "free".into(), ..Team::default() },
+            Team { name: "tight".into(), cpus_max: 8.0, ..Team::default() },
+        ],
         objectives: Vec::new(),
         workers: WorkerTimes { report: SECOND, lease: 10 * SECOND },
         value_bytes: 16 * 1024,
--- a/crates/quartzlever-core/src/stealing.rs
+++ b/crates/quartzlever-core/src/stealing.rs
@@ -186,13 +186,19 @@
         }
     }
 
-    fn steal_failed(&mut self) {
+    /// How long until the next steal.
+    #[cfg(test)]
+    pub(crate) fn steal_wait(&self) -> Micros {
+        self.stealing.next - self.now
+    }
+
+    pub(crate) fn steal_failed(&mut self) {
         self.stealing.waiting = false;
         self.stealing.next = self.now + self.stealing.interval;
         self.stealing.interval = (self.stealing.interval * 2).min(self.cfg.operator.steal_cap);
     }
 
-    fn steal_succeeded(&mut self) {
+    pub(crate) fn steal_succeeded(&mut self) {
         self.stealing.waiting = false;
         self.stealing.interval = self.cfg.operator.steal_start;
         self.stealing.next = self.now;
