--- a/crates/quartzlever-core/src/jobs.rs
+++ b/crates/quartzlever-core/src/jobs.rs
@@ -136,8 +136,8 @@
             return self.later(id, 503, "cannot be written");
         };
         if value.to_string().len() > self.cfg.value_bytes {
-            // Known submissions are far below this; nothing could ever be kept of such a one.
-            return self.answer(id, 400, serde_json::json!({ "error": "too long to keep" }));
+            // Nothing could ever be kept of such a job; a known one is still answered as known.
+            return self.read(Purpose::Submit { id, job: spec.id.clone(), refuse: true });
         }
         let live = live_key(&spec.id);
         let mut txn = Txn::default().when(live.clone(), 0).when(format!("{OVER}{}", spec.id), 0);
--- a/crates/quartzlever-core/tests/safety.rs
+++ b/crates/quartzlever-core/tests/safety.rs
@@ -281,6 +281,11 @@
         ("too large for any type", unlike(|s| s.cpus = 9.0), 422),
         ("no such type", unlike(|s| s.types = Some(vec!["x".into()])), 422),
         ("no such zone", unlike(|s| s.zone = Some("x".into())), 422),
+        (
+            "too long to be kept",
+            unlike(|s| s.types = Some(vec!["m".into(), "x".repeat(17 * 1024)])),
+            422,
+        ),
         (
             "over the team's limit",
             unlike(|s| {
