--- /dev/null
+++ b/crates/quartzlever-core/examples/cost.rs
@@ -0,0 +1,159 @@
+//! What the core itself costs: processor time for a report, a submission and a tick, with as
+//! many machines as asked for, all busy. `cargo run --release -p quartzlever-core --example cost`
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use quartzlever_core::{Command, Config, Core, Effect, Operator, Team, Weight, WorkerTimes};
+use quartzlever_standin::{Cloud, Store, Worker};
+use quartzlever_wire::users::{JobSpec, Rank, Shape};
+use quartzlever_wire::workers::{Orders, WorkerCall, WorkerReply};
+use quartzlever_wire::{CallError, Micros, SECOND};
+
+const LEASE: Micros = 30 * SECOND;
+
+struct World {
+    core: Core,
+    store: Store,
+    cloud: Cloud,
+    workers: BTreeMap<String, Worker>,
+    now: Micros,
+    spent: BTreeMap<&'static str, (Duration, u32)>,
+}
+
+impl World {
+    /// Hands in a command, carries out what it brings, and notes what the first step cost.
+    fn take(&mut self, kind: &'static str, command: Command) -> Option<Orders> {
+        let begin = Instant::now();
+        let mut effects = self.core.step(self.now, vec![command]);
+        let entry = self.spent.entry(kind).or_default();
+        entry.0 += begin.elapsed();
+        entry.1 += 1;
+        let mut orders = None;
+        while !effects.is_empty() {
+            let replies: Vec<Command> =
+                effects.into_iter().filter_map(|e| self.carry_out(e, &mut orders)).collect();
+            if replies.is_empty() {
+                break;
+            }
+            effects = self.core.step(self.now, replies);
+        }
+        orders
+    }
+
+    fn carry_out(&mut self, effect: Effect, orders: &mut Option<Orders>) -> Option<Command> {
+        match effect {
+            Effect::State { token, call, .. } => {
+                Some(Command::State { token, result: self.store.call(self.now, &call) })
+            }
+            Effect::Cloud { token, call } => {
+                let reply = self.cloud.call(&call);
+                for (name, rental) in &self.cloud.machines {
+                    if !self.workers.contains_key(name) {
+                        let worker = Worker::new(rental.clone(), LEASE, 20 * SECOND, self.now);
+                        self.workers.insert(name.clone(), worker);
+                    }
+                }
+                Some(Command::Cloud { token, result: Ok(reply) })
+            }
+            Effect::Worker { token, address, call, .. } => {
+                let worker = self.workers.get_mut(address.trim_end_matches(":9000"));
+                let result = worker.ok_or(CallError::Refused).map(|w| match &call {
+                    WorkerCall::Status => WorkerReply::Report(w.report()),
+                    WorkerCall::Command(orders) => w.command(orders, self.now),
+                });
+                Some(Command::Worker { token, result })
+            }
+            Effect::Answer { body, .. } => {
+                *orders = serde_json::from_value(body).ok().or(orders.take());
+                None
+            }
+            _ => None,
+        }
+    }
+}
+
+fn job(n: u32) -> JobSpec {
+    JobSpec {
+        id: format!("req-{n:06}"),
+        class: "c".into(),
+        team: "free".into(),
+        shape: Shape::Batch,
+        rank: Rank::Standard,
+        tasks: 12,
+        cpus: 2.0,
+        gpus: 0.0,
+        ram_gb: 1.0,
+        image: "img".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        expect_s: 20.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        due_s: Some(60.0),
+    }
+}
+
+fn main() {
+    let machines = std::env::args().nth(1).and_then(|a| a.parse().ok()).unwrap_or(16);
+    let cfg = Config {
+        node: "one".into(),
+        zone: "a".into(),
+        nodes: vec!["one".into()],
+        zones: vec!["a".into()],
+        teams: vec![Team { name: "free".into(), ..Team::default() }],
+        objectives: Vec::new(),
+        workers: WorkerTimes { report: 3 * SECOND, lease: LEASE },
+        value_bytes: 16 * 1024,
+        txn_ops: 24,
+        operator: Operator::default(),
+        notes: Weight::Error,
+    };
+    let now = 1_000 * SECOND;
+    let mut world = World {
+        core: Core::new(cfg, 1, now),
+        store: Store::default(),
+        cloud: Cloud::new(32.0, &["a"], machines),
+        workers: BTreeMap::new(),
+        now,
+        spent: BTreeMap::new(),
+    };
+    let mut id = 0;
+    // Ten minutes; a job every two seconds, a report of each machine every three.
+    for tick in 0..3_000_u32 {
+        world.now += SECOND / 5;
+        let wall = world.now;
+        world.take("tick", Command::Tick { wall });
+        if tick.is_multiple_of(10) {
+            id += 1;
+            world.take("submission", Command::Submit { id, spec: Box::new(job(tick)) });
+        }
+        let names: Vec<String> = world.workers.keys().cloned().collect();
+        for (n, name) in names.iter().enumerate() {
+            let now = world.now;
+            let Some(worker) = world.workers.get_mut(name) else { continue };
+            worker.pass(now);
+            if !(tick as usize + n).is_multiple_of(15) {
+                continue;
+            }
+            let report = worker.report();
+            let session = report.session;
+            id += 1;
+            let orders = world.take("report", Command::Report { id, report });
+            if let (Some(orders), Some(worker)) = (orders, world.workers.get_mut(name)) {
+                worker.answered(&orders, now, session, now);
+            }
+        }
+        let cloud = &world.cloud;
+        world.workers.retain(|name, _| !cloud.gone.contains(name));
+    }
+    for (kind, (spent, count)) in &world.spent {
+        let each = spent.as_secs_f64() * 1e6 / f64::from(*count);
+        println!("{kind}: {count} times, {each:.1} microseconds each");
+    }
+    println!("jobs over: {}", world.store.keys("over/").len());
+}
