The catalogue is kept, for a restart while the cloud is down

Cause: a process that restarted during an outage of the cloud knew no machine types, so placed nothing, not even on machines at hand, and could decide on no new job. The test fails without the change.

--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -23,6 +23,8 @@
 /// What an answer from the state service belongs to.
 #[derive(Debug)]
 pub(crate) enum Waiting {
+    /// The kept catalogue is read, or written.
+    KeptCatalogue,
     Grant {
         sent: Micros,
     },
@@ -407,6 +409,7 @@
             Waiting::ListParts { from_epoch } => self.parts_listed(from_epoch, result),
             Waiting::ListHosts { from_epoch } => self.hosts_listed(from_epoch, result),
             Waiting::Watch => self.watched(result),
+            Waiting::KeptCatalogue => self.catalogue_read(result),
             Waiting::LoadJobs { part, term } => self.jobs_loaded(&part, term, result),
             Waiting::LoadHosts { part, term } => self.hosts_loaded(&part, term, result),
             Waiting::ReadLive { purpose } => self.live_read(purpose, result),
--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -2,12 +2,15 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
-use quartzlever_wire::cloud::{CloudCall, CloudReply, Hire, MachineType, RentalPhase, Rentals};
+use quartzlever_wire::cloud::{
+    Catalogue, CloudCall, CloudReply, Hire, MachineType, RentalPhase, Rentals,
+};
 use quartzlever_wire::peers::PeerRequest;
-use quartzlever_wire::state::{HOSTS, StateCall};
+use quartzlever_wire::state::{CATALOGUE, HOSTS, StateCall, StateReply, Txn};
 use quartzlever_wire::{CallError, Micros, SECOND, micros_from_secs};
 
 use crate::engine::{Core, Waiting};
+use crate::holding::parse;
 use crate::machine::Amounts;
 use crate::messages::{Lane, Weight};
 use crate::part::Part;
@@ -187,13 +190,16 @@
                 self.cloud.catalogue_waiting = false;
                 if let Ok(CloudReply::Catalogue(catalogue)) = result {
                     self.cloud.catalogue_at = self.now + CATALOGUE_EVERY;
-                    self.types =
-                        Some(catalogue.types.into_iter().map(|t| (t.name.clone(), t)).collect());
-                    for part in self.parts.values_mut() {
-                        part.place_wanted = true;
-                    }
+                    let txn = Txn::default().write(CATALOGUE, serde_json::json!(&catalogue));
+                    self.use_catalogue(catalogue);
+                    self.state(Lane::Work, StateCall::Txn(txn), Waiting::KeptCatalogue);
                 } else {
                     self.cloud.catalogue_at = self.now + RETRY;
+                    if self.types.is_none() {
+                        // Without the types nothing can be placed, not even on machines at hand.
+                        let call = StateCall::Get(CATALOGUE.into());
+                        self.state(Lane::Work, call, Waiting::KeptCatalogue);
+                    }
                 }
             }
             CloudWork::Hire { part, term, hire } => self.hired(&part, term, hire, result),
@@ -206,6 +212,24 @@
         }
     }
 
+    fn use_catalogue(&mut self, catalogue: Catalogue) {
+        let types = catalogue.types.into_iter().map(|t| (t.name.clone(), t));
+        self.types = Some(types.collect());
+        for part in self.parts.values_mut() {
+            part.place_wanted = true;
+        }
+    }
+
+    /// The catalogue that an earlier process kept; the cloud's own word goes before it.
+    pub(crate) fn catalogue_read(&mut self, result: Result<StateReply, CallError>) {
+        if let Ok(StateReply::Row(Some(row))) = result
+            && self.types.is_none()
+            && let Some(catalogue) = parse::<Catalogue>(&row)
+        {
+            self.use_catalogue(catalogue);
+        }
+    }
+
     fn rent(&mut self, name: &str) {
         let now = self.now;
         let Some(types) = &self.types else { return };
--- a/crates/quartzlever-core/src/regressions.rs
+++ b/crates/quartzlever-core/src/regressions.rs
@@ -275,3 +275,35 @@
         assert_eq!(taken_back, empty, "acquired {acquired} answered {answered} heard {heard}");
     }
 }
+
+#[test]
+fn a_restart_while_the_cloud_is_down_knows_the_types() {
+    use crate::messages::{Command, Effect};
+    use quartzlever_wire::state::{CATALOGUE, Row, StateCall};
+    // (whether an earlier process kept the catalogue, whether types are known in the end)
+    for (kept, known) in [(true, true), (false, false)] {
+        let mut core = core();
+        let types: Vec<MachineType> =
+            core.types.take().into_iter().flatten().map(|t| t.1).collect();
+        let asked = core.step(NOW, Vec::new());
+        let cloud = asked.iter().find_map(|e| match e {
+            Effect::Cloud { token, .. } => Some(*token),
+            _ => None,
+        });
+        let Some(token) = cloud else { panic!("the cloud is not asked") };
+        let down = Command::Cloud { token, result: Err(CallError::Refused) };
+        let read = core.step(NOW, vec![down]);
+        let token = read.iter().find_map(|e| match e {
+            Effect::State { token, call: StateCall::Get(key), .. } if key == CATALOGUE => {
+                Some(*token)
+            }
+            _ => None,
+        });
+        let Some(token) = token else { panic!("the kept catalogue is not read") };
+        let v = serde_json::json!({ "chassis": types });
+        let row = Row { path: CATALOGUE.into(), v, stamp: 3, charter: None };
+        let result = Ok(StateReply::Row(kept.then_some(row)));
+        core.step(NOW, vec![Command::State { token, result }]);
+        assert_eq!(core.types.is_some(), known, "kept {kept}");
+    }
+}
--- a/crates/quartzlever-wire/src/state.rs
+++ b/crates/quartzlever-wire/src/state.rs
@@ -10,6 +10,8 @@
 pub const LIVE: &str = "live/";
 pub const OVER: &str = "over/";
 pub const HOSTS: &str = "hosts/";
+/// Key of the catalogue as the cloud last gave it, for a restart while the cloud is down.
+pub const CATALOGUE: &str = "catalogue";
 
 /// A key with its value and the revision of its last change.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
