--- a/crates/quartzlever-core/examples/cost.rs
+++ b/crates/quartzlever-core/examples/cost.rs
@@ -1,5 +1,6 @@
 //! What the core itself costs: processor time for a report, a submission and a tick, with as
-//! many machines as asked for, all busy. `cargo run --release -p quartzlever-core --example cost`
+//! many machines as asked for, all busy, and about as many tasks ready in the queue.
+//! `cargo run --release -p quartzlever-core --example cost [MACHINES [READY]]`
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -99,7 +100,9 @@
 }
 
 fn main() {
-    let machines = std::env::args().nth(1).and_then(|a| a.parse().ok()).unwrap_or(16);
+    let mut arguments = std::env::args().skip(1).map(|a| a.parse::<usize>().ok());
+    let machines = arguments.next().flatten().unwrap_or(16);
+    let ready = arguments.next().flatten().unwrap_or(0) as u32;
     let cfg = Config {
         node: "one".into(),
         zone: "a".into(),
@@ -123,14 +126,21 @@
         spent: BTreeMap::new(),
     };
     let mut id = 0;
-    // Ten minutes; a job every two seconds, a report of each machine every three.
-    for tick in 0..3_000_u32 {
+    let mut jobs = 0;
+    // As many tasks as machines can run in the time between two jobs, plus those to be ready.
+    let room = 16 * machines as u32;
+    // Three minutes; a report of each machine every three seconds.
+    for tick in 0..900_u32 {
         world.now += SECOND / 5;
         let wall = world.now;
         world.take("tick", Command::Tick { wall });
-        if tick.is_multiple_of(10) {
-            id += 1;
-            world.take("submission", Command::Submit { id, spec: Box::new(job(tick)) });
+        let mut due = u32::from(tick.is_multiple_of(10)) * room / 120 + 1;
+        if tick == 1 {
+            due = (room + ready) / 12 + 1;
+        }
+        for _ in 0..if tick == 1 || tick.is_multiple_of(10) { due } else { 0 } {
+            (id, jobs) = (id + 1, jobs + 1);
+            world.take("submission", Command::Submit { id, spec: Box::new(job(jobs)) });
         }
         let names: Vec<String> = world.workers.keys().cloned().collect();
         for (n, name) in names.iter().enumerate() {
--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -2,13 +2,13 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
-use quartzlever_wire::cloud::{CloudCall, CloudReply, MachineType};
+use quartzlever_wire::cloud::{CloudCall, CloudReply};
 use quartzlever_wire::peers::{PeerAnswer, PeerRequest};
 use quartzlever_wire::state::{
     HostRecord, LiveRecord, OverRecord, PartRecord, StateCall, StateReply,
 };
 use quartzlever_wire::workers::{Report, WorkerCall, WorkerReply};
-use quartzlever_wire::{CallError, Micros, Ranges};
+use quartzlever_wire::{CallError, Micros, Ranges, SECOND};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -16,7 +16,7 @@
 use crate::fleet::CloudWork;
 use crate::jobs::Purpose;
 use crate::messages::{Command, Effect, Lane, RequestId, Token, Weight};
-use crate::part::Part;
+use crate::part::{Part, Types};
 use crate::placement::Paces;
 use crate::stealing::Stealing;
 
@@ -230,15 +230,22 @@
     pub(crate) absent_since: BTreeMap<String, Micros>,
     /// Home nodes that ask for their part: since when, and last asked.
     pub(crate) home_asks: BTreeMap<String, (Micros, Micros)>,
-    pub(crate) types: Option<BTreeMap<String, MachineType>>,
+    pub(crate) types: Option<Types>,
     pub(crate) cloud: crate::fleet::Cloud,
     pub(crate) finals: Finals,
     pub(crate) stamps: Stamps,
     pub(crate) user_calls: usize,
     pub(crate) stealing: Stealing,
     pub(crate) paces: Paces,
+    /// When all machines are looked at next, and all jobs for what is to be written.
+    look_at: Micros,
+    write_at: Micros,
 }
 
+/// Shortest time between two looks at all machines, and at all jobs for what is to be written.
+const LOOK: Micros = SECOND / 4;
+const WRITE_PAUSE: Micros = SECOND / 20;
+
 impl Core {
     /// A controller that has just started. `seed` must differ between processes of one node.
     pub fn new(cfg: Config, seed: u64, now: Micros) -> Self {
@@ -269,6 +276,8 @@
             stamps: Stamps::default(),
             user_calls: 0,
             paces: Paces::default(),
+            look_at: 0,
+            write_at: 0,
         }
     }
 
@@ -459,8 +468,14 @@
     /// All decisions of this moment.
     fn decide(&mut self) {
         let names: Vec<String> = self.parts.keys().cloned().collect();
+        let look = self.now >= self.look_at;
+        if look {
+            self.look_at = self.now + LOOK;
+        }
         for name in &names {
-            self.expire_silent(name);
+            if look {
+                self.expire_silent(name);
+            }
             if let Some(part) = self.parts.get_mut(name)
                 && part.try_open_barrier()
             {
@@ -475,7 +490,12 @@
                 self.place(name);
                 self.call_workers(name);
             }
-            self.write_jobs(name);
+            if self.now >= self.write_at {
+                self.write_jobs(name);
+            }
+        }
+        if self.now >= self.write_at {
+            self.write_at = self.now + WRITE_PAUSE;
         }
         self.keep_fleet();
         self.tell_pressed();
--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The machines of a part: renting for its queue, returning, and suspicion.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::sync::Arc;
 
 use quartzlever_wire::cloud::{
     Catalogue, CloudCall, CloudReply, Hire, MachineType, RentalPhase, Rentals,
@@ -13,8 +14,8 @@
 use crate::holding::parse;
 use crate::machine::Amounts;
 use crate::messages::{Lane, Weight};
-use crate::part::Part;
-use crate::placement::{type_allowed, urgency, zones_open};
+use crate::part::{Part, Types};
+use crate::placement::{offer_allowed, urgency, zones_open};
 use crate::stealing::PeerWork;
 
 const TICK: Micros = SECOND / 2;
@@ -125,14 +126,9 @@
     free: Amounts,
 }
 
-fn offer_allowed(
-    spec: &quartzlever_wire::users::JobSpec,
-    kind: &MachineType,
-    offer: &Offer,
-) -> bool {
-    type_allowed(spec, kind)
-        && spec.zone.as_ref().is_none_or(|z| *z == offer.1)
-        && (spec.spot || !offer.2)
+/// Whether a job may run on such machines, which are to be had where they are offered.
+fn may_rent(spec: &quartzlever_wire::users::JobSpec, offer: &Offer) -> bool {
+    offer_allowed(spec, &offer.0, &offer.1, offer.2)
 }
 
 fn price(kind: &MachineType, spot: bool) -> f64 {
@@ -214,10 +210,11 @@
 
     fn use_catalogue(&mut self, catalogue: Catalogue) {
         let types = catalogue.types.into_iter().map(|t| (t.name.clone(), t));
-        self.types = Some(types.collect());
+        let types: Types = Arc::new(types.collect());
         for part in self.parts.values_mut() {
-            part.place_wanted = true;
+            part.use_types(types.clone());
         }
+        self.types = Some(types);
     }
 
     /// The catalogue that an earlier process kept; the cloud's own word goes before it.
@@ -277,8 +274,8 @@
 
     fn hired(&mut self, name: &str, term: u64, hire: Hire, result: Result<CloudReply, CallError>) {
         let now = self.now;
-        let known: HashSet<String> = self.mirror.hosts.keys().cloned().collect();
-        let Some(part) = self.part_at(name, term) else { return };
+        let known = &self.mirror.hosts;
+        let Some(part) = self.parts.get_mut(name).filter(|p| p.term == term) else { return };
         match result {
             Ok(CloudReply::Rented(hosts)) => {
                 let since = part.fleet.hires.remove(&hire.name).map_or(now, |o| o.since);
@@ -287,7 +284,7 @@
                     part.fleet.refused.insert(offer, now + REFUSED_FOR);
                 }
                 for host in &hosts {
-                    if !known.contains(host) && !part.fleet.gone.contains(host) {
+                    if !known.contains_key(host) && !part.fleet.gone.contains(host) {
                         let expected = Expected {
                             kind: hire.kind.clone(),
                             zone: hire.zone.clone(),
@@ -337,7 +334,9 @@
         let cut = part.zones_cut(now, operator.silent_return);
         let patience = self.cfg.lease_gone_after();
         let report = self.cfg.workers.report;
+        let mut changed: Vec<String> = Vec::new();
         for machine in part.machines.values_mut().filter(|m| !m.returning) {
+            let before = machine.return_wanted;
             // Behind a cut machines go on working: they are given their whole lease.
             let silent_return = if cut.contains(&machine.record.zone) {
                 patience.max(operator.silent_return)
@@ -374,6 +373,12 @@
             if matches!(machine.return_wanted, Some("silent" | "taken")) && quiet < report {
                 machine.return_wanted = None;
             }
+            if machine.return_wanted != before {
+                changed.push(machine.name.clone());
+            }
+        }
+        for host in changed {
+            part.refresh(&host);
         }
         let mut hosts: Vec<String> = part
             .machines
@@ -411,6 +416,7 @@
             if let Some(machine) = part.machines.get_mut(host) {
                 machine.returning = true;
             }
+            part.refresh(host);
         }
         let why: Vec<String> = hosts
             .iter()
@@ -439,13 +445,13 @@
                 if let Some(machine) = part.machines.get_mut(&host) {
                     machine.returning = false;
                 }
+                part.refresh(&host);
             }
             return;
         }
         for host in hosts {
             // The machine is gone, with everything on it.
-            part.empty_machine(&host);
-            if part.machines.remove(&host).is_some() {
+            if part.remove_machine(&host) {
                 part.fleet.to_drop.push(host.clone());
             }
             part.fleet.gone.insert(host);
@@ -453,7 +459,6 @@
                 part.fleet.gone.pop_first();
             }
         }
-        part.place_wanted = true;
     }
 
     fn drop_keys(&mut self, name: &str) {
@@ -494,6 +499,7 @@
                     && let Some(machine) = part.machines.get_mut(&rental.name)
                 {
                     machine.return_wanted = Some("failed");
+                    part.refresh(&rental.name);
                 }
                 continue;
             }
@@ -600,10 +606,15 @@
             let expect = paces.expect(spec).max(SECOND);
             let mut left = job.ready.len();
             for bin in &mut bins {
-                let Some(kind) = types.get(&bin.offer.0) else { continue };
-                while left > 0 && bin.free.fits(&need) && offer_allowed(spec, kind, &bin.offer) {
-                    bin.free.take(&need);
-                    left -= 1;
+                if left == 0 {
+                    break;
+                }
+                let count = bin.free.count(&need).min(left);
+                if count > 0 && may_rent(spec, &bin.offer) {
+                    for _ in 0..count {
+                        bin.free.take(&need);
+                    }
+                    left -= count;
                 }
             }
             let work = f64::from(job.ready.len()) * need.cpus * expect as f64 / 1e6;
@@ -673,7 +684,7 @@
                 for spot in [true, false] {
                     let offer = (kind.name.clone(), zone.clone(), spot);
                     let open = zones.as_ref().is_none_or(|z| z.contains(zone));
-                    if !open || !offer_allowed(spec, kind, &offer) {
+                    if !open || !may_rent(spec, &offer) {
                         continue;
                     }
                     lowest = lowest.min(price(kind, spot) / f64::from(count));
--- a/crates/quartzlever-core/src/holding.rs
+++ b/crates/quartzlever-core/src/holding.rs
@@ -340,7 +340,7 @@
             return;
         }
         self.note(Weight::Info, || format!("part {name}: held, term {term}"));
-        self.parts.insert(name.to_owned(), Part::new(name, term, self.now));
+        self.parts.insert(name.to_owned(), Part::new(name, term, self.types.clone(), self.now));
     }
 
     /// Reads what a part still has to read.
--- a/crates/quartzlever-core/src/jobs.rs
+++ b/crates/quartzlever-core/src/jobs.rs
@@ -501,6 +501,7 @@
         {
             // Another attempt, if that is what it is, has no use any more.
             slot.wanted = slot.exited();
+            self.urgent.insert(place.machine);
         }
         if job.record.owned_by(&self.name).contains(index) {
             job.good += 1;
@@ -510,6 +511,5 @@
                 job.write_after = now;
             }
         }
-        self.place_wanted = true;
     }
 }
--- a/crates/quartzlever-core/src/lib.rs
+++ b/crates/quartzlever-core/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`jobs`]: submissions, lookups, cancellations, and the record of each job.
 //! - [`part`]: a part's queue, its holder, its machines' reports, and recovery.
 //! - [`placement`]: which task goes where.
+//! - [`rooms`]: the free room of a part's machines, as an index.
 //! - [`stealing`]: the adaptive work stealing between parts.
 //! - [`fleet`]: renting, returning, and suspicion of machines.
 
@@ -24,6 +25,7 @@
 #[cfg(test)]
 mod regressions;
 mod reports;
+pub mod rooms;
 pub mod stealing;
 
 pub use config::{Config, Objective, Operator, Team, WorkerTimes};
--- a/crates/quartzlever-core/src/machine.rs
+++ b/crates/quartzlever-core/src/machine.rs
@@ -126,6 +126,8 @@
     /// The cloud takes it away at about this time.
     pub warned_until: Option<Micros>,
     pub slots: BTreeMap<SlotKey, Slot>,
+    /// What is free, kept by [`Part::refresh`](crate::part::Part::refresh).
+    pub room: Amounts,
     /// Images that tasks have run from, so that the machine has them.
     pub images: BTreeSet<String>,
     /// A direct call in flight.
@@ -154,6 +156,7 @@
             idle_since: Some(now),
             warned_until: None,
             slots: BTreeMap::new(),
+            room: Amounts::default(),
             images: BTreeSet::new(),
             call: None,
             no_call_before: 0,
@@ -165,14 +168,18 @@
         }
     }
 
-    /// Whether the machine may get new tasks.
-    pub fn open(&self, now: Micros, quiet: Micros) -> bool {
+    /// Whether the machine may get new tasks, as long as it is heard of.
+    pub fn usable(&self) -> bool {
         self.fenced
             && self.session > 0
             && !self.returning
             && self.return_wanted.is_none()
             && self.warned_until.is_none()
-            && now.saturating_sub(self.heard) < quiet
+    }
+
+    /// Whether the machine may get new tasks.
+    pub fn open(&self, now: Micros, quiet: Micros) -> bool {
+        self.usable() && now.saturating_sub(self.heard) < quiet
     }
 
     /// What is free, counting everything that may be on the machine as taken.
@@ -184,10 +191,10 @@
         free
     }
 
-    /// Images that are being fetched for a task.
-    pub fn pulling(&self) -> BTreeSet<String> {
-        let waits = |s: &&Slot| matches!(s.phase, None | Some(TaskPhase::Pulling));
-        self.slots.values().filter(waits).map(|s| s.image.clone()).collect()
+    /// Whether an image is being fetched for a task.
+    pub fn pulls(&self, image: &str) -> bool {
+        let waits = |s: &Slot| matches!(s.phase, None | Some(TaskPhase::Pulling));
+        self.slots.values().any(|s| waits(s) && s.image == image)
     }
 
     pub fn busy(&self) -> bool {
--- a/crates/quartzlever-core/src/part.rs
+++ b/crates/quartzlever-core/src/part.rs
@@ -2,7 +2,10 @@
 //! present holder knows of both.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
+use std::sync::Arc;
 
+use quartzlever_wire::cloud::MachineType;
 use quartzlever_wire::state::{HostRecord, LIVE, LiveRecord, PARTS, Txn};
 use quartzlever_wire::users::{JobSpec, Rank};
 use quartzlever_wire::workers::TaskId;
@@ -10,7 +13,8 @@
 
 use crate::config::Config;
 use crate::fleet::Fleet;
-use crate::machine::{Amounts, Machine, Slot};
+use crate::machine::{Amounts, Machine, Slot, SlotKey};
+use crate::rooms::Rooms;
 
 /// A job that failed on so many machines and was never done is taken as mistaken itself.
 const MISTAKEN_AFTER: usize = 3;
@@ -92,6 +96,9 @@
     }
 }
 
+/// Machine types by name, shared by all parts of a process.
+pub type Types = Arc<BTreeMap<String, MachineType>>;
+
 /// A part that this process holds.
 #[derive(Debug)]
 pub struct Part {
@@ -115,7 +122,17 @@
     pub fleet: Fleet,
     /// Lines for the log at its most detailed, taken up with the next decisions.
     pub notes: Vec<String>,
+    pub types: Option<Types>,
+    /// Free room of the machines that may get tasks.
+    pub rooms: Rooms,
+    /// Machines that may have something to be told at once.
+    pub urgent: BTreeSet<String>,
+    /// Machines that no report has proven yet, while the barrier is closed.
+    pub unfenced: BTreeSet<String>,
+    /// The whole queue is to be placed; not before `place_after`.
     pub place_wanted: bool,
+    pub place_after: Micros,
+    pub preempt_after: Micros,
     /// Jobs whose ready tasks found no room in the last placement.
     pub short: Vec<String>,
     /// Tasks should start now, and no room can be made for them here.
@@ -123,7 +140,7 @@
 }
 
 impl Part {
-    pub fn new(name: &str, term: u64, now: Micros) -> Self {
+    pub fn new(name: &str, term: u64, types: Option<Types>, now: Micros) -> Self {
         Part {
             name: name.to_owned(),
             term,
@@ -139,7 +156,13 @@
             attempts: 0,
             fleet: Fleet::default(),
             notes: Vec::new(),
+            types,
+            rooms: Rooms::default(),
+            urgent: BTreeSet::new(),
+            unfenced: BTreeSet::new(),
             place_wanted: true,
+            place_after: 0,
+            preempt_after: 0,
             short: Vec::new(),
             pressed: false,
         }
@@ -215,6 +238,7 @@
             job.doubtful = false;
             let cut = std::mem::take(&mut job.cutting);
             job.ready.add(&cut);
+            self.place_wanted = true;
         }
         let new = owned.minus(&job.known());
         let at_once = if self.barrier_open {
@@ -231,7 +255,7 @@
         job.held = job.held.intersect(&owned);
         job.cutting = job.cutting.intersect(&owned);
         job.finished = job.finished.intersect(&owned);
-        self.place_wanted = true;
+        self.place_wanted |= !job.ready.is_empty() && !at_once.is_empty();
         if job.idle() && owned.is_empty() {
             let id = job.record.job.id.clone();
             self.jobs.remove(&id);
@@ -240,17 +264,18 @@
 
     /// Forgets a job that is over; what is left of it on machines is to end.
     pub fn drop_job(&mut self, id: &str) {
-        if self.jobs.remove(id).is_some() {
-            self.place_wanted = true;
-        }
-        for machine in self.machines.values_mut() {
-            for (key, slot) in machine.slots.iter_mut() {
-                if key.0.job == id {
-                    slot.wanted = false;
-                    slot.leeway_s = 0.0;
-                    if slot.exited() {
-                        slot.settled = true;
-                    }
+        self.jobs.remove(id);
+        let task = |index| TaskId { job: id.to_owned(), index };
+        let (first, last) = ((task(0), 0), (task(u32::MAX), u64::MAX));
+        let all = (Bound::Included(&first), Bound::Included(&last));
+        for (name, machine) in &mut self.machines {
+            for (_, slot) in machine.slots.range_mut::<SlotKey, _>(all) {
+                slot.wanted = false;
+                slot.leeway_s = 0.0;
+                if slot.exited() {
+                    slot.settled = true;
+                } else {
+                    self.urgent.insert(name.clone());
                 }
             }
         }
@@ -274,8 +299,8 @@
             } else {
                 job.held.insert(task.index);
             }
+            self.place_wanted = true;
         }
-        self.place_wanted = true;
     }
 
     /// Takes everything off a machine that is surely empty.
@@ -288,6 +313,43 @@
             }
             self.requeue(&task, attempt);
         }
+        self.refresh(name);
+    }
+
+    /// Removes a machine that is surely empty for good.
+    pub fn remove_machine(&mut self, name: &str) -> bool {
+        self.empty_machine(name);
+        self.urgent.remove(name);
+        self.unfenced.remove(name);
+        self.rooms.remove(name);
+        self.machines.remove(name).is_some()
+    }
+
+    /// Brings what is kept of a machine's room up to date, after its attempts or its standing
+    /// have changed.
+    pub fn refresh(&mut self, name: &str) {
+        let Some(machine) = self.machines.get_mut(name) else { return };
+        if machine.urgent_orders() {
+            self.urgent.insert(name.to_owned());
+        }
+        let kind = self.types.as_ref().and_then(|t| t.get(&machine.record.kind));
+        match kind.filter(|_| machine.usable()) {
+            Some(kind) => {
+                machine.room = machine.free(Amounts::of_type(kind));
+                self.rooms.put(name, &machine.record, machine.room.cpus);
+            }
+            None => self.rooms.remove(name),
+        }
+    }
+
+    /// Takes up the machine types, or newer ones.
+    pub fn use_types(&mut self, types: Types) {
+        self.types = Some(types);
+        let names: Vec<String> = self.machines.keys().cloned().collect();
+        for name in names {
+            self.refresh(&name);
+        }
+        self.place_wanted = true;
     }
 
     /// Adds a claimed machine. `ours` says that it was claimed under this very term, so no
@@ -300,6 +362,10 @@
             machine.fenced = true;
             machine.proven = true;
         }
+        if !machine.fenced {
+            self.unfenced.insert(name.to_owned());
+        }
+        self.refresh(name);
     }
 
     /// Opens the recovery barrier once every machine is proven.
@@ -308,6 +374,7 @@
             return false;
         }
         self.barrier_open = true;
+        self.unfenced.clear();
         self.place_wanted = true;
         for job in self.jobs.values_mut() {
             let held = std::mem::take(&mut job.held);
--- a/crates/quartzlever-core/src/placement.rs
+++ b/crates/quartzlever-core/src/placement.rs
@@ -1,9 +1,9 @@
 //! Which task goes where, and who gives way.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use quartzlever_wire::cloud::MachineType;
-use quartzlever_wire::state::HostRecord;
 use quartzlever_wire::users::JobSpec;
 use quartzlever_wire::workers::TaskId;
 use quartzlever_wire::{Micros, SECOND, micros_from_secs};
@@ -23,6 +23,10 @@
 const STOPPED_AGAIN: Micros = 4 * SECOND;
 /// Room that frees by itself, or a thief, gets this long first.
 const PREEMPT_AFTER: Micros = SECOND / 5;
+/// Shortest time between two placements of a part's whole queue, and between two looks at all
+/// machines for work to stop: with hundreds of machines both cost more than a report may.
+const PLACE_PAUSE: Micros = SECOND / 20;
+const PREEMPT_PAUSE: Micros = SECOND / 5;
 
 /// Whether a job may run on a machine type at all (room aside).
 pub fn type_allowed(spec: &JobSpec, kind: &MachineType) -> bool {
@@ -30,11 +34,11 @@
         && spec.zone.as_ref().is_none_or(|zone| kind.zones.contains(zone))
 }
 
-/// Whether a job may run on this machine (room aside).
-pub fn machine_allowed(spec: &JobSpec, machine: &HostRecord) -> bool {
-    spec.types.as_ref().is_none_or(|types| types.contains(&machine.kind))
-        && spec.zone.as_ref().is_none_or(|zone| *zone == machine.zone)
-        && (spec.spot || !machine.spot)
+/// Whether a job may run on machines of this type, zone and kind (room aside).
+pub fn offer_allowed(spec: &JobSpec, kind: &str, zone: &str, spot: bool) -> bool {
+    spec.types.as_ref().is_none_or(|types| types.iter().any(|t| t == kind))
+        && spec.zone.as_ref().is_none_or(|z| z == zone)
+        && (spec.spot || !spot)
 }
 
 /// What classes of jobs really take, against their owners' estimates.
@@ -68,17 +72,6 @@
     }
 }
 
-/// A machine that can take tasks now.
-struct Candidate {
-    name: String,
-    record: HostRecord,
-    free: Amounts,
-    cpus: f64,
-    cached: BTreeSet<String>,
-    pulling: BTreeSet<String>,
-    doubtful: bool,
-}
-
 /// When the ready tasks of a job have to start for the next aim on it that can still be met.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Urgency {
@@ -96,26 +89,33 @@
     let expect = paces.expect(spec);
     let by = |end: Micros| end.saturating_sub(expect);
     let span = job.due.map(|due| due.saturating_sub(job.since));
-    let mut latest: Vec<Micros> = Vec::new();
+    // The next of all points of time that are still ahead, and whether there is any at all.
+    let (mut next, mut any) = (None::<Micros>, false);
+    let mut point = |at: Micros| {
+        any = true;
+        if at >= now {
+            next = Some(next.map_or(at, |n| n.min(at)));
+        }
+    };
     if let Some(span) = span {
-        latest.push(by(job.since + span));
+        point(by(job.since + span));
     }
     for objective in cfg.objectives.iter().filter(|o| o.class() == spec.class) {
         match objective {
-            Objective::Wait { within, .. } => latest.push(job.since + within),
-            Objective::Finished { within, .. } => latest.push(by(job.since + within)),
+            Objective::Wait { within, .. } => point(job.since + within),
+            Objective::Finished { within, .. } => point(by(job.since + within)),
             Objective::Deadline { times, .. } => {
                 if let Some(span) = span {
-                    latest.push(by(job.since + (span as f64 * times) as Micros));
+                    point(by(job.since + (span as f64 * times) as Micros));
                 }
             }
         }
     }
-    if latest.is_empty() {
+    if !any {
         return Urgency { missed: false, latest: job.since + NO_AIM };
     }
-    match latest.iter().filter(|l| **l >= now).min() {
-        Some(latest) => Urgency { missed: false, latest: *latest },
+    match next {
+        Some(latest) => Urgency { missed: false, latest },
         None => Urgency { missed: true, latest: job.since },
     }
 }
@@ -150,109 +150,69 @@
     )
 }
 
+/// How well a machine suits a job, best first: it has failed nothing lately, has the image or is
+/// fetching it, is cheap, and has little room left over.
+type Fit = (bool, u8, bool, f64);
+
+/// What it takes to make room on one machine.
+struct Stops {
+    /// Work lost.
+    lost: f64,
+    /// Tasks of the job that get room.
+    gain: u32,
+    machine: String,
+    attempts: Vec<SlotKey>,
+}
+
 impl Core {
     /// Gives the part's ready tasks to its free machines.
     pub(crate) fn place(&mut self, name: &str) {
         let now = self.now;
-        let quiet = self.cfg.workers.report * QUIET_REPORTS;
-        let progress = self.cfg.operator.progress_write;
-        let Some(types) = &self.types else { return };
-        let Some(part) = self.parts.get_mut(name).filter(|p| p.active() && p.place_wanted) else {
+        let Some(part) = self
+            .parts
+            .get_mut(name)
+            .filter(|p| p.active() && p.place_wanted && now >= p.place_after && p.types.is_some())
+        else {
             return;
         };
         part.place_wanted = false;
+        part.place_after = now + PLACE_PAUSE;
         part.short.clear();
         part.pressed = false;
-        let mut machines: Vec<Candidate> = part
-            .machines
-            .values()
-            .filter(|m| m.open(now, quiet))
-            .filter_map(|m| {
-                let total = Amounts::of_type(types.get(&m.record.kind)?);
-                Some(Candidate {
-                    name: m.name.clone(),
-                    record: m.record.clone(),
-                    free: m.free(total),
-                    cpus: total.cpus.max(1e-6),
-                    cached: m.images.clone(),
-                    pulling: m.pulling(),
-                    doubtful: m.errors > 0,
-                })
-            })
-            .collect();
-        let order = part.queue_order(&self.cfg, &self.paces, now);
-        for id in order {
-            let Some(job) = part.jobs.get(&id) else { continue };
-            if job.no_start_before > now {
-                part.place_wanted = true;
-                continue;
-            }
-            let spec = job.spec().clone();
-            let need = job.need();
-            let failed_on = job.failed_on.clone();
-            // Where it failed it is tried again only when it fails everywhere.
-            let again = job.mistaken();
-            while let Some(job) = part.jobs.get(&id)
-                && let Some(index) = job.ready.lowest()
-            {
-                if !part.team_has_room(&self.cfg, &spec, &need) {
-                    break;
-                }
-                let zones = zones_open(part, job, &self.cfg.zones);
-                let chosen = machines
-                    .iter()
-                    .enumerate()
-                    .filter(|(_, m)| {
-                        m.free.fits(&need)
-                            && machine_allowed(&spec, &m.record)
-                            && zones.as_ref().is_none_or(|z| z.contains(&m.record.zone))
-                            && (again || !failed_on.contains(&m.name))
-                    })
-                    .min_by(|(_, a), (_, b)| {
-                        let key = |m: &Candidate| {
-                            let left = (m.free.cpus - need.cpus) / m.cpus;
-                            let image = if m.cached.contains(&spec.image) {
-                                0
-                            } else if m.pulling.contains(&spec.image) {
-                                1
-                            } else {
-                                2
-                            };
-                            (m.doubtful, image, !m.record.spot, left)
-                        };
-                        key(a).partial_cmp(&key(b)).unwrap_or(std::cmp::Ordering::Equal)
-                    })
-                    .map(|(n, _)| n);
-                let Some(chosen) = chosen else {
-                    part.short.push(id.clone());
-                    break;
-                };
-                let target = &mut machines[chosen];
-                target.free.take(&need);
-                target.pulling.insert(spec.image.clone());
-                let host = target.name.clone();
-                part.start(&id, index, &host, now);
-                if let Some(job) = part.jobs.get_mut(&id)
-                    && !job.record.started
-                    && !job.wants_write
-                {
-                    job.wants_write = true;
-                    job.write_after = job.write_after.max(now + progress);
-                }
+        for id in part.queue_order(&self.cfg, &self.paces, now) {
+            if part.place_job(&self.cfg, &id, None, now) {
+                part.short.push(id);
             }
         }
         self.preempt(name);
     }
 
+    /// Gives what found no room elsewhere to one machine.
+    pub(crate) fn fill(&mut self, name: &str, host: &str) {
+        let now = self.now;
+        let Some(part) = self.parts.get_mut(name).filter(|p| p.active()) else { return };
+        if !part.machines.get(host).is_some_and(|m| m.usable() && m.room.cpus > 0.0) {
+            return;
+        }
+        let short = std::mem::take(&mut part.short);
+        for id in &short {
+            part.place_job(&self.cfg, id, Some(host), now);
+        }
+        part.short = short;
+    }
+
     /// Stops work of lower rank for jobs that found no room.
     fn preempt(&mut self, name: &str) {
         let now = self.now;
         let quiet = self.cfg.workers.report * QUIET_REPORTS;
-        let Some(types) = &self.types else { return };
-        let Some(part) = self.parts.get_mut(name) else { return };
+        let Some(part) = self.parts.get_mut(name).filter(|p| !p.short.is_empty()) else { return };
+        if now < part.preempt_after {
+            part.place_wanted = true;
+            return;
+        }
         // Room that is being made already.
-        let coming: f64 = part.live_slots().filter(|s| !s.wanted).map(|s| s.need.cpus).sum();
-        let mut coming = coming;
+        let mut coming: f64 = part.live_slots().filter(|s| !s.wanted).map(|s| s.need.cpus).sum();
+        let inside = part.guarantees(&self.cfg);
         for id in part.short.clone() {
             let Some(job) = part.jobs.get(&id) else { continue };
             let urgency = urgency(&self.cfg, &self.paces, job, now);
@@ -260,34 +220,39 @@
                 part.place_wanted = true;
                 continue;
             }
-            let spec = job.spec().clone();
-            let need = job.need();
-            let mut wanted = f64::from(job.ready.len()) * need.cpus;
-            wanted -= coming.min(wanted);
-            while wanted > 0.0 {
-                let Some((machine, stops)) =
-                    part.cheapest_stops(&self.cfg, types, &spec, &need, now, quiet)
-                else {
+            let (spec, need) = (job.spec().clone(), job.need());
+            let all = f64::from(job.ready.len()) * need.cpus;
+            let promised = coming.min(all);
+            coming -= promised;
+            let mut wanted = ((all - promised) / need.cpus.max(1e-6)).ceil() as u32;
+            if wanted == 0 {
+                continue;
+            }
+            part.preempt_after = now + PREEMPT_PAUSE;
+            let mut offers = part.all_stops(&inside, &spec, &need, now, quiet);
+            while wanted > 0 {
+                let Some(Stops { gain, machine, attempts, .. }) = offers.pop() else {
                     part.pressed = true;
                     break;
                 };
-                let count = stops.len();
-                let notes = self.cfg.notes;
-                if notes >= Weight::Info {
+                if self.cfg.notes >= Weight::Info {
+                    let count = attempts.len();
                     let text = format!("part {name}: stops {count} on {machine} for {id}");
                     self.out.push(Effect::Note { weight: Weight::Info, text });
                 }
-                for key in stops {
+                for key in attempts {
                     if let Some(job) = part.jobs.get_mut(&key.0.job) {
                         job.stopped.insert(key.0.index);
                         let leeway = job.record.job.save_s;
-                        if let Some(machine) = part.machines.get_mut(&machine) {
-                            machine.stop(&key, leeway);
-                        }
+                        part.stop(&machine, &key, leeway);
                     }
                 }
-                wanted -= need.cpus;
-                coming += need.cpus;
+                wanted -= gain.min(wanted);
+                // The machine may have more to give.
+                if let Some(more) = part.stops_on(&inside, &machine, &spec, &need, now, quiet) {
+                    let at = offers.partition_point(|o| o.lost > more.lost);
+                    offers.insert(at, more);
+                }
             }
         }
     }
@@ -296,18 +261,102 @@
 impl Part {
     /// Jobs with ready tasks: by rank, guarantee and time.
     pub fn queue_order(&self, cfg: &Config, paces: &Paces, now: Micros) -> Vec<String> {
-        let mut guaranteed: HashMap<&str, bool> = HashMap::new();
-        for job in self.jobs.values() {
-            let team = job.spec().team.as_str();
-            guaranteed.entry(team).or_insert_with(|| self.inside_guarantee(cfg, team));
+        let guaranteed = self.guarantees(cfg);
+        let mut order: Vec<_> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| !j.ready.is_empty())
+            .map(|(id, job)| {
+                let inside = guaranteed.contains(job.spec().team.as_str());
+                ((!inside, job.spec().rank, urgency(cfg, paces, job, now), job.since), id)
+            })
+            .collect();
+        order.sort();
+        order.into_iter().map(|(_, id)| id.clone()).collect()
+    }
+
+    /// The teams whose unfinished work fits their guarantee.
+    fn guarantees(&self, cfg: &Config) -> BTreeSet<String> {
+        let inside = cfg.teams.iter().filter(|t| self.inside_guarantee(cfg, &t.name));
+        inside.map(|t| t.name.clone()).collect()
+    }
+
+    /// Gives ready tasks of a job to machines with room, or to one of them only; whether some
+    /// found none.
+    fn place_job(&mut self, cfg: &Config, id: &str, only: Option<&str>, now: Micros) -> bool {
+        let quiet = cfg.workers.report * QUIET_REPORTS;
+        let Some(job) = self.jobs.get(id).filter(|j| !j.ready.is_empty()) else { return false };
+        if job.no_start_before > now {
+            self.place_wanted = true;
+            return false;
         }
-        let mut order: Vec<(&String, &PartJob)> =
-            self.jobs.iter().filter(|(_, j)| !j.ready.is_empty()).collect();
-        order.sort_by_key(|(id, job)| {
-            let inside = guaranteed.get(job.spec().team.as_str()).copied().unwrap_or(false);
-            (!inside, job.spec().rank, urgency(cfg, paces, job, now), job.since, id.to_string())
-        });
-        order.into_iter().map(|(id, _)| id.clone()).collect()
+        let (spec, need) = (job.spec(), job.need());
+        // Where it failed it is tried again only when it fails everywhere.
+        let again = job.mistaken();
+        let fit = |host: &str| -> Option<Fit> {
+            let machine = self.machines.get(host)?;
+            let fits = machine.open(now, quiet)
+                && machine.room.fits(&need)
+                && (again || !job.failed_on.contains(host));
+            fits.then(|| {
+                let image = if machine.images.contains(&spec.image) {
+                    0
+                } else if machine.pulls(&spec.image) {
+                    1
+                } else {
+                    2
+                };
+                (machine.errors > 0, image, !machine.record.spot, machine.room.cpus - need.cpus)
+            })
+        };
+        let hosts: Vec<(Fit, String)> = match only {
+            Some(host) => {
+                let record = self.machines.get(host).map(|m| &m.record);
+                let allowed = record.is_some_and(|r| offer_allowed(spec, &r.kind, &r.zone, r.spot));
+                let found = fit(host).filter(|_| allowed);
+                found.map(|fit| (fit, host.to_owned())).into_iter().collect()
+            }
+            None => {
+                let found = self.rooms.with(spec).filter_map(|h| Some((fit(h)?, h.to_owned())));
+                let mut found: Vec<(Fit, String)> = found.collect();
+                let order = |a: &Fit, b: &Fit| a.partial_cmp(b).unwrap_or(Ordering::Equal);
+                found.sort_by(|a, b| order(&a.0, &b.0).then_with(|| a.1.cmp(&b.1)));
+                found
+            }
+        };
+        let (spec, bound) = (spec.clone(), spec.one_zone || spec.spread);
+        let allowance = self.team_allowance(cfg, &spec, &need);
+        let mut left = allowance.min(self.ready_of(id));
+        for (_, host) in hosts {
+            if left == 0 {
+                break;
+            }
+            let mut count = self.machines.get(&host).map_or(0, |m| m.room.count(&need)).min(left);
+            while count > 0 {
+                if bound && !self.zone_open(cfg, id, &host) {
+                    break;
+                }
+                let Some(index) = self.jobs.get(id).and_then(|j| j.ready.lowest()) else { break };
+                self.start(id, index, &host, now);
+                count -= 1;
+                left -= 1;
+            }
+            self.refresh(&host);
+        }
+        // What only the team's limit keeps back asks for no room.
+        allowance > 0 && left > 0
+    }
+
+    fn ready_of(&self, id: &str) -> u32 {
+        self.jobs.get(id).map_or(0, |j| j.ready.len())
+    }
+
+    /// Whether a task of a job that is bound to zones may start on this machine.
+    fn zone_open(&self, cfg: &Config, id: &str, host: &str) -> bool {
+        let (Some(job), Some(machine)) = (self.jobs.get(id), self.machines.get(host)) else {
+            return false;
+        };
+        zones_open(self, job, &cfg.zones).is_none_or(|z| z.contains(&machine.record.zone))
     }
 
     /// Whether all unfinished work of a team, as far as this part knows it, fits its guarantee.
@@ -325,21 +374,27 @@
         cpus <= team.cpus + 1e-9 && gpus <= team.gpus + 1e-9
     }
 
-    /// Whether one more task keeps the team inside its limit, counting everything that may be
-    /// on a machine.
-    pub fn team_has_room(&self, cfg: &Config, spec: &JobSpec, need: &Amounts) -> bool {
-        let Some(team) = cfg.team(&spec.team).filter(|t| t.limited()) else { return true };
+    /// How many more tasks keep the team inside its limit, counting everything that may be on a
+    /// machine.
+    pub fn team_allowance(&self, cfg: &Config, spec: &JobSpec, need: &Amounts) -> u32 {
+        let Some(team) = cfg.team(&spec.team).filter(|t| t.limited()) else { return u32::MAX };
         if !self.barrier_open || cfg.part_of_team(&team.name) != self.name {
-            return false;
+            return 0;
         }
         let (used, certain) = self.team_use(&team.name);
-        let inside = |used: f64, want: f64, most: f64| most <= 0.0 || used + want <= most + 1e-9;
-        certain
-            && inside(used.cpus, need.cpus, team.cpus_max)
-            && inside(used.gpus, need.gpus, team.gpus_max)
+        if !certain {
+            return 0;
+        }
+        let unbound = |most: f64, used: f64| if most > 0.0 { most - used } else { f64::INFINITY };
+        let left = Amounts {
+            cpus: unbound(team.cpus_max, used.cpus),
+            gpus: unbound(team.gpus_max, used.gpus),
+            ram_gb: f64::INFINITY,
+        };
+        left.count(need)
     }
 
-    /// Decides that a ready task goes to a machine.
+    /// Decides that a ready task goes to a machine, which is to be refreshed afterwards.
     pub fn start(&mut self, id: &str, index: u32, host: &str, now: Micros) {
         let attempt = self.next_attempt();
         let (Some(job), Some(machine)) = (self.jobs.get_mut(id), self.machines.get_mut(host))
@@ -351,67 +406,88 @@
         let key = (TaskId { job: id.to_owned(), index }, attempt);
         machine.slots.insert(key, Slot::new(job.spec(), now));
         machine.idle_since = None;
+        self.urgent.insert(host.to_owned());
+    }
+
+    /// Marks an attempt as unwanted.
+    pub fn stop(&mut self, host: &str, key: &SlotKey, leeway_s: f64) {
+        if let Some(machine) = self.machines.get_mut(host) {
+            machine.stop(key, leeway_s);
+            self.urgent.insert(host.to_owned());
+        }
     }
 
-    /// The attempts to stop on one machine so that a task of the job fits there, at the least
-    /// lost work; none if no machine will do.
-    fn cheapest_stops(
+    /// All ways to make room for tasks of the job on one machine each, the dearest first.
+    fn all_stops(
         &self,
-        cfg: &Config,
-        types: &BTreeMap<String, MachineType>,
+        inside: &BTreeSet<String>,
         spec: &JobSpec,
         need: &Amounts,
         now: Micros,
         quiet: Micros,
-    ) -> Option<(String, Vec<SlotKey>)> {
-        let mut best: Option<(f64, String, Vec<SlotKey>)> = None;
-        let claims = self.inside_guarantee(cfg, &spec.team);
-        for machine in self.machines.values() {
-            if !machine.open(now, quiet) || !machine_allowed(spec, &machine.record) {
-                continue;
-            }
-            let Some(kind) = types.get(&machine.record.kind) else { continue };
-            let mut free = machine.free(Amounts::of_type(kind));
-            let mut stoppable: Vec<(f64, &SlotKey, &Slot)> = machine
-                .slots
-                .iter()
-                .filter(|(_, s)| {
-                    let lower = s.rank > spec.rank;
-                    let borrowed = claims
-                        && s.team != spec.team
-                        && !s.team.is_empty()
-                        && !self.inside_guarantee(cfg, &s.team);
-                    s.wanted && !s.exited() && (lower || borrowed)
-                })
-                .map(|(k, s)| {
-                    let ran = s.running_since.map_or(0, |t| now.saturating_sub(t));
-                    // Sparing them for good made the older ones pay, and lost more work.
-                    let again =
-                        self.jobs.get(&k.0.job).is_none_or(|j| j.stopped.contains(k.0.index));
-                    let ran = if again { ran + STOPPED_AGAIN } else { ran };
-                    (ran as f64 * s.need.cpus.max(0.1), k, s)
-                })
-                .collect();
-            stoppable.sort_by(|a, b| a.0.total_cmp(&b.0));
-            let (mut lost, mut stops) = (0.0, Vec::new());
-            for (cost, key, slot) in stoppable {
-                if free.fits(need) {
-                    break;
-                }
-                free.give(&slot.need);
-                lost += cost;
-                stops.push(key.clone());
-            }
-            // Fetching the image takes its time on the way to the start as well.
-            if !machine.images.contains(&spec.image) {
-                let pull = spec.image_gb / kind.pull_gb_per_s.max(0.01);
-                lost += pull * 1e6 * need.cpus.max(0.1);
-            }
-            let better = best.as_ref().is_none_or(|b| lost < b.0);
-            if free.fits(need) && !stops.is_empty() && better {
-                best = Some((lost, machine.name.clone(), stops));
+    ) -> Vec<Stops> {
+        let each = self.machines.keys();
+        let mut all: Vec<Stops> =
+            each.filter_map(|m| self.stops_on(inside, m, spec, need, now, quiet)).collect();
+        all.sort_by(|a, b| b.lost.total_cmp(&a.lost));
+        all
+    }
+
+    /// The attempts to stop on a machine so that a task of the job fits there, at the least lost
+    /// work; none if that cannot be had.
+    fn stops_on(
+        &self,
+        inside: &BTreeSet<String>,
+        host: &str,
+        spec: &JobSpec,
+        need: &Amounts,
+        now: Micros,
+        quiet: Micros,
+    ) -> Option<Stops> {
+        let machine = self.machines.get(host).filter(|m| m.open(now, quiet))?;
+        let record = &machine.record;
+        let kind = self.types.as_ref()?.get(&record.kind)?;
+        if !offer_allowed(spec, &record.kind, &record.zone, record.spot) {
+            return None;
+        }
+        let claims = inside.contains(&spec.team);
+        let mut stoppable: Vec<(f64, &SlotKey, &Slot)> = machine
+            .slots
+            .iter()
+            .filter(|(_, s)| {
+                let lower = s.rank > spec.rank;
+                let borrowed = claims
+                    && s.team != spec.team
+                    && !s.team.is_empty()
+                    && !inside.contains(&s.team);
+                s.wanted && !s.exited() && (lower || borrowed)
+            })
+            .map(|(k, s)| {
+                let ran = s.running_since.map_or(0, |t| now.saturating_sub(t));
+                // Sparing them for good made the older ones pay, and lost more work.
+                let again = self.jobs.get(&k.0.job).is_none_or(|j| j.stopped.contains(k.0.index));
+                let ran = if again { ran + STOPPED_AGAIN } else { ran };
+                (ran as f64 * s.need.cpus.max(0.1), k, s)
+            })
+            .collect();
+        stoppable.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut free = machine.room;
+        let (mut lost, mut attempts) = (0.0, Vec::new());
+        for (cost, key, slot) in stoppable {
+            if free.fits(need) {
+                break;
             }
+            free.give(&slot.need);
+            lost += cost;
+            attempts.push(key.clone());
+        }
+        // Fetching the image takes its time on the way to the start as well.
+        if !machine.images.contains(&spec.image) {
+            let pull = spec.image_gb / kind.pull_gb_per_s.max(0.01);
+            lost += pull * 1e6 * need.cpus.max(0.1);
         }
-        best.map(|(_, machine, stops)| (machine, stops))
+        let gain = free.count(need);
+        let fits = free.fits(need) && !attempts.is_empty();
+        fits.then(|| Stops { lost, gain, machine: host.to_owned(), attempts })
     }
 }
--- a/crates/quartzlever-core/src/placement_tests.rs
+++ b/crates/quartzlever-core/src/placement_tests.rs
@@ -14,14 +14,16 @@
     // The only part there is, so that limited teams are at home in it too.
     core.cfg.nodes = vec!["one".into()];
     let cfg = core.cfg.clone();
-    if let Some(types) = core.types.as_mut() {
+    if let Some(types) = core.types.as_mut().map(std::sync::Arc::make_mut) {
         let mut other = types["m"].clone();
         other.name = "x".into();
         types.insert("x".into(), other);
         types.values_mut().for_each(|t| t.zones = vec!["a".into(), "b".into()]);
     }
+    let types = core.types.clone();
     let Some(part) = core.parts.get_mut("one") else { return };
-    part.machines.clear();
+    part.types = types;
+    part.remove_machine("n-1");
     for (name, kind, zone, spot) in list {
         let record = HostRecord {
             part: "one".into(),
@@ -57,6 +59,7 @@
         finished: Ranges::default(),
     };
     core.absorb(record, stamp);
+    core.now += quartzlever_wire::SECOND / 20;
     core.place("one");
 }
 
--- a/crates/quartzlever-core/src/regressions.rs
+++ b/crates/quartzlever-core/src/regressions.rs
@@ -1,6 +1,7 @@
 //! Failures that were found, each as a small test: see the comments at the code they guard.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use quartzlever_wire::cloud::MachineType;
 use quartzlever_wire::state::{HostRecord, LiveRecord, OverRecord, Share, StateReply};
@@ -89,10 +90,10 @@
         ready_s: 2.0,
         zones: vec!["a".into()],
     };
-    core.types = Some(BTreeMap::from([("m".into(), kind)]));
+    core.types = Some(Arc::new(BTreeMap::from([("m".into(), kind)])));
     core.hold.lease = Some(1);
     core.hold.sure_until = NOW + 1_000 * SECOND;
-    let mut part = Part::new("one", 5, NOW);
+    let mut part = Part::new("one", 5, core.types.clone(), NOW);
     (part.jobs_loaded, part.hosts_loaded, part.barrier_open) = (true, true, true);
     (part.load_jobs_at, part.load_hosts_at) = (None, None);
     let host = HostRecord {
@@ -284,7 +285,7 @@
     for (kept, known) in [(true, true), (false, false)] {
         let mut core = core();
         let types: Vec<MachineType> =
-            core.types.take().into_iter().flatten().map(|t| t.1).collect();
+            core.types.take().iter().flat_map(|t| t.values().cloned()).collect();
         let asked = core.step(NOW, Vec::new());
         let cloud = asked.iter().find_map(|e| match e {
             Effect::Cloud { token, .. } => Some(*token),
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -16,8 +16,10 @@
 
 /// Wait after a direct call that brought nothing.
 const CALL_PAUSE: Micros = 3 * SECOND;
-/// Direct calls of one part under way at once.
-const MOST_CALLS: usize = 12;
+/// Direct calls under way at once, so that hung machines do not block the others.
+const MOST_CALLS: usize = 32;
+/// As many, to fence machines, while most of them will still report by themselves.
+const FIRST_CALLS: usize = 8;
 
 impl Core {
     /// A worker reports.
@@ -138,6 +140,7 @@
         let newer = part.take_report(&self.cfg, &mut self.paces, report, true, now);
         part.try_open_barrier();
         self.place(name);
+        self.fill(name, &report.host);
         let Some(part) = self.parts.get_mut(name) else { return };
         let Some(machine) = part.machines.get_mut(&report.host) else {
             return self.later(id, 503, "not entitled");
@@ -159,19 +162,26 @@
     /// Calls workers that have something urgent to be told, or have to be fenced.
     pub(crate) fn call_workers(&mut self, name: &str) {
         let now = self.now;
-        let Some(part) = self.parts.get(name).filter(|p| p.active()) else { return };
-        let under_way = part.machines.values().filter(|m| m.call.is_some()).count();
+        let under_way = self.worker_waits.len();
+        let Some(part) = self.parts.get_mut(name).filter(|p| p.active()) else { return };
+        let (machines, unfenced) = (&part.machines, &part.unfenced);
+        part.urgent.retain(|host| {
+            machines.get(host).is_some_and(|m| m.fenced && m.session > 0 && m.urgent_orders())
+        });
+        let free = |host: &&String| {
+            let machine = machines.get(*host);
+            machine.is_some_and(|m| m.call.is_none() && !m.returning && now >= m.no_call_before)
+        };
+        // Reports that come by themselves fence most machines; calls are for the rest.
+        let early = now < part.acquired + self.cfg.workers.report * 3 / 2;
+        let fencing = if early { FIRST_CALLS } else { MOST_CALLS };
         let chosen: Vec<String> = part
-            .machines
-            .values()
-            .filter(|m| {
-                m.call.is_none()
-                    && !m.returning
-                    && now >= m.no_call_before
-                    && (!m.fenced || (m.session > 0 && m.urgent_orders()))
-            })
+            .urgent
+            .iter()
+            .filter(free)
             .take(MOST_CALLS.saturating_sub(under_way))
-            .map(|m| m.name.clone())
+            .chain(unfenced.iter().filter(free).take(fencing.saturating_sub(under_way)))
+            .cloned()
             .collect();
         for machine in chosen {
             self.call_worker(name, &machine);
@@ -230,6 +240,7 @@
             return;
         };
         let Some(machine) = part.machines.get_mut(&wait.machine) else { return };
+        part.urgent.insert(wait.machine.clone());
         if machine.call == Some(token) {
             machine.call = None;
         }
@@ -253,6 +264,7 @@
                     return;
                 }
                 part.take_report(&self.cfg, &mut self.paces, &report, false, now);
+                self.fill(&wait.part, &wait.machine);
             }
             Err(_) => machine.no_call_before = now + CALL_PAUSE,
         }
@@ -361,6 +373,7 @@
         if report.baton >= term {
             machine.fenced = true;
             machine.proven = true;
+            self.unfenced.remove(&report.host);
         }
         if hello {
             // A worker has one report under way at a time: earlier answers are spent.
@@ -377,6 +390,7 @@
         } else if machine.idle_since.is_none() {
             machine.idle_since = Some(now);
         }
+        self.refresh(&report.host);
         true
     }
 
@@ -393,6 +407,7 @@
             if saves && slot.wanted && slot.phase == Some(TaskPhase::Running) {
                 slot.wanted = false;
                 slot.leeway_s = job.save_s;
+                self.urgent.insert(report.host.clone());
             }
         }
     }
@@ -417,6 +432,7 @@
             })
             .map(|(key, _)| key.clone())
             .collect();
+        self.place_wanted |= !absent.is_empty();
         for key in absent {
             if let Some(machine) = self.machines.get_mut(&report.host) {
                 machine.slots.remove(&key);
@@ -461,6 +477,8 @@
             return;
         }
         slot.settled = true;
+        // What a limited team used, or may have used, is free for its other tasks anywhere.
+        self.place_wanted |= slot.team.is_empty() || cfg.limited(&slot.team);
         let ran = slot.running_since.map(|s| now.saturating_sub(s));
         let (class, expect) = (slot.class.clone(), slot.expect);
         match seen.cause {
--- /dev/null
+++ b/crates/quartzlever-core/src/rooms.rs
@@ -0,0 +1,77 @@
+//! Free room of a part's machines, kept as an index so that no placement looks at machines that
+//! have none.
+
+use std::collections::{BTreeSet, HashMap};
+
+use quartzlever_wire::state::HostRecord;
+use quartzlever_wire::users::JobSpec;
+
+use crate::placement::offer_allowed;
+
+/// Machines of one type, zone and kind, by their free processors.
+#[derive(Debug)]
+struct Group {
+    kind: String,
+    zone: String,
+    spot: bool,
+    by_room: BTreeSet<(u32, String)>,
+}
+
+/// All machines of a part that may get tasks.
+#[derive(Debug, Default)]
+pub struct Rooms {
+    groups: Vec<Group>,
+    places: HashMap<String, (usize, u32)>,
+}
+
+/// Processors in thousandths; rounded, so a need is looked for a little lower.
+fn thousandths(cpus: f64) -> u32 {
+    (cpus.max(0.0) * 1000.0).round().min(f64::from(u32::MAX)) as u32
+}
+
+impl Rooms {
+    /// Notes how many processors of a machine are free.
+    pub fn put(&mut self, host: &str, record: &HostRecord, cpus: f64) {
+        let free = thousandths(cpus);
+        if let Some((group, known)) = self.places.get_mut(host) {
+            if *known != free {
+                let group = &mut self.groups[*group].by_room;
+                group.remove(&(*known, host.to_owned()));
+                group.insert((free, host.to_owned()));
+                *known = free;
+            }
+            return;
+        }
+        let like =
+            |g: &Group| g.spot == record.spot && g.kind == record.kind && g.zone == record.zone;
+        let group = self.groups.iter().position(like).unwrap_or_else(|| {
+            self.groups.push(Group {
+                kind: record.kind.clone(),
+                zone: record.zone.clone(),
+                spot: record.spot,
+                by_room: BTreeSet::new(),
+            });
+            self.groups.len() - 1
+        });
+        self.groups[group].by_room.insert((free, host.to_owned()));
+        self.places.insert(host.to_owned(), (group, free));
+    }
+
+    /// Forgets a machine that may not get tasks.
+    pub fn remove(&mut self, host: &str) {
+        if let Some((group, free)) = self.places.remove(host) {
+            self.groups[group].by_room.remove(&(free, host.to_owned()));
+        }
+    }
+
+    /// Machines that the job may run on and that have the processors free; other amounts are for
+    /// the caller to check.
+    pub fn with<'a>(&'a self, spec: &'a JobSpec) -> impl Iterator<Item = &'a str> {
+        let least = (thousandths(spec.cpus).saturating_sub(1), String::new());
+        self.groups
+            .iter()
+            .filter(|g| offer_allowed(spec, &g.kind, &g.zone, g.spot))
+            .flat_map(move |g| g.by_room.range(least.clone()..))
+            .map(|(_, host)| host.as_str())
+    }
+}
--- a/crates/quartzlever-core/src/stealing.rs
+++ b/crates/quartzlever-core/src/stealing.rs
@@ -12,7 +12,7 @@
 use crate::machine::{Amounts, Slot};
 use crate::messages::{Effect, Lane, RequestId, Weight};
 use crate::part::{Part, live_key};
-use crate::placement::machine_allowed;
+use crate::placement::offer_allowed;
 
 /// What an answer from a peer belongs to.
 #[derive(Debug)]
@@ -83,13 +83,12 @@
 /// way to counts as room.
 fn room_of(core: &Core, part: &Part, rank: Rank) -> ThiefRoom {
     let quiet = core.cfg.workers.report * 3;
-    let Some(types) = &core.types else { return ThiefRoom::default() };
     let free = part
         .machines
         .values()
         .filter(|m| m.open(core.now, quiet))
         .filter_map(|m| {
-            let mut free = m.free(Amounts::of_type(types.get(&m.record.kind)?));
+            let mut free = m.room;
             let lower = |s: &&Slot| s.wanted && !s.exited() && s.rank > rank;
             m.slots.values().filter(lower).for_each(|s| free.give(&s.need));
             (free.cpus > 0.0).then(|| Room {
@@ -477,14 +476,7 @@
     let mut count = 0;
     let most = most.min(job.ready.len());
     for room in free {
-        let record = quartzlever_wire::state::HostRecord {
-            part: String::new(),
-            address: String::new(),
-            kind: room.kind.clone(),
-            zone: room.zone.clone(),
-            spot: room.spot,
-        };
-        if !machine_allowed(job.spec(), &record) {
+        if !offer_allowed(job.spec(), &room.kind, &room.zone, room.spot) {
             continue;
         }
         let mut amounts = Amounts { cpus: room.cpus, gpus: room.gpus, ram_gb: room.ram_gb };
