--- a/crates/quartzlever-clients/src/state.rs
+++ b/crates/quartzlever-clients/src/state.rs
@@ -4,7 +4,7 @@
 
 use quartzlever_wire::CallError;
 use quartzlever_wire::state::{
-    Change, HoldAnswer, HoldRequest, Row, Rows, StateCall, StateReply, TxnAnswer, WatchAnswer,
+    HoldAnswer, HoldRequest, NOBODY, Row, Rows, StateCall, StateReply, TxnAnswer, WatchAnswer,
 };
 
 use crate::http::{Reply, agent, call, to_body};
@@ -25,22 +25,9 @@
         StateClient {
             base: format!("http://{address}"),
             quick: agent(CONNECT, WHOLE, 10),
-            // A watch stays open for its time, and in an outage for longer.
-            patient: agent(CONNECT, Duration::from_secs(45), 1),
-        }
-    }
-
-    /// How many puts and deletes a call counts for.
-    pub fn changes(call: &StateCall) -> usize {
-        match call {
-            StateCall::Txn(txn) => txn
-                .changes
-                .iter()
-                .map(|c| match c {
-                    Change::Write { .. } | Change::Delete { .. } => 1,
-                })
-                .sum(),
-            _ => 0,
+            // A watch stays open for its time, and in an outage for longer. One whose connection
+            // is dead must not keep the copy of the records old for long.
+            patient: agent(CONNECT, Duration::from_secs(12), 2),
         }
     }
 
@@ -48,6 +35,13 @@
     pub fn call(&self, what: &StateCall) -> Result<StateReply, CallError> {
         let base = &self.base;
         match what {
+            StateCall::Epoch => {
+                let reply = call(self.quick.get(&format!("{base}/keys/{NOBODY}")), None)?;
+                match reply.status {
+                    404 => Ok(StateReply::Epoch(reply.json::<TxnAnswer>()?.epoch)),
+                    _ => Err(failure(&reply)),
+                }
+            }
             StateCall::Get(key) => {
                 let reply = call(self.quick.get(&format!("{base}/keys/{key}")), None)?;
                 match reply.status {
--- a/crates/quartzlever-core/examples/cost.rs
+++ b/crates/quartzlever-core/examples/cost.rs
@@ -111,6 +111,8 @@
         teams: vec![Team { name: "free".into(), ..Team::default() }],
         objectives: Vec::new(),
         workers: WorkerTimes { report: 3 * SECOND, lease: LEASE },
+        state_rps: 300.0,
+        state_write_rps: 300.0,
         value_bytes: 16 * 1024,
         txn_ops: 24,
         operator: Operator::default(),
--- /dev/null
+++ b/crates/quartzlever-core/src/claims.rs
@@ -0,0 +1,316 @@
+//! The machines' records in the state service: claims and their removal, many machines to a key.
+//!
+//! A block is rewritten on condition of its stamp and of the terms of all parts whose machines
+//! the change concerns, one write at a time; what comes meanwhile goes with the next.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use quartzlever_wire::state::{
+    HOSTS, HostBlock, HostRecord, Hosts, PARTS, Row, StateCall, StateReply, Txn, block_key,
+    hosts_in,
+};
+use quartzlever_wire::workers::Report;
+use quartzlever_wire::{CallError, Micros, SECOND};
+
+use crate::engine::{Core, Waiting};
+use crate::ledger::Change;
+use crate::messages::{Lane, RequestId, Weight};
+
+const RETRY: Micros = SECOND / 2;
+/// Shortest time between two writes of one block, so that a wave of reports is one change.
+const PAUSE: Micros = SECOND / 4;
+
+/// A machine that waits for its claim, with the reports that wait for an answer.
+#[derive(Clone, Debug)]
+pub(crate) struct Claim {
+    ids: Vec<RequestId>,
+    report: Report,
+    part: String,
+    term: u64,
+}
+
+/// What is to be changed in one block.
+#[derive(Debug, Default)]
+pub(crate) struct BlockWork {
+    claims: BTreeMap<String, Claim>,
+    /// Returned machines, with the part and term that returned them.
+    drops: BTreeMap<String, (String, u64)>,
+    writing: bool,
+    not_before: Micros,
+}
+
+impl Core {
+    /// The part that a machine belongs to, as far as is known here.
+    pub(crate) fn part_of_host(&self, host: &str) -> Option<&HostRecord> {
+        let key = self.mirror.hosts.get(host)?;
+        self.mirror.blocks.get(key)?.0.get(host)
+    }
+
+    /// A machine that nobody has claimed reports; it is to be claimed for a part held here.
+    pub(crate) fn want_claim(&mut self, id: RequestId, report: Report, part: &str, term: u64) {
+        let work = self.blocks.entry(block_key(&report.host)).or_default();
+        match work.claims.get_mut(&report.host) {
+            Some(claim) => {
+                claim.ids.push(id);
+                if (report.session, report.tick) > (claim.report.session, claim.report.tick) {
+                    claim.report = report;
+                }
+            }
+            None => {
+                let part = part.to_owned();
+                let claim = Claim { ids: vec![id], report, part, term };
+                work.claims.insert(claim.report.host.clone(), claim);
+            }
+        }
+    }
+
+    /// A returned machine's record is no longer wanted.
+    pub(crate) fn want_drop(&mut self, host: &str, part: &str, term: u64) {
+        let key = self.mirror.hosts.get(host).cloned().unwrap_or_else(|| block_key(host));
+        let work = self.blocks.entry(key).or_default();
+        work.drops.insert(host.to_owned(), (part.to_owned(), term));
+    }
+
+    /// Writes blocks that have to change, as far as the account allows.
+    pub(crate) fn write_blocks(&mut self) {
+        let now = self.now;
+        let keys: Vec<String> = self
+            .blocks
+            .iter()
+            .filter(|(_, w)| !w.writing && now >= w.not_before)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in keys {
+            self.write_block(&key);
+        }
+    }
+
+    fn write_block(&mut self, key: &str) {
+        let (now, sure) = (self.now, self.sure());
+        let Some(work) = self.blocks.get_mut(key) else { return };
+        let parts = &self.parts;
+        let held = |part: &str, term: u64| {
+            sure && parts.get(part).is_some_and(|p| p.term == term && p.active())
+        };
+        let lost: Vec<String> = work
+            .claims
+            .iter()
+            .filter(|(_, c)| !held(&c.part, c.term))
+            .map(|(host, _)| host.clone())
+            .collect();
+        let mut turned_away = Vec::new();
+        for host in lost {
+            turned_away.extend(work.claims.remove(&host).into_iter().flat_map(|c| c.ids));
+        }
+        work.drops.retain(|_, (part, term)| held(part, *term));
+        let (mut hosts, stamp) = self.mirror.blocks.get(key).cloned().unwrap_or_default();
+        let mut terms: BTreeMap<String, u64> = BTreeMap::new();
+        for (host, (part, term)) in &work.drops {
+            if hosts.get(host).is_some_and(|r| r.part == *part) {
+                hosts.remove(host);
+                terms.insert(part.clone(), *term);
+            }
+        }
+        let mut added = BTreeSet::new();
+        for (host, claim) in &work.claims {
+            if hosts.contains_key(host) {
+                continue;
+            }
+            hosts.insert(host.clone(), record_of(claim));
+            if serde_json::json!(hosts).to_string().len() + 16 > self.cfg.value_bytes {
+                hosts.remove(host);
+                continue;
+            }
+            added.insert(host.clone());
+            terms.insert(claim.part.clone(), claim.term);
+        }
+        if terms.is_empty() {
+            // Nothing to change, or nothing that fits: those that wait are sent elsewhere.
+            let claims = std::mem::take(&mut work.claims);
+            self.blocks.remove(key);
+            turned_away.extend(claims.into_values().flat_map(|c| c.ids));
+            for id in turned_away {
+                self.later(id, 503, "not entitled");
+            }
+            return;
+        }
+        let kind = if added.is_empty() { Change::Tidy } else { Change::Claim };
+        if self.ledger.allows(kind, 1) {
+            work.writing = true;
+            work.not_before = now + PAUSE;
+            let mut txn = Txn::default().when(key, stamp);
+            for (part, term) in &terms {
+                txn = txn.when(format!("{PARTS}{part}"), *term);
+            }
+            let txn = if hosts.is_empty() {
+                txn.delete(key)
+            } else {
+                txn.write(key, serde_json::json!(HostBlock { m: hosts.clone() }))
+            };
+            let dropped = work.drops.keys().cloned().collect();
+            let waiting =
+                Waiting::Block { key: key.to_owned(), hosts, added, dropped, parts: terms };
+            self.state(Lane::Work, StateCall::Txn(txn), waiting);
+        }
+        for id in turned_away {
+            self.later(id, 503, "not entitled");
+        }
+    }
+
+    pub(crate) fn block_written(
+        &mut self,
+        key: &str,
+        hosts: Hosts,
+        added: &BTreeSet<String>,
+        dropped: &BTreeSet<String>,
+        parts: &BTreeMap<String, u64>,
+        result: Result<StateReply, CallError>,
+    ) {
+        let now = self.now;
+        if let Some(work) = self.blocks.get_mut(key) {
+            work.writing = false;
+        }
+        match result {
+            Ok(StateReply::Committed(stamp)) => {
+                if let Some(work) = self.blocks.get_mut(key) {
+                    work.drops.retain(|host, _| !dropped.contains(host));
+                }
+                self.block_seen(key, hosts, stamp);
+                // An event of a later change may have been quicker: then these are known already.
+                for host in added {
+                    self.claim_settled(key, host);
+                }
+                if self.blocks.get(key).is_some_and(|w| w.claims.is_empty() && w.drops.is_empty()) {
+                    self.blocks.remove(key);
+                }
+            }
+            Ok(StateReply::Conflict(failed)) => {
+                for (part, term) in parts {
+                    if failed.contains(&format!("{PARTS}{part}")) {
+                        self.lose_part(part, *term);
+                    }
+                }
+                self.reread_block(key);
+            }
+            // Known not to be carried out: tried again.
+            Ok(_) | Err(CallError::Refused) => {
+                if let Some(work) = self.blocks.get_mut(key) {
+                    work.not_before = now + RETRY;
+                }
+            }
+            // It may still come into force, and then a write at the same stamp fails.
+            Err(CallError::Unknown) => self.reread_block(key),
+        }
+    }
+
+    fn reread_block(&mut self, key: &str) {
+        if let Some(work) = self.blocks.get_mut(key) {
+            work.writing = true;
+        }
+        let waiting = Waiting::ReadBlock { key: key.to_owned() };
+        self.state(Lane::Work, StateCall::Get(key.to_owned()), waiting);
+    }
+
+    pub(crate) fn block_read(&mut self, key: &str, result: Result<StateReply, CallError>) {
+        let now = self.now;
+        if let Some(work) = self.blocks.get_mut(key) {
+            work.writing = false;
+            work.not_before = now + PAUSE;
+        }
+        match result {
+            Ok(StateReply::Row(Some(row))) => self.block_row(&row, true),
+            // The watch tells of its removal, at which stamp it cannot be written any more.
+            Ok(StateReply::Row(None)) => self.block_seen(key, Hosts::new(), 0),
+            _ => {
+                if let Some(work) = self.blocks.get_mut(key) {
+                    work.not_before = now + RETRY;
+                }
+            }
+        }
+    }
+
+    /// Takes in a block as the state service has it. `news` says that a machine which was not
+    /// known before has been claimed since.
+    pub(crate) fn block_row(&mut self, row: &Row, news: bool) {
+        let Some(hosts) = hosts_in(&row.path, &row.v) else {
+            let path = row.path.clone();
+            return self.note(Weight::Error, || format!("unreadable record: {path}"));
+        };
+        if news {
+            self.block_seen(&row.path, hosts, row.stamp);
+        } else {
+            self.block_known(&row.path, hosts, row.stamp);
+        }
+    }
+
+    /// Notes a block's machines; `None` if a later state is known. Gives those that are new.
+    fn block_known(&mut self, key: &str, hosts: Hosts, stamp: u64) -> Option<Hosts> {
+        let (before, known) = self.mirror.blocks.get(key).cloned().unwrap_or_default();
+        if stamp != 0 && known >= stamp {
+            return None;
+        }
+        for host in before.keys().filter(|h| !hosts.contains_key(*h)) {
+            self.mirror.hosts.remove(host);
+        }
+        let mut new = Hosts::new();
+        for (host, record) in &hosts {
+            if before.get(host) != Some(record) {
+                self.mirror.hosts.insert(host.clone(), key.to_owned());
+                new.insert(host.clone(), record.clone());
+            }
+        }
+        if hosts.is_empty() {
+            self.mirror.blocks.remove(key);
+        } else {
+            self.mirror.blocks.insert(key.to_owned(), (hosts, stamp));
+        }
+        Some(new)
+    }
+
+    /// A block has changed.
+    pub(crate) fn block_seen(&mut self, key: &str, hosts: Hosts, stamp: u64) {
+        let now = self.now;
+        let Some(new) = self.block_known(key, hosts, stamp) else { return };
+        for (host, record) in new {
+            if let Some(part) = self.parts.get_mut(&record.part)
+                && part.active()
+                && !part.machines.contains_key(&host)
+                && !part.fleet.gone.contains(&host)
+                && stamp > part.term
+            {
+                // A claim of ours, whether its answer has come or not; claims of earlier terms
+                // fail by then.
+                part.add_machine(&host, record.clone(), true, now);
+            }
+            for part in self.parts.values_mut().filter(|p| p.name != record.part) {
+                part.fleet.arrived(&host);
+            }
+            self.claim_settled(key, &host);
+        }
+    }
+
+    /// The machine belongs to somebody now: answers the reports that waited for that.
+    fn claim_settled(&mut self, key: &str, host: &str) {
+        let Some(claim) = self.blocks.get_mut(key).and_then(|w| w.claims.remove(host)) else {
+            return;
+        };
+        for id in claim.ids {
+            self.hello(id, claim.report.clone());
+        }
+    }
+}
+
+fn record_of(claim: &Claim) -> HostRecord {
+    HostRecord {
+        part: claim.part.clone(),
+        address: claim.report.address.clone(),
+        kind: claim.report.kind.clone(),
+        zone: claim.report.zone.clone(),
+        spot: claim.report.spot,
+    }
+}
+
+/// Whether a key is one of machines.
+pub(crate) fn is_hosts(key: &str) -> bool {
+    key.starts_with(HOSTS)
+}
--- a/crates/quartzlever-core/src/config.rs
+++ b/crates/quartzlever-core/src/config.rs
@@ -1,6 +1,6 @@
 //! What a controller is told at its start.
 
-use quartzlever_wire::{Micros, SECOND};
+use quartzlever_wire::{Micros, SECOND, micros_from_secs};
 
 /// A team with its guarantee and its limit; 0 means none.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -102,6 +102,9 @@
     pub teams: Vec<Team>,
     pub objectives: Vec<Objective>,
     pub workers: WorkerTimes,
+    /// What all controllers together may ask of the state service and change in it, a second.
+    pub state_rps: f64,
+    pub state_write_rps: f64,
     pub value_bytes: usize,
     pub txn_ops: usize,
     pub operator: Operator,
@@ -143,6 +146,12 @@
         names[(hash % names.len() as u64) as usize]
     }
 
+    /// Shortest time between two calls of a kind that may use this share of all requests.
+    pub fn pause_for(&self, share: f64) -> Micros {
+        let rate = self.state_rps * share / self.nodes.len().max(1) as f64;
+        micros_from_secs(1.0 / rate.max(0.1))
+    }
+
     /// How long a silent machine needs to lose its lease for certain.
     pub fn lease_gone_after(&self) -> Micros {
         surely_after(self.workers.lease) + SECOND
--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -4,17 +4,18 @@
 
 use quartzlever_wire::cloud::{CloudCall, CloudReply};
 use quartzlever_wire::peers::{PeerAnswer, PeerRequest};
-use quartzlever_wire::state::{
-    HostRecord, LiveRecord, OverRecord, PartRecord, StateCall, StateReply,
-};
-use quartzlever_wire::workers::{Report, WorkerCall, WorkerReply};
+use quartzlever_wire::state::{Hosts, LiveRecord, OverRecord, PartRecord, StateCall, StateReply};
+use quartzlever_wire::workers::{WorkerCall, WorkerReply};
 use quartzlever_wire::{CallError, Micros, Ranges, SECOND};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::claims::BlockWork;
 use crate::config::Config;
 use crate::fleet::CloudWork;
 use crate::jobs::Purpose;
+use crate::ledger::Ledger;
+use crate::lookups::{Asked, Lookups};
 use crate::messages::{Command, Effect, Lane, RequestId, Token, Weight};
 use crate::part::{Part, Types};
 use crate::placement::Paces;
@@ -41,17 +42,14 @@
     ListParts {
         from_epoch: Option<u64>,
     },
-    ListHosts {
-        from_epoch: Option<u64>,
-    },
-    Watch,
-    LoadJobs {
-        part: String,
-        term: u64,
+    ListHosts,
+    ListJobs,
+    Watch {
+        number: u64,
     },
-    LoadHosts {
-        part: String,
-        term: u64,
+    /// The present revision, for the questions that wait for it.
+    Fence {
+        asked: Vec<Asked>,
     },
     ReadLive {
         purpose: Purpose,
@@ -92,17 +90,16 @@
         request: Option<RequestId>,
         moved: Vec<crate::stealing::Move>,
     },
-    Claim {
-        id: RequestId,
-        part: String,
-        term: u64,
-        report: Box<Report>,
-        record: HostRecord,
+    /// A block of machines, as it will be; what was added and dropped, and for which terms.
+    Block {
+        key: String,
+        hosts: Hosts,
+        added: BTreeSet<String>,
+        dropped: BTreeSet<String>,
+        parts: BTreeMap<String, u64>,
     },
-    DropHosts {
-        part: String,
-        term: u64,
-        hosts: Vec<String>,
+    ReadBlock {
+        key: String,
     },
 }
 
@@ -125,23 +122,36 @@
     pub next: Micros,
 }
 
-/// What this process knows of the keys `parts/` and `hosts/`; never a basis for safety.
+/// The copy of the keys `parts/`, `hosts/` and `live/` that a watch keeps fresh: all changes up to
+/// the revision `epoch` are in it, and some later ones.
 #[derive(Debug, Default)]
 pub(crate) struct Mirror {
-    pub loaded_parts: bool,
-    pub loaded_hosts: bool,
+    pub loaded: bool,
     pub loading: bool,
     pub retry_at: Micros,
-    pub watching: bool,
+    /// Number of the latest watch, which is open or not, and since when.
+    pub watch: u64,
+    pub watching: Option<Micros>,
     pub watch_at: Micros,
     pub epoch: u64,
+    /// The latest revision that any answer told of.
+    pub newest: u64,
     pub parts: BTreeMap<String, (PartRecord, u64)>,
-    pub hosts: HashMap<String, (HostRecord, u64)>,
+    /// Machines by the key of their block, with its stamp; and where each machine is found.
+    pub blocks: HashMap<String, (Hosts, u64)>,
+    pub hosts: HashMap<String, String>,
+    pub live: BTreeMap<String, (LiveRecord, u64)>,
 }
 
 impl Mirror {
     pub fn loaded(&self) -> bool {
-        self.loaded_parts && self.loaded_hosts
+        self.loaded
+    }
+
+    /// How many nodes hold parts.
+    pub fn holders(&self) -> usize {
+        let nodes: BTreeSet<&str> = self.parts.values().map(|(r, _)| r.node.as_str()).collect();
+        nodes.len()
     }
 }
 
@@ -224,6 +234,9 @@
     pub(crate) hold: Hold,
     pub(crate) mirror: Mirror,
     pub(crate) parts: BTreeMap<String, Part>,
+    pub(crate) ledger: Ledger,
+    pub(crate) blocks: BTreeMap<String, BlockWork>,
+    pub(crate) lookups: Lookups,
     pub(crate) busy_parts: BTreeSet<String>,
     pub(crate) releasing: BTreeSet<String>,
     /// Since when each absent part has been missing.
@@ -266,6 +279,9 @@
             hold: Hold::default(),
             mirror: Mirror::default(),
             parts: BTreeMap::new(),
+            ledger: Ledger::new(now),
+            blocks: BTreeMap::new(),
+            lookups: Lookups::default(),
             busy_parts: BTreeSet::new(),
             releasing: BTreeSet::new(),
             absent_since: BTreeMap::new(),
@@ -284,6 +300,10 @@
     /// Works through a batch and says what is to be done.
     pub fn step(&mut self, now: Micros, mut commands: Vec<Command>) -> Vec<Effect> {
         self.now = self.now.max(now);
+        // A node without a part changes little, and those with parts share what there is.
+        let sharers =
+            self.mirror.holders().max(if self.parts.is_empty() { self.cfg.nodes.len() } else { 1 });
+        self.ledger.pass(self.now, self.cfg.state_write_rps, sharers);
         commands.sort_by_key(Command::class);
         for command in commands {
             self.take(command);
@@ -292,6 +312,7 @@
         self.keep_mirror();
         self.keep_parts();
         self.decide();
+        self.keep_lookups();
         std::mem::take(&mut self.out)
     }
 
@@ -416,11 +437,11 @@
                 self.busy_parts.remove(&part);
             }
             Waiting::ListParts { from_epoch } => self.parts_listed(from_epoch, result),
-            Waiting::ListHosts { from_epoch } => self.hosts_listed(from_epoch, result),
-            Waiting::Watch => self.watched(result),
+            Waiting::ListHosts => self.hosts_listed(result),
+            Waiting::ListJobs => self.jobs_listed(result),
+            Waiting::Watch { number } => self.watched(number, result),
+            Waiting::Fence { asked } => self.fenced(asked, result),
             Waiting::KeptCatalogue => self.catalogue_read(result),
-            Waiting::LoadJobs { part, term } => self.jobs_loaded(&part, term, result),
-            Waiting::LoadHosts { part, term } => self.hosts_loaded(&part, term, result),
             Waiting::ReadLive { purpose } => self.live_read(purpose, result),
             Waiting::ReadOver { purpose } => self.over_read(purpose, result),
             Waiting::Accept { id, record } => self.accept_answered(id, *record, result),
@@ -435,12 +456,10 @@
             Waiting::StealWrite { part, term, request, moved } => {
                 self.steal_written(&part, term, request, moved, result);
             }
-            Waiting::Claim { id, part, term, report, record } => {
-                self.claimed(id, &part, term, *report, record, result);
-            }
-            Waiting::DropHosts { part, term, hosts } => {
-                self.hosts_dropped(&part, term, hosts, result);
+            Waiting::Block { key, hosts, added, dropped, parts } => {
+                self.block_written(&key, hosts, &added, &dropped, &parts, result);
             }
+            Waiting::ReadBlock { key } => self.block_read(&key, result),
         }
     }
 
@@ -490,12 +509,11 @@
                 self.place(name);
                 self.call_workers(name);
             }
-            if self.now >= self.write_at {
-                self.write_jobs(name);
-            }
         }
         if self.now >= self.write_at {
             self.write_at = self.now + WRITE_PAUSE;
+            self.write_jobs();
+            self.write_blocks();
         }
         self.keep_fleet();
         self.tell_pressed();
--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -1,13 +1,13 @@
 //! The machines of a part: renting for its queue, returning, and suspicion.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 
 use quartzlever_wire::cloud::{
     Catalogue, CloudCall, CloudReply, Hire, MachineType, RentalPhase, Rentals,
 };
 use quartzlever_wire::peers::PeerRequest;
-use quartzlever_wire::state::{CATALOGUE, HOSTS, StateCall, StateReply, Txn};
+use quartzlever_wire::state::{CATALOGUE, StateCall, StateReply, Txn};
 use quartzlever_wire::{CallError, Micros, SECOND, micros_from_secs};
 
 use crate::engine::{Core, Waiting};
@@ -57,8 +57,6 @@
     /// Machines that a peer has rented, with the part they are for.
     pub hints: HashMap<String, String>,
     hint_order: VecDeque<String>,
-    /// Machines whose claim is under way.
-    pub claiming: HashSet<String>,
     catalogue_at: Micros,
     catalogue_waiting: bool,
     list_at: Micros,
@@ -105,8 +103,6 @@
     pub expected: BTreeMap<String, Expected>,
     /// Machines that were returned; late reports of them claim nothing.
     pub gone: BTreeSet<String>,
-    /// Keys of returned machines that are still to be removed.
-    pub to_drop: Vec<String>,
     hires: BTreeMap<String, OpenHire>,
     hired: u64,
     refused: BTreeMap<Offer, Micros>,
@@ -176,7 +172,6 @@
         for name in names {
             self.rent(&name);
             self.return_machines(&name);
-            self.drop_keys(&name);
         }
     }
 
@@ -188,6 +183,7 @@
                     self.cloud.catalogue_at = self.now + CATALOGUE_EVERY;
                     let txn = Txn::default().write(CATALOGUE, serde_json::json!(&catalogue));
                     self.use_catalogue(catalogue);
+                    self.ledger.spend(1);
                     self.state(Lane::Work, StateCall::Txn(txn), Waiting::KeptCatalogue);
                 } else {
                     self.cloud.catalogue_at = self.now + RETRY;
@@ -449,32 +445,21 @@
             }
             return;
         }
+        let mut dropped = Vec::new();
         for host in hosts {
             // The machine is gone, with everything on it.
-            if part.remove_machine(&host) {
-                part.fleet.to_drop.push(host.clone());
-            }
-            part.fleet.gone.insert(host);
+            let known = part.remove_machine(&host);
+            part.fleet.gone.insert(host.clone());
             while part.fleet.gone.len() > REMEMBERED {
                 part.fleet.gone.pop_first();
             }
+            if known {
+                dropped.push(host);
+            }
         }
-    }
-
-    fn drop_keys(&mut self, name: &str) {
-        let most = self.cfg.txn_ops.max(1);
-        let Some(part) = self.parts.get_mut(name) else { return };
-        if part.fleet.to_drop.is_empty() {
-            return;
-        }
-        let count = part.fleet.to_drop.len().min(most);
-        let hosts: Vec<String> = part.fleet.to_drop.drain(..count).collect();
-        let mut txn = part.txn();
-        for host in &hosts {
-            txn = txn.delete(format!("{HOSTS}{host}"));
+        for host in dropped {
+            self.want_drop(&host, name, term);
         }
-        let waiting = Waiting::DropHosts { part: name.to_owned(), term: part.term, hosts };
-        self.state(Lane::Work, StateCall::Txn(txn), waiting);
     }
 
     fn listed(
--- a/crates/quartzlever-core/src/holding.rs
+++ b/crates/quartzlever-core/src/holding.rs
@@ -1,15 +1,16 @@
-//! Holding parts: the lease, taking a part, losing it, handing it back, and the picture of
-//! `parts/` and `hosts/` that a watch keeps fresh.
+//! Holding parts: the lease, taking a part, losing it, handing it back, and the copy of the records
+//! that a watch keeps fresh.
 
 use quartzlever_wire::peers::PeerRequest;
 use quartzlever_wire::state::{
-    Event, HOSTS, HostRecord, LIVE, LiveRecord, OVER, OverRecord, PARTS, PartRecord, Row, Rows,
+    Event, HOSTS, Hosts, LIVE, LiveRecord, OVER, OverRecord, PARTS, PartRecord, Row, Rows,
     StateCall, StateReply, Txn,
 };
 use quartzlever_wire::{CallError, Micros, SECOND};
 use rand::Rng;
 use serde::de::DeserializeOwned;
 
+use crate::claims::is_hosts;
 use crate::config::surely_within;
 use crate::engine::{Core, Waiting};
 use crate::messages::{Lane, Weight};
@@ -19,9 +20,10 @@
 /// Kept back from a hold's life for answers and calls that are on their way out.
 const HOLD_MARGIN: Micros = SECOND;
 const RETRY: Micros = SECOND / 2;
-/// Shortest time between two watches; each one counts as a request.
-const WATCH_PAUSE: Micros = 250_000;
-const WATCH_HOLD_MS: u64 = 20_000;
+/// Share of the requests to the state service that may open watches.
+const WATCH_SHARE: f64 = 0.15;
+const WATCH_HOLD_MS: u64 = 5_000;
+const WATCH_DEAD: Micros = 3 * SECOND / 2;
 /// Home asks for its part this often, and counts as gone after this long without asking.
 const HOME_ASK: Micros = SECOND;
 const HOME_GONE: Micros = 3 * SECOND;
@@ -101,23 +103,28 @@
         }
     }
 
-    /// Keeps the picture of parts and machines, and the watch that feeds it.
+    /// Keeps the copy of the records, and the watch that feeds it.
     pub(crate) fn keep_mirror(&mut self) {
-        if !self.mirror.loaded() {
-            if !self.mirror.loading && self.now >= self.mirror.retry_at {
+        let now = self.now;
+        if !self.mirror.loaded {
+            if !self.mirror.loading && now >= self.mirror.retry_at {
                 self.mirror.loading = true;
-                self.mirror.loaded_parts = false;
-                self.mirror.loaded_hosts = false;
                 let call = StateCall::List { prefix: PARTS.into(), from: None };
                 self.state(Lane::Hold, call, Waiting::ListParts { from_epoch: None });
             }
             return;
         }
-        if !self.mirror.watching && self.now >= self.mirror.watch_at {
-            self.mirror.watching = true;
-            self.mirror.watch_at = self.now + WATCH_PAUSE;
+        // A watch that stays open although there is something to tell has a dead connection.
+        let dead = self.mirror.watching.is_some_and(|since| {
+            now.saturating_sub(since) > WATCH_DEAD && self.mirror.newest > self.mirror.epoch
+        });
+        if (self.mirror.watching.is_none() || dead) && now >= self.mirror.watch_at {
+            self.mirror.watching = Some(now);
+            self.mirror.watch += 1;
+            self.mirror.watch_at = now + self.cfg.pause_for(WATCH_SHARE);
             let call = StateCall::Watch { from: self.mirror.epoch, hold_ms: WATCH_HOLD_MS };
-            self.state(Lane::Watch, call, Waiting::Watch);
+            let number = self.mirror.watch;
+            self.state(Lane::Watch, call, Waiting::Watch { number });
         }
     }
 
@@ -135,6 +142,9 @@
         let epoch = from_epoch.unwrap_or(rows.epoch);
         if from_epoch.is_none() {
             self.mirror.parts.clear();
+            self.mirror.blocks.clear();
+            self.mirror.hosts.clear();
+            self.mirror.live.clear();
         }
         for row in &rows.rows {
             self.part_seen(&row.path, parse(row), row.stamp);
@@ -143,70 +153,100 @@
             let call = StateCall::List { prefix: PARTS.into(), from: Some(from) };
             return self.state(Lane::Hold, call, Waiting::ListParts { from_epoch: Some(epoch) });
         }
-        self.mirror.loaded_parts = true;
+        // What the later pages tell is at least as new; the watch begins here.
         self.mirror.epoch = epoch;
-        self.mirror.hosts.clear();
         let call = StateCall::List { prefix: HOSTS.into(), from: None };
-        self.state(Lane::Hold, call, Waiting::ListHosts { from_epoch: Some(epoch) });
+        self.state(Lane::Hold, call, Waiting::ListHosts);
     }
 
-    pub(crate) fn hosts_listed(
-        &mut self,
-        from_epoch: Option<u64>,
-        result: Result<StateReply, CallError>,
-    ) {
+    pub(crate) fn hosts_listed(&mut self, result: Result<StateReply, CallError>) {
         let Ok(StateReply::Rows(rows)) = result else { return self.mirror_failed() };
         for row in &rows.rows {
-            if let Some(record) = parse::<HostRecord>(row) {
-                let name = row.path[HOSTS.len()..].to_owned();
-                self.mirror.hosts.insert(name, (record, row.stamp));
-            }
+            self.block_row(row, false);
         }
         if let Some(from) = next_page(&rows) {
             let call = StateCall::List { prefix: HOSTS.into(), from: Some(from) };
-            return self.state(Lane::Hold, call, Waiting::ListHosts { from_epoch });
+            return self.state(Lane::Hold, call, Waiting::ListHosts);
+        }
+        let call = StateCall::List { prefix: LIVE.into(), from: None };
+        self.state(Lane::Hold, call, Waiting::ListJobs);
+    }
+
+    pub(crate) fn jobs_listed(&mut self, result: Result<StateReply, CallError>) {
+        let Ok(StateReply::Rows(rows)) = result else { return self.mirror_failed() };
+        for row in &rows.rows {
+            self.live_row(row);
+        }
+        if let Some(from) = next_page(&rows) {
+            let call = StateCall::List { prefix: LIVE.into(), from: Some(from) };
+            return self.state(Lane::Hold, call, Waiting::ListJobs);
         }
         self.mirror.loading = false;
-        self.mirror.loaded_hosts = true;
-        // The picture has a gap where changes were missed; the parts are read again in full.
-        for part in self.parts.values_mut().filter(|p| p.jobs_loaded) {
-            part.load_jobs_at = Some(self.now);
+        self.mirror.loaded = true;
+        self.close_gap(rows.epoch);
+    }
+
+    /// The copy was made anew: parts that were held before may have missed changes.
+    fn close_gap(&mut self, epoch: u64) {
+        let now = self.now;
+        let mut ended = Vec::new();
+        for part in self.parts.values_mut().filter(|p| p.active()) {
+            // Jobs that are known here but not listed ended in the gap.
+            for (id, job) in &mut part.jobs {
+                if job.stamp <= epoch && !job.writing && !self.mirror.live.contains_key(id) {
+                    job.writing = true;
+                    ended.push((part.name.clone(), part.term, id.clone()));
+                }
+            }
+            let name = part.name.clone();
+            for (hosts, _) in self.mirror.blocks.values() {
+                for (host, record) in hosts.iter().filter(|(_, r)| r.part == name) {
+                    if !part.machines.contains_key(host) && !part.fleet.gone.contains(host) {
+                        part.add_machine(host, record.clone(), false, now);
+                    }
+                }
+            }
+        }
+        for (part, term, job) in ended {
+            let call = StateCall::Get(format!("{OVER}{job}"));
+            self.state(Lane::Work, call, Waiting::RereadOver { part, term, job });
         }
     }
 
-    pub(crate) fn watched(&mut self, result: Result<StateReply, CallError>) {
-        self.mirror.watching = false;
+    pub(crate) fn watched(&mut self, number: u64, result: Result<StateReply, CallError>) {
+        if number == self.mirror.watch {
+            self.mirror.watching = None;
+        }
         match result {
-            Ok(StateReply::Watched(answer)) => {
+            Ok(StateReply::Watched(answer)) if self.mirror.loaded => {
+                // An earlier watch may answer after a later one: what it tells is known then.
+                let known = self.mirror.epoch;
                 for event in answer.log {
-                    self.event(event);
+                    self.event(event, known);
                 }
-                self.mirror.epoch = self.mirror.epoch.max(answer.epoch);
+                self.mirror.epoch = known.max(answer.epoch);
+                self.mirror.newest = self.mirror.newest.max(answer.epoch);
             }
+            Ok(StateReply::Watched(_)) => {}
             Ok(StateReply::TooOld) => {
-                self.mirror.loaded_parts = false;
-                self.mirror.loaded_hosts = false;
+                self.mirror.loaded = false;
                 self.mirror.loading = false;
             }
             _ => self.mirror.watch_at = self.now + RETRY,
         }
     }
 
-    fn event(&mut self, event: Event) {
+    fn event(&mut self, event: Event, known: u64) {
         match event {
+            Event::Write { stamp, .. } | Event::Delete { stamp, .. } if stamp <= known => {}
             Event::Write { write, v, stamp } => {
                 let row = Row { path: write, v, stamp, charter: None };
                 if row.path.starts_with(PARTS) {
                     self.part_seen(&row.path, parse(&row), stamp);
-                } else if let Some(name) = row.path.strip_prefix(HOSTS) {
-                    if let Some(record) = parse::<HostRecord>(&row) {
-                        let name = name.to_owned();
-                        self.host_seen(&name, record, stamp);
-                    }
+                } else if is_hosts(&row.path) {
+                    self.block_row(&row, true);
                 } else if row.path.starts_with(LIVE) {
-                    if let Some(record) = parse::<LiveRecord>(&row) {
-                        self.absorb(record, stamp);
-                    }
+                    self.live_row(&row);
                 } else if let Some(id) = row.path.strip_prefix(OVER)
                     && let Some(over) = parse::<OverRecord>(&row)
                 {
@@ -222,15 +262,31 @@
                     if self.parts.get(name).is_some_and(|p| p.term <= stamp) {
                         self.parts.remove(name);
                     }
-                } else if let Some(name) = delete.strip_prefix(HOSTS)
-                    && self.mirror.hosts.get(name).is_some_and(|(_, s)| *s <= stamp)
+                } else if is_hosts(&delete) {
+                    if self.mirror.blocks.get(&delete).is_some_and(|(_, s)| *s <= stamp) {
+                        self.block_seen(&delete, Hosts::new(), stamp + 1);
+                    }
+                } else if let Some(id) = delete.strip_prefix(LIVE)
+                    && self.mirror.live.get(id).is_some_and(|(_, s)| *s <= stamp)
                 {
-                    self.mirror.hosts.remove(name);
+                    self.mirror.live.remove(id);
                 }
             }
         }
     }
 
+    /// A job's record as the state service has it. One that cannot be read is left alone: its
+    /// job stays known, since lookups read what the copy does not have.
+    fn live_row(&mut self, row: &Row) {
+        match parse::<LiveRecord>(row) {
+            Some(record) => self.absorb(record, row.stamp),
+            None => {
+                let path = row.path.clone();
+                self.note(Weight::Error, || format!("unreadable record: {path}"));
+            }
+        }
+    }
+
     fn part_seen(&mut self, path: &str, record: Option<PartRecord>, stamp: u64) {
         let (Some(name), Some(record)) = (path.strip_prefix(PARTS), record) else { return };
         if self.mirror.parts.get(name).is_some_and(|(_, s)| *s > stamp) {
@@ -248,23 +304,6 @@
         }
     }
 
-    fn host_seen(&mut self, name: &str, record: HostRecord, stamp: u64) {
-        let now = self.now;
-        if let Some(part) = self.parts.get_mut(&record.part)
-            && part.active()
-            && !part.machines.contains_key(name)
-            && !part.fleet.gone.contains(name)
-            && stamp > part.term
-        {
-            // A claim of ours whose answer was lost; claims of earlier terms fail by then.
-            part.add_machine(name, record.clone(), true, now);
-        }
-        for part in self.parts.values_mut().filter(|p| p.name != record.part) {
-            part.fleet.arrived(name);
-        }
-        self.mirror.hosts.insert(name.to_owned(), (record, stamp));
-    }
-
     /// Takes, asks for and hands back parts.
     pub(crate) fn keep_parts(&mut self) {
         self.load_parts();
@@ -316,6 +355,7 @@
         let key = format!("{PARTS}{name}");
         let Ok(value) = serde_json::to_value(&record) else { return };
         let txn = Txn::default().when(key.clone(), stamp).write_held(key, value, lease);
+        self.ledger.spend(1);
         self.state(Lane::Hold, StateCall::Txn(txn), Waiting::Acquire { part: name.to_owned() });
     }
 
@@ -324,6 +364,7 @@
         match result {
             Ok(StateReply::Committed(epoch)) => {
                 let record = PartRecord { node: self.cfg.node.clone(), process: self.process };
+                self.mirror.newest = self.mirror.newest.max(epoch);
                 self.part_seen(&format!("{PARTS}{name}"), Some(record), epoch);
             }
             Ok(StateReply::NoLease) => self.lose_all(),
@@ -343,102 +384,24 @@
         self.parts.insert(name.to_owned(), Part::new(name, term, self.types.clone(), self.now));
     }
 
-    /// Reads what a part still has to read.
+    /// Parts whose acquisition the copy has come to begin their work from it: what an earlier
+    /// holder wrote is in it, and it can write no more.
     fn load_parts(&mut self) {
-        let now = self.now;
-        let mut calls = Vec::new();
-        for part in self.parts.values_mut() {
-            if part.load_jobs_at.is_some_and(|t| now >= t) {
-                part.load_jobs_at = None;
-                part.listed.clear();
-                calls.push((part.name.clone(), part.term, true));
-            }
-            if part.load_hosts_at.is_some_and(|t| now >= t) {
-                part.load_hosts_at = None;
-                calls.push((part.name.clone(), part.term, false));
-            }
-        }
-        for (part, term, jobs) in calls {
-            if jobs {
-                let call = StateCall::List { prefix: LIVE.into(), from: None };
-                self.state(Lane::Hold, call, Waiting::LoadJobs { part, term });
-            } else {
-                let call = StateCall::List { prefix: HOSTS.into(), from: None };
-                self.state(Lane::Hold, call, Waiting::LoadHosts { part, term });
-            }
-        }
-    }
-
-    pub(crate) fn jobs_loaded(
-        &mut self,
-        name: &str,
-        term: u64,
-        result: Result<StateReply, CallError>,
-    ) {
-        let (now, wall) = (self.now, self.wall());
-        let cfg = &self.cfg;
-        let Some(part) = self.parts.get_mut(name).filter(|p| p.term == term) else { return };
-        let Ok(StateReply::Rows(rows)) = result else {
-            part.load_jobs_at = Some(now + RETRY);
+        if !self.mirror.loaded {
             return;
-        };
-        for row in &rows.rows {
-            if let Some(record) = parse::<LiveRecord>(row) {
-                part.listed.insert(record.job.id.clone());
-                let id = &record.job.id;
-                if self.finals.get(id).is_some() || !self.stamps.saw(id, row.stamp) {
-                    continue;
-                }
-                part.absorb(cfg, record, row.stamp, now, wall);
-            }
         }
-        if let Some(from) = next_page(&rows) {
-            let call = StateCall::List { prefix: LIVE.into(), from: Some(from) };
-            let part = name.to_owned();
-            return self.state(Lane::Hold, call, Waiting::LoadJobs { part, term });
-        }
-        // Jobs that are known here but not listed ended while the watch had a gap.
-        let ended: Vec<String> = part
-            .jobs
-            .iter()
-            .filter(|(id, job)| job.stamp <= rows.epoch && !part.listed.contains(*id))
-            .map(|(id, _)| id.clone())
-            .collect();
-        part.listed.clear();
-        part.jobs_loaded = true;
-        for job in ended {
-            let call = StateCall::Get(format!("{OVER}{job}"));
-            let part = name.to_owned();
-            self.state(Lane::Work, call, Waiting::RereadOver { part, term, job });
-        }
-    }
-
-    pub(crate) fn hosts_loaded(
-        &mut self,
-        name: &str,
-        term: u64,
-        result: Result<StateReply, CallError>,
-    ) {
-        let now = self.now;
-        let Some(part) = self.parts.get_mut(name).filter(|p| p.term == term) else { return };
-        let Ok(StateReply::Rows(rows)) = result else {
-            part.load_hosts_at = Some(now + RETRY);
-            return;
-        };
-        for row in &rows.rows {
-            if let Some(record) = parse::<HostRecord>(row)
-                && record.part == name
-            {
-                part.add_machine(&row.path[HOSTS.len()..], record, row.stamp > term, now);
+        let (now, wall, epoch) = (self.now, self.wall(), self.mirror.epoch);
+        for part in self.parts.values_mut().filter(|p| !p.loaded && p.term <= epoch) {
+            for (record, stamp) in self.mirror.live.values() {
+                part.absorb(&self.cfg, record.clone(), *stamp, now, wall);
             }
-        }
-        match next_page(&rows) {
-            Some(from) => {
-                let call = StateCall::List { prefix: HOSTS.into(), from: Some(from) };
-                let part = name.to_owned();
-                self.state(Lane::Hold, call, Waiting::LoadHosts { part, term });
+            let name = part.name.clone();
+            for (hosts, _) in self.mirror.blocks.values() {
+                for (host, record) in hosts.iter().filter(|(_, r)| r.part == name) {
+                    part.add_machine(host, record.clone(), false, now);
+                }
             }
-            None => part.hosts_loaded = true,
+            part.loaded = true;
         }
     }
 
@@ -450,14 +413,20 @@
             return;
         }
         let (now, wall) = (self.now, self.wall());
-        for part in self.parts.values_mut() {
-            part.absorb(&self.cfg, record.clone(), stamp, now, wall);
+        for part in self.parts.values_mut().filter(|p| p.loaded) {
+            if part.jobs.contains_key(id) || record.shares.iter().any(|s| s.part == part.name) {
+                part.absorb(&self.cfg, record.clone(), stamp, now, wall);
+            }
+        }
+        if self.mirror.live.get(id).is_none_or(|(_, s)| *s <= stamp) {
+            self.mirror.live.insert(id.clone(), (record, stamp));
         }
     }
 
     /// A job is done or cancelled for good.
     pub(crate) fn job_over(&mut self, id: &str, over: OverRecord) {
         self.finals.put(id, over);
+        self.mirror.live.remove(id);
         for part in self.parts.values_mut() {
             part.drop_job(id);
         }
@@ -502,6 +471,7 @@
         }
         let key = format!("{PARTS}{name}");
         let txn = Txn::default().when(key.clone(), stamp).delete(key);
+        self.ledger.spend(1);
         self.state(Lane::Hold, StateCall::Txn(txn), Waiting::Release { part: name.to_owned() });
     }
 }
--- a/crates/quartzlever-core/src/jobs.rs
+++ b/crates/quartzlever-core/src/jobs.rs
@@ -10,7 +10,8 @@
 use crate::config::Config;
 use crate::engine::{Core, Waiting};
 use crate::holding::parse;
-use crate::messages::{Lane, RequestId};
+use crate::ledger::Change;
+use crate::messages::{Lane, RequestId, Weight};
 use crate::part::{Part, live_key};
 
 /// Users' requests under way beyond which new ones are shed at once.
@@ -94,12 +95,20 @@
         self.answer(id, status, body);
     }
 
-    /// Starts a call for a user, unless too many are under way.
+    /// Starts a call for a user.
     fn user_call(&mut self, call: StateCall, waiting: Waiting) {
         self.user_calls += 1;
         self.state(Lane::User, call, waiting);
     }
 
+    /// Reads a job for a user, unless too many calls of users are under way.
+    pub(crate) fn read_for_user(&mut self, purpose: Purpose) {
+        if self.user_calls >= MOST_USER_CALLS {
+            return self.later(purpose.request(), 503, "busy");
+        }
+        self.read(purpose);
+    }
+
     fn read(&mut self, purpose: Purpose) {
         let call = StateCall::Get(live_key(purpose.job()));
         self.user_call(call, Waiting::ReadLive { purpose });
@@ -110,7 +119,7 @@
             let phase = over.phase;
             return self.user_answer(id, 200, &spec.id, phase);
         }
-        if self.user_calls >= MOST_SUBMISSIONS {
+        if self.user_calls >= MOST_SUBMISSIONS || self.ledger.exhausted() {
             return self.later(id, 429, "busy");
         }
         let types = self.types.as_ref().map(|t| t.values());
@@ -145,6 +154,7 @@
             txn = txn.when(format!("{PARTS}{part}"), term);
         }
         let txn = txn.write(live, value);
+        self.ledger.spend(1);
         self.user_call(StateCall::Txn(txn), Waiting::Accept { id, record: Box::new(record) });
     }
 
@@ -188,28 +198,15 @@
         }
     }
 
-    pub(crate) fn lookup(&mut self, id: RequestId, job: String) {
-        if let Some(over) = self.finals.get(&job).cloned() {
-            return self.view_over(id, &job, &over);
-        }
-        if self.user_calls >= MOST_USER_CALLS {
-            return self.later(id, 503, "busy");
-        }
-        self.read(Purpose::Lookup { id, job });
-    }
-
     pub(crate) fn abort(&mut self, id: RequestId, job: String) {
         if let Some(over) = self.finals.get(&job) {
             let phase = over.phase;
             return self.user_answer(id, 200, &job, phase);
         }
-        if self.user_calls >= MOST_USER_CALLS {
-            return self.later(id, 503, "busy");
-        }
-        self.read(Purpose::Abort { id, job, tries: 0 });
+        self.read_for_user(Purpose::Abort { id, job, tries: 0 });
     }
 
-    fn view_over(&mut self, id: RequestId, job: &str, over: &OverRecord) {
+    pub(crate) fn view_over(&mut self, id: RequestId, job: &str, over: &OverRecord) {
         let view = JobView { id: job.to_owned(), phase: over.phase, done: over.done, running: 0 };
         self.answer(id, 200, serde_json::to_value(view).unwrap_or_default());
     }
@@ -224,37 +221,31 @@
             }
             _ => return self.later(purpose.request(), 503, "the state service gives no answer"),
         };
-        let Some(record) = parse::<LiveRecord>(&row) else {
-            return self.later(purpose.request(), 503, "unreadable record");
-        };
+        let record = parse::<LiveRecord>(&row);
+        if record.is_none() {
+            let path = row.path.clone();
+            self.note(Weight::Error, || format!("unreadable record: {path}"));
+        }
         match purpose {
             Purpose::Submit { id, job, .. } => {
-                let phase = live_phase(&record);
+                let phase = record.map_or(JobPhase::Queued, |r| self.view_live(&r).phase);
                 self.user_answer(id, 200, &job, phase);
             }
             Purpose::Lookup { id, job } => {
-                let running: usize = self
-                    .parts
-                    .values()
-                    .filter_map(|p| p.jobs.get(&job))
-                    .map(|j| j.located.len())
-                    .sum();
-                let view = JobView {
-                    phase: live_phase(&record),
-                    done: record.finished.len(),
-                    running: running as u32,
-                    id: job,
-                };
+                // Whatever its record looks like, the job was accepted and is not over.
+                let unread = JobView { id: job, phase: JobPhase::Queued, done: 0, running: 0 };
+                let view = record.map_or(unread, |r| self.view_live(&r));
                 self.answer(id, 200, serde_json::to_value(view).unwrap_or_default());
             }
             Purpose::Abort { id, job, tries } => {
-                let done = record.finished.len();
+                let done = record.map_or(0, |r| r.finished.len());
                 let over = OverRecord { phase: JobPhase::Aborted, done };
                 let live = live_key(&job);
                 let txn = Txn::default()
                     .when(live.clone(), row.stamp)
                     .delete(live)
                     .write(format!("{OVER}{job}"), serde_json::json!(over));
+                self.ledger.spend(2);
                 self.user_call(StateCall::Txn(txn), Waiting::Cancel { id, job, done, tries });
             }
         }
@@ -311,71 +302,79 @@
         }
     }
 
-    /// Writes what has changed of the part's jobs, each job at most once at a time.
-    pub(crate) fn write_jobs(&mut self, name: &str) {
+    /// Writes what has changed of the jobs, each job at most once at a time: ends first, then what
+    /// has waited longest, as far as the account of changes allows.
+    pub(crate) fn write_jobs(&mut self) {
         let now = self.now;
-        let progress = self.cfg.operator.progress_write;
-        let value_bytes = self.cfg.value_bytes;
-        let Some(part) = self.parts.get_mut(name).filter(|p| p.active()) else { return };
-        let term = part.term;
-        let base = part.txn();
-        let mut writes = Vec::new();
-        let mut done_with = Vec::new();
-        for (id, job) in &mut part.jobs {
-            if job.writing || now < job.write_after {
-                continue;
-            }
-            if job.idle() && !job.wants_write {
-                if job.record.owned_by(name).is_empty() {
-                    done_with.push(id.clone());
+        let mut due: Vec<(Change, Micros, String, String)> = Vec::new();
+        for (name, part) in self.parts.iter_mut().filter(|(_, p)| p.active()) {
+            let mut done_with = Vec::new();
+            for (id, job) in &part.jobs {
+                if job.writing || now < job.write_after {
+                    continue;
+                }
+                if job.idle() && !job.wants_write {
+                    if job.record.owned_by(name).is_empty() {
+                        done_with.push(id.clone());
+                    }
+                } else if job.doubtful || job.wants_write || !job.finished.is_empty() {
+                    let ends = job.all_finished();
+                    let kind = if ends { Change::Finish } else { Change::Progress };
+                    due.push((kind, job.write_after, name.clone(), id.clone()));
                 }
-                continue;
             }
-            if !(job.doubtful || job.wants_write || !job.finished.is_empty()) {
-                continue;
+            for id in done_with {
+                part.jobs.remove(&id);
             }
-            let mut record = job.record.clone();
-            record.finished.add(&job.finished);
-            record.started =
-                record.started || !job.located.is_empty() || !record.finished.is_empty();
-            let all = record.finished.len() >= record.job.tasks;
-            let live = live_key(id);
-            let txn = base.clone().when(live.clone(), job.stamp);
-            let txn = if all {
-                let over = OverRecord { phase: JobPhase::Done, done: record.job.tasks };
-                txn.delete(live).write(format!("{OVER}{id}"), serde_json::json!(over))
-            } else {
-                let value = serde_json::json!(record);
-                // Too many gaps to be kept: more tasks have to finish first. What is not
-                // recorded is not cleared on the machines either.
-                if value.to_string().len() > value_bytes {
-                    job.write_after = now + 2 * progress;
-                    continue;
-                }
-                txn.write(live, value)
-            };
-            job.writing = true;
-            job.wants_write = false;
-            job.write_after = now + progress;
-            writes.push((
-                txn,
-                Waiting::JobWrite {
-                    part: name.to_owned(),
-                    term,
-                    job: id.clone(),
-                    finished: job.finished.clone(),
-                    over: all,
-                },
-            ));
         }
-        for id in done_with {
-            part.jobs.remove(&id);
-        }
-        for (txn, waiting) in writes {
-            self.state(Lane::Work, StateCall::Txn(txn), waiting);
+        due.sort();
+        for (kind, _, part, id) in due {
+            let changes = if kind == Change::Finish { 2 } else { 1 };
+            if !self.ledger.allows(kind, changes) {
+                break;
+            }
+            self.write_job(&part, &id);
         }
     }
 
+    fn write_job(&mut self, name: &str, id: &str) {
+        let now = self.now;
+        let progress = self.cfg.operator.progress_write;
+        let Some(part) = self.parts.get_mut(name) else { return };
+        let (term, base) = (part.term, part.txn());
+        let Some(job) = part.jobs.get_mut(id) else { return };
+        let all = job.all_finished();
+        let mut record = job.record.clone();
+        record.finished.add(&job.finished);
+        record.started = record.started || !job.located.is_empty() || !record.finished.is_empty();
+        let live = live_key(id);
+        let txn = base.when(live.clone(), job.stamp);
+        let txn = if all {
+            let over = OverRecord { phase: JobPhase::Done, done: record.job.tasks };
+            txn.delete(live).write(format!("{OVER}{id}"), serde_json::json!(over))
+        } else {
+            let value = serde_json::json!(record);
+            // Too many gaps to be kept: more tasks have to finish first. What is not
+            // recorded is not cleared on the machines either.
+            if value.to_string().len() > self.cfg.value_bytes {
+                job.write_after = now + 2 * progress;
+                return;
+            }
+            txn.write(live, value)
+        };
+        job.writing = true;
+        job.wants_write = false;
+        job.write_after = now + progress;
+        let waiting = Waiting::JobWrite {
+            part: name.to_owned(),
+            term,
+            job: id.to_owned(),
+            finished: job.finished.clone(),
+            over: all,
+        };
+        self.state(Lane::Work, StateCall::Txn(txn), waiting);
+    }
+
     pub(crate) fn job_written(
         &mut self,
         name: &str,
@@ -484,10 +483,6 @@
     }
 }
 
-fn live_phase(record: &LiveRecord) -> JobPhase {
-    if record.started || !record.finished.is_empty() { JobPhase::Running } else { JobPhase::Queued }
-}
-
 impl Part {
     /// Notes that a task is done; it counts once the record says so.
     pub fn finish(&mut self, id: &str, index: u32, now: Micros) {
@@ -506,8 +501,7 @@
         if job.record.owned_by(&self.name).contains(index) {
             job.good += 1;
             job.finished.insert(index);
-            let all = job.record.finished.len() + job.finished.len() >= job.record.job.tasks;
-            if all {
+            if job.all_finished() {
                 job.write_after = now;
             }
         }
--- /dev/null
+++ b/crates/quartzlever-core/src/ledger.rs
@@ -0,0 +1,107 @@
+//! What this controller may still change in the state service: its share of the changes a second,
+//! and how much of it is kept for what matters more.
+
+use quartzlever_wire::{Micros, SECOND};
+
+/// Kinds of changes, the most urgent first. Leases, parts, submissions and cancellations are
+/// always made, and may leave the account in debt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Change {
+    Finish,
+    Claim,
+    Move,
+    Progress,
+    Tidy,
+}
+
+impl Change {
+    /// Share of a second's changes that is left for others.
+    fn keeps(self) -> f64 {
+        match self {
+            Change::Finish => 0.0,
+            Change::Claim => 0.1,
+            Change::Move => 0.2,
+            Change::Progress => 0.35,
+            Change::Tidy => 0.5,
+        }
+    }
+}
+
+/// An account that fills at a rate and holds at most a second's worth.
+#[derive(Debug)]
+pub struct Ledger {
+    rate: f64,
+    level: f64,
+    at: Micros,
+}
+
+/// Part of the limit that is used at all: bursts of several controllers may meet.
+const SAFE: f64 = 0.9;
+
+impl Ledger {
+    pub fn new(now: Micros) -> Self {
+        Ledger { rate: 1.0, level: 1.0, at: now }
+    }
+
+    /// Time passes; `limit` is for all who change anything, `sharers` so many.
+    pub fn pass(&mut self, now: Micros, limit: f64, sharers: usize) {
+        let passed = now.saturating_sub(self.at) as f64 / SECOND as f64;
+        self.at = now;
+        self.rate = (limit * SAFE / sharers.max(1) as f64).max(0.5);
+        self.level = (self.level + passed * self.rate).min(self.rate.max(2.0));
+    }
+
+    /// Takes `count` changes, if enough is left for what matters more. One more than a full
+    /// account ever holds is let through when the account is full.
+    pub fn allows(&mut self, kind: Change, count: usize) -> bool {
+        let most = self.rate.max(2.0);
+        let need = (count as f64 + kind.keeps() * self.rate).min(most);
+        if self.level + 1e-9 < need {
+            return false;
+        }
+        self.level -= count as f64;
+        true
+    }
+
+    /// Takes changes that are made in any case.
+    pub fn spend(&mut self, count: usize) {
+        self.level -= count as f64;
+    }
+
+    /// Whether so much is owed that new submissions have to wait.
+    pub fn exhausted(&self) -> bool {
+        self.level < -self.rate.max(2.0)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_matters_more_finds_something_left() {
+        // (changes a second for one, already spent, kind, count, whether it is allowed)
+        for (rate, spent, kind, count, allowed) in [
+            (10.0, 0, Change::Tidy, 1, true),
+            (10.0, 7, Change::Progress, 1, false),
+            (10.0, 7, Change::Claim, 1, true),
+            (10.0, 9, Change::Claim, 1, false),
+            (10.0, 8, Change::Finish, 2, true),
+            (10.0, 9, Change::Finish, 2, false),
+            (10.0, 0, Change::Move, 24, true),
+            (10.0, 3, Change::Move, 24, false),
+        ] {
+            let mut ledger = Ledger::new(0);
+            ledger.pass(100 * SECOND, rate / SAFE, 1);
+            ledger.spend(spent);
+            assert_eq!(ledger.allows(kind, count), allowed, "{spent} {kind:?} {count}");
+        }
+        let mut ledger = Ledger::new(0);
+        ledger.pass(SECOND, 30.0, 3);
+        assert!(!ledger.exhausted());
+        ledger.spend(40);
+        assert!(ledger.exhausted());
+        ledger.pass(5 * SECOND, 30.0, 3);
+        assert!(!ledger.exhausted());
+    }
+}
--- a/crates/quartzlever-core/src/lib.rs
+++ b/crates/quartzlever-core/src/lib.rs
@@ -5,17 +5,21 @@
 //! The same commands at the same times give the same effects.
 //!
 //! - [`jobs`]: submissions, lookups, cancellations, and the record of each job.
+//! - `lookups`, `ledger`, `claims`: what is asked of and written to the state service, and how often.
 //! - [`part`]: a part's queue, its holder, its machines' reports, and recovery.
 //! - [`placement`]: which task goes where.
 //! - [`rooms`]: the free room of a part's machines, as an index.
 //! - [`stealing`]: the adaptive work stealing between parts.
 //! - [`fleet`]: renting, returning, and suspicion of machines.
 
+mod claims;
 mod config;
 mod engine;
 pub mod fleet;
 mod holding;
 pub mod jobs;
+mod ledger;
+mod lookups;
 pub mod machine;
 mod messages;
 pub mod part;
--- /dev/null
+++ b/crates/quartzlever-core/src/lookups.rs
@@ -0,0 +1,128 @@
+//! Lookups of jobs, many at a time: one cheap read brings the present revision, and once the
+//! watched copy has come as far, all that waited are answered from it. So no answer is older than
+//! any that was given before the question came. What the copy does not know is read.
+
+use std::collections::VecDeque;
+
+use quartzlever_wire::state::{LiveRecord, StateReply};
+use quartzlever_wire::users::{JobPhase, JobView};
+use quartzlever_wire::{CallError, Micros, SECOND};
+
+use crate::engine::{Core, Waiting};
+use crate::jobs::Purpose;
+use crate::messages::{Lane, RequestId};
+
+/// Share of the requests to the state service that may bring revisions.
+const SHARE: f64 = 0.2;
+/// A copy that has not come as far by then is not waited for.
+const PATIENCE: Micros = SECOND * 7 / 10;
+/// Lookups that may wait; more are turned away at once, to come again.
+const MOST: usize = 2_000;
+
+/// A question that waits.
+#[derive(Debug)]
+pub(crate) struct Asked {
+    id: RequestId,
+    job: String,
+    since: Micros,
+}
+
+/// The questions that wait.
+#[derive(Debug, Default)]
+pub(crate) struct Lookups {
+    waiting: Vec<Asked>,
+    /// A read of the revision is under way.
+    reading: bool,
+    next: Micros,
+    /// By the revision that the copy has to come to.
+    fenced: VecDeque<(u64, Vec<Asked>)>,
+}
+
+impl Core {
+    pub(crate) fn lookup(&mut self, id: RequestId, job: String) {
+        if let Some(over) = self.finals.get(&job).cloned() {
+            return self.view_over(id, &job, &over);
+        }
+        let queued: usize = self.lookups.fenced.iter().map(|f| f.1.len()).sum();
+        if self.lookups.waiting.len() + queued >= MOST {
+            return self.later(id, 503, "busy");
+        }
+        let since = self.now;
+        self.lookups.waiting.push(Asked { id, job, since });
+    }
+
+    /// Asks for the revision, and answers what the copy is new enough for.
+    pub(crate) fn keep_lookups(&mut self) {
+        let now = self.now;
+        let lookups = &mut self.lookups;
+        if !lookups.waiting.is_empty() && !lookups.reading && now >= lookups.next {
+            lookups.reading = true;
+            lookups.next = now + self.cfg.pause_for(SHARE);
+            let asked = std::mem::take(&mut lookups.waiting);
+            let call = quartzlever_wire::state::StateCall::Epoch;
+            self.state(Lane::User, call, Waiting::Fence { asked });
+        }
+        let loaded = self.mirror.loaded();
+        while let Some((epoch, _)) = self.lookups.fenced.front()
+            && loaded
+            && *epoch <= self.mirror.epoch
+            && let Some((_, asked)) = self.lookups.fenced.pop_front()
+        {
+            for one in asked {
+                self.answer_from_copy(one);
+            }
+        }
+        // The copy lags behind, or there is none: read one by one, the oldest first.
+        while let Some((_, asked)) = self.lookups.fenced.front()
+            && asked.first().is_none_or(|a| now.saturating_sub(a.since) > PATIENCE)
+            && let Some((_, asked)) = self.lookups.fenced.pop_front()
+        {
+            for one in asked {
+                self.read_for_user(Purpose::Lookup { id: one.id, job: one.job });
+            }
+        }
+    }
+
+    pub(crate) fn fenced(&mut self, asked: Vec<Asked>, result: Result<StateReply, CallError>) {
+        self.lookups.reading = false;
+        match result {
+            Ok(StateReply::Epoch(epoch)) => {
+                self.mirror.newest = self.mirror.newest.max(epoch);
+                self.lookups.fenced.push_back((epoch, asked));
+            }
+            _ => {
+                for one in asked {
+                    self.later(one.id, 503, "the state service gives no answer");
+                }
+            }
+        }
+    }
+
+    fn answer_from_copy(&mut self, asked: Asked) {
+        let Asked { id, job, .. } = asked;
+        if let Some(over) = self.finals.get(&job).cloned() {
+            return self.view_over(id, &job, &over);
+        }
+        match self.mirror.live.get(&job) {
+            Some((record, _)) => {
+                let view = self.view_live(record);
+                self.answer(id, 200, serde_json::to_value(view).unwrap_or_default());
+            }
+            None => self.read_for_user(Purpose::Lookup { id, job }),
+        }
+    }
+
+    /// What a user is told of a job that is neither done nor cancelled.
+    pub(crate) fn view_live(&self, record: &LiveRecord) -> JobView {
+        let id = &record.job.id;
+        let here = self.parts.values().filter_map(|p| p.jobs.get(id));
+        let running: usize = here.map(|j| j.located.len()).sum();
+        let begun = record.started || !record.finished.is_empty() || running > 0;
+        JobView {
+            id: id.clone(),
+            phase: if begun { JobPhase::Running } else { JobPhase::Queued },
+            done: record.finished.len(),
+            running: running as u32,
+        }
+    }
+}
--- a/crates/quartzlever-core/src/part.rs
+++ b/crates/quartzlever-core/src/part.rs
@@ -79,6 +79,11 @@
         all
     }
 
+    /// Whether the last tasks have finished, recorded or not.
+    pub fn all_finished(&self) -> bool {
+        self.record.finished.len() + self.finished.len() >= self.record.job.tasks
+    }
+
     /// Whether the job fails wherever it is tried.
     pub fn mistaken(&self) -> bool {
         self.good == 0 && self.failed_on.len() >= MISTAKEN_AFTER
@@ -106,14 +111,8 @@
     /// The stamp of the part's key: the term, and the baton of its commands.
     pub term: u64,
     pub acquired: Micros,
-    /// Both are read after the part was acquired, before anything is decided for it.
-    pub jobs_loaded: bool,
-    pub hosts_loaded: bool,
-    /// When to read them (again).
-    pub load_jobs_at: Option<Micros>,
-    pub load_hosts_at: Option<Micros>,
-    /// Jobs seen in the listing under way.
-    pub listed: BTreeSet<String>,
+    /// Its jobs and machines are known as of the acquisition or later; nothing is decided before.
+    pub loaded: bool,
     pub jobs: BTreeMap<String, PartJob>,
     pub machines: BTreeMap<String, Machine>,
     /// Whether every machine is known to hold nothing that an earlier holder started unseen.
@@ -145,11 +144,7 @@
             name: name.to_owned(),
             term,
             acquired: now,
-            jobs_loaded: false,
-            hosts_loaded: false,
-            load_jobs_at: Some(now),
-            load_hosts_at: Some(now),
-            listed: BTreeSet::new(),
+            loaded: false,
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             barrier_open: false,
@@ -169,7 +164,7 @@
     }
 
     pub fn active(&self) -> bool {
-        self.jobs_loaded && self.hosts_loaded
+        self.loaded
     }
 
     pub fn key(&self) -> String {
--- a/crates/quartzlever-core/src/regressions.rs
+++ b/crates/quartzlever-core/src/regressions.rs
@@ -72,6 +72,8 @@
         ],
         objectives: Vec::new(),
         workers: WorkerTimes { report: SECOND, lease: 10 * SECOND },
+        state_rps: 300.0,
+        state_write_rps: 300.0,
         value_bytes: 16 * 1024,
         txn_ops: 24,
         operator: Operator::default(),
@@ -94,8 +96,7 @@
     core.hold.lease = Some(1);
     core.hold.sure_until = NOW + 1_000 * SECOND;
     let mut part = Part::new("one", 5, core.types.clone(), NOW);
-    (part.jobs_loaded, part.hosts_loaded, part.barrier_open) = (true, true, true);
-    (part.load_jobs_at, part.load_hosts_at) = (None, None);
+    (part.loaded, part.barrier_open) = (true, true);
     let host = HostRecord {
         part: "one".into(),
         address: "n-1:9000".into(),
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -1,6 +1,5 @@
 //! Workers' reports and calls to workers: claims, sessions, fencing, adoption, commands.
 
-use quartzlever_wire::state::{HOSTS, HostRecord, PARTS, StateCall, StateReply};
 use quartzlever_wire::users::Rank;
 use quartzlever_wire::workers::{
     Cause, Orders, Report, TaskPhase, TaskReport, WorkerCall, WorkerReply,
@@ -8,9 +7,9 @@
 use quartzlever_wire::{CallError, Micros, SECOND, micros_from_secs};
 
 use crate::config::Config;
-use crate::engine::{Core, Waiting, WorkerWait};
+use crate::engine::{Core, WorkerWait};
 use crate::machine::{Amounts, Direct, Machine, Slot, SlotKey};
-use crate::messages::{Effect, Lane, RequestId};
+use crate::messages::{Effect, RequestId};
 use crate::part::{Part, Place};
 use crate::placement::Paces;
 
@@ -32,7 +31,7 @@
         if !self.mirror.loaded() {
             return self.later(id, 503, "starting");
         }
-        if let Some((record, _)) = self.mirror.hosts.get(&report.host) {
+        if let Some(record) = self.part_of_host(&report.host) {
             let part = record.part.clone();
             return self.redirect(id, &part);
         }
@@ -68,59 +67,11 @@
             .or_else(|| self.parts.get(&self.cfg.node))
             .filter(|p| p.active());
         let Some(part) = part else { return self.later(id, 503, "not entitled") };
-        if !self.sure()
-            || part.fleet.gone.contains(&report.host)
-            || self.cloud.claiming.contains(&report.host)
-        {
+        if !self.sure() || part.fleet.gone.contains(&report.host) {
             return self.later(id, 503, "not entitled");
         }
-        let record = HostRecord {
-            part: part.name.clone(),
-            address: report.address.clone(),
-            kind: report.kind.clone(),
-            zone: report.zone.clone(),
-            spot: report.spot,
-        };
-        let key = format!("{HOSTS}{}", report.host);
-        let txn = part.txn().when(key.clone(), 0).write(key, serde_json::json!(record));
         let (part, term) = (part.name.clone(), part.term);
-        self.cloud.claiming.insert(report.host.clone());
-        let report = Box::new(report);
-        self.state(
-            Lane::Work,
-            StateCall::Txn(txn),
-            Waiting::Claim { id, part, term, report, record },
-        );
-    }
-
-    pub(crate) fn claimed(
-        &mut self,
-        id: RequestId,
-        name: &str,
-        term: u64,
-        report: Report,
-        record: HostRecord,
-        result: Result<StateReply, CallError>,
-    ) {
-        let now = self.now;
-        self.cloud.claiming.remove(&report.host);
-        match result {
-            Ok(StateReply::Committed(stamp)) => {
-                self.mirror.hosts.insert(report.host.clone(), (record.clone(), stamp));
-                if let Some(part) = self.part_at(name, term) {
-                    part.add_machine(&report.host, record, true, now);
-                    return self.hello_own(id, name, &report);
-                }
-                self.later(id, 503, "not entitled");
-            }
-            Ok(StateReply::Conflict(failed)) => {
-                if failed.contains(&format!("{PARTS}{name}")) {
-                    self.lose_part(name, term);
-                }
-                self.later(id, 503, "claimed by another");
-            }
-            _ => self.later(id, 503, "not written"),
-        }
+        self.want_claim(id, report, &part, term);
     }
 
     /// A report of a machine of a part that is held here.
@@ -295,29 +246,6 @@
             }
         }
     }
-
-    pub(crate) fn hosts_dropped(
-        &mut self,
-        name: &str,
-        term: u64,
-        hosts: Vec<String>,
-        result: Result<StateReply, CallError>,
-    ) {
-        let key = format!("{PARTS}{name}");
-        match result {
-            Ok(StateReply::Committed(_)) => {
-                for host in &hosts {
-                    self.mirror.hosts.remove(host);
-                }
-            }
-            Ok(StateReply::Conflict(failed)) if failed.contains(&key) => self.lose_part(name, term),
-            _ => {
-                if let Some(part) = self.part_at(name, term) {
-                    part.fleet.to_drop.extend(hosts);
-                }
-            }
-        }
-    }
 }
 
 impl Part {
--- a/crates/quartzlever-core/src/stealing.rs
+++ b/crates/quartzlever-core/src/stealing.rs
@@ -9,6 +9,7 @@
 
 use crate::config::Config;
 use crate::engine::{Core, Waiting};
+use crate::ledger::Change;
 use crate::machine::{Amounts, Slot};
 use crate::messages::{Effect, Lane, RequestId, Weight};
 use crate::part::{Part, live_key};
@@ -364,6 +365,15 @@
         if moved.is_empty() {
             return self.answer_nothing(request);
         }
+        if !self.ledger.allows(Change::Move, moved.len()) {
+            for Move { job: id, cut, .. } in moved {
+                let Some(job) = part.jobs.get_mut(&id) else { continue };
+                job.writing = false;
+                job.cutting.subtract(&cut);
+                job.ready.add(&cut);
+            }
+            return self.answer_nothing(request);
+        }
         let waiting =
             Waiting::StealWrite { part: victim.to_owned(), term: part.term, request, moved };
         self.state(Lane::Work, StateCall::Txn(txn), waiting);
--- a/crates/quartzlever-core/tests/world/mod.rs
+++ b/crates/quartzlever-core/tests/world/mod.rs
@@ -29,6 +29,8 @@
         ],
         objectives: Vec::new(),
         workers: WorkerTimes { report: SECOND, lease: LEASE },
+        state_rps: 300.0,
+        state_write_rps: 300.0,
         value_bytes: 16 * 1024,
         txn_ops: 24,
         operator: Operator {
--- a/crates/quartzlever-standin/src/store.rs
+++ b/crates/quartzlever-standin/src/store.rs
@@ -67,6 +67,7 @@
         }
         self.expire(now);
         Ok(match call {
+            StateCall::Epoch => StateReply::Epoch(self.epoch),
             StateCall::Get(key) => {
                 StateReply::Row(self.keys.get(key).map(|(v, stamp, charter)| Row {
                     path: key.clone(),
--- a/crates/quartzlever-wire/src/state.rs
+++ b/crates/quartzlever-wire/src/state.rs
@@ -1,5 +1,7 @@
 //! Controllers <-> state service: its protocol, and the records that quartzlever keeps there.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -10,6 +12,8 @@
 pub const LIVE: &str = "live/";
 pub const OVER: &str = "over/";
 pub const HOSTS: &str = "hosts/";
+/// A key that nobody writes: reading it brings the present revision at little cost.
+pub const NOBODY: &str = "nobody";
 /// Key of the catalogue as the cloud last gave it, for a restart while the cloud is down.
 pub const CATALOGUE: &str = "catalogue";
 
@@ -188,8 +192,49 @@
     pub done: u32,
 }
 
-/// Value of `hosts/{name}`: a machine and the part that it belongs to.
+/// Machines by name.
+pub type Hosts = BTreeMap<String, HostRecord>;
+
+/// Value of `hosts/{block}`: the claimed machines of a block of names. A wave of first reports or
+/// of returns is one change then.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostBlock {
+    pub m: Hosts,
+}
+
+/// How many numbered names make a block: their records stay well inside a value's limit.
+const BLOCK: u64 = 64;
+
+/// The key of the block that a machine's name belongs to.
+pub fn block_key(host: &str) -> String {
+    let stem = host.trim_end_matches(|c: char| c.is_ascii_digit());
+    match host[stem.len()..].parse::<u64>() {
+        Ok(number) => format!("{HOSTS}{stem}~{}", number / BLOCK),
+        Err(_) => format!("{HOSTS}{host}~"),
+    }
+}
+
+/// The machines under a key: a block, or one machine as an earlier version kept it.
+pub fn hosts_in(path: &str, value: &Value) -> Option<Hosts> {
+    #[derive(Deserialize)]
+    struct Earlier {
+        part: String,
+        address: String,
+        kind: String,
+        zone: String,
+        spot: bool,
+    }
+    if value.get("part").is_none() {
+        return HostBlock::deserialize(value).ok().map(|block| block.m);
+    }
+    let Earlier { part, address, kind, zone, spot } = Earlier::deserialize(value).ok()?;
+    let name = path.strip_prefix(HOSTS)?.to_owned();
+    Some(BTreeMap::from([(name, HostRecord { part, address, kind, zone, spot })]))
+}
+
+/// A machine and the part that it belongs to; a plain list on the wire, to be short.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "HostFields", into = "HostFields")]
 pub struct HostRecord {
     pub part: String,
     pub address: String,
@@ -198,20 +243,47 @@
     pub spot: bool,
 }
 
+type HostFields = (String, String, String, String, bool);
+
+impl From<HostFields> for HostRecord {
+    fn from((part, address, kind, zone, spot): HostFields) -> Self {
+        HostRecord { part, address, kind, zone, spot }
+    }
+}
+
+impl From<HostRecord> for HostFields {
+    fn from(r: HostRecord) -> Self {
+        (r.part, r.address, r.kind, r.zone, r.spot)
+    }
+}
+
 /// A call to the state service.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StateCall {
+    /// What is the present revision?
+    Epoch,
     Get(String),
-    List { prefix: String, from: Option<String> },
+    List {
+        prefix: String,
+        from: Option<String>,
+    },
     Txn(Txn),
-    Grant { life_ms: u64 },
-    Renew { lease: u64 },
-    Watch { from: u64, hold_ms: u64 },
+    Grant {
+        life_ms: u64,
+    },
+    Renew {
+        lease: u64,
+    },
+    Watch {
+        from: u64,
+        hold_ms: u64,
+    },
 }
 
 /// What the state service answered.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StateReply {
+    Epoch(u64),
     Row(Option<Row>),
     Rows(Rows),
     /// The transaction is in force at this revision.
--- a/crates/quartzlever/src/node.rs
+++ b/crates/quartzlever/src/node.rs
@@ -65,14 +65,14 @@
 impl Hands {
     fn start(settings: &Settings, inbox: &Inbox, clock: Clock) -> io::Result<Hands> {
         let share = SHARE / settings.core.nodes.len() as f64;
-        let requests = Arc::new(Budget::new(settings.state_rps * share));
-        let changes = Arc::new(Budget::new(settings.state_write_rps * share));
+        // The core keeps account of changes, since it knows which are worth most.
+        let requests = Arc::new(Budget::new(settings.core.state_rps * share));
         let client = StateClient::new(&settings.state);
         let mut lanes = HashMap::new();
         // Lane, threads, share of the budget left to others, patience.
         for (lane, threads, keep, patience) in [
             (Lane::Hold, 2, 0.0, 2000),
-            (Lane::Watch, 1, 0.0, 2000),
+            (Lane::Watch, 2, 0.0, 2000),
             (Lane::Work, 4, 0.1, 1500),
             (Lane::User, 4, 0.25, 600),
         ] {
@@ -80,13 +80,11 @@
             for _ in 0..threads {
                 let receiver: Receiver<StateJob> = receiver.clone();
                 let (client, inbox) = (client.clone(), inbox.clone());
-                let (requests, changes) = (requests.clone(), changes.clone());
+                let requests = requests.clone();
                 let patience = Duration::from_millis(patience);
                 spawn("state", move || {
                     for StateJob { token, call } in receiver {
-                        let writes = StateClient::changes(&call) as f64;
-                        let allowed = (writes == 0.0 || changes.wait(writes, keep, patience))
-                            && requests.wait(1.0, keep, patience);
+                        let allowed = requests.wait(1.0, keep, patience);
                         let result =
                             if allowed { client.call(&call) } else { Err(CallError::Refused) };
                         inbox.tell(Command::State { token, result });
--- a/crates/quartzlever/src/settings.rs
+++ b/crates/quartzlever/src/settings.rs
@@ -131,8 +131,6 @@
     pub peers: Vec<(String, SocketAddr)>,
     pub cloud: String,
     pub state: String,
-    pub state_rps: f64,
-    pub state_write_rps: f64,
     pub cloud_rps: f64,
     pub sockets: u32,
 }
@@ -287,8 +285,6 @@
         peers,
         cloud: entry.external.cloud.clone(),
         state: entry.external.state.clone(),
-        state_rps: check.amount("params.state.rps", state.rps, 1.0, 1e9)?,
-        state_write_rps: check.amount("params.state.write_rps", state.write_rps, 1.0, 1e9)?,
         cloud_rps: check.amount("params.cloud.rps", params.cloud.rps, 0.1, 1e9)?,
         sockets: params.machine_limits.as_ref().and_then(|l| l.sockets).unwrap_or(1024).max(64),
         core: Config {
@@ -299,6 +295,8 @@
             teams,
             objectives,
             workers,
+            state_rps: check.amount("params.state.rps", state.rps, 1.0, 1e9)?,
+            state_write_rps: check.amount("params.state.write_rps", state.write_rps, 1.0, 1e9)?,
             value_bytes: (check.amount("params.state.value_kb", state.value_kb, 1.0, 1e6)? * 1024.0)
                 as usize,
             txn_ops: check.amount("params.state.txn_ops", state.txn_ops as f64, 2.0, 1e6)? as usize,
