The queue is placed when something may come of it; what cannot fit is not tried

Now: a time for the next placement instead of a wish for one at each step; a report stops at the first sign that nothing fits; no look for work to stop where nothing of a lower rank runs.

--- a/crates/quartzlever-core/src/jobs.rs
+++ b/crates/quartzlever-core/src/jobs.rs
@@ -307,6 +307,7 @@
     pub(crate) fn write_jobs(&mut self) {
         let now = self.now;
         let mut due: Vec<(Change, Micros, String, String)> = Vec::new();
+        let progress = self.ledger.has(Change::Progress, 1);
         for (name, part) in self.parts.iter_mut().filter(|(_, p)| p.active()) {
             let mut done_with = Vec::new();
             for (id, job) in &part.jobs {
@@ -320,6 +321,9 @@
                 } else if job.doubtful || job.wants_write || !job.finished.is_empty() {
                     let ends = job.all_finished();
                     let kind = if ends { Change::Finish } else { Change::Progress };
+                    if !ends && !progress {
+                        continue;
+                    }
                     due.push((kind, job.write_after, name.clone(), id.clone()));
                 }
             }
--- a/crates/quartzlever-core/src/ledger.rs
+++ b/crates/quartzlever-core/src/ledger.rs
@@ -54,13 +54,18 @@
     /// Takes `count` changes, if enough is left for what matters more. One more than a full
     /// account ever holds is let through when the account is full.
     pub fn allows(&mut self, kind: Change, count: usize) -> bool {
+        let has = self.has(kind, count);
+        if has {
+            self.spend(count);
+        }
+        has
+    }
+
+    /// Whether that much is left.
+    pub fn has(&self, kind: Change, count: usize) -> bool {
         let most = self.rate.max(2.0);
         let need = (count as f64 + kind.keeps() * self.rate).min(most);
-        if self.level + 1e-9 < need {
-            return false;
-        }
-        self.level -= count as f64;
-        true
+        self.level + 1e-9 >= need
     }
 
     /// Takes changes that are made in any case.
--- a/crates/quartzlever-core/src/part.rs
+++ b/crates/quartzlever-core/src/part.rs
@@ -131,9 +131,13 @@
     /// The whole queue is to be placed; not before `place_after`.
     pub place_wanted: bool,
     pub place_after: Micros,
+    /// It is to be placed again at this time even if nothing happens.
+    pub place_due: Option<Micros>,
     pub preempt_after: Micros,
     /// Jobs whose ready tasks found no room in the last placement.
     pub short: Vec<String>,
+    /// The fewest processors that a task of these takes.
+    pub short_least: f64,
     /// Tasks should start now, and no room can be made for them here.
     pub pressed: bool,
 }
@@ -157,8 +161,10 @@
             unfenced: BTreeSet::new(),
             place_wanted: true,
             place_after: 0,
+            place_due: None,
             preempt_after: 0,
             short: Vec::new(),
+            short_least: f64::INFINITY,
             pressed: false,
         }
     }
@@ -259,7 +265,10 @@
 
     /// Forgets a job that is over; what is left of it on machines is to end.
     pub fn drop_job(&mut self, id: &str) {
-        self.jobs.remove(id);
+        if self.jobs.remove(id).is_none() {
+            // What machines may have of it is unwanted already.
+            return;
+        }
         let task = |index| TaskId { job: id.to_owned(), index };
         let (first, last) = ((task(0), 0), (task(u32::MAX), u64::MAX));
         let all = (Bound::Included(&first), Bound::Included(&last));
--- a/crates/quartzlever-core/src/placement.rs
+++ b/crates/quartzlever-core/src/placement.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use quartzlever_wire::cloud::MachineType;
-use quartzlever_wire::users::JobSpec;
+use quartzlever_wire::users::{JobSpec, Rank};
 use quartzlever_wire::workers::TaskId;
 use quartzlever_wire::{Micros, SECOND, micros_from_secs};
 
@@ -168,19 +168,22 @@
     /// Gives the part's ready tasks to its free machines.
     pub(crate) fn place(&mut self, name: &str) {
         let now = self.now;
-        let Some(part) = self
-            .parts
-            .get_mut(name)
-            .filter(|p| p.active() && p.place_wanted && now >= p.place_after && p.types.is_some())
-        else {
+        let Some(part) = self.parts.get_mut(name).filter(|p| {
+            let due = p.place_wanted || p.place_due.is_some_and(|t| now >= t);
+            p.active() && due && now >= p.place_after && p.types.is_some()
+        }) else {
             return;
         };
         part.place_wanted = false;
+        part.place_due = None;
         part.place_after = now + PLACE_PAUSE;
         part.short.clear();
+        part.short_least = f64::INFINITY;
         part.pressed = false;
         for id in part.queue_order(&self.cfg, &self.paces, now) {
             if part.place_job(&self.cfg, &id, None, now) {
+                let need = part.jobs.get(&id).map_or(0.0, |j| j.spec().cpus);
+                part.short_least = part.short_least.min(need);
                 part.short.push(id);
             }
         }
@@ -196,6 +199,10 @@
         }
         let short = std::mem::take(&mut part.short);
         for id in &short {
+            // Most machines that report are full, or nearly so.
+            if part.machines.get(host).is_none_or(|m| m.room.cpus + 1e-6 < part.short_least) {
+                break;
+            }
             part.place_job(&self.cfg, id, Some(host), now);
         }
         part.short = short;
@@ -207,28 +214,43 @@
         let quiet = self.cfg.workers.report * QUIET_REPORTS;
         let Some(part) = self.parts.get_mut(name).filter(|p| !p.short.is_empty()) else { return };
         if now < part.preempt_after {
-            part.place_wanted = true;
+            part.place_by(part.preempt_after);
             return;
         }
-        // Room that is being made already.
-        let mut coming: f64 = part.live_slots().filter(|s| !s.wanted).map(|s| s.need.cpus).sum();
+        part.preempt_after = now + PREEMPT_PAUSE;
+        // Room that is being made already, and the lowest rank that could still give way.
+        let (mut coming, mut lowest) = (0.0, Rank::Prod);
+        for slot in part.live_slots() {
+            if slot.wanted {
+                lowest = lowest.max(slot.rank);
+            } else {
+                coming += slot.need.cpus;
+            }
+        }
         let inside = part.guarantees(&self.cfg);
         for id in part.short.clone() {
             let Some(job) = part.jobs.get(&id) else { continue };
             let urgency = urgency(&self.cfg, &self.paces, job, now);
-            if now < job.since + PREEMPT_AFTER || now + PREEMPT_AHEAD < urgency.latest {
-                part.place_wanted = true;
+            let from =
+                (job.since + PREEMPT_AFTER).max((urgency.latest + 1).saturating_sub(PREEMPT_AHEAD));
+            if now < from {
+                part.place_by(from);
                 continue;
             }
             let (spec, need) = (job.spec().clone(), job.need());
             let all = f64::from(job.ready.len()) * need.cpus;
-            let promised = coming.min(all);
+            let promised = f64::min(coming, all);
             coming -= promised;
             let mut wanted = ((all - promised) / need.cpus.max(1e-6)).ceil() as u32;
             if wanted == 0 {
                 continue;
             }
-            part.preempt_after = now + PREEMPT_PAUSE;
+            part.place_by(now + PREEMPT_PAUSE);
+            if lowest <= spec.rank && !inside.contains(&spec.team) {
+                // Nothing here gives way to it.
+                part.pressed = true;
+                continue;
+            }
             let mut offers = part.all_stops(&inside, &spec, &need, now, quiet);
             while wanted > 0 {
                 let Some(Stops { gain, machine, attempts, .. }) = offers.pop() else {
@@ -275,6 +297,11 @@
         order.into_iter().map(|(_, id)| id.clone()).collect()
     }
 
+    /// Has the queue placed at this time at the latest.
+    fn place_by(&mut self, at: Micros) {
+        self.place_due = Some(self.place_due.map_or(at, |t| t.min(at)));
+    }
+
     /// The teams whose unfinished work fits their guarantee.
     fn guarantees(&self, cfg: &Config) -> BTreeSet<String> {
         let inside = cfg.teams.iter().filter(|t| self.inside_guarantee(cfg, &t.name));
@@ -287,7 +314,7 @@
         let quiet = cfg.workers.report * QUIET_REPORTS;
         let Some(job) = self.jobs.get(id).filter(|j| !j.ready.is_empty()) else { return false };
         if job.no_start_before > now {
-            self.place_wanted = true;
+            self.place_by(job.no_start_before);
             return false;
         }
         let (spec, need) = (job.spec(), job.need());
@@ -324,9 +351,9 @@
                 found
             }
         };
-        let (spec, bound) = (spec.clone(), spec.one_zone || spec.spread);
-        let allowance = self.team_allowance(cfg, &spec, &need);
-        let mut left = allowance.min(self.ready_of(id));
+        let bound = spec.one_zone || spec.spread;
+        let allowance = self.team_allowance(cfg, spec, &need);
+        let mut left = allowance.min(job.ready.len());
         for (_, host) in hosts {
             if left == 0 {
                 break;
@@ -347,10 +374,6 @@
         allowance > 0 && left > 0
     }
 
-    fn ready_of(&self, id: &str) -> u32 {
-        self.jobs.get(id).map_or(0, |j| j.ready.len())
-    }
-
     /// Whether a task of a job that is bound to zones may start on this machine.
     fn zone_open(&self, cfg: &Config, id: &str, host: &str) -> bool {
         let (Some(job), Some(machine)) = (self.jobs.get(id), self.machines.get(host)) else {
--- a/crates/quartzlever-core/src/stealing.rs
+++ b/crates/quartzlever-core/src/stealing.rs
@@ -79,6 +79,7 @@
 
 /// How long a peer's word that it is pressed counts, and how often it is given.
 const PRESSED: Micros = SECOND;
+const LOOK: Micros = SECOND / 10;
 
 /// Room on open machines, as the thief tells it; for tasks of a rank, what lower work could give
 /// way to counts as room.
@@ -115,7 +116,11 @@
         {
             return;
         }
-        let Some((part, rank)) = self.thief() else { return };
+        let Some((part, rank)) = self.thief() else {
+            // Looked for again a little later, not at every step.
+            self.stealing.next = self.now + LOOK;
+            return;
+        };
         // Parts held by one node lend to each other by the same move, without a message.
         if let Some((_, victim)) = self
             .parts
