What the protocol leaves out; bounds for connections; records of returned machines go sooner

Late copies: a report without this term's baton is no proof at a new holder and is not adopted; a machine that nobody knows is asked before it is claimed; copies count as signs of life only for two report intervals after a takeover. A machine whose reports never show what answers told it gets nothing more after the first miss and is returned after the second, unless a tenth seem deaf at once. A job that has not begun after 150 s begins next; one of 240 s queues with urgent ones and is not stopped for them. Lookups and cancellations have a line of their own ahead of submissions. Connections of workers and users have bounds of their own, by sockets and memory; idle ones are closed sooner when they run short. Machines are asked for 50 at a time.

--- a/crates/quartzlever-core/src/claims.rs
+++ b/crates/quartzlever-core/src/claims.rs
@@ -19,6 +19,8 @@
 const RETRY: Micros = SECOND / 2;
 /// Shortest time between two writes of one block, so that a wave of reports is one change.
 const PAUSE: Micros = SECOND / 4;
+/// As long for removals: nothing waits for them.
+const TIDY_PAUSE: Micros = 2 * SECOND;
 
 /// A machine that waits for its claim, with the reports that wait for an answer.
 #[derive(Clone, Debug)]
@@ -48,7 +50,9 @@
 
     /// A machine that nobody has claimed reports; it is to be claimed for a part held here.
     pub(crate) fn want_claim(&mut self, id: RequestId, report: Report, part: &str, term: u64) {
+        let soon = self.now + PAUSE;
         let work = self.blocks.entry(block_key(&report.host)).or_default();
+        work.not_before = work.not_before.min(soon);
         match work.claims.get_mut(&report.host) {
             Some(claim) => {
                 claim.ids.push(id);
@@ -137,7 +141,7 @@
         let kind = if added.is_empty() { Change::Tidy } else { Change::Claim };
         if self.ledger.allows(kind, 1) {
             work.writing = true;
-            work.not_before = now + PAUSE;
+            work.not_before = now + if added.is_empty() { TIDY_PAUSE } else { PAUSE };
             let mut txn = Txn::default().when(key, stamp);
             for (part, term) in &terms {
                 txn = txn.when(format!("{PARTS}{part}"), *term);
--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -5,7 +5,7 @@
 use quartzlever_wire::cloud::{CloudCall, CloudReply};
 use quartzlever_wire::peers::{PeerAnswer, PeerRequest};
 use quartzlever_wire::state::{Hosts, LiveRecord, OverRecord, PartRecord, StateCall, StateReply};
-use quartzlever_wire::workers::{WorkerCall, WorkerReply};
+use quartzlever_wire::workers::{Report, WorkerCall, WorkerReply};
 use quartzlever_wire::{CallError, Micros, Ranges, SECOND};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -237,6 +237,8 @@
     pub(crate) ledger: Ledger,
     pub(crate) blocks: BTreeMap<String, BlockWork>,
     pub(crate) lookups: Lookups,
+    /// Reports of machines that nobody knew, while the machines are asked.
+    pub(crate) vouching: HashMap<String, (RequestId, Report)>,
     pub(crate) busy_parts: BTreeSet<String>,
     pub(crate) releasing: BTreeSet<String>,
     /// Since when each absent part has been missing.
@@ -282,6 +284,7 @@
             ledger: Ledger::new(now),
             blocks: BTreeMap::new(),
             lookups: Lookups::default(),
+            vouching: HashMap::new(),
             busy_parts: BTreeSet::new(),
             releasing: BTreeSet::new(),
             absent_since: BTreeMap::new(),
--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -30,11 +30,15 @@
 const CHEAP: f64 = 1.5;
 /// The most machines in one request for them.
 const MOST_PER_HIRE: u32 = 50;
+/// Requests for machines of one part without an answer, at the most.
+const MOST_HIRES: usize = 4;
 const MOST_PER_RETURN: usize = 100;
 /// Machines in excess of this many are not rented in one round.
-const MOST_PER_ROUND: u32 = 16;
+const MOST_PER_ROUND: u32 = 150;
 /// So many machines of a zone fall silent together only when the zone is cut off.
 const CUT_MACHINES: usize = 3;
+/// So many machines, or a tenth of them, may be deaf at once and are returned for it.
+const MOST_DEAF: usize = 2;
 /// Failures in a row that make a machine suspect.
 const SUSPECT_ERRORS: u32 = 2;
 /// Pace in thousandths of the usual from which a machine crawls, and over how many tasks.
@@ -237,13 +241,15 @@
         part.fleet.refused.retain(|_, until| *until > now);
         let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
         part.shortage(&self.cfg, &self.paces, types, now, &mut wanted);
-        let mut most = MOST_PER_ROUND;
-        for ((kind, zone, spot), count) in wanted {
-            let count = count.min(MOST_PER_HIRE).min(most);
-            if count == 0 {
-                break;
+        let mut asks = Vec::new();
+        for (offer, mut count) in wanted {
+            while count > 0 {
+                asks.push((offer.clone(), count.min(MOST_PER_HIRE)));
+                count -= count.min(MOST_PER_HIRE);
             }
-            most -= count;
+        }
+        asks.truncate(MOST_HIRES.saturating_sub(part.fleet.hires.len()));
+        for ((kind, zone, spot), count) in asks {
             part.fleet.hired += 1;
             // Never used before or after: the term is unique and the counter its holder's.
             let hire = Hire {
@@ -330,6 +336,10 @@
         let cut = part.zones_cut(now, operator.silent_return);
         let patience = self.cfg.lease_gone_after();
         let report = self.cfg.workers.report;
+        // Where many seem deaf at once it is this node that is not heard.
+        let deaf = part.machines.values().filter(|m| m.deaf(now, report)).count();
+        let deaf_returned = deaf <= MOST_DEAF.max(part.machines.len() / 10);
+        let acquired = part.acquired;
         let mut changed: Vec<String> = Vec::new();
         for machine in part.machines.values_mut().filter(|m| !m.returning) {
             let before = machine.return_wanted;
@@ -337,17 +347,21 @@
             let silent_return = if cut.contains(&machine.record.zone) {
                 patience.max(operator.silent_return)
             } else if machine.proven {
-                operator.silent_return
+                operator.silent_return.max(report * 5 / 2)
             } else {
                 // It holds up the recovery of the whole part.
-                operator.silent_return / 2
+                (operator.silent_return / 2).max(report * 2)
             };
-            let quiet = now.saturating_sub(machine.heard);
+            // What may be a late copy counts for a while after the takeover only.
+            let hinted = machine.hinted.min(acquired + report * 2);
+            let quiet = now.saturating_sub(machine.heard.max(hinted));
             machine.return_wanted = machine.return_wanted.or_else(|| {
                 let crawls = machine.pace.len() >= CRAWL_TASKS
                     && machine.pace.iter().sum::<u32>() / machine.pace.len() as u32 > CRAWL_PACE;
                 if quiet > silent_return {
                     Some("silent")
+                } else if deaf_returned && machine.deaf(now, report) {
+                    Some("deaf")
                 } else if machine.warned_until.is_some_and(|t| now > t) && quiet > 2 * report {
                     Some("taken")
                 } else if machine.errors >= SUSPECT_ERRORS
@@ -382,7 +396,7 @@
             .filter(|m| {
                 !m.returning
                     && match m.return_wanted {
-                        Some("silent" | "taken" | "failed") => true,
+                        Some("silent" | "taken" | "failed" | "deaf") => true,
                         // Everything else waits until the machine has no work.
                         Some(_) => !m.busy() && m.slots.values().all(|s| s.settled),
                         None => false,
@@ -608,7 +622,7 @@
                 continue;
             }
             let latest = urgency(cfg, paces, job, now).latest;
-            while left > 0 {
+            while left > 0 && wanted.values().sum::<u32>() < MOST_PER_ROUND {
                 // Cheap machines come for any queue that is not gone soon, others only for an
                 // aim, and only as many as it takes: one machine serves several waves.
                 let mut cheap_only = false;
--- a/crates/quartzlever-core/src/ledger.rs
+++ b/crates/quartzlever-core/src/ledger.rs
@@ -9,9 +9,11 @@
 pub enum Change {
     Finish,
     Claim,
+    /// Removing the records of returned machines. A new holder has to find out about each that is
+    /// left: with these last of all, hundreds held up the recovery of whole parts.
+    Tidy,
     Move,
     Progress,
-    Tidy,
 }
 
 impl Change {
@@ -20,9 +22,9 @@
         match self {
             Change::Finish => 0.0,
             Change::Claim => 0.1,
+            Change::Tidy => 0.15,
             Change::Move => 0.2,
             Change::Progress => 0.35,
-            Change::Tidy => 0.5,
         }
     }
 }
@@ -87,7 +89,7 @@
     fn what_matters_more_finds_something_left() {
         // (changes a second for one, already spent, kind, count, whether it is allowed)
         for (rate, spent, kind, count, allowed) in [
-            (10.0, 0, Change::Tidy, 1, true),
+            (10.0, 7, Change::Tidy, 1, true),
             (10.0, 7, Change::Progress, 1, false),
             (10.0, 7, Change::Claim, 1, true),
             (10.0, 9, Change::Claim, 1, false),
--- a/crates/quartzlever-core/src/lib.rs
+++ b/crates/quartzlever-core/src/lib.rs
@@ -16,6 +16,8 @@
 mod config;
 mod engine;
 pub mod fleet;
+#[cfg(test)]
+mod gaps;
 mod holding;
 pub mod jobs;
 mod ledger;
--- a/crates/quartzlever-core/src/machine.rs
+++ b/crates/quartzlever-core/src/machine.rs
@@ -6,7 +6,7 @@
 use quartzlever_wire::cloud::MachineType;
 use quartzlever_wire::state::HostRecord;
 use quartzlever_wire::users::{JobSpec, Rank};
-use quartzlever_wire::workers::{Cause, Order, TaskId, TaskPhase};
+use quartzlever_wire::workers::{Cause, Order, Report, TaskId, TaskPhase};
 
 use crate::messages::Token;
 
@@ -67,6 +67,9 @@
     Doubtful,
 }
 
+/// So many reports in a row without a sign of what answers said show a machine that hears nothing.
+const DEAF_REPORTS: u32 = 2;
+
 /// An attempt that is on a machine, or may be.
 #[derive(Clone, Debug)]
 pub struct Slot {
@@ -128,6 +131,13 @@
     pub slots: BTreeMap<SlotKey, Slot>,
     /// What is free, kept by [`Part::refresh`](crate::part::Part::refresh).
     pub room: Amounts,
+    /// A direct call brought nothing, and nothing was heard since.
+    pub unreached: bool,
+    /// Reports in a row that show no sign of what earlier answers said, and since when.
+    pub unheeded: u32,
+    pub unheeded_since: Micros,
+    /// When something came that may be a late copy: a report without this term's baton.
+    pub hinted: Micros,
     /// Images that tasks have run from, so that the machine has them.
     pub images: BTreeSet<String>,
     /// A direct call in flight.
@@ -157,6 +167,10 @@
             warned_until: None,
             slots: BTreeMap::new(),
             room: Amounts::default(),
+            unreached: false,
+            unheeded: 0,
+            unheeded_since: 0,
+            hinted: 0,
             images: BTreeSet::new(),
             call: None,
             no_call_before: 0,
@@ -175,6 +189,31 @@
             && !self.returning
             && self.return_wanted.is_none()
             && self.warned_until.is_none()
+            && !self.unreached
+            && self.unheeded == 0
+    }
+
+    /// Whether it reports but heeds nothing that it is told.
+    pub fn deaf(&self, now: Micros, report: Micros) -> bool {
+        self.unheeded >= DEAF_REPORTS && now.saturating_sub(self.unheeded_since) >= report
+    }
+
+    /// Takes account of whether a newer report shows that answers arrive: a worker has one report
+    /// under way at a time, so it has seen the answer to the one before, or never will.
+    pub fn heed(&mut self, report: &Report, now: Micros) {
+        let listed =
+            |key: &SlotKey| report.tasks.iter().any(|t| t.attempt == key.1 && t.task == key.0);
+        let missing = self.slots.iter().any(|(key, s)| s.in_answer && s.wanted && !listed(key));
+        // A session that ran out although it was answered all the time.
+        let lapsed = report.session > self.session && self.session > 0 && self.unheeded > 0;
+        if missing || lapsed {
+            if self.unheeded == 0 {
+                self.unheeded_since = now;
+            }
+            self.unheeded += 1;
+        } else if self.slots.values().any(|s| s.in_answer && s.wanted) {
+            self.unheeded = 0;
+        }
     }
 
     /// Whether the machine may get new tasks.
--- a/crates/quartzlever-core/src/messages.rs
+++ b/crates/quartzlever-core/src/messages.rs
@@ -62,7 +62,8 @@
 }
 
 impl Command {
-    /// Order under load: what workers and other services say first, then decisions, then users.
+    /// Order under load: what workers and other services say first, then decisions, then users who
+    /// ask about jobs, then submissions.
     pub fn class(&self) -> u8 {
         match self {
             Command::Report { .. }
@@ -71,7 +72,8 @@
             | Command::Worker { .. }
             | Command::Asked { .. } => 0,
             Command::Tick { .. } | Command::Peer { .. } | Command::Ready { .. } => 1,
-            Command::Lookup { .. } | Command::Abort { .. } | Command::Submit { .. } => 2,
+            Command::Lookup { .. } | Command::Abort { .. } => 2,
+            Command::Submit { .. } => 3,
         }
     }
 }
--- a/crates/quartzlever-core/src/placement.rs
+++ b/crates/quartzlever-core/src/placement.rs
@@ -23,6 +23,10 @@
 const STOPPED_AGAIN: Micros = 4 * SECOND;
 /// Room that frees by itself, or a thief, gets this long first.
 const PREEMPT_AFTER: Micros = SECOND / 5;
+/// A job that has not begun by then begins next; users expect that within four minutes.
+const STARVED_AFTER: Micros = 150 * SECOND;
+/// A job that old is not stopped for higher ranks, and queues with urgent ones.
+const AGED_AFTER: Micros = 240 * SECOND;
 /// Shortest time between two placements of a part's whole queue, and between two looks at all
 /// machines for work to stop: with hundreds of machines both cost more than a report may.
 const PLACE_PAUSE: Micros = SECOND / 20;
@@ -280,6 +284,25 @@
     }
 }
 
+impl PartJob {
+    /// Whether the job has waited so long that higher ranks stop it no more.
+    fn aged(&self, now: Micros) -> bool {
+        now.saturating_sub(self.since) > AGED_AFTER
+    }
+
+    /// Whether the job must begin now whatever else waits, and the rank that it queues with.
+    /// Without this, a flood of higher work, or of jobs that can still meet their aims, kept
+    /// others from beginning at all.
+    fn standing(&self, now: Micros) -> (bool, Rank) {
+        let begun = !self.located.is_empty()
+            || !self.finished.is_empty()
+            || !self.record.finished.is_empty();
+        let starved = !begun && now.saturating_sub(self.since) > STARVED_AFTER;
+        let rank = self.spec().rank;
+        (starved, if self.aged(now) { rank.min(Rank::Urgent) } else { rank })
+    }
+}
+
 impl Part {
     /// Jobs with ready tasks: by rank, guarantee and time.
     pub fn queue_order(&self, cfg: &Config, paces: &Paces, now: Micros) -> Vec<String> {
@@ -290,7 +313,8 @@
             .filter(|(_, j)| !j.ready.is_empty())
             .map(|(id, job)| {
                 let inside = guaranteed.contains(job.spec().team.as_str());
-                ((!inside, job.spec().rank, urgency(cfg, paces, job, now), job.since), id)
+                let (starved, rank) = job.standing(now);
+                ((!starved, !inside, rank, urgency(cfg, paces, job, now), job.since), id)
             })
             .collect();
         order.sort();
@@ -477,13 +501,14 @@
         let mut stoppable: Vec<(f64, &SlotKey, &Slot)> = machine
             .slots
             .iter()
-            .filter(|(_, s)| {
+            .filter(|(k, s)| {
                 let lower = s.rank > spec.rank;
                 let borrowed = claims
                     && s.team != spec.team
                     && !s.team.is_empty()
                     && !inside.contains(&s.team);
-                s.wanted && !s.exited() && (lower || borrowed)
+                let aged = self.jobs.get(&k.0.job).is_some_and(|j| j.aged(now));
+                s.wanted && !s.exited() && ((lower && !aged) || borrowed)
             })
             .map(|(k, s)| {
                 let ran = s.running_since.map_or(0, |t| now.saturating_sub(t));
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -20,6 +20,9 @@
 /// As many, to fence machines, while most of them will still report by themselves.
 const FIRST_CALLS: usize = 8;
 
+/// Machines that are asked whether they are there, at once.
+const MOST_VOUCHING: usize = 16;
+
 impl Core {
     /// A worker reports.
     pub(crate) fn hello(&mut self, id: RequestId, report: Report) {
@@ -70,8 +73,36 @@
         if !self.sure() || part.fleet.gone.contains(&report.host) {
             return self.later(id, 503, "not entitled");
         }
-        let (part, term) = (part.name.clone(), part.term);
-        self.want_claim(id, report, &part, term);
+        let (part_name, term) = (part.name.clone(), part.term);
+        if part.fleet.expected.contains_key(&report.host) {
+            return self.want_claim(id, report, &part_name, term);
+        }
+        // Nobody here knows of it: a late copy of a report must not claim anew a machine that
+        // was returned, so the machine itself is asked first.
+        if self.vouching.contains_key(&report.host) || self.vouching.len() >= MOST_VOUCHING {
+            return self.later(id, 503, "asked already");
+        }
+        let (machine, address) = (report.host.clone(), report.address.clone());
+        self.vouching.insert(machine.clone(), (id, report));
+        let wait = WorkerWait { part: part_name, term, machine, runs: Vec::new() };
+        self.worker_call(address, WorkerCall::Status, wait);
+    }
+
+    /// A machine that nobody knew was asked whether it is there.
+    fn vouched(&mut self, wait: &WorkerWait, result: Result<WorkerReply, CallError>) -> bool {
+        let Some((id, report)) = self.vouching.remove(&wait.machine) else { return false };
+        match result {
+            Ok(WorkerReply::Report(fresh)) if fresh.host == report.host => {
+                let held = self.parts.get(&wait.part).is_some_and(|p| p.term == wait.term);
+                if held && self.sure() && self.part_of_host(&report.host).is_none() {
+                    self.want_claim(id, fresh, &wait.part, wait.term);
+                } else {
+                    self.later(id, 503, "not entitled");
+                }
+            }
+            _ => self.later(id, 503, "not entitled"),
+        }
+        true
     }
 
     /// A report of a machine of a part that is held here.
@@ -187,6 +218,9 @@
         result: Result<WorkerReply, CallError>,
     ) {
         let now = self.now;
+        if self.vouched(&wait, result.clone()) {
+            return;
+        }
         let Some(part) = self.parts.get_mut(&wait.part).filter(|p| p.term == wait.term) else {
             return;
         };
@@ -217,7 +251,11 @@
                 part.take_report(&self.cfg, &mut self.paces, &report, false, now);
                 self.fill(&wait.part, &wait.machine);
             }
-            Err(_) => machine.no_call_before = now + CALL_PAUSE,
+            Err(_) => {
+                machine.no_call_before = now + CALL_PAUSE;
+                machine.unreached = true;
+                part.refresh(&wait.machine);
+            }
         }
     }
 
@@ -288,6 +326,16 @@
         if (report.session, report.tick) <= (machine.session, machine.tick) {
             return false;
         }
+        if hello && !machine.fenced && report.baton < term {
+            // It may be a copy from before the takeover, minutes old: its list is not taken for
+            // the present one, and it proves nothing. The answer makes a worker that did send it
+            // now report again with this term's baton.
+            machine.hinted = now;
+            return false;
+        }
+        if hello {
+            machine.heed(report, now);
+        }
         if report.session > machine.session && machine.session > 0 {
             // The lease ran out over there: everything of the earlier session is gone.
             self.empty_machine(&report.host);
@@ -296,6 +344,11 @@
         machine.session = report.session;
         machine.tick = report.tick;
         machine.heard = now;
+        machine.unreached = false;
+        if !hello {
+            // It was reached, so it is not deaf.
+            machine.unheeded = 0;
+        }
         machine.record.address.clone_from(&report.address);
         machine.warned_until = report.warning_s.map(|s| now + micros_from_secs(s));
         if report.baton >= term {
--- a/crates/quartzlever-wire/tests/formats.rs
+++ b/crates/quartzlever-wire/tests/formats.rs
@@ -189,3 +189,31 @@
         assert!(peers::receive::<PeerRequest>(&mut bytes.as_slice()).is_err(), "{name}");
     }
 }
+
+#[test]
+fn machines_share_keys_and_earlier_records_are_read() {
+    use quartzlever_wire::state::{block_key, hosts_in};
+    for (host, key) in [
+        ("n-000000", "hosts/n-~0"),
+        ("n-000063", "hosts/n-~0"),
+        ("n-000064", "hosts/n-~1"),
+        ("rack", "hosts/rack~"),
+        ("n-99999999999999999999999", "hosts/n-99999999999999999999999~"),
+    ] {
+        assert_eq!(block_key(host), key, "{host}");
+    }
+    let earlier = json!({"part":"one","address":"a:1","kind":"m","zone":"z","spot":true});
+    let block = json!({"m":{"n-1":["one","a:1","m","z",true],"n-2":["two","b:1","m","z",false]}});
+    for (name, path, value, hosts) in [
+        ("one machine, as earlier versions wrote it", "hosts/n-1", earlier, Some(1)),
+        ("a block", "hosts/n-~0", block, Some(2)),
+        ("neither", "hosts/n-~0", json!([1, 2]), None),
+        ("a piece of one", "hosts/n-1", json!({"part":"one"}), None),
+    ] {
+        let found = hosts_in(path, &value);
+        assert_eq!(found.as_ref().map(|h| h.len()), hosts, "{name}");
+        if let Some(found) = found {
+            assert_eq!(found["n-1"].part, "one", "{name}");
+        }
+    }
+}
--- a/crates/quartzlever/src/inbox.rs
+++ b/crates/quartzlever/src/inbox.rs
@@ -32,30 +32,48 @@
     pub reply: Option<(RequestId, Reply)>,
 }
 
-/// How many users' requests may wait for the core; more are shed at once.
-const USERS_WAITING: usize = 128;
+/// How many submissions may wait for the core, and how many lookups and cancellations; more are
+/// shed at once. Those who ask about accepted jobs come first, and many are answered together, so
+/// that no job stays without an answer.
+const SUBMISSIONS_WAITING: usize = 64;
+const QUESTIONS_WAITING: usize = 1024;
+
+/// Whose request it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Line {
+    /// Workers, services, health checks.
+    First,
+    /// Users who ask about a job or cancel it.
+    Questions,
+    Submissions,
+}
 
 /// The ways into the core's thread. What workers and services say has a queue of its own, ahead
 /// of users'. It needs no bound: each connection and each call has at most one item in it.
 #[derive(Clone)]
 pub struct Inbox {
     first: Sender<Item>,
-    users: Sender<Item>,
+    questions: Sender<Item>,
+    submissions: Sender<Item>,
     ids: Arc<AtomicU64>,
 }
 
 /// The core's end of the queues.
 pub struct Outlet {
     pub first: Receiver<Item>,
-    pub users: Receiver<Item>,
+    pub questions: Receiver<Item>,
+    pub submissions: Receiver<Item>,
 }
 
 impl Inbox {
     pub fn new() -> (Inbox, Outlet) {
         let (first, first_out) = unbounded();
-        let (users, users_out) = bounded(USERS_WAITING);
+        let (questions, questions_out) = bounded(QUESTIONS_WAITING);
+        let (submissions, submissions_out) = bounded(SUBMISSIONS_WAITING);
         let ids = Arc::new(AtomicU64::new(1));
-        (Inbox { first, users, ids }, Outlet { first: first_out, users: users_out })
+        let outlet =
+            Outlet { first: first_out, questions: questions_out, submissions: submissions_out };
+        (Inbox { first, questions, submissions, ids }, outlet)
     }
 
     /// Hands in what a call has brought.
@@ -67,20 +85,21 @@
     /// Asks the core for an HTTP answer; `None` if there is none in time or the queue is full.
     pub fn ask(
         &self,
-        user: bool,
+        line: Line,
         patience: Duration,
         command: impl FnOnce(RequestId) -> Command,
     ) -> Option<HttpAnswer> {
         let id = self.ids.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = bounded(1);
         let item = Item { command: command(id), reply: Some((id, Reply::Http(sender))) };
-        if user {
-            match self.users.try_send(item) {
-                Ok(()) => {}
-                Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => return None,
-            }
-        } else {
-            self.first.send(item).ok()?;
+        let queue = match line {
+            Line::First => &self.first,
+            Line::Questions => &self.questions,
+            Line::Submissions => &self.submissions,
+        };
+        match queue.try_send(item) {
+            Ok(()) => {}
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => return None,
         }
         receiver.recv_timeout(patience).ok()
     }
--- a/crates/quartzlever/src/node.rs
+++ b/crates/quartzlever/src/node.rs
@@ -25,7 +25,10 @@
 const TICK: Duration = Duration::from_millis(200);
 /// The largest batch of the first queue before users get their turn.
 const BATCH: usize = 64;
-const USER_BATCH: usize = 16;
+const QUESTION_BATCH: usize = 64;
+const SUBMISSION_BATCH: usize = 16;
+/// As many as the core has direct calls under way: hung machines must not block the others.
+const WORKER_THREADS: usize = 32;
 const PEER_CONNECTIONS: usize = 32;
 const PEER_IDLE: Duration = Duration::from_secs(60);
 const PEER_PATIENCE: Duration = Duration::from_millis(1800);
@@ -110,7 +113,7 @@
 
         let (workers, receiver) = unbounded::<WorkerJob>();
         let client = WorkerClient::default();
-        for _ in 0..8 {
+        for _ in 0..WORKER_THREADS {
             let (receiver, inbox, client) = (receiver.clone(), inbox.clone(), client.clone());
             spawn("worker", move || {
                 for WorkerJob { token, address, call, until } in receiver {
@@ -173,8 +176,8 @@
     let (inbox, outlet) = Inbox::new();
     let hands = Hands::start(&settings, &inbox, clock)?;
     serve_peers(settings.internal, inbox.clone())?;
-    let connections = (settings.sockets as usize / 3).clamp(16, 600);
-    let bound = server::serve(settings.api, connections, inbox, clock)?;
+    let bounds = server::Bounds::of(settings.sockets, settings.memory_mb);
+    let bound = server::serve(settings.api, bounds, inbox, clock)?;
     tracing::info!("{} serves {bound}", settings.core.node);
     let core = Core::new(settings.core, seed, clock.now());
     work(core, outlet, hands, clock);
@@ -198,7 +201,11 @@
                 let Ok(item) = item else { return };
                 take(item, &mut batch);
             }
-            recv(outlet.users) -> item => {
+            recv(outlet.questions) -> item => {
+                let Ok(item) = item else { return };
+                take(item, &mut batch);
+            }
+            recv(outlet.submissions) -> item => {
                 let Ok(item) = item else { return };
                 take(item, &mut batch);
             }
@@ -207,7 +214,10 @@
         for item in outlet.first.try_iter().take(BATCH) {
             take(item, &mut batch);
         }
-        for item in outlet.users.try_iter().take(USER_BATCH) {
+        for item in outlet.questions.try_iter().take(QUESTION_BATCH) {
+            take(item, &mut batch);
+        }
+        for item in outlet.submissions.try_iter().take(SUBMISSION_BATCH) {
             take(item, &mut batch);
         }
         let now = clock.now();
--- a/crates/quartzlever/src/server.rs
+++ b/crates/quartzlever/src/server.rs
@@ -19,10 +19,13 @@
 use quartzlever_wire::workers::Report;
 
 use crate::clock::Clock;
-use crate::inbox::{HttpAnswer, Inbox};
+use crate::inbox::{HttpAnswer, Inbox, Line};
 
 const STACK: usize = 128 * 1024;
+/// An idle connection is closed after this time, and when connections run short after a slice of
+/// it, before others are refused.
 const IDLE: Duration = Duration::from_secs(30);
+const IDLE_SLICE: Duration = Duration::from_secs(10);
 /// A request that has begun must be there in full within this time.
 const WHOLE: Duration = Duration::from_secs(5);
 const HEAD: usize = 8 * 1024;
@@ -31,17 +34,54 @@
 const LOOKUP_PATIENCE: Duration = Duration::from_millis(1900);
 const WORKER_PATIENCE: Duration = Duration::from_millis(3500);
 
+/// How many connections there may be, and of these how many of workers: users find room always.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    pub all: usize,
+    pub workers: usize,
+}
+
+/// What a connection costs, measured with hundreds of them: its thread's stack as far as it is
+/// touched, buffers, and what the core keeps of its worker.
+const CONNECTION_MB: f64 = 0.055;
+/// Share of the sockets and of the memory that connections may take.
+const SOCKETS_SHARE: f64 = 0.8;
+const MEMORY_SHARE: f64 = 0.7;
+const WORKERS_SHARE: f64 = 0.85;
+
+impl Bounds {
+    pub fn of(sockets: u32, memory_mb: f64) -> Bounds {
+        let by_memory = memory_mb * MEMORY_SHARE / CONNECTION_MB;
+        let all = (f64::from(sockets) * SOCKETS_SHARE).min(by_memory).max(16.0);
+        Bounds { all: all as usize, workers: (all * WORKERS_SHARE) as usize }
+    }
+}
+
+/// How many connections there are.
+#[derive(Debug, Default)]
+struct Open {
+    all: AtomicUsize,
+    workers: AtomicUsize,
+}
+
 /// Opens a port and serves it from threads of its own.
 pub fn serve(
     address: SocketAddr,
-    most: usize,
+    bounds: Bounds,
     inbox: Inbox,
     clock: Clock,
 ) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind(address)?;
     let bound = listener.local_addr()?;
-    accept_loop("http", listener, most, move |stream| {
-        let _ = Connection::new(stream, &inbox, clock).run();
+    let open = Arc::new(Open::default());
+    accept_loop("http", listener, bounds.all, move |stream| {
+        open.all.fetch_add(1, Ordering::Relaxed);
+        let mut connection = Connection::new(stream, &inbox, clock, &open, bounds);
+        let _ = connection.run();
+        if connection.worker {
+            open.workers.fetch_sub(1, Ordering::Relaxed);
+        }
+        open.all.fetch_sub(1, Ordering::Relaxed);
     })?;
     Ok(bound)
 }
@@ -94,6 +134,12 @@
     buffer: Vec<u8>,
     inbox: &'a Inbox,
     clock: Clock,
+    open: &'a Open,
+    bounds: Bounds,
+    /// A worker reports here.
+    worker: bool,
+    /// The time limit that the socket has at present.
+    limit: Option<Duration>,
 }
 
 fn malformed() -> io::Error {
@@ -101,8 +147,27 @@
 }
 
 impl<'a> Connection<'a> {
-    fn new(stream: TcpStream, inbox: &'a Inbox, clock: Clock) -> Self {
-        Connection { stream, buffer: Vec::new(), inbox, clock }
+    fn new(
+        stream: TcpStream,
+        inbox: &'a Inbox,
+        clock: Clock,
+        open: &'a Open,
+        bounds: Bounds,
+    ) -> Self {
+        let buffer = Vec::new();
+        Connection { stream, buffer, inbox, clock, open, bounds, worker: false, limit: None }
+    }
+
+    /// Counts the connection as a worker's; `false` if there are too many.
+    fn count_worker(&mut self) -> bool {
+        if !self.worker {
+            if self.open.workers.fetch_add(1, Ordering::Relaxed) >= self.bounds.workers {
+                self.open.workers.fetch_sub(1, Ordering::Relaxed);
+                return false;
+            }
+            self.worker = true;
+        }
+        true
     }
 
     fn run(&mut self) -> io::Result<()> {
@@ -118,21 +183,49 @@
                 }
                 Err(e) => return Err(e),
             };
-            let answer = self.route(&request);
-            self.write_answer(&answer, request.close)?;
-            if request.close {
+            let full = request.path == "/hello" && !self.count_worker();
+            let answer = if full { busy() } else { self.route(&request) };
+            let close = request.close || full;
+            self.write_answer(&answer, close)?;
+            if close {
                 return Ok(());
             }
         }
     }
 
-    /// Reads some more; an idle connection is closed after a while.
+    /// Waits for the next request; `false` if none comes.
+    fn await_request(&mut self) -> io::Result<bool> {
+        let mut waited = Duration::ZERO;
+        loop {
+            match self.read_some(IDLE_SLICE) {
+                Err(e)
+                    if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) =>
+                {
+                    waited += IDLE_SLICE;
+                    let short = self.open.all.load(Ordering::Relaxed) * 10 > self.bounds.all * 9;
+                    if short || waited >= IDLE {
+                        return Ok(false);
+                    }
+                }
+                result => return Ok(result? > 0),
+            }
+        }
+    }
+
+    /// Reads some more of a request that has begun.
     fn fill(&mut self, end: Instant) -> io::Result<usize> {
         let left = end.saturating_duration_since(Instant::now());
         if left.is_zero() {
             return Err(io::ErrorKind::TimedOut.into());
         }
-        self.stream.set_read_timeout(Some(left))?;
+        self.read_some(left)
+    }
+
+    fn read_some(&mut self, left: Duration) -> io::Result<usize> {
+        if self.limit != Some(left) {
+            self.stream.set_read_timeout(Some(left))?;
+            self.limit = Some(left);
+        }
         let mut piece = [0; 4096];
         let count = self.stream.read(&mut piece)?;
         self.buffer.extend_from_slice(&piece[..count]);
@@ -140,7 +233,7 @@
     }
 
     fn read_request(&mut self) -> io::Result<Option<Request>> {
-        if self.buffer.is_empty() && self.fill(Instant::now() + IDLE)? == 0 {
+        if self.buffer.is_empty() && !self.await_request()? {
             return Ok(None);
         }
         let end = Instant::now() + WHOLE;
@@ -228,27 +321,31 @@
         }
         let inbox = self.inbox;
         let answer = match pieces.as_slice() {
-            ["ready"] => inbox.ask(false, Duration::from_millis(900), |id| Command::Ready { id }),
+            ["ready"] => {
+                inbox.ask(Line::First, Duration::from_millis(900), |id| Command::Ready { id })
+            }
             ["hello"] => match Report::parse(&request.body) {
                 Some(report) => {
-                    inbox.ask(false, WORKER_PATIENCE, |id| Command::Report { id, report })
+                    inbox.ask(Line::First, WORKER_PATIENCE, |id| Command::Report { id, report })
                 }
                 None => return plain(400, "not a report"),
             },
             ["v2", "runs"] => match JobSpec::parse(&request.body) {
-                Ok(spec) => inbox
-                    .ask(true, USER_PATIENCE, |id| Command::Submit { id, spec: Box::new(spec) }),
+                Ok(spec) => inbox.ask(Line::Submissions, USER_PATIENCE, |id| Command::Submit {
+                    id,
+                    spec: Box::new(spec),
+                }),
                 Err(why) => return plain(400, &why.to_string()),
             },
             // No job was ever accepted under a name that is none.
             ["v2", "runs", job, ..] if !valid_id(job) => return plain(404, "unknown job"),
             ["v2", "runs", job] => {
                 let job = (*job).to_owned();
-                inbox.ask(true, LOOKUP_PATIENCE, |id| Command::Lookup { id, job })
+                inbox.ask(Line::Questions, LOOKUP_PATIENCE, |id| Command::Lookup { id, job })
             }
             ["v2", "runs", job, _] => {
                 let job = (*job).to_owned();
-                inbox.ask(true, USER_PATIENCE, |id| Command::Abort { id, job })
+                inbox.ask(Line::Questions, USER_PATIENCE, |id| Command::Abort { id, job })
             }
             _ => return plain(404, "no such path"),
         };
--- a/crates/quartzlever/src/settings.rs
+++ b/crates/quartzlever/src/settings.rs
@@ -103,6 +103,8 @@
 struct LimitsEntry {
     #[serde(default)]
     sockets: Option<u32>,
+    #[serde(default)]
+    memory_mb: Option<f64>,
 }
 
 /// The operator's file. Every key may be left out.
@@ -133,6 +135,7 @@
     pub state: String,
     pub cloud_rps: f64,
     pub sockets: u32,
+    pub memory_mb: f64,
 }
 
 struct Checker<'a> {
@@ -287,6 +290,12 @@
         state: entry.external.state.clone(),
         cloud_rps: check.amount("params.cloud.rps", params.cloud.rps, 0.1, 1e9)?,
         sockets: params.machine_limits.as_ref().and_then(|l| l.sockets).unwrap_or(1024).max(64),
+        memory_mb: check.amount(
+            "params.machine_limits.memory_mb",
+            params.machine_limits.as_ref().and_then(|l| l.memory_mb).unwrap_or(256.0),
+            16.0,
+            1e9,
+        )?,
         core: Config {
             node,
             zone: check.name("site", &entry.site)?,
