--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -37,6 +37,8 @@
 const MOST_PER_ROUND: u32 = 150;
 /// So many machines of a zone fall silent together only when the zone is cut off.
 const CUT_MACHINES: usize = 3;
+/// A machine that so many calls could not reach need not be waited for until it would report.
+const FAILED_CALLS: u32 = 2;
 /// So many machines, or a tenth of them, may be deaf at once and are returned for it.
 const MOST_DEAF: usize = 2;
 /// Failures in a row that make a machine suspect.
@@ -350,7 +352,8 @@
                 operator.silent_return.max(report * 5 / 2)
             } else {
                 // It holds up the recovery of the whole part.
-                (operator.silent_return / 2).max(report * 2)
+                let unheard = if machine.failed_calls >= FAILED_CALLS { 0 } else { report * 2 };
+                (operator.silent_return / 2).max(unheard)
             };
             // What may be a late copy counts for a while after the takeover only.
             let hinted = machine.hinted.min(acquired + report * 2);
@@ -531,7 +534,7 @@
     /// Zones that seem to be cut off: all of several machines there fell silent together.
     fn zones_cut(&self, now: Micros, silent: Micros) -> BTreeSet<String> {
         let mut zones: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
-        for machine in self.machines.values().filter(|m| m.session > 0 && !m.returning) {
+        for machine in self.machines.values().filter(|m| !m.returning) {
             let entry = zones.entry(machine.record.zone.as_str()).or_default();
             entry.0 += 1;
             entry.1 += usize::from(now.saturating_sub(machine.heard) > silent / 2);
--- a/crates/quartzlever-core/src/machine.rs
+++ b/crates/quartzlever-core/src/machine.rs
@@ -131,8 +131,8 @@
     pub slots: BTreeMap<SlotKey, Slot>,
     /// What is free, kept by [`Part::refresh`](crate::part::Part::refresh).
     pub room: Amounts,
-    /// A direct call brought nothing, and nothing was heard since.
-    pub unreached: bool,
+    /// Direct calls in a row that brought nothing, with nothing heard since.
+    pub failed_calls: u32,
     /// Reports in a row that show no sign of what earlier answers said, and since when.
     pub unheeded: u32,
     pub unheeded_since: Micros,
@@ -167,7 +167,7 @@
             warned_until: None,
             slots: BTreeMap::new(),
             room: Amounts::default(),
-            unreached: false,
+            failed_calls: 0,
             unheeded: 0,
             unheeded_since: 0,
             hinted: 0,
@@ -189,7 +189,7 @@
             && !self.returning
             && self.return_wanted.is_none()
             && self.warned_until.is_none()
-            && !self.unreached
+            && self.failed_calls == 0
             && self.unheeded == 0
     }
 
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -15,10 +15,12 @@
 
 /// Wait after a direct call that brought nothing.
 const CALL_PAUSE: Micros = 3 * SECOND;
+/// As long, while the machine holds up a recovery.
+const FENCE_PAUSE: Micros = SECOND;
 /// Direct calls under way at once, so that hung machines do not block the others.
 const MOST_CALLS: usize = 32;
 /// As many, to fence machines, while most of them will still report by themselves.
-const FIRST_CALLS: usize = 8;
+const FIRST_CALLS: usize = 24;
 
 /// Machines that are asked whether they are there, at once.
 const MOST_VOUCHING: usize = 16;
@@ -252,8 +254,9 @@
                 self.fill(&wait.part, &wait.machine);
             }
             Err(_) => {
-                machine.no_call_before = now + CALL_PAUSE;
-                machine.unreached = true;
+                let pause = if machine.proven { CALL_PAUSE } else { FENCE_PAUSE };
+                machine.no_call_before = now + pause;
+                machine.failed_calls += 1;
                 part.refresh(&wait.machine);
             }
         }
@@ -344,7 +347,7 @@
         machine.session = report.session;
         machine.tick = report.tick;
         machine.heard = now;
-        machine.unreached = false;
+        machine.failed_calls = 0;
         if !hello {
             // It was reached, so it is not deaf.
             machine.unheeded = 0;
