--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -110,6 +110,8 @@
     pub term: u64,
     pub machine: String,
     pub runs: Vec<crate::machine::SlotKey>,
+    /// A machine that nobody knew is asked whether it is there.
+    pub vouch: bool,
 }
 
 /// The state lease that all parts of this process hang on.
--- a/crates/quartzlever-core/src/gaps.rs
+++ b/crates/quartzlever-core/src/gaps.rs
@@ -116,6 +116,31 @@
     }
 }
 
+#[test]
+fn what_calls_cannot_reach_holds_up_a_recovery_for_less_time() {
+    // (calls that failed, seconds since the takeover, whether the machine is given up), with
+    // reports every 6 s and 10 s of silence allowed
+    for (failed, after, given_up) in
+        [(0, 7, false), (1, 7, false), (2, 7, true), (0, 13, true), (2, 4, false)]
+    {
+        let mut core = core();
+        (core.cfg.workers.report, core.cfg.workers.lease) = (6 * SECOND, 34 * SECOND);
+        if let Some(part) = core.parts.get_mut("one") {
+            part.barrier_open = false;
+            if let Some(machine) = part.machines.get_mut("n-1") {
+                (machine.fenced, machine.proven) = (false, false);
+                machine.failed_calls = failed;
+            }
+            // One that was heard, so that the zone does not count as cut off.
+            let record = part.machines["n-1"].record.clone();
+            part.add_machine("n-2", record, true, NOW + after * SECOND);
+        }
+        core.step(NOW + after * SECOND, Vec::new());
+        let wanted = core.parts["one"].machines.get("n-1").and_then(|m| m.return_wanted);
+        assert_eq!(wanted.is_some(), given_up, "{failed} calls, {after} s");
+    }
+}
+
 #[test]
 fn a_machine_that_nobody_knows_is_asked_before_it_is_claimed() {
     let alive = |host: &str| Ok(WorkerReply::Report(report(host, 1, 9, 0, &[])));
--- a/crates/quartzlever-core/src/machine.rs
+++ b/crates/quartzlever-core/src/machine.rs
@@ -211,7 +211,7 @@
                 self.unheeded_since = now;
             }
             self.unheeded += 1;
-        } else if self.slots.values().any(|s| s.in_answer && s.wanted) {
+        } else {
             self.unheeded = 0;
         }
     }
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -86,13 +86,13 @@
         }
         let (machine, address) = (report.host.clone(), report.address.clone());
         self.vouching.insert(machine.clone(), (id, report));
-        let wait = WorkerWait { part: part_name, term, machine, runs: Vec::new() };
+        let wait = WorkerWait { part: part_name, term, machine, runs: Vec::new(), vouch: true };
         self.worker_call(address, WorkerCall::Status, wait);
     }
 
     /// A machine that nobody knew was asked whether it is there.
-    fn vouched(&mut self, wait: &WorkerWait, result: Result<WorkerReply, CallError>) -> bool {
-        let Some((id, report)) = self.vouching.remove(&wait.machine) else { return false };
+    fn vouched(&mut self, wait: &WorkerWait, result: Result<WorkerReply, CallError>) {
+        let Some((id, report)) = self.vouching.remove(&wait.machine) else { return };
         match result {
             Ok(WorkerReply::Report(fresh)) if fresh.host == report.host => {
                 let held = self.parts.get(&wait.part).is_some_and(|p| p.term == wait.term);
@@ -104,7 +104,6 @@
             }
             _ => self.later(id, 503, "not entitled"),
         }
-        true
     }
 
     /// A report of a machine of a part that is held here.
@@ -203,8 +202,13 @@
                 orders: part.orders_for(machine_name, false),
             })
         };
-        let wait =
-            WorkerWait { part: name.to_owned(), term, machine: machine_name.to_owned(), runs };
+        let wait = WorkerWait {
+            part: name.to_owned(),
+            term,
+            machine: machine_name.to_owned(),
+            runs,
+            vouch: false,
+        };
         let token = self.worker_call(address, call, wait);
         if let Some(machine) =
             self.parts.get_mut(name).and_then(|p| p.machines.get_mut(machine_name))
@@ -220,8 +224,8 @@
         result: Result<WorkerReply, CallError>,
     ) {
         let now = self.now;
-        if self.vouched(&wait, result.clone()) {
-            return;
+        if wait.vouch {
+            return self.vouched(&wait, result);
         }
         let Some(part) = self.parts.get_mut(&wait.part).filter(|p| p.term == wait.term) else {
             return;
--- a/crates/quartzlever/src/server.rs
+++ b/crates/quartzlever/src/server.rs
@@ -400,3 +400,23 @@
         _ => "Status",
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn users_find_room_beside_all_workers() {
+        // (sockets, memory, connections in all, least that workers leave to users)
+        for (sockets, memory_mb, all, users) in [
+            (2500, 200.0, 2000, 300),
+            (2500, 136.0, 1730, 250),
+            (1024, 4096.0, 819, 120),
+            (64, 16.0, 51, 7),
+        ] {
+            let bounds = Bounds::of(sockets, memory_mb);
+            assert_eq!(bounds.all, all, "{sockets} {memory_mb}");
+            assert!(bounds.all - bounds.workers >= users, "{sockets} {memory_mb}: {bounds:?}");
+        }
+    }
+}
