A node that alone is refused by the state service says that it is not ready

Ruled out: the load balancer (it cannot see this), the hold (users need no part).

Now: without an answer for 4 s it asks its peers; if one reaches the state service, it is not ready. In an outage for all nobody does, and all go on. A hand-back is logged once.

--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -217,6 +217,20 @@
     }
 }
 
+/// Whether the state service is to be reached from here.
+#[derive(Debug, Default)]
+pub(crate) struct Contact {
+    /// When it last answered.
+    pub heard: Micros,
+    /// When a peer last said that it is reached from there while it is not from here.
+    pub alone: Option<Micros>,
+    asked: Micros,
+}
+
+/// The state service counts as out of reach after this time; a lease is renewed more often.
+pub(crate) const CONTACT_LOST: Micros = 4 * SECOND;
+const CONTACT_ASK: Micros = SECOND;
+
 /// All state of a controller.
 pub struct Core {
     pub(crate) cfg: Config,
@@ -236,6 +250,7 @@
     pub(crate) hold: Hold,
     pub(crate) mirror: Mirror,
     pub(crate) parts: BTreeMap<String, Part>,
+    pub(crate) contact: Contact,
     pub(crate) ledger: Ledger,
     pub(crate) blocks: BTreeMap<String, BlockWork>,
     pub(crate) lookups: Lookups,
@@ -283,6 +298,7 @@
             hold: Hold::default(),
             mirror: Mirror::default(),
             parts: BTreeMap::new(),
+            contact: Contact { heard: now, ..Contact::default() },
             ledger: Ledger::new(now),
             blocks: BTreeMap::new(),
             lookups: Lookups::default(),
@@ -314,6 +330,7 @@
             self.take(command);
         }
         self.keep_hold();
+        self.keep_contact();
         self.keep_mirror();
         self.keep_parts();
         self.decide();
@@ -330,6 +347,10 @@
             Command::Report { id, report } => self.hello(id, report),
             Command::Peer { id, request } => self.peer_request(id, request),
             Command::State { token, result } => {
+                if result.is_ok() {
+                    self.contact.heard = self.now;
+                    self.contact.alone = None;
+                }
                 if let Some(waiting) = self.state_waits.remove(&token) {
                     self.state_answer(waiting, result);
                 }
@@ -423,10 +444,27 @@
         }
     }
 
+    /// Asks the peers, while the state service gives no answer, whether they reach it.
+    fn keep_contact(&mut self) {
+        let now = self.now;
+        if now < self.contact.heard + CONTACT_LOST || now < self.contact.asked + CONTACT_ASK {
+            return;
+        }
+        self.contact.asked = now;
+        for node in self.cfg.nodes.clone() {
+            if node != self.cfg.node {
+                self.ask_peer(&node, PeerRequest::Contact, crate::stealing::PeerWork::Contact);
+            }
+        }
+    }
+
     fn ready(&mut self, id: RequestId) {
         // A node without a part can still look up, cancel and accept into another's part; it is
         // of no use only while it has no picture of the service at all.
-        if self.mirror.loaded() && self.wall_offset.is_some() {
+        // One that alone is refused by the state service can do nothing for users whom others
+        // could serve; in an outage all go on, since nobody could do better.
+        let alone = self.contact.alone.is_some_and(|t| self.now < t + 3 * CONTACT_ASK);
+        if self.mirror.loaded() && self.wall_offset.is_some() && !alone {
             self.answer(id, 200, serde_json::json!({ "ready": true }));
         } else {
             self.later(id, 503, "starting");
--- a/crates/quartzlever-core/src/gaps.rs
+++ b/crates/quartzlever-core/src/gaps.rs
@@ -340,3 +340,39 @@
         assert_eq!(part.machines.len(), machines, "{name}");
     }
 }
+
+#[test]
+fn a_node_that_alone_is_out_of_touch_says_that_it_is_not_ready() {
+    use quartzlever_wire::peers::{PeerAnswer, PeerRequest};
+    // (seconds since the state service last answered, what a peer says of it; whether the peer is
+    // asked, and the answer of the health check)
+    for (name, quiet, says, asked, status) in [
+        ("all is well", 1, Some(true), false, 200),
+        ("cut off alone", 6, Some(true), true, 503),
+        ("an outage for all", 6, Some(false), true, 200),
+        ("peers out of reach as well", 6, None, true, 200),
+    ] {
+        let mut core = core();
+        core.mirror.loaded = true;
+        core.wall_offset = Some(0);
+        core.contact.heard = NOW;
+        let now = NOW + quiet * SECOND;
+        let effects = core.step(now, Vec::new());
+        let token = effects.iter().find_map(|e| match e {
+            Effect::Peer { token, request: PeerRequest::Contact, .. } => Some(*token),
+            _ => None,
+        });
+        assert_eq!(token.is_some(), asked, "{name}: asked");
+        if let Some(token) = token {
+            let result =
+                says.map(|reached| PeerAnswer::Contact { reached }).ok_or(CallError::Unknown);
+            core.step(now, vec![Command::Asked { token, result }]);
+        }
+        let check = core.step(now, vec![Command::Ready { id: 9 }]);
+        let answer = check.iter().find_map(|e| match e {
+            Effect::Answer { id: 9, status, .. } => Some(*status),
+            _ => None,
+        });
+        assert_eq!(answer, Some(status), "{name}");
+    }
+}
--- a/crates/quartzlever-core/src/holding.rs
+++ b/crates/quartzlever-core/src/holding.rs
@@ -462,13 +462,13 @@
 
     /// Stops acting for a part and then gives up its key.
     fn release(&mut self, name: &str, stamp: u64) {
-        self.note(Weight::Info, || format!("part {name}: handed back"));
         self.parts.remove(name);
         self.home_asks.remove(name);
         self.releasing.insert(name.to_owned());
         if !self.busy_parts.insert(name.to_owned()) {
             return;
         }
+        self.note(Weight::Info, || format!("part {name}: handed back"));
         let key = format!("{PARTS}{name}");
         let txn = Txn::default().when(key.clone(), stamp).delete(key);
         self.ledger.spend(1);
--- a/crates/quartzlever-core/src/stealing.rs
+++ b/crates/quartzlever-core/src/stealing.rs
@@ -8,7 +8,7 @@
 use rand::seq::IndexedRandom;
 
 use crate::config::Config;
-use crate::engine::{Core, Waiting};
+use crate::engine::{CONTACT_LOST, Core, Waiting};
 use crate::ledger::Change;
 use crate::machine::{Amounts, Slot};
 use crate::messages::{Effect, Lane, RequestId, Weight};
@@ -25,6 +25,8 @@
     Steal {
         part: String,
     },
+    /// Whether the peer reaches the state service.
+    Contact,
     /// Something was only told.
     Told,
 }
@@ -212,6 +214,11 @@
     pub(crate) fn peer_done(&mut self, work: PeerWork, result: Result<PeerAnswer, CallError>) {
         match work {
             PeerWork::Told => {}
+            PeerWork::Contact => {
+                if let Ok(PeerAnswer::Contact { reached: true }) = result {
+                    self.contact.alone = Some(self.now);
+                }
+            }
             PeerWork::Count { round, node } => {
                 let Some(open) = self.stealing.round.as_mut().filter(|r| r.number == round) else {
                     return;
@@ -272,6 +279,9 @@
                 self.stealing.next = self.now;
                 PeerAnswer::Nothing
             }
+            PeerRequest::Contact => {
+                PeerAnswer::Contact { reached: self.now < self.contact.heard + CONTACT_LOST }
+            }
             PeerRequest::Counts { rank } => {
                 let ready = self
                     .parts
--- a/crates/quartzlever-wire/src/peers.rs
+++ b/crates/quartzlever-wire/src/peers.rs
@@ -21,6 +21,8 @@
     Pressed,
     /// The home node of `part` is up again and asks for it.
     HandBack { part: String },
+    /// Do you reach the state service?
+    Contact,
     /// These machines were rented by `part` and will report soon.
     Rented { part: String, hosts: Vec<String> },
 }
@@ -50,6 +52,8 @@
     Counts { ready: u32 },
     /// The move is committed; each row is a job's record (JSON) with its stamp.
     Stolen { jobs: Vec<(String, u64, String)> },
+    /// Whether the state service has answered lately.
+    Contact { reached: bool },
     /// Nothing to move, or not able to.
     Nothing,
 }
