One node left: limits are shared by those with work, parts are given back once

Cause, from the log of what is turned away (new): a node left with everything kept to a third of the state requests, and its writes left users none; a part that was handed back was given back again at each step until the watch told of it (271 transactions in 2 s). A node without a part turned submissions away, though it may write them into another's part under that part's term.

--- a/crates/quartzlever-clients/src/budget.rs
+++ b/crates/quartzlever-clients/src/budget.rs
@@ -1,4 +1,4 @@
-//! This node's share of a rate limit.
+//! This node's share of a rate limit, which changes with the number of nodes that share it.
 
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
@@ -6,32 +6,43 @@
 /// A token bucket that holds at most a second's worth.
 #[derive(Debug)]
 pub struct Budget {
+    bucket: Mutex<Bucket>,
+}
+
+#[derive(Debug)]
+struct Bucket {
     rate: f64,
-    bucket: Mutex<(f64, Instant)>,
+    level: f64,
+    at: Instant,
 }
 
 impl Budget {
     /// A full bucket of `rate` a second; never less than one call a second.
     pub fn new(rate: f64) -> Self {
         let rate = rate.max(1.0);
-        Budget { rate, bucket: Mutex::new((rate, Instant::now())) }
+        Budget { bucket: Mutex::new(Bucket { rate, level: rate, at: Instant::now() }) }
+    }
+
+    /// From now on the bucket fills at this rate; what is in it stays, as far as it fits.
+    pub fn set_rate(&self, rate: f64) {
+        let mut bucket = self.bucket.lock().unwrap_or_else(|e| e.into_inner());
+        bucket.pass(Instant::now());
+        bucket.rate = rate.max(1.0);
+        bucket.level = bucket.level.min(bucket.rate);
     }
 
     /// Takes `count` unless less than `keep` (a share of the bucket, 0 to 1) would be left.
     /// Otherwise says how long it takes until that works.
     pub fn take(&self, count: f64, keep: f64) -> Result<(), Duration> {
-        let now = Instant::now();
         let mut bucket = self.bucket.lock().unwrap_or_else(|e| e.into_inner());
-        let passed = now.saturating_duration_since(bucket.1).as_secs_f64();
-        let level = (bucket.0 + passed * self.rate).min(self.rate);
-        let need = count.min(self.rate * (1.0 - keep)) + keep * self.rate;
-        bucket.1 = now;
-        if level >= need {
-            bucket.0 = level - count;
+        bucket.pass(Instant::now());
+        let rate = bucket.rate;
+        let need = count.min(rate * (1.0 - keep)) + keep * rate;
+        if bucket.level >= need {
+            bucket.level -= count;
             Ok(())
         } else {
-            bucket.0 = level;
-            Err(Duration::from_secs_f64((need - level) / self.rate))
+            Err(Duration::from_secs_f64((need - bucket.level) / rate))
         }
     }
 
@@ -53,6 +64,14 @@
     }
 }
 
+impl Bucket {
+    fn pass(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.at).as_secs_f64();
+        self.level = (self.level + passed * self.rate).min(self.rate);
+        self.at = now;
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -68,5 +87,11 @@
         {
             assert_eq!(budget.take(count, keep).is_ok(), passes, "case {n}");
         }
+        // A smaller share empties the bucket as far as it is too full, a larger one does not fill it.
+        let budget = Budget::new(30.0);
+        budget.set_rate(2.0);
+        assert!(budget.take(2.0, 0.0).is_ok());
+        budget.set_rate(1000.0);
+        assert!(budget.take(900.0, 0.0).is_err());
     }
 }
--- a/crates/quartzlever-core/src/config.rs
+++ b/crates/quartzlever-core/src/config.rs
@@ -1,6 +1,6 @@
 //! What a controller is told at its start.
 
-use quartzlever_wire::{Micros, SECOND, micros_from_secs};
+use quartzlever_wire::{Micros, SECOND};
 
 /// A team with its guarantee and its limit; 0 means none.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -126,6 +126,9 @@
     span - span * DRIFT_PER_10K / 10_000
 }
 
+/// What a node without a part may use of an equal share.
+const WITHOUT_PART: f64 = 0.3;
+
 impl Config {
     pub fn team(&self, name: &str) -> Option<&Team> {
         self.teams.iter().find(|t| t.name == name)
@@ -146,10 +149,18 @@
         names[(hash % names.len() as u64) as usize]
     }
 
-    /// Shortest time between two calls of a kind that may use this share of all requests.
-    pub fn pause_for(&self, share: f64) -> Micros {
-        let rate = self.state_rps * share / self.nodes.len().max(1) as f64;
-        micros_from_secs(1.0 / rate.max(0.1))
+    /// The part of a limit for all nodes that falls to one node, when so many hold parts and it
+    /// does so itself or not. Nodes without a part ask for little and leave the rest to those
+    /// who have the work: with a third of the requests, a node that was left with everything
+    /// turned away 60 submissions in 10 s while two thirds lay idle.
+    pub fn share_of_limits(&self, holders: usize, holds: bool) -> f64 {
+        let nodes = self.nodes.len().max(1);
+        let holders = holders.min(nodes);
+        if holders == 0 {
+            return 1.0 / nodes as f64;
+        }
+        let idle = WITHOUT_PART / nodes as f64;
+        if holds { (1.0 - idle * (nodes - holders) as f64) / holders as f64 } else { idle }
     }
 
     /// How long a silent machine needs to lose its lease for certain.
@@ -157,3 +168,27 @@
         surely_after(self.workers.lease) + SECOND
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn limits_are_shared_by_those_with_work() {
+        let cfg = crate::regressions::core().cfg;
+        let three = Config { nodes: ["a", "b", "c"].map(String::from).to_vec(), ..cfg };
+        // (nodes with parts, whether this is one of them, its part of a limit of 100)
+        for (holders, holds, part) in
+            [(0, false, 33), (3, true, 33), (2, true, 45), (1, true, 80), (2, false, 10)]
+        {
+            let share = three.share_of_limits(holders, holds);
+            assert_eq!((share * 100.0) as u32, part, "{holders} {holds}");
+        }
+        // Whoever holds parts, all together never have more than the limit.
+        for holders in 1..=3 {
+            let all = three.share_of_limits(holders, true) * holders as f64
+                + three.share_of_limits(holders, false) * (3 - holders) as f64;
+            assert!(all < 1.0 + 1e-9, "{holders}: {all}");
+        }
+    }
+}
--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -38,6 +38,7 @@
     },
     Release {
         part: String,
+        stamp: u64,
     },
     ListParts {
         from_epoch: Option<u64>,
@@ -269,6 +270,11 @@
     pub(crate) user_calls: usize,
     pub(crate) stealing: Stealing,
     pub(crate) paces: Paces,
+    /// This node's part of the limits of the state service and the cloud.
+    share: f64,
+    /// What was turned away lately and why, for the log, and when that is told next.
+    turned_away: BTreeMap<String, u32>,
+    tell_at: Micros,
     /// When all machines are looked at next, and all jobs for what is to be written.
     look_at: Micros,
     write_at: Micros,
@@ -277,6 +283,8 @@
 /// Shortest time between two looks at all machines, and at all jobs for what is to be written.
 const LOOK: Micros = SECOND / 4;
 const WRITE_PAUSE: Micros = SECOND / 20;
+/// How often the log says what was turned away.
+const TELL_EVERY: Micros = 10 * SECOND;
 
 impl Core {
     /// A controller that has just started. `seed` must differ between processes of one node.
@@ -313,6 +321,9 @@
             stamps: Stamps::default(),
             user_calls: 0,
             paces: Paces::default(),
+            share: 0.0,
+            turned_away: BTreeMap::new(),
+            tell_at: now,
             look_at: 0,
             write_at: 0,
         }
@@ -325,6 +336,11 @@
         let sharers =
             self.mirror.holders().max(if self.parts.is_empty() { self.cfg.nodes.len() } else { 1 });
         self.ledger.pass(self.now, self.cfg.state_write_rps, sharers);
+        let share = self.cfg.share_of_limits(self.mirror.holders(), !self.parts.is_empty());
+        if share != self.share {
+            self.share = share;
+            self.out.push(Effect::Share(share));
+        }
         commands.sort_by_key(Command::class);
         for command in commands {
             self.take(command);
@@ -376,6 +392,12 @@
         }
     }
 
+    /// Shortest time between two calls of a kind that may use this share of all requests.
+    pub(crate) fn pause_for(&self, share: f64) -> Micros {
+        let rate = self.cfg.state_rps * share * self.share;
+        quartzlever_wire::micros_from_secs(1.0 / rate.max(0.1))
+    }
+
     /// Whether this process surely holds its lease, so may act for its parts.
     pub(crate) fn sure(&self) -> bool {
         self.hold.lease.is_some() && self.now < self.hold.sure_until
@@ -434,9 +456,24 @@
     /// Tells a user to come back, at once.
     pub(crate) fn later(&mut self, id: RequestId, status: u16, why: &str) {
         let body = serde_json::json!({ "error": why });
+        *self.turned_away.entry(format!("{status} {why}")).or_default() += 1;
         self.out.push(Effect::Answer { id, status, body, retry_after_s: Some(1), until: None });
     }
 
+    /// Says now and then what was turned away, and why: nothing else shows an overload.
+    fn tell_turned_away(&mut self) {
+        if self.now < self.tell_at {
+            return;
+        }
+        self.tell_at = self.now + TELL_EVERY;
+        let turned_away = std::mem::take(&mut self.turned_away);
+        if !turned_away.is_empty() {
+            let each: Vec<String> =
+                turned_away.iter().map(|(why, count)| format!("{why} ({count})")).collect();
+            self.note(Weight::Info, || format!("turned away lately: {}", each.join(", ")));
+        }
+    }
+
     /// Leaves a line in the log, if it is of enough weight.
     pub(crate) fn note(&mut self, weight: Weight, text: impl FnOnce() -> String) {
         if weight <= self.cfg.notes {
@@ -476,9 +513,7 @@
             Waiting::Grant { sent } => self.granted(sent, result),
             Waiting::Renew { sent, lease } => self.renewed(sent, lease, result),
             Waiting::Acquire { part } => self.acquired(&part, result),
-            Waiting::Release { part } => {
-                self.busy_parts.remove(&part);
-            }
+            Waiting::Release { part, stamp } => self.released(&part, stamp, &result),
             Waiting::ListParts { from_epoch } => self.parts_listed(from_epoch, result),
             Waiting::ListHosts => self.hosts_listed(result),
             Waiting::ListJobs => self.jobs_listed(result),
@@ -561,6 +596,7 @@
         self.keep_fleet();
         self.tell_pressed();
         self.keep_stealing();
+        self.tell_turned_away();
     }
 
     pub(crate) fn part_at(&mut self, name: &str, term: u64) -> Option<&mut Part> {
--- a/crates/quartzlever-core/src/holding.rs
+++ b/crates/quartzlever-core/src/holding.rs
@@ -121,7 +121,7 @@
         if (self.mirror.watching.is_none() || dead) && now >= self.mirror.watch_at {
             self.mirror.watching = Some(now);
             self.mirror.watch += 1;
-            self.mirror.watch_at = now + self.cfg.pause_for(WATCH_SHARE);
+            self.mirror.watch_at = now + self.pause_for(WATCH_SHARE);
             let call = StateCall::Watch { from: self.mirror.epoch, hold_ms: WATCH_HOLD_MS };
             let number = self.mirror.watch;
             self.state(Lane::Watch, call, Waiting::Watch { number });
@@ -472,7 +472,24 @@
         let key = format!("{PARTS}{name}");
         let txn = Txn::default().when(key.clone(), stamp).delete(key);
         self.ledger.spend(1);
-        self.state(Lane::Hold, StateCall::Txn(txn), Waiting::Release { part: name.to_owned() });
+        let waiting = Waiting::Release { part: name.to_owned(), stamp };
+        self.state(Lane::Hold, StateCall::Txn(txn), waiting);
+    }
+
+    /// A part's key was given up, or is another's already. The copy lags behind, and a part that
+    /// it still shows as ours was released again and again: 700 changes in a row, in which the
+    /// limit of changes, and with it every submission, was lost.
+    pub(crate) fn released(
+        &mut self,
+        name: &str,
+        stamp: u64,
+        result: &Result<StateReply, CallError>,
+    ) {
+        self.busy_parts.remove(name);
+        let settled = matches!(result, Ok(StateReply::Committed(_) | StateReply::Conflict(_)));
+        if settled && self.mirror.parts.get(name).is_some_and(|(_, s)| *s == stamp) {
+            self.mirror.parts.remove(name);
+        }
     }
 }
 
--- a/crates/quartzlever-core/src/jobs.rs
+++ b/crates/quartzlever-core/src/jobs.rs
@@ -6,6 +6,7 @@
 use quartzlever_wire::users::{JobAnswer, JobPhase, JobSpec, JobView};
 use quartzlever_wire::workers::TaskId;
 use quartzlever_wire::{CallError, Micros, Ranges, SECOND};
+use rand::seq::IndexedRandom;
 
 use crate::config::Config;
 use crate::engine::{Core, Waiting};
@@ -159,17 +160,23 @@
     }
 
     /// The part that a new job enters, with its term.
-    fn accept_target(&self, spec: &JobSpec) -> Option<(String, u64)> {
+    fn accept_target(&mut self, spec: &JobSpec) -> Option<(String, u64)> {
         if self.cfg.limited(&spec.team) {
             let part = self.cfg.part_of_team(&spec.team);
             let term = self.mirror.parts.get(part).map_or(0, |(_, stamp)| *stamp);
             return Some((part.to_owned(), term));
         }
-        if !self.sure() {
-            return None;
+        if self.sure()
+            && let Some(part) =
+                self.parts.get(&self.cfg.node).or_else(|| self.parts.values().next())
+        {
+            return Some((part.name.clone(), part.term));
         }
-        let part = self.parts.get(&self.cfg.node).or_else(|| self.parts.values().next())?;
-        Some((part.name.clone(), part.term))
+        // A node without a part, such as one that is back and waits for its own, accepts into
+        // another's: the write has that part's term as its condition, and the watch tells the holder.
+        let held: Vec<(&String, &u64)> =
+            self.mirror.parts.iter().map(|(name, (_, stamp))| (name, stamp)).collect();
+        held.choose(&mut self.rng).map(|(name, stamp)| ((*name).clone(), **stamp))
     }
 
     pub(crate) fn accept_answered(
--- a/crates/quartzlever-core/src/lib.rs
+++ b/crates/quartzlever-core/src/lib.rs
@@ -20,6 +20,8 @@
 mod gaps;
 mod holding;
 pub mod jobs;
+#[cfg(test)]
+mod joint;
 mod ledger;
 mod lookups;
 pub mod machine;
--- a/crates/quartzlever-core/src/lookups.rs
+++ b/crates/quartzlever-core/src/lookups.rs
@@ -53,11 +53,11 @@
 
     /// Asks for the revision, and answers what the copy is new enough for.
     pub(crate) fn keep_lookups(&mut self) {
-        let now = self.now;
+        let (now, pause) = (self.now, self.pause_for(SHARE));
         let lookups = &mut self.lookups;
         if !lookups.waiting.is_empty() && !lookups.reading && now >= lookups.next {
             lookups.reading = true;
-            lookups.next = now + self.cfg.pause_for(SHARE);
+            lookups.next = now + pause;
             let asked = std::mem::take(&mut lookups.waiting);
             let call = quartzlever_wire::state::StateCall::Epoch;
             self.state(Lane::User, call, Waiting::Fence { asked });
--- a/crates/quartzlever-core/src/messages.rs
+++ b/crates/quartzlever-core/src/messages.rs
@@ -141,4 +141,6 @@
         node: String,
         request: PeerRequest,
     },
+    /// From now on this node may use so much of what the state service and the cloud allow.
+    Share(f64),
 }
--- a/crates/quartzlever-core/tests/world/mod.rs
+++ b/crates/quartzlever-core/tests/world/mod.rs
@@ -421,7 +421,7 @@
                 assert!(until.is_none_or(|u| u > self.now), "an answer without a sure hold");
                 self.answers.insert(id, (status, body));
             }
-            Effect::Note { .. } => {}
+            Effect::Note { .. } | Effect::Share(_) => {}
         }
     }
 
--- a/crates/quartzlever/src/node.rs
+++ b/crates/quartzlever/src/node.rs
@@ -59,6 +59,8 @@
     cloud: Sender<(Token, CloudCall)>,
     workers: Sender<WorkerJob>,
     peers: Sender<PeerJob>,
+    /// What the state service and the cloud allow to all, and this node's part of it.
+    limits: [(f64, Arc<Budget>); 2],
 }
 
 fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> io::Result<()> {
@@ -67,6 +69,7 @@
 
 impl Hands {
     fn start(settings: &Settings, inbox: &Inbox, clock: Clock) -> io::Result<Hands> {
+        // Until the core knows who shares the limits.
         let share = SHARE / settings.core.nodes.len() as f64;
         // The core keeps account of changes, since it knows which are worth most.
         let requests = Arc::new(Budget::new(settings.core.state_rps * share));
@@ -144,7 +147,8 @@
                 }
             })?;
         }
-        Ok(Hands { lanes, cloud, workers, peers })
+        let limits = [(settings.core.state_rps, requests), (settings.cloud_rps, budget)];
+        Ok(Hands { lanes, cloud, workers, peers, limits })
     }
 }
 
@@ -259,6 +263,11 @@
         Effect::Peer { token, node, request } => {
             let _ = hands.peers.send(PeerJob { token, node, request });
         }
+        Effect::Share(share) => {
+            for (limit, budget) in &hands.limits {
+                budget.set_rate(limit * share * SHARE);
+            }
+        }
         Effect::Note { weight, text } => match weight {
             Weight::Error => tracing::error!("{text}"),
             Weight::Info => tracing::info!("{text}"),
