A part goes to the peer that hears its workers; nobody is silent to who did not listen

On the way: after standing still or when far behind, machines whose reports wait unread are not taken for silent; returns decided before such a stop are not sent after the hold's end; returned machines are remembered by age. The tests fail without the guards.

--- a/crates/quartzlever-core/examples/cost.rs
+++ b/crates/quartzlever-core/examples/cost.rs
@@ -47,7 +47,7 @@
             Effect::State { token, call, .. } => {
                 Some(Command::State { token, result: self.store.call(self.now, &call) })
             }
-            Effect::Cloud { token, call } => {
+            Effect::Cloud { token, call, .. } => {
                 let reply = self.cloud.call(&call);
                 for (name, rental) in &self.cloud.machines {
                     if !self.workers.contains_key(name) {
@@ -135,7 +135,7 @@
     for tick in 0..900_u32 {
         world.now += SECOND / 5;
         let wall = world.now;
-        world.take("tick", Command::Tick { wall });
+        world.take("tick", Command::Tick { wall, behind: false });
         let mut due = u32::from(tick.is_multiple_of(10)) * room / 120 + 1;
         if tick == 1 {
             due = (room + ready) / 12 + 1;
--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -13,6 +13,7 @@
 use crate::claims::BlockWork;
 use crate::config::Config;
 use crate::fleet::CloudWork;
+use crate::hearing::Hearing;
 use crate::jobs::Purpose;
 use crate::ledger::Ledger;
 use crate::lookups::{Asked, Lookups};
@@ -105,7 +106,7 @@
 }
 
 /// What an answer from a worker belongs to.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct WorkerWait {
     pub part: String,
     pub term: u64,
@@ -113,6 +114,8 @@
     pub runs: Vec<crate::machine::SlotKey>,
     /// A machine that nobody knew is asked whether it is there.
     pub vouch: bool,
+    /// Any machine is asked, to see whether workers are reached from here.
+    pub probe: bool,
 }
 
 /// The state lease that all parts of this process hang on.
@@ -252,6 +255,7 @@
     pub(crate) mirror: Mirror,
     pub(crate) parts: BTreeMap<String, Part>,
     pub(crate) contact: Contact,
+    pub(crate) hearing: Hearing,
     pub(crate) ledger: Ledger,
     pub(crate) blocks: BTreeMap<String, BlockWork>,
     pub(crate) lookups: Lookups,
@@ -307,6 +311,7 @@
             mirror: Mirror::default(),
             parts: BTreeMap::new(),
             contact: Contact { heard: now, ..Contact::default() },
+            hearing: Hearing::new(now),
             ledger: Ledger::new(now),
             blocks: BTreeMap::new(),
             lookups: Lookups::default(),
@@ -348,6 +353,7 @@
         self.keep_hold();
         self.keep_contact();
         self.keep_mirror();
+        self.keep_hearing();
         self.keep_parts();
         self.decide();
         self.keep_lookups();
@@ -386,7 +392,10 @@
                     self.peer_answer(work, result);
                 }
             }
-            Command::Tick { wall } => {
+            Command::Tick { wall, behind } => {
+                if behind {
+                    self.hearing.attentive = self.now;
+                }
                 self.wall_offset = Some(wall as i64 - self.now as i64);
             }
         }
@@ -422,7 +431,8 @@
     pub(crate) fn cloud_call(&mut self, call: CloudCall, work: CloudWork) {
         let token = self.token();
         self.cloud_waits.insert(token, work);
-        self.out.push(Effect::Cloud { token, call });
+        let until = self.hold.sure_until;
+        self.out.push(Effect::Cloud { token, call, until });
     }
 
     pub(crate) fn worker_call(
--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -46,7 +46,10 @@
 /// Pace in thousandths of the usual from which a machine crawls, and over how many tasks.
 const CRAWL_PACE: u32 = 2200;
 const CRAWL_TASKS: usize = 3;
+/// Hints of peers' rentals that are kept; each machine reports within a few boots.
 const REMEMBERED: usize = 4000;
+/// Late copies come minutes after the original.
+const GONE_FOR: Micros = 3600 * SECOND;
 
 /// What an answer from the cloud belongs to.
 #[derive(Debug)]
@@ -103,12 +106,39 @@
     retry_at: Option<Micros>,
 }
 
+/// Machines that were returned, for as long as copies of their reports may come.
+#[derive(Debug, Default)]
+pub struct Gone {
+    known: HashMap<String, Micros>,
+    order: VecDeque<(Micros, String)>,
+}
+
+impl Gone {
+    pub fn contains(&self, host: &str) -> bool {
+        self.known.contains_key(host)
+    }
+
+    fn put(&mut self, host: &str, now: Micros) {
+        self.known.insert(host.to_owned(), now);
+        self.order.push_back((now, host.to_owned()));
+        // By age: by number or name, a day with many returns forgot the last ones too early.
+        while let Some((at, _)) = self.order.front()
+            && now.saturating_sub(*at) > GONE_FOR
+            && let Some((at, host)) = self.order.pop_front()
+        {
+            if self.known.get(&host) == Some(&at) {
+                self.known.remove(&host);
+            }
+        }
+    }
+}
+
 /// The fleet side of a part.
 #[derive(Debug, Default)]
 pub struct Fleet {
     pub expected: BTreeMap<String, Expected>,
     /// Machines that were returned; late reports of them claim nothing.
-    pub gone: BTreeSet<String>,
+    pub gone: Gone,
     hires: BTreeMap<String, OpenHire>,
     hired: u64,
     refused: BTreeMap<Offer, Micros>,
@@ -341,7 +371,7 @@
         // Where many seem deaf at once it is this node that is not heard.
         let deaf = part.machines.values().filter(|m| m.deaf(now, report)).count();
         let deaf_returned = deaf <= MOST_DEAF.max(part.machines.len() / 10);
-        let acquired = part.acquired;
+        let (acquired, attentive) = (part.acquired, self.hearing.attentive);
         let mut changed: Vec<String> = Vec::new();
         for machine in part.machines.values_mut().filter(|m| !m.returning) {
             let before = machine.return_wanted;
@@ -357,7 +387,9 @@
             };
             // What may be a late copy counts for a while after the takeover only.
             let hinted = machine.hinted.min(acquired + report * 2);
-            let quiet = now.saturating_sub(machine.heard.max(hinted));
+            // After standing still, what came meanwhile is taken in before anybody is called
+            // silent: all machines were returned at once otherwise, their reports unread.
+            let quiet = now.saturating_sub(machine.heard.max(hinted).max(attentive));
             machine.return_wanted = machine.return_wanted.or_else(|| {
                 let crawls = machine.pace.len() >= CRAWL_TASKS
                     && machine.pace.iter().sum::<u32>() / machine.pace.len() as u32 > CRAWL_PACE;
@@ -414,6 +446,7 @@
             .filter(|(_, e)| {
                 let boot = types.get(&e.kind).map_or(60.0, |t| t.ready_s);
                 now.saturating_sub(e.since) > micros_from_secs(3.0 * boot) + 20 * SECOND
+                    && now.saturating_sub(attentive) > 2 * report
             })
             .map(|(host, _)| host.clone())
             .collect();
@@ -466,10 +499,7 @@
         for host in hosts {
             // The machine is gone, with everything on it.
             let known = part.remove_machine(&host);
-            part.fleet.gone.insert(host.clone());
-            while part.fleet.gone.len() > REMEMBERED {
-                part.fleet.gone.pop_first();
-            }
+            part.fleet.gone.put(&host, now);
             if known {
                 dropped.push(host);
             }
--- a/crates/quartzlever-core/src/gaps.rs
+++ b/crates/quartzlever-core/src/gaps.rs
@@ -101,7 +101,7 @@
         }
         let mut gone = false;
         for step in 1..=after * 2 {
-            let mut commands = vec![Command::Tick { wall: NOW }];
+            let mut commands = vec![Command::Tick { wall: NOW, behind: false }];
             if copies {
                 let report = report("n-1", 1, step, 4, &[]);
                 commands.push(Command::Report { id: step, report });
--- a/crates/quartzlever-core/src/holding.rs
+++ b/crates/quartzlever-core/src/holding.rs
@@ -13,6 +13,7 @@
 use crate::claims::is_hosts;
 use crate::config::surely_within;
 use crate::engine::{Core, Waiting};
+use crate::hearing::LEFT_TO_OTHERS;
 use crate::messages::{Lane, Weight};
 use crate::part::Part;
 use crate::stealing::PeerWork;
@@ -311,7 +312,9 @@
             return;
         }
         for name in self.cfg.nodes.clone() {
-            let home = name == self.cfg.node;
+            // While it does not hear workers, this node is home to none.
+            let deaf = self.hearing.lost();
+            let home = name == self.cfg.node && !deaf;
             let entry = self.mirror.parts.get(&name).cloned();
             match entry {
                 None => {
@@ -319,7 +322,8 @@
                         0
                     } else {
                         let spread = self.rng.random_range(0..SECOND);
-                        self.cfg.operator.takeover_after + spread
+                        let others = if deaf { LEFT_TO_OTHERS } else { 0 };
+                        self.cfg.operator.takeover_after + spread + others
                     };
                     let start_grace = if home { 0 } else { START_GRACE };
                     let since = *self.absent_since.entry(name.clone()).or_insert(self.now);
@@ -461,7 +465,7 @@
     }
 
     /// Stops acting for a part and then gives up its key.
-    fn release(&mut self, name: &str, stamp: u64) {
+    pub(crate) fn release(&mut self, name: &str, stamp: u64) {
         self.parts.remove(name);
         self.home_asks.remove(name);
         self.releasing.insert(name.to_owned());
--- a/crates/quartzlever-core/src/joint.rs
+++ b/crates/quartzlever-core/src/joint.rs
@@ -1,8 +1,11 @@
 //! Failures that come together, as tables: parts that change hands while much else goes on, nodes
 //! that stand still or lose their workers, and one node that is left with everything.
 
-use quartzlever_wire::state::{PartRecord, StateCall, StateReply};
-use quartzlever_wire::{CallError, SECOND};
+use quartzlever_wire::cloud::CloudCall;
+use quartzlever_wire::peers::PeerRequest;
+use quartzlever_wire::state::{HostRecord, Hosts, PartRecord, StateCall, StateReply, block_key};
+use quartzlever_wire::workers::{Report, WorkerCall, WorkerReply};
+use quartzlever_wire::{CallError, Micros, SECOND};
 
 use crate::engine::Core;
 use crate::messages::{Command, Effect, Token};
@@ -88,3 +91,185 @@
         }
     }
 }
+
+fn host(name: &str, part: &str) -> HostRecord {
+    let record = core().parts["one"].machines["n-1"].record.clone();
+    HostRecord { part: part.into(), address: format!("{name}:9000"), ..record }
+}
+
+fn report(name: &str, tick: u64, baton: u64) -> Report {
+    Report {
+        host: name.into(),
+        address: format!("{name}:9000"),
+        kind: "m".into(),
+        zone: "a".into(),
+        spot: true,
+        session: 1,
+        tick,
+        baton,
+        warning_s: None,
+        tasks: Vec::new(),
+    }
+}
+
+/// Gives part "one" ten machines, heard last at this time.
+fn ten_machines(core: &mut Core, heard: Micros) {
+    let Some(part) = core.parts.get_mut("one") else { return };
+    for n in 1..=10 {
+        let name = format!("n-{n}");
+        part.add_machine(&name, host(&name, "one"), true, heard);
+        if let Some(machine) = part.machines.get_mut(&name) {
+            (machine.heard, machine.answered, machine.session) = (heard, heard, 1);
+            // Idle ones go for another reason.
+            machine.idle_since = Some(NOW + 900 * SECOND);
+        }
+    }
+}
+
+fn returned(effects: &[Effect]) -> usize {
+    let names = |e: &Effect| match e {
+        Effect::Cloud { call: CloudCall::Return(hosts), .. } => hosts.len(),
+        _ => 0,
+    };
+    effects.iter().map(names).sum()
+}
+
+#[test]
+fn nobody_is_silent_to_a_node_that_did_not_listen() {
+    // (seconds since anything was heard; whether the process stood still or is behind; how many
+    // reports are in the first batch after that; machines returned)
+    for (name, quiet, behind, heard, gone) in [
+        ("all is silent, and the node listened", 13, false, 0, 10),
+        ("it stood still, and nothing is read yet", 13, true, 0, 0),
+        ("it stood still, and has read some", 13, true, 4, 0),
+        ("it listened, and some are there", 13, false, 4, 6),
+    ] {
+        let mut core = with_copy(&[("one", "one", 5)]);
+        ten_machines(&mut core, NOW);
+        let now = NOW + quiet * SECOND;
+        let mut commands = vec![Command::Tick { wall: NOW, behind }];
+        for n in 1..=heard {
+            let report = report(&format!("n-{n}"), 9, 5);
+            commands.push(Command::Report { id: n, report });
+        }
+        assert_eq!(returned(&core.step(now, commands)), gone, "{name}");
+        // In the end the silent ones go all the same.
+        let mut late = 0;
+        for step in 1..=30 {
+            let now = now + step * SECOND / 2;
+            let reports = (1..=heard).map(|n| Command::Report {
+                id: 100 + n,
+                report: report(&format!("n-{n}"), 10 + step, 5),
+            });
+            late += returned(&core.step(now, reports.collect()));
+        }
+        assert_eq!(late + gone, 10 - heard as usize, "{name}: later");
+    }
+}
+
+#[test]
+fn a_part_goes_to_the_peer_that_hears_its_workers() {
+    // (seconds since the holder heard anything, how many machines it hears now, how many a peer
+    // says it hears, whether the holder stood still; whether it gives the part up), of ten
+    for (name, quiet, hears, peer, behind, given_up) in [
+        ("cut from the workers alone", 4, 0, 9, false, true),
+        ("a few hear it still", 4, 1, 9, false, false),
+        ("a zone or the machines failed", 4, 0, 0, false, false),
+        ("few come to the peer", 4, 0, 4, false, false),
+        ("it stood still, its reports are unread", 4, 0, 9, true, false),
+        ("too early to say", 1, 0, 9, false, false),
+    ] {
+        let mut core = with_copy(&[("one", "one", 5), ("two", "two", 6)]);
+        ten_machines(&mut core, NOW);
+        let now = NOW + quiet * SECOND;
+        let mut commands = vec![
+            Command::Tick { wall: NOW, behind },
+            Command::Peer {
+                id: 1,
+                request: PeerRequest::Heard { part: "one".into(), machines: peer },
+            },
+        ];
+        for n in 1..=hears {
+            let report = report(&format!("n-{n}"), 9, 5);
+            commands.push(Command::Report { id: 10 + n, report });
+        }
+        let gives = changes(&core.step(now, commands), "parts/one");
+        assert_eq!(gives.len(), usize::from(given_up), "{name}");
+        assert_eq!(core.parts.contains_key("one"), !given_up, "{name}: no two are entitled");
+    }
+}
+
+#[test]
+fn a_peer_tells_the_holder_whom_it_hears() {
+    // (machines of the peer's part that come here, whether the holder is told)
+    for (machines, told) in [(2, None), (3, Some(3)), (7, Some(7))] {
+        let mut core = with_copy(&[("one", "one", 5), ("two", "two", 6)]);
+        let names: Vec<String> = (101..=110).map(|n| format!("n-{n}")).collect();
+        let hosts: Hosts = names.iter().map(|n| (n.clone(), host(n, "two"))).collect();
+        core.block_seen(&block_key("n-101"), hosts, 9);
+        let come = names.iter().take(machines).enumerate();
+        let reports =
+            come.map(|(n, name)| Command::Report { id: n as u64, report: report(name, 3, 6) });
+        let effects = core.step(NOW, reports.collect());
+        let found = effects.iter().find_map(|e| match e {
+            Effect::Peer { node, request: PeerRequest::Heard { part, machines }, .. } => {
+                (node == "two" && part == "two").then_some(*machines)
+            }
+            _ => None,
+        });
+        assert_eq!(found, told, "{machines}");
+    }
+}
+
+#[test]
+fn a_part_given_up_comes_home_once_workers_are_reached() {
+    // (seconds since it was given up, whether a call reaches a machine, whether another holds the
+    // part; whether home asks for it, whether home takes it)
+    for (name, after, reaches, held, asks, takes) in [
+        ("soon after, nobody has it yet", 4, false, false, false, false),
+        ("nobody wants it", 14, false, false, false, true),
+        ("still cut", 40, false, true, false, false),
+        ("reached again", 40, true, true, true, false),
+        ("reached at once: not to and fro", 4, true, true, false, false),
+    ] {
+        let mut core = with_copy(&[("one", "one", 5), ("two", "two", 6)]);
+        ten_machines(&mut core, NOW - 10 * SECOND);
+        core.hearing.attentive = NOW - 60 * SECOND;
+        if let Some(part) = core.parts.get_mut("one") {
+            part.acquired = NOW - 60 * SECOND;
+        }
+        core.block_seen(&block_key("n-1"), [("n-1".into(), host("n-1", "one"))].into(), 9);
+        let request = PeerRequest::Heard { part: "one".into(), machines: 10 };
+        let effects = core.step(NOW, vec![Command::Peer { id: 1, request }]);
+        let tokens = changes(&effects, "parts/one");
+        assert_eq!(tokens.len(), 1, "{name}: given up");
+        let mut told =
+            vec![Command::State { token: tokens[0], result: Ok(StateReply::Committed(20)) }];
+        let (mut asked, mut taken) = (false, false);
+        for step in 1..=after * 4 {
+            let now = NOW + step * SECOND / 4;
+            core.hold.sure_until = now + 10 * SECOND;
+            if step == 2 && held {
+                let record = PartRecord { node: "two".into(), process: 77 };
+                core.mirror.parts.insert("one".into(), (record, 21));
+            }
+            for effect in core.step(now, std::mem::take(&mut told)) {
+                match effect {
+                    Effect::Worker { token, call: WorkerCall::Status, .. } => {
+                        let report = WorkerReply::Report(report("n-1", 30 + step, 21));
+                        let result = if reaches { Ok(report) } else { Err(CallError::Unknown) };
+                        told.push(Command::Worker { token, result });
+                    }
+                    Effect::Peer { request: PeerRequest::HandBack { part }, .. } => {
+                        asked |= part == "one";
+                    }
+                    Effect::State { call: StateCall::Txn(txn), .. } => {
+                        taken |= txn.conditions.iter().any(|c| c.path == "parts/one");
+                    }
+                    _ => {}
+                }
+            }
+        }
+        assert_eq!((asked, taken), (asks, takes), "{name}");
+    }
+}
--- a/crates/quartzlever-core/src/lib.rs
+++ b/crates/quartzlever-core/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`jobs`]: submissions, lookups, cancellations, and the record of each job.
 //! - `lookups`, `ledger`, `claims`: what is asked of and written to the state service, and how often.
 //! - [`part`]: a part's queue, its holder, its machines' reports, and recovery.
+//! - `hearing`: whether this node hears its workers, and parts given up to a peer that does.
 //! - [`placement`]: which task goes where.
 //! - [`rooms`]: the free room of a part's machines, as an index.
 //! - [`stealing`]: the adaptive work stealing between parts.
@@ -18,6 +19,7 @@
 pub mod fleet;
 #[cfg(test)]
 mod gaps;
+mod hearing;
 mod holding;
 pub mod jobs;
 #[cfg(test)]
--- a/crates/quartzlever-core/src/messages.rs
+++ b/crates/quartzlever-core/src/messages.rs
@@ -55,9 +55,11 @@
         token: Token,
         result: Result<PeerAnswer, CallError>,
     },
-    /// Time passes; `wall` is the time of day in microseconds since 1970.
+    /// Time passes; `wall` is the time of day in microseconds since 1970. `behind` says that the
+    /// process has stood still since the last tick, or that more has come than it has taken in.
     Tick {
         wall: Micros,
+        behind: bool,
     },
 }
 
@@ -125,9 +127,11 @@
         lane: Lane,
         call: StateCall,
     },
+    /// Call the cloud; machines are not returned any more after `until`.
     Cloud {
         token: Token,
         call: CloudCall,
+        until: Micros,
     },
     /// Call a worker, but not after `until`.
     Worker {
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -38,6 +38,9 @@
         }
         if let Some(record) = self.part_of_host(&report.host) {
             let part = record.part.clone();
+            if self.holder_of(&part).is_some() {
+                self.visited(&part, &report.host);
+            }
             return self.redirect(id, &part);
         }
         // An unclaimed machine goes to the part that rented it, if that is known.
@@ -50,7 +53,7 @@
         }
     }
 
-    fn holder_of(&self, part: &str) -> Option<&str> {
+    pub(crate) fn holder_of(&self, part: &str) -> Option<&str> {
         let (record, _) = self.mirror.parts.get(part)?;
         (record.node != self.cfg.node).then_some(record.node.as_str())
     }
@@ -86,7 +89,8 @@
         }
         let (machine, address) = (report.host.clone(), report.address.clone());
         self.vouching.insert(machine.clone(), (id, report));
-        let wait = WorkerWait { part: part_name, term, machine, runs: Vec::new(), vouch: true };
+        let wait =
+            WorkerWait { part: part_name, term, machine, vouch: true, ..WorkerWait::default() };
         self.worker_call(address, WorkerCall::Status, wait);
     }
 
@@ -207,7 +211,7 @@
             term,
             machine: machine_name.to_owned(),
             runs,
-            vouch: false,
+            ..WorkerWait::default()
         };
         let token = self.worker_call(address, call, wait);
         if let Some(machine) =
@@ -224,6 +228,9 @@
         result: Result<WorkerReply, CallError>,
     ) {
         let now = self.now;
+        if wait.probe {
+            return self.probed(result.is_ok());
+        }
         if wait.vouch {
             return self.vouched(&wait, result);
         }
--- a/crates/quartzlever-core/src/stealing.rs
+++ b/crates/quartzlever-core/src/stealing.rs
@@ -295,6 +295,10 @@
                 self.home_asks(&part);
                 PeerAnswer::Nothing
             }
+            PeerRequest::Heard { part, machines } => {
+                self.told_heard(part, machines);
+                PeerAnswer::Nothing
+            }
             PeerRequest::Rented { part, hosts } => {
                 for host in hosts {
                     self.cloud.hint(host, &part);
--- a/crates/quartzlever-core/tests/safety.rs
+++ b/crates/quartzlever-core/tests/safety.rs
@@ -30,6 +30,8 @@
     Lose(u64),
     /// One node alone gets no answer from the state service for so many seconds.
     Lonely(usize, u64),
+    /// One node stands still for so many seconds while its clocks run on.
+    Freeze(usize, u64),
     /// Every task fails on one machine.
     Faulty,
     /// A node is stopped for good.
@@ -106,6 +108,11 @@
             world.run(secs * SECOND);
             world.lonely.clear();
         }
+        Trouble::Freeze(n, secs) => {
+            world.frozen.insert(n);
+            world.run(secs * SECOND);
+            world.frozen.clear();
+        }
         Trouble::Faulty => {
             if let Some(worker) = world.workers.values_mut().next() {
                 worker.faulty = true;
@@ -141,6 +148,11 @@
         ("a machine is out of reach, with the cloud down", good, &[Lose(9)]),
         ("so it is, for longer than its lease", bad, &[Lose(18)]),
         ("a node alone is refused by the state service", bad, &[Lonely(0, 12), Lonely(1, 3)]),
+        ("a node loses the workers, beyond their lease", good, &[Cut(0, 20)]),
+        ("two nodes do so, one after the other", bad, &[Cut(1, 14), Cut(2, 14)]),
+        ("a node stands still, and its hold lives on", bad, &[Freeze(0, 3), Freeze(1, 4)]),
+        ("a node stands still beyond its hold", bad, &[Freeze(0, 9), Freeze(2, 16)]),
+        ("it does so in an outage, and is restarted", bad, &[Outage(6), Freeze(1, 14), Kill(1, 1)]),
         ("one machine fails all", good, &[Faulty]),
     ];
     for (n, (name, luck, troubles)) in cases.iter().enumerate() {
--- a/crates/quartzlever-core/tests/world/mod.rs
+++ b/crates/quartzlever-core/tests/world/mod.rs
@@ -114,6 +114,9 @@
     pub cloud_down: bool,
     /// Nodes that alone get no answer from the state service.
     pub lonely: BTreeSet<usize>,
+    /// Nodes that stand still: what comes for them waits.
+    pub frozen: BTreeSet<usize>,
+    thawed: BTreeSet<usize>,
     /// Since when each job is over.
     ended: BTreeMap<String, Micros>,
     seen_starts: BTreeMap<String, usize>,
@@ -145,6 +148,8 @@
             luck: Luck::default(),
             cloud_down: false,
             lonely: BTreeSet::new(),
+            frozen: BTreeSet::new(),
+            thawed: BTreeSet::new(),
             ended: BTreeMap::new(),
             seen_starts: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(seed),
@@ -235,9 +240,14 @@
         }
         self.poll_watches();
         for n in 0..self.cores.len() {
+            if self.frozen.contains(&n) {
+                self.thawed.insert(n);
+                continue;
+            }
             let mut batch = batches.remove(&n).unwrap_or_default();
-            if now.is_multiple_of(4 * STEP) {
-                batch.push(Command::Tick { wall: now });
+            let behind = self.thawed.remove(&n);
+            if behind || now.is_multiple_of(4 * STEP) {
+                batch.push(Command::Tick { wall: now, behind });
             }
             let Some(core) = self.cores[n].as_mut() else { continue };
             let effects = core.step(now, batch);
@@ -253,7 +263,9 @@
         let now = self.now;
         match message {
             Message::ToNode(n, life, command) => {
-                if self.cores[n].is_some() && self.lives[n] == life {
+                if self.frozen.contains(&n) {
+                    self.post(STEP, Message::ToNode(n, life, command));
+                } else if self.cores[n].is_some() && self.lives[n] == life {
                     batches.entry(n).or_default().push(*command);
                 }
             }
@@ -359,7 +371,7 @@
                 let command = Command::Cloud { token, result: Err(CallError::Refused) };
                 self.post(200_000, Message::ToNode(n, life, Box::new(command)));
             }
-            Effect::Cloud { token, call } => {
+            Effect::Cloud { token, call, .. } => {
                 let reply = self.cloud.call(&call);
                 if let CloudReply::Rented(hosts) = &reply {
                     for host in hosts {
--- a/crates/quartzlever-wire/src/peers.rs
+++ b/crates/quartzlever-wire/src/peers.rs
@@ -23,6 +23,8 @@
     HandBack { part: String },
     /// Do you reach the state service?
     Contact,
+    /// So many machines of `part`, which the asked holds, have come to the asker of late.
+    Heard { part: String, machines: u32 },
     /// These machines were rented by `part` and will report soon.
     Rented { part: String, hosts: Vec<String> },
 }
--- a/crates/quartzlever/src/node.rs
+++ b/crates/quartzlever/src/node.rs
@@ -23,6 +23,8 @@
 
 const STACK: usize = 192 * 1024;
 const TICK: Duration = Duration::from_millis(200);
+/// A loop that took longer than this did not listen meanwhile.
+const STOOD_STILL: Micros = 1_000_000;
 /// The largest batch of the first queue before users get their turn.
 const BATCH: usize = 64;
 const QUESTION_BATCH: usize = 64;
@@ -40,6 +42,12 @@
     call: StateCall,
 }
 
+struct CloudJob {
+    token: Token,
+    call: CloudCall,
+    until: Micros,
+}
+
 struct WorkerJob {
     token: Token,
     address: String,
@@ -56,7 +64,7 @@
 /// The queues of the threads that carry out effects.
 struct Hands {
     lanes: HashMap<Lane, Sender<StateJob>>,
-    cloud: Sender<(Token, CloudCall)>,
+    cloud: Sender<CloudJob>,
     workers: Sender<WorkerJob>,
     peers: Sender<PeerJob>,
     /// What the state service and the cloud allow to all, and this node's part of it.
@@ -101,13 +109,16 @@
         }
 
         let budget = Arc::new(Budget::new(settings.cloud_rps * share));
-        let (cloud, receiver) = unbounded::<(Token, CloudCall)>();
+        let (cloud, receiver) = unbounded::<CloudJob>();
         for _ in 0..2 {
             let client = CloudClient::new(&settings.cloud);
             let (receiver, inbox, budget) = (receiver.clone(), inbox.clone(), budget.clone());
             spawn("cloud", move || {
-                for (token, call) in receiver {
+                for CloudJob { token, call, until } in receiver {
                     let allowed = budget.wait(1.0, 0.0, Duration::from_secs(5));
+                    // Whoever holds the part by then may have found the machines alive.
+                    let late = matches!(call, CloudCall::Return(_)) && clock.now() >= until;
+                    let allowed = allowed && !late;
                     let result = if allowed { client.call(&call) } else { Err(CallError::Refused) };
                     inbox.tell(Command::Cloud { token, result });
                 }
@@ -192,6 +203,7 @@
 fn work(mut core: Core, outlet: Outlet, hands: Hands, clock: Clock) {
     let mut waiting: HashMap<RequestId, Reply> = HashMap::new();
     let mut ticked = None;
+    let (mut last, mut behind) = (clock.now(), false);
     loop {
         let mut batch: Vec<Command> = Vec::new();
         let mut take = |item: Item, batch: &mut Vec<Command>| {
@@ -225,9 +237,12 @@
             take(item, &mut batch);
         }
         let now = clock.now();
+        behind |= now - last > STOOD_STILL || outlet.first.len() > BATCH;
+        last = now;
         if ticked.is_none_or(|t| now - t >= TICK.as_micros() as Micros) {
             ticked = Some(now);
-            batch.push(Command::Tick { wall: wall() });
+            batch.push(Command::Tick { wall: wall(), behind });
+            behind = false;
         }
         for effect in core.step(now, batch) {
             carry_out(effect, &hands, &mut waiting);
@@ -254,8 +269,8 @@
                 let _ = queue.send(StateJob { token, call });
             }
         }
-        Effect::Cloud { token, call } => {
-            let _ = hands.cloud.send((token, call));
+        Effect::Cloud { token, call, until } => {
+            let _ = hands.cloud.send(CloudJob { token, call, until });
         }
         Effect::Worker { token, address, call, until } => {
             let _ = hands.workers.send(WorkerJob { token, address, call, until });
