--- a/crates/quartzlever/src/node.rs
+++ b/crates/quartzlever/src/node.rs
@@ -191,7 +191,7 @@
     let (inbox, outlet) = Inbox::new();
     let hands = Hands::start(&settings, &inbox, clock)?;
     serve_peers(settings.internal, inbox.clone())?;
-    let bounds = server::Bounds::of(settings.sockets, settings.memory_mb);
+    let bounds = server::Bounds::of(settings.limits);
     let bound = server::serve(settings.api, bounds, inbox, clock)?;
     tracing::info!("{} serves {bound}", settings.core.node);
     let core = Core::new(settings.core, seed, clock.now());
--- a/crates/quartzlever/src/settings.rs
+++ b/crates/quartzlever/src/settings.rs
@@ -8,6 +8,8 @@
 use quartzlever_wire::{Micros, micros_from_secs};
 use serde::Deserialize;
 
+use crate::server::Limits;
+
 /// Why the program cannot start; one line that names the field.
 #[derive(Debug, thiserror::Error)]
 pub enum BadSettings {
@@ -104,9 +106,14 @@
     #[serde(default)]
     sockets: Option<u32>,
     #[serde(default)]
+    threads: Option<u32>,
+    #[serde(default)]
     memory_mb: Option<f64>,
 }
 
+/// What holds for a limit of the machine that the settings leave out.
+const USUAL_LIMITS: Limits = Limits { sockets: 1024, threads: 2000, memory_mb: 256.0 };
+
 /// The operator's file. Every key may be left out.
 #[derive(Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -134,8 +141,7 @@
     pub cloud: String,
     pub state: String,
     pub cloud_rps: f64,
-    pub sockets: u32,
-    pub memory_mb: f64,
+    pub limits: Limits,
 }
 
 struct Checker<'a> {
@@ -289,13 +295,7 @@
         cloud: entry.external.cloud.clone(),
         state: entry.external.state.clone(),
         cloud_rps: check.amount("params.cloud.rps", params.cloud.rps, 0.1, 1e9)?,
-        sockets: params.machine_limits.as_ref().and_then(|l| l.sockets).unwrap_or(1024).max(64),
-        memory_mb: check.amount(
-            "params.machine_limits.memory_mb",
-            params.machine_limits.as_ref().and_then(|l| l.memory_mb).unwrap_or(256.0),
-            16.0,
-            1e9,
-        )?,
+        limits: limits(&check, params.machine_limits.as_ref())?,
         core: Config {
             node,
             zone: check.name("site", &entry.site)?,
@@ -315,6 +315,22 @@
     })
 }
 
+fn limits(check: &Checker, entry: Option<&LimitsEntry>) -> Result<Limits, BadSettings> {
+    let count = |field: &str, value: Option<u32>, usual: u32, least: f64| {
+        let field = format!("params.machine_limits.{field}");
+        let value = f64::from(value.unwrap_or(usual));
+        check.amount(&field, value, least, 1e7).map(|v| v as u32)
+    };
+    let memory = entry.and_then(|l| l.memory_mb).unwrap_or(USUAL_LIMITS.memory_mb);
+    let sockets = entry.and_then(|l| l.sockets);
+    let threads = entry.and_then(|l| l.threads);
+    Ok(Limits {
+        sockets: count("sockets", sockets, USUAL_LIMITS.sockets, 64.0)?,
+        threads: count("threads", threads, USUAL_LIMITS.threads, 150.0)?,
+        memory_mb: check.amount("params.machine_limits.memory_mb", memory, 16.0, 1e9)?,
+    })
+}
+
 /// Objectives of kinds that this version does not know are passed over, as new fields are.
 fn objective(entry: &ObjectiveEntry) -> Option<Objective> {
     let (class, share) = (entry.class.clone(), entry.share);
