No job begins later than it must: its first tasks are spared, a machine is kept for it

In recovery, machines of a zone that fell silent held the part up for 37 s; now half a lease. Ruled out: the queue's order (late jobs were first in it), stealing, held tasks.

--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -375,8 +375,11 @@
         let mut changed: Vec<String> = Vec::new();
         for machine in part.machines.values_mut().filter(|m| !m.returning) {
             let before = machine.return_wanted;
-            // Behind a cut machines go on working: they are given their whole lease.
+            // Behind a cut machines go on working: they are given their whole lease. In a
+            // recovery they get half of it: a hold's life has passed unheard before, so that a cut
+            // short enough to spare them would be over, and the whole part waits for them.
             let silent_return = if cut.contains(&machine.record.zone) {
+                let patience = if machine.proven { patience } else { patience / 2 };
                 patience.max(operator.silent_return)
             } else if machine.proven {
                 operator.silent_return.max(report * 5 / 2)
--- a/crates/quartzlever-core/src/gaps.rs
+++ b/crates/quartzlever-core/src/gaps.rs
@@ -376,3 +376,30 @@
         assert_eq!(answer, Some(status), "{name}");
     }
 }
+
+#[test]
+fn a_zone_that_fell_silent_holds_up_a_recovery_for_half_a_lease() {
+    // (proven before, seconds of silence, whether the machines are given up), leases of 34 s
+    for (proven, quiet, given_up) in
+        [(false, 16, false), (false, 18, true), (true, 18, false), (true, 36, true)]
+    {
+        let mut core = core();
+        (core.cfg.workers.report, core.cfg.workers.lease) = (6 * SECOND, 34 * SECOND);
+        if let Some(part) = core.parts.get_mut("one") {
+            let record = part.machines["n-1"].record.clone();
+            for name in ["n-2", "n-3"] {
+                part.add_machine(name, record.clone(), false, NOW);
+            }
+            for machine in part.machines.values_mut() {
+                (machine.fenced, machine.proven) = (proven, proven);
+                machine.idle_since = None;
+                machine.failed_calls = 9;
+            }
+            part.barrier_open = proven;
+        }
+        core.step(NOW + quiet * SECOND, Vec::new());
+        let machines = &core.parts["one"].machines;
+        let wanted = machines.values().filter(|m| m.return_wanted.is_some()).count();
+        assert_eq!(wanted, if given_up { 3 } else { 0 }, "{proven} {quiet}");
+    }
+}
--- a/crates/quartzlever-core/src/part.rs
+++ b/crates/quartzlever-core/src/part.rs
@@ -138,6 +138,8 @@
     pub short: Vec<String>,
     /// The fewest processors that a task of these takes.
     pub short_least: f64,
+    /// A machine kept for the first task of a job that has waited too long to begin.
+    pub kept_for: Option<(String, String)>,
     /// Tasks should start now, and no room can be made for them here.
     pub pressed: bool,
 }
@@ -165,6 +167,7 @@
             preempt_after: 0,
             short: Vec::new(),
             short_least: f64::INFINITY,
+            kept_for: None,
             pressed: false,
         }
     }
--- a/crates/quartzlever-core/src/placement.rs
+++ b/crates/quartzlever-core/src/placement.rs
@@ -10,7 +10,7 @@
 
 use crate::config::{Config, Objective};
 use crate::engine::Core;
-use crate::machine::{Amounts, Slot, SlotKey};
+use crate::machine::{Amounts, Machine, Slot, SlotKey};
 use crate::messages::{Effect, Weight};
 use crate::part::{Part, PartJob, Place};
 
@@ -25,6 +25,8 @@
 const PREEMPT_AFTER: Micros = SECOND / 5;
 /// A job that has not begun by then begins next; users expect that within four minutes.
 const STARVED_AFTER: Micros = 150 * SECOND;
+/// So many first tasks of such a job are not stopped for higher ranks.
+const SHELTERED: usize = 4;
 /// A job that old is not stopped for higher ranks, and queues with urgent ones.
 const AGED_AFTER: Micros = 240 * SECOND;
 /// Shortest time between two placements of a part's whole queue, and between two looks at all
@@ -184,6 +186,7 @@
         part.short.clear();
         part.short_least = f64::INFINITY;
         part.pressed = false;
+        part.keep_room(now);
         for id in part.queue_order(&self.cfg, &self.paces, now) {
             if part.place_job(&self.cfg, &id, None, now) {
                 let need = part.jobs.get(&id).map_or(0.0, |j| j.spec().cpus);
@@ -290,6 +293,17 @@
         now.saturating_sub(self.since) > AGED_AFTER
     }
 
+    /// Whether higher ranks leave its tasks alone: so does a job whose first tasks begin late. As
+    /// the youngest of all they were stopped again and again, while they fetched their image, and
+    /// the job had not begun after 250 s.
+    fn sheltered(&self, now: Micros) -> bool {
+        let late = now.saturating_sub(self.since) > STARVED_AFTER;
+        let first = self.located.len() <= SHELTERED
+            && self.finished.is_empty()
+            && self.record.finished.is_empty();
+        self.aged(now) || (late && first)
+    }
+
     /// Whether the job must begin now whatever else waits, and the rank that it queues with.
     /// Without this, a flood of higher work, or of jobs that can still meet their aims, kept
     /// others from beginning at all.
@@ -344,8 +358,9 @@
         let (spec, need) = (job.spec(), job.need());
         // Where it failed it is tried again only when it fails everywhere.
         let again = job.mistaken();
+        let kept = self.kept_for.as_ref().filter(|(_, job)| job != id).map(|(host, _)| host);
         let fit = |host: &str| -> Option<Fit> {
-            let machine = self.machines.get(host)?;
+            let machine = self.machines.get(host).filter(|_| kept.is_none_or(|k| k != host))?;
             let fits = machine.open(now, quiet)
                 && machine.room.fits(&need)
                 && (again || !job.failed_on.contains(host));
@@ -398,6 +413,37 @@
         allowance > 0 && left > 0
     }
 
+    /// Keeps one machine for the job that has waited longest beyond its time to begin, until one
+    /// of its tasks fits there. Tasks are of different sizes, and smaller ones that come all the
+    /// time took each piece of room before two of them made room for a larger one.
+    fn keep_room(&mut self, now: Micros) {
+        let starved =
+            |j: &PartJob| !j.ready.is_empty() && j.no_start_before <= now && j.standing(now).0;
+        if let Some((host, job)) = &self.kept_for
+            && self.jobs.get(job).is_some_and(starved)
+            && self.machines.get(host).is_some_and(Machine::usable)
+        {
+            return;
+        }
+        let longest = self.jobs.values().filter(|j| starved(j)).min_by_key(|j| j.since);
+        self.kept_for = longest.and_then(|job| {
+            let need = job.need();
+            let spec = job.spec();
+            let (host, _) = self
+                .machines
+                .iter()
+                .filter(|(host, m)| {
+                    let kind = self.types.as_ref().and_then(|t| t.get(&m.record.kind));
+                    m.usable()
+                        && !job.failed_on.contains(*host)
+                        && offer_allowed(spec, &m.record.kind, &m.record.zone, m.record.spot)
+                        && kind.is_some_and(|k| Amounts::of_type(k).fits(&need))
+                })
+                .max_by(|a, b| a.1.room.cpus.total_cmp(&b.1.room.cpus))?;
+            Some((host.clone(), spec.id.clone()))
+        });
+    }
+
     /// Whether a task of a job that is bound to zones may start on this machine.
     fn zone_open(&self, cfg: &Config, id: &str, host: &str) -> bool {
         let (Some(job), Some(machine)) = (self.jobs.get(id), self.machines.get(host)) else {
@@ -507,8 +553,8 @@
                     && s.team != spec.team
                     && !s.team.is_empty()
                     && !inside.contains(&s.team);
-                let aged = self.jobs.get(&k.0.job).is_some_and(|j| j.aged(now));
-                s.wanted && !s.exited() && ((lower && !aged) || borrowed)
+                let sheltered = self.jobs.get(&k.0.job).is_some_and(|j| j.sheltered(now));
+                s.wanted && !s.exited() && ((lower && !sheltered) || borrowed)
             })
             .map(|(k, s)| {
                 let ran = s.running_since.map_or(0, |t| now.saturating_sub(t));
--- a/crates/quartzlever-core/src/placement_tests.rs
+++ b/crates/quartzlever-core/src/placement_tests.rs
@@ -180,3 +180,70 @@
         assert_eq!(core.steal_wait(), SECOND, "after a success");
     }
 }
+
+#[test]
+fn the_first_tasks_of_a_job_that_begins_late_are_left_alone() {
+    use quartzlever_wire::SECOND;
+    // (seconds that the standard job has waited, tasks of it on the machine, whether one of it is
+    // done; how many give way to an urgent task)
+    for (age, tasks, done, stopped) in
+        [(10, 2, false, 1), (160, 2, false, 0), (160, 2, true, 1), (160, 5, false, 1)]
+    {
+        let mut core = core();
+        machines(&mut core, &[("n-1", "m", "a", false)]);
+        let mut first = spec(tasks + u32::from(done));
+        (first.cpus, first.rank) = (8.0 / f64::from(tasks), Rank::Standard);
+        submit(&mut core, &first, 10);
+        if let Some(job) = core.parts.get_mut("one").and_then(|p| p.jobs.get_mut("req-1")) {
+            job.since = NOW - age * SECOND;
+            if done {
+                job.ready = Ranges::default();
+                job.finished.insert(tasks);
+            }
+        }
+        let mut second = spec(1);
+        (second.id, second.cpus, second.rank) = ("req-2".into(), 1.0, Rank::Urgent);
+        second.due_s = Some(4.0);
+        submit(&mut core, &second, 11);
+        core.now = NOW + SECOND;
+        if let Some(part) = core.parts.get_mut("one") {
+            part.place_wanted = true;
+        }
+        core.place("one");
+        let slots = core.parts["one"].machines["n-1"].slots.values();
+        assert_eq!(slots.filter(|s| !s.wanted).count(), stopped, "{age} {tasks} {done}");
+    }
+}
+
+#[test]
+fn a_machine_is_kept_for_a_job_that_waits_too_long() {
+    use quartzlever_wire::SECOND;
+    // (seconds that a job of 8 processors a task has waited while 4 are free; what a later urgent
+    // one of 4 gets, and what the old one gets when the machine is free)
+    for (age, small, large) in [(10, 1, 0), (160, 0, 1)] {
+        let mut core = core();
+        machines(&mut core, &[("n-1", "m", "a", false)]);
+        let mut running = spec(1);
+        (running.id, running.cpus, running.rank) = ("req-7".into(), 4.0, Rank::Prod);
+        submit(&mut core, &running, 10);
+        let mut old = spec(2);
+        old.cpus = 8.0;
+        submit(&mut core, &old, 11);
+        if let Some(job) = core.parts.get_mut("one").and_then(|p| p.jobs.get_mut("req-1")) {
+            job.since = NOW - age * SECOND;
+        }
+        let mut fresh = spec(1);
+        (fresh.id, fresh.cpus, fresh.rank) = ("req-2".into(), 4.0, Rank::Urgent);
+        submit(&mut core, &fresh, 12);
+        assert_eq!(placed(&core, "req-2").len(), small, "{age}: takes the room");
+        // The first task ends.
+        if let Some(part) = core.parts.get_mut("one") {
+            part.drop_job("req-7");
+            part.empty_machine("n-1");
+            part.place_wanted = true;
+        }
+        core.now += SECOND;
+        core.place("one");
+        assert_eq!(placed(&core, "req-1").len(), large, "{age}: begins");
+    }
+}
