A peer that does not reach a holder leaves its word at the state service

Cause: with peers refusing each other while a holder was cut from its workers, the handover could not be asked for, and the machines lost their leases.

--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -25,6 +25,8 @@
 /// What an answer from the state service belongs to.
 #[derive(Debug)]
 pub(crate) enum Waiting {
+    /// Something was left for a peer to find; nothing depends on it.
+    Left,
     /// The kept catalogue is read, or written.
     KeptCatalogue,
     Grant {
@@ -520,6 +522,7 @@
 
     fn state_answer(&mut self, waiting: Waiting, result: Result<StateReply, CallError>) {
         match waiting {
+            Waiting::Left => {}
             Waiting::Grant { sent } => self.granted(sent, result),
             Waiting::Renew { sent, lease } => self.renewed(sent, lease, result),
             Waiting::Acquire { part } => self.acquired(&part, result),
--- a/crates/quartzlever-core/src/hearing.rs
+++ b/crates/quartzlever-core/src/hearing.rs
@@ -6,19 +6,22 @@
 //! all that they run. Peers therefore tell a holder how many of its machines have come to them,
 //! and a holder that hears next to none of a part's machines, while a peer hears most of them,
 //! gives the part up: by the same release as when it is handed home, so no two are ever entitled.
-//! Where machines or a zone failed nobody hears them, and the part stays. The node asks for its
+//! A peer whose word does not reach the holder leaves it at the state service, where the holder's
+//! watch finds it. Where machines or a zone failed nobody hears them, and the part stays. The node asks for its
 //! part again only after a direct call has reached one of its machines, and each time it has to
 //! give up a part it waits twice as long before it does.
 
 use std::collections::{BTreeMap, HashMap};
 
 use quartzlever_wire::peers::PeerRequest;
+use quartzlever_wire::state::{HEARD, HeardRecord, Row, StateCall, Txn};
 use quartzlever_wire::workers::WorkerCall;
 use quartzlever_wire::{Micros, SECOND};
 use rand::seq::IteratorRandom;
 
-use crate::engine::{Core, WorkerWait};
-use crate::messages::Weight;
+use crate::engine::{Core, Waiting, WorkerWait};
+use crate::holding::parse;
+use crate::messages::{Lane, Weight};
 use crate::stealing::PeerWork;
 
 const LOOK: Micros = SECOND;
@@ -119,6 +122,26 @@
         }
     }
 
+    /// The holder was not reached: it is told by way of the state service.
+    pub(crate) fn heard_untold(&mut self, part: &str, machines: u32) {
+        let Some(lease) = self.hold.lease.filter(|_| self.sure()) else { return };
+        // As urgent as a part's own key, and no more often than it is told.
+        self.ledger.spend(1);
+        let key = format!("{HEARD}{part}/{}", self.cfg.node);
+        // It hangs on this node's lease, so that nothing is left of it in the end.
+        let value = serde_json::json!(HeardRecord { machines });
+        let txn = Txn::default().write_held(key, value, lease);
+        self.state(Lane::Work, StateCall::Txn(txn), Waiting::Left);
+    }
+
+    /// What a peer has left at the state service.
+    pub(crate) fn heard_left(&mut self, row: &Row) {
+        let name = row.path.strip_prefix(HEARD).and_then(|rest| rest.rsplit_once('/'));
+        if let (Some((part, _)), Some(record)) = (name, parse::<HeardRecord>(row)) {
+            self.told_heard(part.to_owned(), record.machines);
+        }
+    }
+
     fn tell_heard(&mut self) {
         let (now, recent) = (self.now, self.cfg.workers.report * 2);
         let mut tell = Vec::new();
@@ -129,8 +152,9 @@
         });
         for (part, machines) in tell.into_iter().filter(|t| t.1 >= FEWEST) {
             if let Some(node) = self.holder_of(&part).map(str::to_owned) {
-                let request = PeerRequest::Heard { part, machines: machines as u32 };
-                self.ask_peer(&node, request, PeerWork::Told);
+                let machines = machines as u32;
+                let request = PeerRequest::Heard { part: part.clone(), machines };
+                self.ask_peer(&node, request, PeerWork::Heard { part, machines });
             }
         }
     }
--- a/crates/quartzlever-core/src/holding.rs
+++ b/crates/quartzlever-core/src/holding.rs
@@ -3,7 +3,7 @@
 
 use quartzlever_wire::peers::PeerRequest;
 use quartzlever_wire::state::{
-    Event, HOSTS, Hosts, LIVE, LiveRecord, OVER, OverRecord, PARTS, PartRecord, Row, Rows,
+    Event, HEARD, HOSTS, Hosts, LIVE, LiveRecord, OVER, OverRecord, PARTS, PartRecord, Row, Rows,
     StateCall, StateReply, Txn,
 };
 use quartzlever_wire::{CallError, Micros, SECOND};
@@ -248,6 +248,8 @@
                     self.block_row(&row, true);
                 } else if row.path.starts_with(LIVE) {
                     self.live_row(&row);
+                } else if row.path.starts_with(HEARD) {
+                    self.heard_left(&row);
                 } else if let Some(id) = row.path.strip_prefix(OVER)
                     && let Some(over) = parse::<OverRecord>(&row)
                 {
--- a/crates/quartzlever-core/src/joint.rs
+++ b/crates/quartzlever-core/src/joint.rs
@@ -2,8 +2,11 @@
 //! that stand still or lose their workers, and one node that is left with everything.
 
 use quartzlever_wire::cloud::CloudCall;
-use quartzlever_wire::peers::PeerRequest;
-use quartzlever_wire::state::{HostRecord, Hosts, PartRecord, StateCall, StateReply, block_key};
+use quartzlever_wire::peers::{PeerAnswer, PeerRequest};
+use quartzlever_wire::state::{
+    Change, Event, HEARD, HostRecord, Hosts, PartRecord, StateCall, StateReply, WatchAnswer,
+    block_key,
+};
 use quartzlever_wire::workers::{Report, WorkerCall, WorkerReply};
 use quartzlever_wire::{CallError, Micros, SECOND};
 
@@ -221,6 +224,60 @@
     }
 }
 
+#[test]
+fn a_holder_that_no_peer_reaches_is_told_by_the_state_service() {
+    // (whether the holder is reached; whether word is left, and then heeded by a holder that
+    // hears nothing)
+    for (reached, left) in [(true, false), (false, true)] {
+        let mut peer = with_copy(&[("one", "one", 5), ("two", "two", 6)]);
+        let names: Vec<String> = (101..=110).map(|n| format!("n-{n}")).collect();
+        let hosts: Hosts = names.iter().map(|n| (n.clone(), host(n, "two"))).collect();
+        peer.block_seen(&block_key("n-101"), hosts, 9);
+        let reports = names
+            .iter()
+            .enumerate()
+            .map(|(n, name)| Command::Report { id: n as u64, report: report(name, 3, 6) });
+        let effects = peer.step(NOW, reports.collect());
+        let told = effects.iter().find_map(|e| match e {
+            Effect::Peer { token, request: PeerRequest::Heard { .. }, .. } => Some(*token),
+            _ => None,
+        });
+        let Some(token) = told else { panic!("nothing is told") };
+        let result = if reached { Ok(PeerAnswer::Nothing) } else { Err(CallError::Refused) };
+        let effects = peer.step(NOW, vec![Command::Asked { token, result }]);
+        let event = effects.iter().find_map(|e| match e {
+            Effect::State { call: StateCall::Txn(txn), .. } => match txn.changes.first() {
+                Some(Change::Write { write, v, charter: Some(_) }) if write.starts_with(HEARD) => {
+                    Some(Event::Write { write: write.clone(), v: v.clone(), stamp: 30 })
+                }
+                _ => None,
+            },
+            _ => None,
+        });
+        assert_eq!(event.is_some(), left, "reached {reached}");
+        let Some(event) = event else { continue };
+        // The part is called "two" there; the holder here is node one with part "one".
+        let Event::Write { write, v, .. } = event else { continue };
+        let write = write.replacen("two", "one", 1);
+        let mut holder = with_copy(&[("one", "one", 5), ("two", "two", 6)]);
+        ten_machines(&mut holder, NOW - 10 * SECOND);
+        holder.hearing.attentive = NOW - 60 * SECOND;
+        if let Some(part) = holder.parts.get_mut("one") {
+            part.acquired = NOW - 60 * SECOND;
+        }
+        let watch = holder.step(NOW, Vec::new()).into_iter().find_map(|e| match e {
+            Effect::State { token, call: StateCall::Watch { .. }, .. } => Some(token),
+            _ => None,
+        });
+        let Some(token) = watch else { panic!("no watch is open") };
+        let log = vec![Event::Write { write, v, stamp: 30 }];
+        let result = Ok(StateReply::Watched(WatchAnswer { epoch: 30, log }));
+        let mut effects = holder.step(NOW, vec![Command::State { token, result }]);
+        effects.extend(holder.step(NOW + SECOND, Vec::new()));
+        assert_eq!(changes(&effects, "parts/one").len(), 1, "given up");
+    }
+}
+
 #[test]
 fn a_part_given_up_comes_home_once_workers_are_reached() {
     // (seconds since it was given up, whether a call reaches a machine, whether another holds the
--- a/crates/quartzlever-core/src/stealing.rs
+++ b/crates/quartzlever-core/src/stealing.rs
@@ -27,6 +27,11 @@
     },
     /// Whether the peer reaches the state service.
     Contact,
+    /// A holder was told how many of a part's machines come here.
+    Heard {
+        part: String,
+        machines: u32,
+    },
     /// Something was only told.
     Told,
 }
@@ -214,6 +219,11 @@
     pub(crate) fn peer_done(&mut self, work: PeerWork, result: Result<PeerAnswer, CallError>) {
         match work {
             PeerWork::Told => {}
+            PeerWork::Heard { part, machines } => {
+                if result.is_err() {
+                    self.heard_untold(&part, machines);
+                }
+            }
             PeerWork::Contact => {
                 if let Ok(PeerAnswer::Contact { reached: true }) = result {
                     self.contact.alone = Some(self.now);
--- a/crates/quartzlever-wire/src/state.rs
+++ b/crates/quartzlever-wire/src/state.rs
@@ -9,6 +9,8 @@
 use crate::users::{JobPhase, JobSpec};
 
 pub const PARTS: &str = "parts/";
+/// Prefix of the keys that tell a part's holder who hears its workers, one for each node that does.
+pub const HEARD: &str = "heard/";
 pub const LIVE: &str = "live/";
 pub const OVER: &str = "over/";
 pub const HOSTS: &str = "hosts/";
@@ -125,6 +127,12 @@
     pub log: Vec<Event>,
 }
 
+/// So many machines of a part came to a node of late that does not hold it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeardRecord {
+    pub machines: u32,
+}
+
 /// Value of `parts/{name}`: which process holds the part. The key's stamp is the term.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartRecord {
