--- a/crates/quartzlever-core/src/joint.rs
+++ b/crates/quartzlever-core/src/joint.rs
@@ -2,16 +2,18 @@
 //! that stand still or lose their workers, and one node that is left with everything.
 
 use quartzlever_wire::cloud::CloudCall;
-use quartzlever_wire::peers::{PeerAnswer, PeerRequest};
+use quartzlever_wire::peers::{Load, PeerAnswer, PeerRequest, Room, ThiefRoom};
 use quartzlever_wire::state::{
-    Change, Event, HEARD, HostRecord, Hosts, PartRecord, StateCall, StateReply, WatchAnswer,
-    block_key,
+    Change, Event, HEARD, HostRecord, Hosts, LiveRecord, PartRecord, Share, StateCall, StateReply,
+    WatchAnswer, block_key,
 };
+use quartzlever_wire::users::{JobSpec, Rank};
 use quartzlever_wire::workers::{Report, WorkerCall, WorkerReply};
-use quartzlever_wire::{CallError, Micros, SECOND};
+use quartzlever_wire::{CallError, Micros, Ranges, SECOND};
 
 use crate::engine::Core;
 use crate::messages::{Command, Effect, Token};
+use crate::placement::Paces;
 use crate::regressions::{NOW, core, spec};
 
 /// The tokens of the transactions among the effects that change this key.
@@ -330,3 +332,91 @@
         assert_eq!((asked, taken), (asks, takes), "{name}");
     }
 }
+
+/// Submits a job of so many tasks of 2 processors for 3 s each into part "one".
+fn queue(core: &mut Core, tasks: u32, rank: Rank, cpus: f64) {
+    let job = JobSpec { rank, cpus, ..spec(tasks) };
+    let share = Share { part: "one".into(), term: 5, tasks: Ranges::first(tasks) };
+    let shares = vec![share];
+    let finished = Ranges::default();
+    core.absorb(LiveRecord { job, since: NOW, started: false, shares, finished }, 10);
+}
+
+#[test]
+fn a_part_with_a_queue_takes_from_a_much_longer_one_only() {
+    // (tasks ready beside the four that run, the peer's movable tasks and its load; whether the
+    // part goes and takes)
+    for (name, tasks, ready, work, cpus, takes) in [
+        ("both last 12 s", 20, 16, 96.0, 8.0, false),
+        ("longer", 20, 16, 240.0, 8.0, false),
+        ("much longer", 20, 16, 320.0, 8.0, true),
+        ("no machines over there", 20, 1, 6.0, 0.0, true),
+        ("much longer, but bound to stay", 20, 0, 320.0, 8.0, false),
+    ] {
+        let mut core = with_copy(&[("one", "one", 5), ("two", "two", 6)]);
+        ready_machine(&mut core);
+        queue(&mut core, tasks, Rank::Standard, 2.0);
+        let mut effects = core.step(NOW, Vec::new());
+        effects.extend(core.step(NOW + SECOND, Vec::new()));
+        let asked = effects.iter().find_map(|e| match e {
+            Effect::Peer { token, request: PeerRequest::Counts { .. }, .. } => Some(*token),
+            _ => None,
+        });
+        let Some(token) = asked else { panic!("{name}: nobody is asked") };
+        let load = Load { work, cpus };
+        let result = Ok(PeerAnswer::Counts { ready, load });
+        let effects = core.step(NOW + SECOND, vec![Command::Asked { token, result }]);
+        let found = effects.iter().any(|e| {
+            matches!(e, Effect::Peer { request: PeerRequest::Steal { load: Some(_), .. }, .. })
+        });
+        assert_eq!(found, takes, "{name}");
+    }
+}
+
+/// Makes the machine of part "one" usable.
+fn ready_machine(core: &mut Core) {
+    let cfg = core.cfg.clone();
+    if let Some(part) = core.parts.get_mut("one") {
+        part.take_report(&cfg, &mut Paces::default(), &report("n-1", 1, 5), true, NOW);
+    }
+}
+
+#[test]
+fn what_evens_out_two_queues_moves_and_nothing_urgent() {
+    // (rank, processors a task, whether the victim has a machine of 8, the thief's work; tasks
+    // that move), of 20, of which 4 run where there is a machine
+    for (name, rank, cpus, machine, work, moves) in [
+        ("half of what is ready", Rank::Standard, 2.0, true, 0.0, 8),
+        ("the thief has a queue", Rank::Standard, 2.0, true, 48.0, 4),
+        ("both last equally long", Rank::Standard, 2.0, true, 96.0, 0),
+        ("urgent ones start here", Rank::Urgent, 2.0, true, 0.0, 0),
+        ("unless nothing is here", Rank::Urgent, 2.0, false, 0.0, 10),
+        ("too large for the thief", Rank::Standard, 9.0, false, 0.0, 0),
+    ] {
+        let mut core = with_copy(&[("one", "one", 5), ("two", "two", 6)]);
+        if machine {
+            ready_machine(&mut core);
+        }
+        queue(&mut core, 20, rank, cpus);
+        core.step(NOW, Vec::new());
+        core.step(NOW + 2 * SECOND, Vec::new());
+        let room = Room {
+            kind: "m".into(),
+            zone: "a".into(),
+            spot: true,
+            cpus: 8.0,
+            gpus: 0.0,
+            ram_gb: 64.0,
+        };
+        let request = PeerRequest::Steal {
+            part: "two".into(),
+            term: 6,
+            rank: Rank::BestEffort,
+            thief: ThiefRoom { free: vec![room] },
+            load: Some(Load { work, cpus: 8.0 }),
+        };
+        core.step(NOW + 2 * SECOND, vec![Command::Peer { id: 1, request }]);
+        let cut = core.parts["one"].jobs["req-1"].cutting.len();
+        assert_eq!(cut, moves, "{name}");
+    }
+}
--- a/crates/quartzlever-core/src/stealing.rs
+++ b/crates/quartzlever-core/src/stealing.rs
@@ -1,7 +1,7 @@
 //! Adaptive work stealing: an idle part asks a few random peers for their ready counts, steals
 //! half the ready tasks of the most loaded, and doubles its wait after a failure.
 
-use quartzlever_wire::peers::{PeerAnswer, PeerRequest, Room, ThiefRoom};
+use quartzlever_wire::peers::{Load, PeerAnswer, PeerRequest, Room, ThiefRoom};
 use quartzlever_wire::state::{LiveRecord, PARTS, StateCall, StateReply};
 use quartzlever_wire::users::Rank;
 use quartzlever_wire::{CallError, Micros, Ranges, SECOND};
@@ -52,6 +52,9 @@
     rank: Rank,
     open: usize,
     most: Option<(u32, String)>,
+    /// The part is not idle, but its queue may be much shorter than another's: that one.
+    longest: Option<(Load, String)>,
+    idle: bool,
 }
 
 /// The thief's side of this process.
@@ -88,6 +91,38 @@
 const PRESSED: Micros = SECOND;
 const LOOK: Micros = SECOND / 10;
 
+/// A part counts as idle beside a peer whose queue lasts this many times as long as its own, and
+/// so many seconds more. Stealing by parts without any ready task did nothing for a part whose
+/// machines were taken, while all others had queues of their own: its jobs waited 500 s.
+const LONGER: f64 = 2.0;
+const LONGER_S: f64 = 10.0;
+
+fn much_longer(queue: &Load, than: &Load) -> bool {
+    queue.drain_s() > than.drain_s() * LONGER + LONGER_S
+}
+
+/// The kinds of machines that a part has, each with the room of an empty one: what does not fit
+/// there is not moved to its queue.
+fn kinds_of(core: &Core, part: &Part) -> ThiefRoom {
+    let mut free: Vec<Room> = Vec::new();
+    for record in part.machines.values().filter(|m| m.usable()).map(|m| &m.record) {
+        let known =
+            |r: &Room| r.kind == record.kind && r.zone == record.zone && r.spot == record.spot;
+        let Some(kind) = core.types.as_ref().and_then(|t| t.get(&record.kind)) else { continue };
+        if !free.iter().any(known) {
+            free.push(Room {
+                kind: record.kind.clone(),
+                zone: record.zone.clone(),
+                spot: record.spot,
+                cpus: kind.cpus,
+                gpus: kind.gpus,
+                ram_gb: kind.ram_gb,
+            });
+        }
+    }
+    ThiefRoom { free }
+}
+
 /// Room on open machines, as the thief tells it; for tasks of a rank, what lower work could give
 /// way to counts as room.
 fn room_of(core: &Core, part: &Part, rank: Rank) -> ThiefRoom {
@@ -123,11 +158,18 @@
         {
             return;
         }
-        let Some((part, rank)) = self.thief() else {
-            // Looked for again a little later, not at every step.
-            self.stealing.next = self.now + LOOK;
-            return;
+        let (part, rank, idle) = match (self.thief(), self.lightest()) {
+            (Some((part, rank)), _) => (part, rank, true),
+            (None, Some(part)) => (part, Rank::BestEffort, false),
+            (None, None) => {
+                // Looked for again a little later, not at every step.
+                self.stealing.next = self.now + LOOK;
+                return;
+            }
         };
+        if !idle && self.even_out_here(&part) {
+            return;
+        }
         // Parts held by one node lend to each other by the same move, without a message.
         if let Some((_, victim)) = self
             .parts
@@ -135,14 +177,14 @@
             .filter(|p| p.name != part && p.active())
             .map(|p| (p.movable_count(&self.cfg, rank), p.name.clone()))
             .max()
-            .filter(|(ready, _)| *ready > 0)
+            .filter(|(ready, _)| idle && *ready > 0)
         {
             self.stealing.next = self.now + self.stealing.interval;
             let (Some(thief), Some(_)) = (self.parts.get(&part), self.parts.get(&victim)) else {
                 return;
             };
             let (term, room) = (thief.term, room_of(self, thief, rank));
-            self.cut_for(None, &victim, &part, term, rank, &room);
+            self.cut_for(None, &victim, &part, term, rank, &room, None);
             return;
         }
         let peers: Vec<&String> = self.cfg.nodes.iter().filter(|n| **n != self.cfg.node).collect();
@@ -156,7 +198,9 @@
         }
         self.stealing.rounds += 1;
         let number = self.stealing.rounds;
-        self.stealing.round = Some(Round { number, part, rank, open: asked.len(), most: None });
+        let open = asked.len();
+        let round = Round { number, part, rank, open, most: None, longest: None, idle };
+        self.stealing.round = Some(round);
         for node in asked {
             let work = PeerWork::Count { round: number, node: node.clone() };
             self.ask_peer(&node, PeerRequest::Counts { rank }, work);
@@ -184,6 +228,46 @@
         None
     }
 
+    /// How long a part's queue is.
+    fn load_of(&self, part: &Part) -> Load {
+        let jobs = part.jobs.values().filter(|j| !j.ready.is_empty());
+        let work = jobs.map(|j| {
+            let each = self.paces.expect(j.spec()) as f64 / 1e6 * j.spec().cpus;
+            f64::from(j.ready.len()) * each
+        });
+        let kinds = part.machines.values().filter(|m| m.usable()).filter_map(|m| {
+            self.types.as_ref().and_then(|t| t.get(&m.record.kind)).map(|t| t.cpus)
+        });
+        Load { work: work.sum(), cpus: kinds.sum() }
+    }
+
+    /// The load of the part held here whose queue lasts longest.
+    fn longest_here(&self, but: Option<&str>) -> Option<(Load, String)> {
+        let parts = self.parts.values().filter(|p| p.active() && Some(p.name.as_str()) != but);
+        let loads = parts.map(|p| (self.load_of(p), p.name.clone()));
+        loads.max_by(|a, b| a.0.drain_s().total_cmp(&b.0.drain_s()))
+    }
+
+    /// The part held here whose queue is gone first, if it has machines.
+    fn lightest(&self) -> Option<String> {
+        let parts = self.parts.values().filter(|p| p.active() && p.barrier_open);
+        let loads = parts.map(|p| (self.load_of(p), p.name.clone())).filter(|l| l.0.cpus > 0.0);
+        loads.min_by(|a, b| a.0.drain_s().total_cmp(&b.0.drain_s())).map(|(_, name)| name)
+    }
+
+    /// Moves work between parts held by this very node; whether there was any to move.
+    fn even_out_here(&mut self, part: &str) -> bool {
+        let Some(thief) = self.parts.get(part) else { return false };
+        let (own, term, room) = (self.load_of(thief), thief.term, kinds_of(self, thief));
+        let Some((longest, victim)) = self.longest_here(Some(part)) else { return false };
+        if !much_longer(&longest, &own) {
+            return false;
+        }
+        self.stealing.next = self.now + self.stealing.interval;
+        self.cut_for(None, &victim, part, term, Rank::BestEffort, &room, Some(own));
+        true
+    }
+
     /// Tells the peers that tasks should start now and cannot.
     pub(crate) fn tell_pressed(&mut self) {
         let pressed = self.parts.values().any(|p| p.pressed);
@@ -234,10 +318,14 @@
                     return;
                 };
                 open.open -= 1;
-                if let Ok(PeerAnswer::Counts { ready }) = result
-                    && open.most.as_ref().is_none_or(|m| ready > m.0)
-                {
-                    open.most = Some((ready, node));
+                if let Ok(PeerAnswer::Counts { ready, load }) = result {
+                    let longer = |l: &(Load, String)| load.drain_s() > l.0.drain_s();
+                    if ready > 0 && open.longest.as_ref().is_none_or(longer) {
+                        open.longest = Some((load, node.clone()));
+                    }
+                    if open.most.as_ref().is_none_or(|m| ready > m.0) {
+                        open.most = Some((ready, node));
+                    }
                 }
                 if open.open == 0 {
                     self.steal_from_most();
@@ -263,6 +351,9 @@
 
     fn steal_from_most(&mut self) {
         let Some(round) = self.stealing.round.take() else { return };
+        if !round.idle {
+            return self.even_out_with(round);
+        }
         let target = round.most.filter(|(ready, _)| *ready > 0);
         let (Some((_, node)), Some(part)) = (target, self.parts.get(&round.part)) else {
             return self.steal_failed();
@@ -274,7 +365,21 @@
             self.stealing.next = self.now + self.stealing.interval;
             return;
         }
-        let request = PeerRequest::Steal { part: part.name.clone(), term: part.term, rank, thief };
+        let (name, term) = (part.name.clone(), part.term);
+        let request = PeerRequest::Steal { part: name, term, rank, thief, load: None };
+        self.stealing.waiting = true;
+        self.ask_peer(&node, request, PeerWork::Steal { part: round.part });
+    }
+
+    /// Takes from the peer whose queue lasts longest, if that is much longer than the part's own.
+    fn even_out_with(&mut self, round: Round) {
+        let Some(part) = self.parts.get(&round.part) else { return self.steal_failed() };
+        let (own, term, thief) = (self.load_of(part), part.term, kinds_of(self, part));
+        let Some((_, node)) = round.longest.filter(|(load, _)| much_longer(load, &own)) else {
+            return self.steal_failed();
+        };
+        let (part, rank) = (round.part.clone(), round.rank);
+        let request = PeerRequest::Steal { part, term, rank, thief, load: Some(own) };
         self.stealing.waiting = true;
         self.ask_peer(&node, request, PeerWork::Steal { part: round.part });
     }
@@ -299,7 +404,8 @@
                     .filter(|p| p.active())
                     .map(|p| p.movable_count(&self.cfg, rank))
                     .sum();
-                PeerAnswer::Counts { ready }
+                let load = self.longest_here(None).map_or(Load::default(), |(load, _)| load);
+                PeerAnswer::Counts { ready, load }
             }
             PeerRequest::HandBack { part } => {
                 self.home_asks(&part);
@@ -315,16 +421,17 @@
                 }
                 PeerAnswer::Nothing
             }
-            PeerRequest::Steal { part, term, rank, thief } => {
-                let victim = self
+            PeerRequest::Steal { part, term, rank, thief, load } => {
+                let most = self
                     .parts
                     .values()
                     .filter(|p| p.active() && p.name != part)
                     .max_by_key(|p| p.movable_count(&self.cfg, rank))
                     .map(|p| p.name.clone());
-                match victim {
+                let longest = load.and_then(|_| self.longest_here(Some(&part))).map(|(_, v)| v);
+                match longest.or(most) {
                     Some(victim) if self.sure() => {
-                        return self.cut_for(Some(id), &victim, &part, term, rank, &thief);
+                        return self.cut_for(Some(id), &victim, &part, term, rank, &thief, load);
                     }
                     _ => PeerAnswer::Nothing,
                 }
@@ -341,6 +448,7 @@
 
     /// Cuts ready ranges off the victim's queue and writes the move; the thief is told after
     /// the write is in force.
+    #[allow(clippy::too_many_arguments)]
     fn cut_for(
         &mut self,
         request: Option<RequestId>,
@@ -349,6 +457,7 @@
         term: u64,
         rank: Rank,
         room: &ThiefRoom,
+        load: Option<Load>,
     ) {
         let fraction = self.cfg.operator.steal_fraction;
         let most_jobs = self.cfg.txn_ops.clamp(1, 8);
@@ -357,6 +466,12 @@
             Some(part) => part.queue_order(&self.cfg, &self.paces, self.now),
             None => return self.answer_nothing(request),
         };
+        // A thief with a queue of its own takes what evens out the two, and nothing urgent: that
+        // starts here as soon as it can, unless there are no machines at all.
+        let own = self.parts.get(victim).map_or(Load::default(), |p| self.load_of(p));
+        let mut excess = load.map(|thief| own.excess_over(&thief));
+        let least = if load.is_some() && own.cpus > 0.0 { Rank::Standard } else { Rank::Prod };
+        let paces = &self.paces;
         let Some(part) = self.parts.get_mut(victim) else { return };
         let mut left = (f64::from(part.movable_count(&self.cfg, rank)) * fraction).ceil() as u32;
         let mut txn = part.txn().when(format!("{PARTS}{thief}"), term);
@@ -368,10 +483,20 @@
                 break;
             }
             let Some(job) = part.jobs.get_mut(&id) else { continue };
-            if !movable(&self.cfg, job, rank) {
+            if !movable(&self.cfg, job, rank) || job.spec().rank < least {
                 continue;
             }
-            let count = fit_count(&mut free, job, left);
+            let count = match &mut excess {
+                None => fit_count(&mut free, job, left),
+                Some(excess) => {
+                    let each = paces.expect(job.spec()).max(1) as f64 / 1e6 * job.spec().cpus;
+                    let most = (*excess / each.max(1e-6)).min(f64::from(left)) as u32;
+                    let count =
+                        if fits_somewhere(&free, job) { most.min(job.ready.len()) } else { 0 };
+                    *excess -= f64::from(count) * each;
+                    count
+                }
+            };
             if count == 0 {
                 continue;
             }
@@ -528,6 +653,15 @@
     count
 }
 
+/// Whether a task of the job could ever run on one of these machines.
+fn fits_somewhere(rooms: &[Room], job: &crate::part::PartJob) -> bool {
+    let need = job.need();
+    rooms.iter().any(|r| {
+        let amounts = Amounts { cpus: r.cpus, gpus: r.gpus, ram_gb: r.ram_gb };
+        offer_allowed(job.spec(), &r.kind, &r.zone, r.spot) && amounts.fits(&need)
+    })
+}
+
 impl Part {
     /// Ready tasks that a thief could take.
     pub fn movable_count(&self, cfg: &Config, rank: Rank) -> u32 {
--- a/crates/quartzlever-wire/src/peers.rs
+++ b/crates/quartzlever-wire/src/peers.rs
@@ -15,7 +15,8 @@
     /// How many ready tasks of this rank or above do you have?
     Counts { rank: Rank },
     /// Hand over ready tasks of this rank or above to `part`, which the asker holds under `term`.
-    Steal { part: String, term: u64, rank: Rank, thief: ThiefRoom },
+    /// With a load the asker is not idle, and takes no more than evens out the two.
+    Steal { part: String, term: u64, rank: Rank, thief: ThiefRoom, load: Option<Load> },
     /// The asker has tasks that should start now and nowhere to start them: whoever has room
     /// may come for them without waiting out its interval.
     Pressed,
@@ -36,6 +37,31 @@
     pub free: Vec<Room>,
 }
 
+/// How long a part's queue is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// What the ready tasks will take, in processor-seconds.
+    pub work: f64,
+    /// Processors of the part's machines.
+    pub cpus: f64,
+}
+
+impl Load {
+    /// Seconds until the queue is gone.
+    pub fn drain_s(&self) -> f64 {
+        if self.work <= 0.0 { 0.0 } else { self.work / self.cpus.max(0.0) }
+    }
+
+    /// What has to move from this queue to another so that both last equally long.
+    pub fn excess_over(&self, other: &Load) -> f64 {
+        let cpus = self.cpus + other.cpus;
+        if cpus <= 0.0 {
+            return 0.0;
+        }
+        ((self.work * other.cpus - other.work * self.cpus) / cpus).max(0.0)
+    }
+}
+
 /// Free room on one machine.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Room {
@@ -50,8 +76,9 @@
 /// What the asked controller answers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerAnswer {
-    /// Ready tasks that could move, over all parts held.
-    Counts { ready: u32 },
+    /// Ready tasks that could move, over all parts held, and the load of the part whose queue
+    /// lasts longest.
+    Counts { ready: u32, load: Load },
     /// The move is committed; each row is a job's record (JSON) with its stamp.
     Stolen { jobs: Vec<(String, u64, String)> },
     /// Whether the state service has answered lately.
