--- a/crates/quartzlever-core/tests/safety.rs
+++ b/crates/quartzlever-core/tests/safety.rs
@@ -30,6 +30,10 @@
     Lose(u64),
     /// One node alone gets no answer from the state service for so many seconds.
     Lonely(usize, u64),
+    /// One node has neither the state service nor its peers for so many seconds, only workers.
+    OnlyWorkers(usize, u64),
+    /// One node loses its workers while no peer reaches another.
+    CutUntold(usize, u64),
     /// One node stands still for so many seconds while its clocks run on.
     Freeze(usize, u64),
     /// Every task fails on one machine.
@@ -108,6 +112,18 @@
             world.run(secs * SECOND);
             world.lonely.clear();
         }
+        Trouble::OnlyWorkers(n, secs) => {
+            world.lonely.insert(n);
+            world.apart.insert(n);
+            world.run(secs * SECOND);
+            world.lonely.clear();
+            world.apart.clear();
+        }
+        Trouble::CutUntold(n, secs) => {
+            world.apart.extend(0..NODES.len());
+            befall(world, Trouble::Cut(n, secs));
+            world.apart.clear();
+        }
         Trouble::Freeze(n, secs) => {
             world.frozen.insert(n);
             world.run(secs * SECOND);
@@ -150,6 +166,8 @@
         ("a node alone is refused by the state service", bad, &[Lonely(0, 12), Lonely(1, 3)]),
         ("a node loses the workers, beyond their lease", good, &[Cut(0, 20)]),
         ("two nodes do so, one after the other", bad, &[Cut(1, 14), Cut(2, 14)]),
+        ("a node loses the workers, and no peer reaches it", bad, &[CutUntold(0, 14)]),
+        ("a node has only its workers left", bad, &[OnlyWorkers(0, 4), OnlyWorkers(2, 14)]),
         ("a node stands still, and its hold lives on", bad, &[Freeze(0, 3), Freeze(1, 4)]),
         ("a node stands still beyond its hold", bad, &[Freeze(0, 9), Freeze(2, 16)]),
         ("it does so in an outage, and is restarted", bad, &[Outage(6), Freeze(1, 14), Kill(1, 1)]),
--- a/crates/quartzlever-core/tests/world/mod.rs
+++ b/crates/quartzlever-core/tests/world/mod.rs
@@ -114,6 +114,8 @@
     pub cloud_down: bool,
     /// Nodes that alone get no answer from the state service.
     pub lonely: BTreeSet<usize>,
+    /// Nodes that no peer reaches, nor they any.
+    pub apart: BTreeSet<usize>,
     /// Nodes that stand still: what comes for them waits.
     pub frozen: BTreeSet<usize>,
     thawed: BTreeSet<usize>,
@@ -148,6 +150,7 @@
             luck: Luck::default(),
             cloud_down: false,
             lonely: BTreeSet::new(),
+            apart: BTreeSet::new(),
             frozen: BTreeSet::new(),
             thawed: BTreeSet::new(),
             ended: BTreeMap::new(),
@@ -409,7 +412,8 @@
                     let command = Command::Asked { token, result: Err(CallError::Refused) };
                     return self.post(10_000, Message::ToNode(n, life, Box::new(command)));
                 };
-                let (lost, _) = self.fate();
+                let apart = self.apart.contains(&n) || self.apart.contains(&to);
+                let lost = self.fate().0 || apart;
                 self.request += 1;
                 let id = self.request;
                 if !lost {
