--- a/crates/quartzlever-core/src/config.rs
+++ b/crates/quartzlever-core/src/config.rs
@@ -127,7 +127,7 @@
 }
 
 /// What a node without a part may use of an equal share.
-const WITHOUT_PART: f64 = 0.3;
+const WITHOUT_PART: f64 = 0.5;
 
 impl Config {
     pub fn team(&self, name: &str) -> Option<&Team> {
@@ -179,7 +179,7 @@
         let three = Config { nodes: ["a", "b", "c"].map(String::from).to_vec(), ..cfg };
         // (nodes with parts, whether this is one of them, its part of a limit of 100)
         for (holders, holds, part) in
-            [(0, false, 33), (3, true, 33), (2, true, 45), (1, true, 80), (2, false, 10)]
+            [(0, false, 33), (3, true, 33), (2, true, 41), (1, true, 66), (2, false, 16)]
         {
             let share = three.share_of_limits(holders, holds);
             assert_eq!((share * 100.0) as u32, part, "{holders} {holds}");
--- a/crates/quartzlever-core/src/hearing.rs
+++ b/crates/quartzlever-core/src/hearing.rs
@@ -52,7 +52,9 @@
     told: BTreeMap<String, (u32, Micros)>,
     /// This node does not hear workers; when it may ask for its part again, if it does then.
     lost: Option<Micros>,
+    /// How long the last wait was, and until when it ran.
     wait: Micros,
+    waited_until: Micros,
     next_look: Micros,
     next_probe: Micros,
 }
@@ -64,12 +66,26 @@
             visitors: BTreeMap::new(),
             told: BTreeMap::new(),
             lost: None,
-            wait: FIRST_WAIT,
+            wait: 0,
+            waited_until: 0,
             next_look: 0,
             next_probe: 0,
         }
     }
 
+    /// A part was given up. A part that goes to and fro does so ever more seldom; after a long
+    /// time without, the waits begin anew.
+    fn lose(&mut self, now: Micros) {
+        if self.lost.is_some_and(|until| now < until) {
+            // Another part, for the same reason.
+            return;
+        }
+        let again = now < self.waited_until + LONGEST_WAIT && self.wait > 0;
+        self.wait = if again { (self.wait * 2).min(LONGEST_WAIT) } else { FIRST_WAIT };
+        self.waited_until = now + self.wait;
+        self.lost = Some(self.waited_until);
+    }
+
     /// Whether this node gave up a part because it heard none of its workers.
     pub fn lost(&self) -> bool {
         self.lost.is_some()
@@ -114,8 +130,7 @@
                     format!("part {part}: given up, peers hear its workers")
                 });
                 self.hearing.told.remove(&part);
-                self.hearing.lost = Some(now + self.hearing.wait);
-                self.hearing.wait = (self.hearing.wait * 2).min(LONGEST_WAIT);
+                self.hearing.lose(now);
                 self.release(&part, term);
             }
             self.probe();
@@ -200,3 +215,34 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_part_goes_to_and_fro_ever_more_seldom() {
+        // (seconds at which parts are given up, with workers reached between them if they are more
+        // than 10 s apart; seconds of the last wait)
+        let cases: &[(&[Micros], Micros)] = &[
+            (&[100], 15),
+            (&[100, 101, 102], 15),
+            (&[100, 150], 30),
+            (&[100, 150, 250], 60),
+            (&[100, 150, 250, 350, 500, 700, 1_200, 2_000], 600),
+            (&[100, 150, 1_000], 15),
+        ];
+        for (times, wait) in cases {
+            let mut hearing = Hearing::new(0);
+            let mut last = 0;
+            for at in *times {
+                if at - last > 10 {
+                    hearing.lost = None;
+                }
+                last = *at;
+                hearing.lose(at * SECOND);
+            }
+            assert_eq!(hearing.wait, wait * SECOND, "{times:?}");
+        }
+    }
+}
--- a/crates/quartzlever-core/src/joint.rs
+++ b/crates/quartzlever-core/src/joint.rs
@@ -13,6 +13,7 @@
 
 use crate::engine::Core;
 use crate::messages::{Command, Effect, Token};
+use crate::part::Part;
 use crate::placement::Paces;
 use crate::regressions::{NOW, core, spec};
 
@@ -420,3 +421,60 @@
         assert_eq!(cut, moves, "{name}");
     }
 }
+
+#[test]
+fn only_who_reaches_the_state_service_names_a_holder() {
+    // (seconds since the state service last answered, who holds part "two" by the copy; the
+    // status that a worker of that part gets)
+    for (quiet, holder, status) in
+        [(1, "two", 421), (3, "two", 421), (5, "two", 503), (1, "one", 503)]
+    {
+        let mut core = with_copy(&[("one", "one", 5), ("two", holder, 6)]);
+        core.block_seen(&block_key("n-7"), [("n-7".into(), host("n-7", "two"))].into(), 9);
+        core.contact.heard = NOW;
+        let come = Command::Report { id: 4, report: report("n-7", 3, 6) };
+        let effects = core.step(NOW + quiet * SECOND, vec![come]);
+        let answer = effects.iter().find_map(|e| match e {
+            Effect::Answer { id: 4, status, .. } => Some(*status),
+            _ => None,
+        });
+        assert_eq!(answer, Some(status), "{quiet} s, {holder}");
+    }
+}
+
+#[test]
+fn a_pressed_part_finds_the_other_parts_of_its_node() {
+    // (whether the part is pressed; whether the other one takes its urgent tasks)
+    for pressed in [false, true] {
+        let mut core = with_copy(&[("one", "one", 5), ("two", "one", 6)]);
+        queue(&mut core, 4, Rank::Urgent, 2.0);
+        // Part two has a machine, full of lower work, and a queue of that.
+        let mut two = Part::new("two", 6, core.types.clone(), NOW);
+        (two.loaded, two.barrier_open) = (true, true);
+        two.add_machine("n-2", host("n-2", "two"), true, NOW);
+        core.parts.insert("two".into(), two);
+        let cfg = core.cfg.clone();
+        if let Some(part) = core.parts.get_mut("two") {
+            part.take_report(&cfg, &mut Paces::default(), &report("n-2", 1, 6), true, NOW);
+        }
+        let job = JobSpec { id: "req-2".into(), rank: Rank::Standard, ..spec(8) };
+        let share = Share { part: "two".into(), term: 6, tasks: Ranges::first(8) };
+        let finished = Ranges::default();
+        let shares = vec![share];
+        core.absorb(LiveRecord { job, since: NOW, started: false, shares, finished }, 11);
+        core.step(NOW, Vec::new());
+        core.step(NOW + 2 * SECOND, Vec::new());
+        core.stealing = crate::stealing::Stealing::new(&core.cfg);
+        if let Some(part) = core.parts.get_mut("one") {
+            part.pressed = pressed;
+            // Whatever the steps have moved is here again.
+            if let Some(job) = part.jobs.get_mut("req-1") {
+                (job.ready, job.cutting) = (Ranges::first(4), Ranges::default());
+                job.writing = false;
+            }
+        }
+        core.keep_stealing();
+        let cut = core.parts["one"].jobs["req-1"].cutting.len();
+        assert_eq!(cut > 0, pressed, "pressed {pressed}");
+    }
+}
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -7,7 +7,7 @@
 use quartzlever_wire::{CallError, Micros, SECOND, micros_from_secs};
 
 use crate::config::Config;
-use crate::engine::{Core, WorkerWait};
+use crate::engine::{CONTACT_LOST, Core, WorkerWait};
 use crate::machine::{Amounts, Direct, Machine, Slot, SlotKey};
 use crate::messages::{Effect, RequestId};
 use crate::part::{Part, Place};
@@ -59,7 +59,11 @@
     }
 
     fn redirect(&mut self, id: RequestId, part: &str) {
-        match self.holder_of(part) {
+        // Without the state service the copy tells of holders that may be none any more. Two such
+        // nodes sent workers to and fro between them, past the one that had taken over, until
+        // 809 machines were given up; turned away without a name, a worker tries one after the other.
+        let fresh = self.now < self.contact.heard + CONTACT_LOST;
+        match self.holder_of(part).filter(|_| fresh) {
             Some(node) => {
                 let body = serde_json::json!({ "steward": node });
                 self.answer(id, 421, body);
--- a/crates/quartzlever-core/src/stealing.rs
+++ b/crates/quartzlever-core/src/stealing.rs
@@ -219,7 +219,12 @@
         if let Some(part) = self.parts.values().find(|p| fits(p, all)) {
             return named(part, all);
         }
-        self.stealing.peer_pressed.filter(|t| self.now.saturating_sub(*t) < PRESSED)?;
+        // A part held by this very node may be the pressed one: nobody tells, and the urgent tasks
+        // of one part waited 25 s while another's machines ran lower work.
+        let told = self.stealing.peer_pressed.filter(|t| self.now.saturating_sub(*t) < PRESSED);
+        if told.is_none() && !self.parts.values().any(|p| p.pressed) {
+            return None;
+        }
         for rank in [Rank::Standard, Rank::Urgent, Rank::Prod] {
             if let Some(part) = self.parts.values().find(|p| fits(p, rank)) {
                 return named(part, rank);
@@ -255,12 +260,14 @@
         loads.min_by(|a, b| a.0.drain_s().total_cmp(&b.0.drain_s())).map(|(_, name)| name)
     }
 
-    /// Moves work between parts held by this very node; whether there was any to move.
+    /// Moves work of a part without machines to another one held by this very node; whether there
+    /// was any to move. Queues are not evened out further here: the standard tasks of a part with
+    /// many urgent ones went to others, so that nothing was left there to give way to those.
     fn even_out_here(&mut self, part: &str) -> bool {
         let Some(thief) = self.parts.get(part) else { return false };
         let (own, term, room) = (self.load_of(thief), thief.term, kinds_of(self, thief));
         let Some((longest, victim)) = self.longest_here(Some(part)) else { return false };
-        if !much_longer(&longest, &own) {
+        if longest.cpus > 0.0 || !much_longer(&longest, &own) {
             return false;
         }
         self.stealing.next = self.now + self.stealing.interval;
