Answers are written by the thread that has them, and nobody spins

Cause: a report cost 128 us, 69 of them on its connection's thread, which was woken only to write the answer, and for which crossbeam's receivers spin and yield before they sleep, in vain where a process has a share of one core. Ruled out: memory (39 of 85 MB), refused calls (none).

The core's thread now sends each answer itself, without waiting, sleeps by parking, and is woken by whoever hands something in. Answers are typed until they are written once, into a reused buffer. A request whose asker has given up is not done any more; those that wait get their 503 in time.

--- a/crates/quartzlever-core/examples/cost.rs
+++ b/crates/quartzlever-core/examples/cost.rs
@@ -6,7 +6,9 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use quartzlever_core::{Command, Config, Core, Effect, Operator, Team, Weight, WorkerTimes};
+use quartzlever_core::{
+    Answer, Command, Config, Core, Effect, Operator, Team, Weight, WorkerTimes,
+};
 use quartzlever_standin::{Cloud, Store, Worker};
 use quartzlever_wire::users::{JobSpec, Rank, Shape};
 use quartzlever_wire::workers::{Orders, WorkerCall, WorkerReply};
@@ -67,7 +69,9 @@
                 Some(Command::Worker { token, result })
             }
             Effect::Answer { body, .. } => {
-                *orders = serde_json::from_value(body).ok().or(orders.take());
+                if let Answer::Orders(given) = body {
+                    *orders = Some(given);
+                }
                 None
             }
             _ => None,
--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -17,7 +17,7 @@
 use crate::jobs::Purpose;
 use crate::ledger::Ledger;
 use crate::lookups::{Asked, Lookups};
-use crate::messages::{Command, Effect, Lane, RequestId, Token, Weight};
+use crate::messages::{Answer, Command, Effect, Lane, RequestId, Token, Weight};
 use crate::part::{Part, Types};
 use crate::placement::Paces;
 use crate::stealing::Stealing;
@@ -279,7 +279,7 @@
     /// This node's part of the limits of the state service and the cloud.
     share: f64,
     /// What was turned away lately and why, for the log, and when that is told next.
-    turned_away: BTreeMap<String, u32>,
+    turned_away: BTreeMap<(u16, &'static str), u32>,
     tell_at: Micros,
     /// When all machines are looked at next, and all jobs for what is to be written.
     look_at: Micros,
@@ -461,14 +461,14 @@
         self.out.push(Effect::Peer { token, node: node.to_owned(), request });
     }
 
-    pub(crate) fn answer(&mut self, id: RequestId, status: u16, body: serde_json::Value) {
+    pub(crate) fn answer(&mut self, id: RequestId, status: u16, body: Answer) {
         self.out.push(Effect::Answer { id, status, body, retry_after_s: None, until: None });
     }
 
     /// Tells a user to come back, at once.
-    pub(crate) fn later(&mut self, id: RequestId, status: u16, why: &str) {
-        let body = serde_json::json!({ "error": why });
-        *self.turned_away.entry(format!("{status} {why}")).or_default() += 1;
+    pub(crate) fn later(&mut self, id: RequestId, status: u16, why: &'static str) {
+        let body = Answer::Error { error: why };
+        *self.turned_away.entry((status, why)).or_default() += 1;
         self.out.push(Effect::Answer { id, status, body, retry_after_s: Some(1), until: None });
     }
 
@@ -480,8 +480,10 @@
         self.tell_at = self.now + TELL_EVERY;
         let turned_away = std::mem::take(&mut self.turned_away);
         if !turned_away.is_empty() {
-            let each: Vec<String> =
-                turned_away.iter().map(|(why, count)| format!("{why} ({count})")).collect();
+            let each: Vec<String> = turned_away
+                .iter()
+                .map(|((status, why), n)| format!("{status} {why} ({n})"))
+                .collect();
             self.note(Weight::Info, || format!("turned away lately: {}", each.join(", ")));
         }
     }
@@ -514,7 +516,7 @@
         // could serve; in an outage all go on, since nobody could do better.
         let alone = self.contact.alone.is_some_and(|t| self.now < t + 3 * CONTACT_ASK);
         if self.mirror.loaded() && self.wall_offset.is_some() && !alone {
-            self.answer(id, 200, serde_json::json!({ "ready": true }));
+            self.answer(id, 200, Answer::Ready { ready: true });
         } else {
             self.later(id, 503, "starting");
         }
--- a/crates/quartzlever-core/src/jobs.rs
+++ b/crates/quartzlever-core/src/jobs.rs
@@ -12,7 +12,7 @@
 use crate::engine::{Core, Waiting};
 use crate::holding::parse;
 use crate::ledger::Change;
-use crate::messages::{Lane, RequestId, Weight};
+use crate::messages::{Answer, Lane, RequestId, Weight};
 use crate::part::{Part, live_key};
 
 /// Users' requests under way beyond which new ones are shed at once.
@@ -91,9 +91,7 @@
 
 impl Core {
     fn user_answer(&mut self, id: RequestId, status: u16, job: &str, phase: JobPhase) {
-        let body = JobAnswer { id: job.to_owned(), phase };
-        let body = serde_json::to_value(body).unwrap_or_default();
-        self.answer(id, status, body);
+        self.answer(id, status, Answer::Job(JobAnswer { id: job.to_owned(), phase }));
     }
 
     /// Starts a call for a user.
@@ -215,7 +213,7 @@
 
     pub(crate) fn view_over(&mut self, id: RequestId, job: &str, over: &OverRecord) {
         let view = JobView { id: job.to_owned(), phase: over.phase, done: over.done, running: 0 };
-        self.answer(id, 200, serde_json::to_value(view).unwrap_or_default());
+        self.answer(id, 200, Answer::View(view));
     }
 
     pub(crate) fn live_read(&mut self, purpose: Purpose, result: Result<StateReply, CallError>) {
@@ -242,7 +240,7 @@
                 // Whatever its record looks like, the job was accepted and is not over.
                 let unread = JobView { id: job, phase: JobPhase::Queued, done: 0, running: 0 };
                 let view = record.map_or(unread, |r| self.view_live(&r));
-                self.answer(id, 200, serde_json::to_value(view).unwrap_or_default());
+                self.answer(id, 200, Answer::View(view));
             }
             Purpose::Abort { id, job, tries } => {
                 let done = record.map_or(0, |r| r.finished.len());
@@ -265,11 +263,11 @@
             Ok(StateReply::Row(None)) => {
                 return match purpose {
                     Purpose::Submit { id, refuse: true, .. } => {
-                        self.answer(id, 422, serde_json::json!({ "error": "can never run" }));
+                        self.answer(id, 422, Answer::Error { error: "can never run" });
                     }
                     Purpose::Submit { id, .. } => self.later(id, 503, "cannot decide yet"),
                     Purpose::Lookup { id, .. } | Purpose::Abort { id, .. } => {
-                        self.answer(id, 404, serde_json::json!({ "error": "unknown job" }));
+                        self.answer(id, 404, Answer::Error { error: "unknown job" });
                     }
                 };
             }
--- a/crates/quartzlever-core/src/lib.rs
+++ b/crates/quartzlever-core/src/lib.rs
@@ -40,4 +40,4 @@
 
 pub use config::{Config, Objective, Operator, Team, WorkerTimes};
 pub use engine::Core;
-pub use messages::{Command, Effect, Lane, RequestId, Token, Weight};
+pub use messages::{Answer, Command, Effect, Lane, RequestId, Token, Weight};
--- a/crates/quartzlever-core/src/lookups.rs
+++ b/crates/quartzlever-core/src/lookups.rs
@@ -10,7 +10,7 @@
 
 use crate::engine::{Core, Waiting};
 use crate::jobs::Purpose;
-use crate::messages::{Lane, RequestId};
+use crate::messages::{Answer, Lane, RequestId};
 
 /// Share of the requests to the state service that may bring revisions.
 const SHARE: f64 = 0.2;
@@ -106,7 +106,7 @@
         match self.mirror.live.get(&job) {
             Some((record, _)) => {
                 let view = self.view_live(record);
-                self.answer(id, 200, serde_json::to_value(view).unwrap_or_default());
+                self.answer(id, 200, Answer::View(view));
             }
             None => self.read_for_user(Purpose::Lookup { id, job }),
         }
--- a/crates/quartzlever-core/src/messages.rs
+++ b/crates/quartzlever-core/src/messages.rs
@@ -3,9 +3,10 @@
 use quartzlever_wire::cloud::{CloudCall, CloudReply};
 use quartzlever_wire::peers::{PeerAnswer, PeerRequest};
 use quartzlever_wire::state::{StateCall, StateReply};
-use quartzlever_wire::users::JobSpec;
-use quartzlever_wire::workers::{Report, WorkerCall, WorkerReply};
+use quartzlever_wire::users::{JobAnswer, JobSpec, JobView};
+use quartzlever_wire::workers::{Orders, Report, WorkerCall, WorkerReply};
 use quartzlever_wire::{CallError, Micros};
+use serde::Serialize;
 
 /// Names a request from outside that waits for its answer.
 pub type RequestId = u64;
@@ -101,6 +102,25 @@
     Debug,
 }
 
+/// The body of an answer to an HTTP request; it becomes text once, where it is sent.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(untagged)]
+pub enum Answer {
+    /// What a worker is to do.
+    Orders(Orders),
+    Job(JobAnswer),
+    View(JobView),
+    Steward {
+        steward: String,
+    },
+    Ready {
+        ready: bool,
+    },
+    Error {
+        error: &'static str,
+    },
+}
+
 /// One thing that the core wants done.
 #[derive(Clone, Debug)]
 pub enum Effect {
@@ -109,7 +129,7 @@
     Answer {
         id: RequestId,
         status: u16,
-        body: serde_json::Value,
+        body: Answer,
         retry_after_s: Option<u32>,
         until: Option<Micros>,
     },
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -9,7 +9,7 @@
 use crate::config::Config;
 use crate::engine::{CONTACT_LOST, Core, WorkerWait};
 use crate::machine::{Amounts, Direct, Machine, Slot, SlotKey};
-use crate::messages::{Effect, RequestId};
+use crate::messages::{Answer, Effect, RequestId};
 use crate::part::{Part, Place};
 use crate::placement::Paces;
 
@@ -65,8 +65,8 @@
         let fresh = self.now < self.contact.heard + CONTACT_LOST;
         match self.holder_of(part).filter(|_| fresh) {
             Some(node) => {
-                let body = serde_json::json!({ "steward": node });
-                self.answer(id, 421, body);
+                let steward = node.to_owned();
+                self.answer(id, 421, Answer::Steward { steward });
             }
             // Held here but not yet known as a machine of it, or by nobody.
             None => self.later(id, 503, "not entitled"),
@@ -140,11 +140,11 @@
         // the same, which errs on the safe side.
         machine.answered = now;
         let orders = if newer { part.orders_for(&report.host, true) } else { Vec::new() };
-        let body = Orders { baton: part.term, session: None, orders };
+        let body = Answer::Orders(Orders { baton: part.term, session: None, orders });
         self.out.push(Effect::Answer {
             id,
             status: 200,
-            body: serde_json::to_value(body).unwrap_or_default(),
+            body,
             retry_after_s: None,
             until: Some(until),
         });
--- a/crates/quartzlever-core/tests/world/mod.rs
+++ b/crates/quartzlever-core/tests/world/mod.rs
@@ -435,6 +435,7 @@
             }
             Effect::Answer { id, status, body, until, .. } => {
                 assert!(until.is_none_or(|u| u > self.now), "an answer without a sure hold");
+                let body = serde_json::to_value(body).expect("an answer is JSON");
                 self.answers.insert(id, (status, body));
             }
             Effect::Note { .. } | Effect::Share(_) => {}
--- /dev/null
+++ b/crates/quartzlever-standin/src/crowd.rs
@@ -0,0 +1,256 @@
+//! Thousands of workers, to see what the real program costs beside them.
+//!
+//! Each worker has a loopback address of its own, all served by one listener, and one small thread
+//! that reports over one connection as the protocol says.
+
+use std::collections::BTreeMap;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use quartzlever_wire::cloud::Rental;
+use quartzlever_wire::workers::{Orders, WorkerReply};
+use quartzlever_wire::{Micros, SECOND};
+
+use crate::Worker;
+
+const STACK: usize = 64 * 1024;
+/// A change is reported no more often than this.
+const CHANGE: Duration = Duration::from_millis(500);
+/// Wait after a report that was turned away or not answered.
+const TURNED_AWAY: Duration = Duration::from_secs(1);
+const PATIENCE: Duration = Duration::from_secs(4);
+
+/// How the workers of a crowd behave.
+#[derive(Clone, Copy, Debug)]
+pub struct Habits {
+    pub report: Micros,
+    pub lease: Micros,
+    pub run_time: Micros,
+}
+
+type Member = Arc<Mutex<Worker>>;
+
+/// A crowd of workers; new ones join with [`Crowd::rented`].
+pub struct Crowd {
+    members: Mutex<BTreeMap<u32, Member>>,
+    port: u16,
+    start: Instant,
+    habits: Habits,
+    controller: Mutex<Option<SocketAddr>>,
+    /// Reports that were answered, and those that were not.
+    pub answered: AtomicU64,
+    pub unanswered: AtomicU64,
+}
+
+/// The number in a machine's name, which makes its loopback address.
+fn number(host: &str) -> u32 {
+    host.trim_start_matches(|c: char| !c.is_ascii_digit()).parse().unwrap_or(0)
+}
+
+fn address(number: u32) -> Ipv4Addr {
+    let [_, a, b, c] = number.to_be_bytes();
+    Ipv4Addr::new(127, 16 | a, b, c)
+}
+
+impl Crowd {
+    /// Starts a crowd without members.
+    pub fn start(habits: Habits, start: Instant) -> io::Result<Arc<Crowd>> {
+        let listener = TcpListener::bind((Ipv4Addr::UNSPECIFIED, 0))?;
+        let crowd = Arc::new(Crowd {
+            members: Mutex::new(BTreeMap::new()),
+            port: listener.local_addr()?.port(),
+            start,
+            habits,
+            controller: Mutex::new(None),
+            answered: AtomicU64::new(0),
+            unanswered: AtomicU64::new(0),
+        });
+        let served = crowd.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let crowd = served.clone();
+                thread::spawn(move || crowd.commanded(stream));
+            }
+        });
+        Ok(crowd)
+    }
+
+    fn now(&self) -> Micros {
+        SECOND + self.start.elapsed().as_micros() as Micros
+    }
+
+    /// From now on workers report there.
+    pub fn report_to(&self, controller: SocketAddr) {
+        if let Ok(mut known) = self.controller.lock() {
+            *known = Some(controller);
+        }
+    }
+
+    /// A machine is up.
+    pub fn rented(self: &Arc<Self>, mut rental: Rental) {
+        let number = number(&rental.name);
+        rental.address = format!("{}:{}", address(number), self.port);
+        let worker = Worker::new(rental, self.habits.lease, self.habits.run_time, self.now());
+        let member = Arc::new(Mutex::new(worker));
+        if let Ok(mut members) = self.members.lock() {
+            members.insert(number, member.clone());
+        }
+        let crowd = self.clone();
+        let life = move || {
+            while crowd.member(number).is_some() {
+                crowd.report_for_long(&member);
+            }
+        };
+        let _ = thread::Builder::new().stack_size(STACK).spawn(life);
+    }
+
+    /// A machine is gone.
+    pub fn returned(&self, host: &str) {
+        if let Ok(mut members) = self.members.lock() {
+            members.remove(&number(host));
+        }
+    }
+
+    fn member(&self, number: u32) -> Option<Member> {
+        self.members.lock().ok()?.get(&number).cloned()
+    }
+
+    /// How many tasks run on how many workers.
+    pub fn running(&self) -> (usize, usize) {
+        let members: Vec<_> = match self.members.lock() {
+            Ok(members) => members.values().cloned().collect(),
+            Err(_) => Vec::new(),
+        };
+        let tasks = members.iter().filter_map(|m| m.lock().ok()).map(|m| m.running().len());
+        (tasks.sum(), members.len())
+    }
+
+    /// Reports over one connection until that ends.
+    fn report_for_long(&self, member: &Mutex<Worker>) {
+        let Some(controller) = self.controller.lock().ok().and_then(|c| *c) else {
+            return thread::sleep(TURNED_AWAY);
+        };
+        if self.report_to_one(member, controller).is_err() {
+            self.unanswered.fetch_add(1, Ordering::Relaxed);
+            thread::sleep(TURNED_AWAY);
+        }
+    }
+
+    fn report_to_one(&self, member: &Mutex<Worker>, controller: SocketAddr) -> io::Result<()> {
+        let gone = || io::Error::from(io::ErrorKind::Other);
+        let stream = TcpStream::connect_timeout(&controller, PATIENCE)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(PATIENCE))?;
+        let mut stream = BufReader::with_capacity(512, stream);
+        loop {
+            let sent = self.now();
+            let report = {
+                let mut worker = member.lock().map_err(|_| gone())?;
+                worker.pass(sent);
+                worker.report()
+            };
+            let body = serde_json::to_vec(&report)?;
+            let length = body.len();
+            let head = format!("POST /hello HTTP/1.1\r\nHost: c\r\nContent-Length: {length}\r\n");
+            let mut message = format!("{head}Content-Type: application/json\r\n\r\n").into_bytes();
+            message.extend_from_slice(&body);
+            stream.get_mut().write_all(&message)?;
+            let (first, body, close) = read_message(&mut stream)?;
+            if !first.contains(" 200 ") {
+                return Err(gone());
+            }
+            self.answered.fetch_add(1, Ordering::Relaxed);
+            let orders: Orders = serde_json::from_slice(&body)?;
+            let mut worker = member.lock().map_err(|_| gone())?;
+            worker.answered(&orders, sent, report.session, self.now());
+            drop(worker);
+            if close {
+                return Ok(());
+            }
+            // Until the next report is due, or something has changed.
+            let number = number(&report.host);
+            let spread = SECOND * u64::from(number % 50) / 50;
+            let next = sent + self.habits.report * 3 / 4 + spread * self.habits.report / 2 / SECOND;
+            loop {
+                thread::sleep(CHANGE);
+                if self.member(number).is_none() {
+                    return Ok(());
+                }
+                let mut worker = member.lock().map_err(|_| gone())?;
+                let now = self.now();
+                worker.pass(now);
+                if now >= next || !worker.told(&report) {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Serves direct commands on one connection.
+    fn commanded(&self, stream: TcpStream) {
+        let Ok(SocketAddr::V4(local)) = stream.local_addr() else { return };
+        let [_, a, b, c] = local.ip().octets();
+        let number = u32::from_be_bytes([0, a & 15, b, c]);
+        let _ = stream.set_nodelay(true);
+        let mut stream = BufReader::with_capacity(512, stream);
+        while let Ok((first, body, _)) = read_message(&mut stream) {
+            let Some(member) = self.member(number) else { return };
+            let Ok(mut worker) = member.lock() else { return };
+            let now = self.now();
+            worker.pass(now);
+            let reply = if first.starts_with("GET") {
+                WorkerReply::Report(worker.report())
+            } else {
+                match serde_json::from_slice::<Orders>(&body) {
+                    Ok(orders) => worker.command(&orders, now),
+                    Err(_) => return,
+                }
+            };
+            drop(worker);
+            let (status, report) = match reply {
+                WorkerReply::Report(report) => ("200 OK", report),
+                WorkerReply::Refused(report) => ("409 Conflict", report),
+            };
+            let Ok(body) = serde_json::to_vec(&report) else { return };
+            let head = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n", body.len());
+            let mut message = head.into_bytes();
+            message.extend_from_slice(&body);
+            if stream.get_mut().write_all(&message).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// The first line of a message, its body, and whether the connection ends with it.
+fn read_message(stream: &mut BufReader<TcpStream>) -> io::Result<(String, Vec<u8>, bool)> {
+    let mut first = String::new();
+    let (mut length, mut close) = (0, false);
+    loop {
+        let mut line = String::new();
+        if stream.read_line(&mut line)? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        let line = line.trim_end();
+        if line.is_empty() {
+            break;
+        }
+        if first.is_empty() {
+            line.clone_into(&mut first);
+            continue;
+        }
+        let (name, value) = line.split_once(':').unwrap_or((line, ""));
+        match name.to_ascii_lowercase().as_str() {
+            "content-length" => length = value.trim().parse().unwrap_or(0),
+            "connection" => close = value.trim().eq_ignore_ascii_case("close"),
+            _ => {}
+        }
+    }
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body)?;
+    Ok((first, body, close))
+}
--- a/crates/quartzlever-standin/src/http.rs
+++ b/crates/quartzlever-standin/src/http.rs
@@ -1,12 +1,13 @@
 //! The stand-ins on loopback ports, each served by `tiny_http` until the process ends.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use quartzlever_wire::cloud::{CloudCall, CloudReply, Hire, HostNames};
+use quartzlever_wire::cloud::{CloudCall, CloudReply, Hire, HostNames, Rental};
 use quartzlever_wire::state::{HoldAnswer, HoldRequest, StateCall, StateReply, Txn};
 use quartzlever_wire::workers::{Orders, WorkerReply};
 use quartzlever_wire::{Micros, SECOND};
@@ -128,7 +129,8 @@
     })
 }
 
-/// Serves a cloud whose machines report to the given controllers, which may change.
+/// Serves a cloud whose machines report to the given controllers, which may change. Each machine
+/// has threads and a port of its own, so this is for a few of them.
 pub fn serve_cloud(
     cloud: Cloud,
     controllers: Arc<Mutex<Vec<SocketAddr>>>,
@@ -137,6 +139,26 @@
     start: Instant,
 ) -> io::Result<SocketAddr> {
     let cloud = Arc::new(Mutex::new(cloud));
+    let rented = cloud.clone();
+    serve_rentals(
+        cloud,
+        |_| {},
+        move |rental| {
+            let worker = Worker::new(rental, lease, run_time, micros(start));
+            let (controllers, cloud) = (controllers.clone(), rented.clone());
+            thread::spawn(move || {
+                let _ = live(worker, &controllers, &cloud, start);
+            });
+        },
+    )
+}
+
+/// Serves a cloud; `gone` is told of each returned machine, `rented` of each new one.
+pub fn serve_rentals(
+    cloud: Arc<Mutex<Cloud>>,
+    gone: impl Fn(&str) + Send + Sync + 'static,
+    rented: impl Fn(Rental) + Send + Sync + 'static,
+) -> io::Result<SocketAddr> {
     listen(move |mut request| {
         let body = body_of(&mut request);
         let url = request.url().to_owned();
@@ -156,23 +178,22 @@
             },
         };
         let Ok(mut guard) = cloud.lock() else { return };
-        let before: Vec<String> = guard.machines.keys().cloned().collect();
+        let before: BTreeSet<String> = guard.machines.keys().cloned().collect();
         let reply = guard.call(&call);
         let new: Vec<_> =
             guard.machines.values().filter(|m| !before.contains(&m.name)).cloned().collect();
         drop(guard);
-        for rental in new {
-            let worker = Worker::new(rental, lease, run_time, micros(start));
-            let (controllers, cloud) = (controllers.clone(), cloud.clone());
-            thread::spawn(move || {
-                let _ = live(worker, &controllers, &cloud, start);
-            });
-        }
+        new.into_iter().for_each(&rented);
         let (status, value) = match reply {
             CloudReply::Catalogue(catalogue) => (200, json!(catalogue)),
             CloudReply::Rented(hosts) => (200, json!(HostNames { hosts })),
             CloudReply::NoCapacity => (503, json!({ "error": "no capacity" })),
-            CloudReply::Returned => (200, json!({})),
+            CloudReply::Returned => {
+                if let CloudCall::Return(hosts) = &call {
+                    hosts.iter().for_each(|host| gone(host));
+                }
+                (200, json!({}))
+            }
             CloudReply::Listed(rentals) => (200, json!(rentals)),
         };
         respond(request, status, &value);
--- a/crates/quartzlever-standin/src/lib.rs
+++ b/crates/quartzlever-standin/src/lib.rs
@@ -1,9 +1,10 @@
 //! Stand-ins for what surrounds a controller, for tests only.
 //!
 //! [`Store`], [`Cloud`] and [`Worker`] are pure: the caller says what time it is. [`http`] puts
-//! them on loopback ports for tests of the real program.
+//! them on loopback ports for tests of the real program, [`crowd`] a fleet of thousands of workers.
 
 mod cloud;
+pub mod crowd;
 pub mod http;
 mod store;
 mod worker;
--- a/crates/quartzlever-standin/src/worker.rs
+++ b/crates/quartzlever-standin/src/worker.rs
@@ -104,6 +104,18 @@
         }
     }
 
+    /// Whether a report told of everything that is on the machine now.
+    pub fn told(&self, report: &Report) -> bool {
+        let exited = |t: &TaskReport| t.phase == TaskPhase::Exited;
+        self.session == report.session
+            && self.baton == report.baton
+            && self.attempts.len() == report.tasks.len()
+            && report.tasks.iter().all(|t| {
+                let known = self.attempts.get(&(t.task.clone(), t.attempt));
+                known.is_some_and(|a| a.exited.is_some() == exited(t))
+            })
+    }
+
     /// The 200 to a report that was sent at `sent` in session `session`.
     pub fn answered(&mut self, orders: &Orders, sent: Micros, session: u64, now: Micros) {
         let late = now.saturating_sub(sent) > 4 * SECOND;
--- a/crates/quartzlever/src/inbox.rs
+++ b/crates/quartzlever/src/inbox.rs
@@ -2,26 +2,21 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread::{self, Thread};
 use std::time::Duration;
 
-use crossbeam_channel::{Receiver, Sender, TrySendError, bounded, unbounded};
+use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
 use quartzlever_core::{Command, RequestId};
 use quartzlever_wire::Micros;
 use quartzlever_wire::peers::PeerAnswer;
 
-/// An answer to an HTTP request.
-#[derive(Debug)]
-pub struct HttpAnswer {
-    pub status: u16,
-    pub body: Vec<u8>,
-    pub retry_after_s: Option<u32>,
-    pub until: Option<Micros>,
-}
+use crate::server::Exit;
 
 /// Where an answer goes.
 #[derive(Debug)]
 pub enum Reply {
-    Http(Sender<HttpAnswer>),
+    /// To its connection; a 503 takes its place if there is none by then.
+    Http(Exit, Micros),
     Peer(Sender<PeerAnswer>),
 }
 
@@ -56,6 +51,7 @@
     questions: Sender<Item>,
     submissions: Sender<Item>,
     ids: Arc<AtomicU64>,
+    core: Thread,
 }
 
 /// The core's end of the queues.
@@ -65,7 +61,24 @@
     pub submissions: Receiver<Item>,
 }
 
+impl Outlet {
+    /// Whether nothing waits in any queue.
+    pub fn is_empty(&self) -> bool {
+        self.first.is_empty() && self.questions.is_empty() && self.submissions.is_empty()
+    }
+
+    /// Waits until something comes, at most for this time. A receiver of a channel that waits
+    /// by itself spins first, in vain: nobody else runs meanwhile where a process has one core's
+    /// share. So the core's thread sleeps, and whoever hands something in wakes it.
+    pub fn sleep(&self, most: Duration) {
+        if self.is_empty() {
+            thread::park_timeout(most);
+        }
+    }
+}
+
 impl Inbox {
+    /// The queues of the calling thread.
     pub fn new() -> (Inbox, Outlet) {
         let (first, first_out) = unbounded();
         let (questions, questions_out) = bounded(QUESTIONS_WAITING);
@@ -73,35 +86,42 @@
         let ids = Arc::new(AtomicU64::new(1));
         let outlet =
             Outlet { first: first_out, questions: questions_out, submissions: submissions_out };
-        (Inbox { first, questions, submissions, ids }, outlet)
+        (Inbox { first, questions, submissions, ids, core: thread::current() }, outlet)
     }
 
     /// Hands in what a call has brought.
     pub fn tell(&self, command: Command) {
         // Fails only when the core's thread has ended, and then the process ends.
         let _ = self.first.send(Item { command, reply: None });
+        self.core.unpark();
     }
 
-    /// Asks the core for an HTTP answer; `None` if there is none in time or the queue is full.
+    /// Asks the core for an HTTP answer, to be given by `until`; the exit comes back if the queue
+    /// is full.
     pub fn ask(
         &self,
         line: Line,
-        patience: Duration,
+        exit: Exit,
+        until: Micros,
         command: impl FnOnce(RequestId) -> Command,
-    ) -> Option<HttpAnswer> {
+    ) -> Result<(), Exit> {
         let id = self.ids.fetch_add(1, Ordering::Relaxed);
-        let (sender, receiver) = bounded(1);
-        let item = Item { command: command(id), reply: Some((id, Reply::Http(sender))) };
+        let item = Item { command: command(id), reply: Some((id, Reply::Http(exit, until))) };
         let queue = match line {
             Line::First => &self.first,
             Line::Questions => &self.questions,
             Line::Submissions => &self.submissions,
         };
         match queue.try_send(item) {
-            Ok(()) => {}
-            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => return None,
+            Ok(()) => {
+                self.core.unpark();
+                Ok(())
+            }
+            Err(refused) => match refused.into_inner().reply {
+                Some((_, Reply::Http(exit, _))) => Err(exit),
+                _ => Ok(()),
+            },
         }
-        receiver.recv_timeout(patience).ok()
     }
 
     /// Asks the core for a peer's answer.
@@ -114,6 +134,7 @@
         let (sender, receiver) = bounded(1);
         let item = Item { command: command(id), reply: Some((id, Reply::Peer(sender))) };
         self.first.send(item).ok()?;
+        self.core.unpark();
         receiver.recv_timeout(patience).ok()
     }
 }
--- a/crates/quartzlever/src/node.rs
+++ b/crates/quartzlever/src/node.rs
@@ -1,15 +1,16 @@
 //! The core's thread, and the threads that carry out its effects.
 
-use std::collections::HashMap;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
-use crossbeam_channel::{Receiver, Sender, select, unbounded};
+use crossbeam_channel::{Receiver, Sender, unbounded};
 use quartzlever_clients::{Budget, CloudClient, PeerClient, StateClient, WorkerClient};
-use quartzlever_core::{Command, Core, Effect, Lane, RequestId, Token, Weight};
+use quartzlever_core::{Answer, Command, Core, Effect, Lane, RequestId, Token, Weight};
 use quartzlever_wire::cloud::CloudCall;
 use quartzlever_wire::peers::{self, PeerAnswer, PeerRequest};
 use quartzlever_wire::state::StateCall;
@@ -17,8 +18,8 @@
 use quartzlever_wire::{CallError, Micros};
 
 use crate::clock::{Clock, wall};
-use crate::inbox::{HttpAnswer, Inbox, Item, Outlet, Reply};
-use crate::server;
+use crate::inbox::{Inbox, Item, Outlet, Reply};
+use crate::server::{self, BUSY, BUSY_BODY, Exit, Status};
 use crate::settings::Settings;
 
 const STACK: usize = 192 * 1024;
@@ -199,68 +200,106 @@
     Ok(())
 }
 
+/// Requests that wait for their answers.
+#[derive(Default)]
+struct Waiting {
+    replies: HashMap<RequestId, Reply>,
+    /// When each is given up; some were answered long before.
+    ends: BinaryHeap<Reverse<(Micros, RequestId)>>,
+    /// Where answers are written, to be reused.
+    body: Vec<u8>,
+    message: Vec<u8>,
+}
+
+impl Waiting {
+    fn await_answer(&mut self, id: RequestId, reply: Reply) {
+        if let Reply::Http(_, end) = reply {
+            self.ends.push(Reverse((end, id)));
+        }
+        self.replies.insert(id, reply);
+    }
+
+    /// Tells those whose time is over to come back.
+    fn give_up(&mut self, now: Micros) {
+        while let Some(Reverse((end, id))) = self.ends.peek().copied()
+            && end <= now
+        {
+            self.ends.pop();
+            if let Some(Reply::Http(exit, _)) = self.replies.remove(&id) {
+                exit.send(&BUSY, BUSY_BODY, &mut self.message);
+            }
+        }
+    }
+
+    fn answer(&mut self, exit: Exit, status: &Status, body: &Answer) {
+        self.body.clear();
+        // Our own types can always be written, and into memory.
+        let _ = serde_json::to_writer(&mut self.body, body);
+        exit.send(status, &self.body, &mut self.message);
+    }
+}
+
 /// The one owner of all state: takes commands in batches and hands out effects.
 fn work(mut core: Core, outlet: Outlet, hands: Hands, clock: Clock) {
-    let mut waiting: HashMap<RequestId, Reply> = HashMap::new();
+    const TICK_MICROS: Micros = TICK.as_micros() as Micros;
+    let mut waiting = Waiting::default();
     let mut ticked = None;
     let (mut last, mut behind) = (clock.now(), false);
     loop {
+        let now = clock.now();
+        let tick_at = ticked.map_or(now, |t| t + TICK_MICROS);
+        if now < tick_at {
+            outlet.sleep(Duration::from_micros(tick_at - now));
+        }
+        let now = clock.now();
         let mut batch: Vec<Command> = Vec::new();
-        let mut take = |item: Item, batch: &mut Vec<Command>| {
-            if let Some((id, reply)) = item.reply {
-                waiting.insert(id, reply);
+        let mut take = |Item { command, reply }: Item| {
+            match reply {
+                // Its asker has given up: what would be done for it comes too late.
+                Some((_, Reply::Http(exit, end))) if end <= now => {
+                    exit.send(&BUSY, BUSY_BODY, &mut waiting.message);
+                    return;
+                }
+                Some((id, reply)) => waiting.await_answer(id, reply),
+                None => {}
             }
-            batch.push(item.command);
+            batch.push(command);
         };
-        select! {
-            recv(outlet.first) -> item => {
-                let Ok(item) = item else { return };
-                take(item, &mut batch);
-            }
-            recv(outlet.questions) -> item => {
-                let Ok(item) = item else { return };
-                take(item, &mut batch);
-            }
-            recv(outlet.submissions) -> item => {
-                let Ok(item) = item else { return };
-                take(item, &mut batch);
-            }
-            default(TICK) => {}
-        }
-        for item in outlet.first.try_iter().take(BATCH) {
-            take(item, &mut batch);
-        }
-        for item in outlet.questions.try_iter().take(QUESTION_BATCH) {
-            take(item, &mut batch);
-        }
-        for item in outlet.submissions.try_iter().take(SUBMISSION_BATCH) {
-            take(item, &mut batch);
-        }
-        let now = clock.now();
+        outlet.first.try_iter().take(BATCH).for_each(&mut take);
+        outlet.questions.try_iter().take(QUESTION_BATCH).for_each(&mut take);
+        outlet.submissions.try_iter().take(SUBMISSION_BATCH).for_each(&mut take);
+        waiting.give_up(now);
         behind |= now - last > STOOD_STILL || outlet.first.len() > BATCH;
         last = now;
-        if ticked.is_none_or(|t| now - t >= TICK.as_micros() as Micros) {
+        if now >= tick_at {
             ticked = Some(now);
             batch.push(Command::Tick { wall: wall(), behind });
             behind = false;
         }
+        if batch.is_empty() {
+            continue;
+        }
         for effect in core.step(now, batch) {
-            carry_out(effect, &hands, &mut waiting);
+            carry_out(effect, &hands, &mut waiting, clock);
         }
     }
 }
 
-fn carry_out(effect: Effect, hands: &Hands, waiting: &mut HashMap<RequestId, Reply>) {
+fn carry_out(effect: Effect, hands: &Hands, waiting: &mut Waiting, clock: Clock) {
     // A queue or a waiting request that is gone means that nobody wants the result.
     match effect {
         Effect::Answer { id, status, body, retry_after_s, until } => {
-            if let Some(Reply::Http(sender)) = waiting.remove(&id) {
-                let body = body.to_string().into_bytes();
-                let _ = sender.send(HttpAnswer { status, body, retry_after_s, until });
+            if let Some(Reply::Http(exit, _)) = waiting.replies.remove(&id) {
+                if until.is_some_and(|until| clock.now() >= until) {
+                    // The right to act has run out on the way here.
+                    exit.send(&BUSY, BUSY_BODY, &mut waiting.message);
+                } else {
+                    waiting.answer(exit, &Status { status, retry_after_s }, &body);
+                }
             }
         }
         Effect::AnswerPeer { id, answer } => {
-            if let Some(Reply::Peer(sender)) = waiting.remove(&id) {
+            if let Some(Reply::Peer(sender)) = waiting.replies.remove(&id) {
                 let _ = sender.send(answer);
             }
         }
--- a/crates/quartzlever/src/server.rs
+++ b/crates/quartzlever/src/server.rs
@@ -9,17 +9,18 @@
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use quartzlever_core::Command;
-use quartzlever_wire::MAX_BODY;
 use quartzlever_wire::users::{JobSpec, valid_id};
 use quartzlever_wire::workers::Report;
+use quartzlever_wire::{MAX_BODY, Micros};
+use socket2::SockRef;
 
 use crate::clock::Clock;
-use crate::inbox::{HttpAnswer, Inbox, Line};
+use crate::inbox::{Inbox, Line};
 
 const STACK: usize = 128 * 1024;
 /// An idle connection is closed after this time, and when connections run short after a slice of
@@ -29,10 +30,14 @@
 /// A request that has begun must be there in full within this time.
 const WHOLE: Duration = Duration::from_secs(5);
 const HEAD: usize = 8 * 1024;
-/// Users give up after 5 s, pollers after 2 s, workers after 4 s.
-const USER_PATIENCE: Duration = Duration::from_millis(4500);
-const LOOKUP_PATIENCE: Duration = Duration::from_millis(1900);
-const WORKER_PATIENCE: Duration = Duration::from_millis(3500);
+/// Users give up after 5 s, pollers after 2 s, workers after 4 s; the core's thread looks for
+/// those whose time is over now and then.
+const USER_PATIENCE: Micros = 4_500_000;
+const LOOKUP_PATIENCE: Micros = 1_700_000;
+const WORKER_PATIENCE: Micros = 3_500_000;
+const HEALTH_PATIENCE: Micros = 700_000;
+/// What is read at once; most requests are shorter.
+const PIECE: usize = 1024;
 
 /// How many connections there may be; of these how many of workers, so that users find room
 /// always; and of these how many may stay open. The workers beyond that are answered and their
@@ -150,16 +155,121 @@
     Ok(())
 }
 
+/// What a request is about.
+#[derive(Debug, PartialEq, Eq)]
+enum Path {
+    Ready,
+    Hello,
+    Submit,
+    Lookup(String),
+    Abort(String),
+    /// Refused at once, with this status and reason.
+    Wrong(u16, &'static str),
+}
+
+impl Path {
+    fn of(method: &str, target: &str) -> Path {
+        let path = target.split('?').next().unwrap_or("").trim_start_matches('/');
+        let (path, allowed) = match path.strip_prefix("v2/runs") {
+            Some("") => (Path::Submit, "POST"),
+            Some(rest) => {
+                match rest.strip_prefix('/').map(|r| r.split_once('/').unwrap_or((r, ""))) {
+                    Some((job, "")) if !rest.ends_with('/') => {
+                        (Path::Lookup(job.to_owned()), "GET")
+                    }
+                    Some((job, "abort")) => (Path::Abort(job.to_owned()), "POST"),
+                    _ => return Path::Wrong(404, "no such path"),
+                }
+            }
+            None if path == "ready" => (Path::Ready, "GET"),
+            None if path == "hello" => (Path::Hello, "POST"),
+            None => return Path::Wrong(404, "no such path"),
+        };
+        if method != allowed {
+            return Path::Wrong(405, "method not allowed");
+        }
+        match path {
+            // No job was ever accepted under a name that is none.
+            Path::Lookup(job) | Path::Abort(job) if !valid_id(&job) => {
+                Path::Wrong(404, "unknown job")
+            }
+            path => path,
+        }
+    }
+}
+
 struct Request {
-    method: String,
-    path: String,
-    body: Vec<u8>,
+    path: Path,
     close: bool,
-    too_long: bool,
 }
 
-struct Connection<'a> {
+/// The socket of a connection, shared by its thread, which reads, and by whoever answers.
+#[derive(Debug)]
+struct Link {
     stream: TcpStream,
+    /// A request is with the core. Nobody may send another before its answer.
+    asked: AtomicBool,
+}
+
+/// The way to a connection for one answer. The thread that has the answer writes it itself: a
+/// thread that woke up for each answer only to write it was half the cost of a report.
+#[derive(Debug)]
+pub struct Exit {
+    link: Arc<Link>,
+    close: bool,
+}
+
+impl Exit {
+    /// Sends an answer; `scratch` is where it is written. Never waits: what the socket does not take
+    /// at once is left to a thread of its own.
+    pub fn send(self, answer: &Status, body: &[u8], scratch: &mut Vec<u8>) {
+        scratch.clear();
+        write_message(scratch, answer, body, self.close);
+        self.link.asked.store(false, Ordering::Release);
+        let sent = SockRef::from(&self.link.stream).send_with_flags(scratch, libc::MSG_DONTWAIT);
+        let sent = match sent {
+            Ok(sent) => sent,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => 0,
+            // The asker has gone away.
+            Err(_) => return,
+        };
+        if sent == scratch.len() {
+            self.finish();
+        } else {
+            let rest = scratch.split_off(sent);
+            let _ = thread::Builder::new().name("slow-answer".into()).stack_size(STACK).spawn(
+                move || {
+                    if (&self.link.stream).write_all(&rest).is_ok() {
+                        self.finish();
+                    } else {
+                        let _ = self.link.stream.shutdown(std::net::Shutdown::Both);
+                    }
+                },
+            );
+        }
+    }
+
+    /// Lets the connection's thread end with the connection.
+    fn finish(&self) {
+        if self.close {
+            let _ = self.link.stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+}
+
+/// An answer but for its body.
+#[derive(Clone, Copy, Debug)]
+pub struct Status {
+    pub status: u16,
+    pub retry_after_s: Option<u32>,
+}
+
+/// The answer to those who have to come back, and its body.
+pub const BUSY: Status = Status { status: 503, retry_after_s: Some(1) };
+pub const BUSY_BODY: &[u8] = b"{\"error\":\"busy\"}";
+
+struct Connection<'a> {
+    link: Arc<Link>,
     buffer: Vec<u8>,
     inbox: &'a Inbox,
     clock: Clock,
@@ -183,8 +293,9 @@
         open: &'a Open,
         bounds: Bounds,
     ) -> Self {
+        let link = Arc::new(Link { stream, asked: AtomicBool::new(false) });
         let buffer = Vec::new();
-        Connection { stream, buffer, inbox, clock, open, bounds, worker: false, limit: None }
+        Connection { link, buffer, inbox, clock, open, bounds, worker: false, limit: None }
     }
 
     /// Counts the connection as a worker's, and says whether it may stay.
@@ -202,25 +313,31 @@
     }
 
     fn run(&mut self) -> io::Result<()> {
-        self.stream.set_nodelay(true)?;
-        self.stream.set_write_timeout(Some(WHOLE))?;
+        self.link.stream.set_nodelay(true)?;
+        self.link.stream.set_write_timeout(Some(WHOLE))?;
         loop {
-            let request = match self.read_request() {
+            let (request, body) = match self.read_request() {
                 Ok(Some(request)) => request,
                 Ok(None) => return Ok(()),
                 Err(e) if e.kind() == io::ErrorKind::InvalidData => {
-                    let answer = plain(400, "malformed request");
-                    return self.write_answer(&answer, true);
+                    return self.answer(400, "malformed request", true);
                 }
                 Err(e) => return Err(e),
             };
-            let stay = if request.path == "/hello" { self.count_worker() } else { Stay::Kept };
-            let answer = if stay == Stay::Refused { busy() } else { self.route(&request) };
-            let close = request.close || stay != Stay::Kept;
-            self.write_answer(&answer, close)?;
-            if close {
+            if self.link.asked.load(Ordering::Acquire) {
+                // Nobody sends a second request before the answer to the first.
                 return Ok(());
             }
+            let stay = if request.path == Path::Hello { self.count_worker() } else { Stay::Kept };
+            let close = request.close || stay != Stay::Kept;
+            if stay == Stay::Refused {
+                return self.busy(true);
+            }
+            self.route(request.path, body, close)?;
+            self.buffer.drain(..body);
+            if self.buffer.capacity() > 4 * PIECE && self.buffer.is_empty() {
+                self.buffer = Vec::new();
+            }
         }
     }
 
@@ -254,16 +371,23 @@
 
     fn read_some(&mut self, left: Duration) -> io::Result<usize> {
         if self.limit != Some(left) {
-            self.stream.set_read_timeout(Some(left))?;
+            self.link.stream.set_read_timeout(Some(left))?;
             self.limit = Some(left);
         }
-        let mut piece = [0; 4096];
-        let count = self.stream.read(&mut piece)?;
-        self.buffer.extend_from_slice(&piece[..count]);
-        Ok(count)
+        let before = self.buffer.len();
+        self.buffer.resize(before + PIECE, 0);
+        let result = loop {
+            match (&self.link.stream).read(&mut self.buffer[before..]) {
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                result => break result,
+            }
+        };
+        self.buffer.truncate(before + result.as_ref().copied().unwrap_or(0));
+        result
     }
 
-    fn read_request(&mut self) -> io::Result<Option<Request>> {
+    /// The next request, and how much of the buffer is its body.
+    fn read_request(&mut self) -> io::Result<Option<(Request, usize)>> {
         if self.buffer.is_empty() && !self.await_request()? {
             return Ok(None);
         }
@@ -276,24 +400,21 @@
                     let mut close = parsed.version == Some(0);
                     let (mut length, mut expects) = (0, false);
                     for header in parsed.headers.iter() {
-                        let value = std::str::from_utf8(header.value).unwrap_or("").trim();
-                        match header.name.to_ascii_lowercase().as_str() {
-                            "content-length" => length = value.parse().map_err(|_| malformed())?,
+                        let value = || std::str::from_utf8(header.value).unwrap_or("").trim();
+                        let name = header.name;
+                        if name.eq_ignore_ascii_case("content-length") {
+                            length = value().parse().map_err(|_| malformed())?;
+                        } else if name.eq_ignore_ascii_case("transfer-encoding") {
                             // Nobody sends bodies in chunks here; their end would be missed.
-                            "transfer-encoding" => return Err(malformed()),
-                            "connection" => close = value.eq_ignore_ascii_case("close"),
-                            "expect" => expects = true,
-                            _ => {}
+                            return Err(malformed());
+                        } else if name.eq_ignore_ascii_case("connection") {
+                            close = value().eq_ignore_ascii_case("close");
+                        } else if name.eq_ignore_ascii_case("expect") {
+                            expects = true;
                         }
                     }
-                    let request = Request {
-                        method: parsed.method.unwrap_or("").to_owned(),
-                        path: parsed.path.unwrap_or("").to_owned(),
-                        body: Vec::new(),
-                        close,
-                        too_long: length > MAX_BODY,
-                    };
-                    break (head, request, length, expects);
+                    let path = Path::of(parsed.method.unwrap_or(""), parsed.path.unwrap_or(""));
+                    break (head, Request { path, close }, length, expects);
                 }
                 httparse::Status::Partial if self.buffer.len() > HEAD => return Err(malformed()),
                 httparse::Status::Partial => {
@@ -305,9 +426,9 @@
         };
         self.buffer.drain(..head);
         if expects {
-            self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n")?;
+            (&self.link.stream).write_all(b"HTTP/1.1 100 Continue\r\n\r\n")?;
         }
-        if request.too_long {
+        if length > MAX_BODY {
             // Read past it, within reason, so that the answer is not lost with a reset.
             let mut left = length.min(4 << 20);
             left -= self.buffer.len().min(left);
@@ -321,100 +442,98 @@
                 self.buffer.clear();
             }
             request.close = true;
-            return Ok(Some(request));
+            if !matches!(request.path, Path::Wrong(..)) {
+                request.path = Path::Wrong(400, "body too long");
+            }
+            return Ok(Some((request, 0)));
         }
         while self.buffer.len() < length {
             if self.fill(end)? == 0 {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
         }
-        request.body = self.buffer.drain(..length).collect();
-        if self.buffer.capacity() > 2 * HEAD && self.buffer.is_empty() {
-            self.buffer = Vec::new();
-        }
-        Ok(Some(request))
+        Ok(Some((request, length)))
     }
 
-    fn route(&self, request: &Request) -> HttpAnswer {
-        let path = request.path.split('?').next().unwrap_or("");
-        let pieces: Vec<&str> = path.trim_start_matches('/').split('/').collect();
-        let allowed = match pieces.as_slice() {
-            ["ready"] => "GET",
-            ["hello"] | ["v2", "runs"] | ["v2", "runs", _, "abort"] => "POST",
-            ["v2", "runs", _] => "GET",
-            _ => return plain(404, "no such path"),
-        };
-        if request.method != allowed {
-            return plain(405, "method not allowed");
-        }
-        if request.too_long {
-            return plain(400, "body too long");
-        }
-        let inbox = self.inbox;
-        let answer = match pieces.as_slice() {
-            ["ready"] => {
-                inbox.ask(Line::First, Duration::from_millis(900), |id| Command::Ready { id })
+    /// Hands a request to the core, or answers it at once; the body is the first part of the buffer.
+    fn route(&self, path: Path, body: usize, close: bool) -> io::Result<()> {
+        let body = &self.buffer[..body];
+        match path {
+            Path::Wrong(status, why) => self.answer(status, why, close),
+            Path::Ready => {
+                self.ask(Line::First, HEALTH_PATIENCE, close, |id| Command::Ready { id })
             }
-            ["hello"] => match Report::parse(&request.body) {
-                Some(report) => {
-                    inbox.ask(Line::First, WORKER_PATIENCE, |id| Command::Report { id, report })
-                }
-                None => return plain(400, "not a report"),
+            Path::Hello => match Report::parse(body) {
+                Some(report) => self
+                    .ask(Line::First, WORKER_PATIENCE, close, |id| Command::Report { id, report }),
+                None => self.answer(400, "not a report", close),
             },
-            ["v2", "runs"] => match JobSpec::parse(&request.body) {
-                Ok(spec) => inbox.ask(Line::Submissions, USER_PATIENCE, |id| Command::Submit {
-                    id,
-                    spec: Box::new(spec),
+            Path::Submit => match JobSpec::parse(body) {
+                Ok(spec) => self.ask(Line::Submissions, USER_PATIENCE, close, |id| {
+                    Command::Submit { id, spec: Box::new(spec) }
                 }),
-                Err(why) => return plain(400, &why.to_string()),
+                Err(why) => self.answer(400, &why.to_string(), close),
             },
-            // No job was ever accepted under a name that is none.
-            ["v2", "runs", job, ..] if !valid_id(job) => return plain(404, "unknown job"),
-            ["v2", "runs", job] => {
-                let job = (*job).to_owned();
-                inbox.ask(Line::Questions, LOOKUP_PATIENCE, |id| Command::Lookup { id, job })
+            Path::Lookup(job) => {
+                self.ask(Line::Questions, LOOKUP_PATIENCE, close, |id| Command::Lookup { id, job })
             }
-            ["v2", "runs", job, _] => {
-                let job = (*job).to_owned();
-                inbox.ask(Line::Questions, USER_PATIENCE, |id| Command::Abort { id, job })
+            Path::Abort(job) => {
+                self.ask(Line::Questions, USER_PATIENCE, close, |id| Command::Abort { id, job })
             }
-            _ => return plain(404, "no such path"),
-        };
-        let mut answer = answer.unwrap_or_else(busy);
-        if answer.until.is_some_and(|until| self.clock.now() >= until) {
-            // The right to act has run out on the way here.
-            answer = busy();
         }
-        answer
     }
 
-    fn write_answer(&mut self, answer: &HttpAnswer, close: bool) -> io::Result<()> {
-        use std::fmt::Write as _;
-        let mut head = String::with_capacity(160);
-        let _ = write!(
-            head,
-            "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n",
-            answer.status,
-            reason(answer.status),
-            answer.body.len()
-        );
-        if let Some(after) = answer.retry_after_s {
-            let _ = write!(head, "Retry-After: {after}\r\n");
+    /// Leaves a request to the core, whose thread answers it.
+    fn ask(
+        &self,
+        line: Line,
+        patience: Micros,
+        close: bool,
+        command: impl FnOnce(u64) -> Command,
+    ) -> io::Result<()> {
+        self.link.asked.store(true, Ordering::Release);
+        let exit = Exit { link: self.link.clone(), close };
+        match self.inbox.ask(line, exit, self.clock.now() + patience, command) {
+            Ok(()) => Ok(()),
+            Err(_) => {
+                self.link.asked.store(false, Ordering::Release);
+                self.busy(close)
+            }
         }
-        head.push_str(if close { "Connection: close\r\n\r\n" } else { "\r\n" });
-        let mut out = head.into_bytes();
-        out.extend_from_slice(&answer.body);
-        self.stream.write_all(&out)
     }
-}
 
-fn plain(status: u16, why: &str) -> HttpAnswer {
-    let body = serde_json::json!({ "error": why }).to_string().into_bytes();
-    HttpAnswer { status, body, retry_after_s: None, until: None }
+    fn answer(&self, status: u16, why: &str, close: bool) -> io::Result<()> {
+        let body = serde_json::json!({ "error": why }).to_string();
+        self.write(Status { status, retry_after_s: None }, body.as_bytes(), close)
+    }
+
+    fn busy(&self, close: bool) -> io::Result<()> {
+        self.write(BUSY, BUSY_BODY, close)
+    }
+
+    fn write(&self, status: Status, body: &[u8], close: bool) -> io::Result<()> {
+        let mut message = Vec::new();
+        write_message(&mut message, &status, body, close);
+        (&self.link.stream).write_all(&message)?;
+        if close { Err(io::ErrorKind::ConnectionAborted.into()) } else { Ok(()) }
+    }
 }
 
-fn busy() -> HttpAnswer {
-    HttpAnswer { retry_after_s: Some(1), ..plain(503, "busy") }
+/// Writes a whole answer.
+fn write_message(out: &mut Vec<u8>, answer: &Status, body: &[u8], close: bool) {
+    let Status { status, retry_after_s } = answer;
+    // Writing into memory does not fail.
+    let _ = write!(
+        out,
+        "HTTP/1.1 {status} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n",
+        reason(*status),
+        body.len()
+    );
+    if let Some(after) = retry_after_s {
+        let _ = write!(out, "Retry-After: {after}\r\n");
+    }
+    out.extend_from_slice(if close { b"Connection: close\r\n\r\n" } else { b"\r\n" });
+    out.extend_from_slice(body);
 }
 
 fn reason(status: u16) -> &'static str {
@@ -435,6 +554,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::inbox::Reply;
 
     #[test]
     fn users_find_room_beside_all_workers() {
@@ -495,15 +615,10 @@
     fn every_worker_is_heard_though_not_all_keep_a_connection() {
         let (inbox, outlet) = Inbox::new();
         thread::spawn(move || {
+            let mut scratch = Vec::new();
             for item in outlet.first {
-                if let Some((_, crate::inbox::Reply::Http(sender))) = item.reply {
-                    let body = b"{}".to_vec();
-                    let _ = sender.send(HttpAnswer {
-                        status: 200,
-                        body,
-                        retry_after_s: None,
-                        until: None,
-                    });
+                if let Some((_, Reply::Http(exit, _))) = item.reply {
+                    exit.send(&Status { status: 200, retry_after_s: None }, b"{}", &mut scratch);
                 }
             }
         });
