Threads serve one connection after the other; nothing is asked of a core that is starting

Cause: while nobody is entitled every worker makes a connection a second for one 503, and each cost a thread.

--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -289,6 +289,8 @@
 /// Shortest time between two looks at all machines, and at all jobs for what is to be written.
 const LOOK: Micros = SECOND / 4;
 const WRITE_PAUSE: Micros = SECOND / 20;
+/// Why everybody is turned away until the copy is there.
+pub(crate) const STARTING: &str = "starting";
 /// How often the log says what was turned away.
 const TELL_EVERY: Micros = 10 * SECOND;
 
@@ -472,6 +474,19 @@
         self.out.push(Effect::Answer { id, status, body, retry_after_s: Some(1), until: None });
     }
 
+    /// Whether nothing of the service is known yet, so that every worker and every health check is
+    /// turned away.
+    pub fn starting(&self) -> bool {
+        !self.mirror.loaded() && self.parts.is_empty()
+    }
+
+    /// So many were turned away for that reason without asking.
+    pub fn turned_away_unasked(&mut self, count: u32) {
+        if count > 0 {
+            *self.turned_away.entry((503, STARTING)).or_default() += count;
+        }
+    }
+
     /// Says now and then what was turned away, and why: nothing else shows an overload.
     fn tell_turned_away(&mut self) {
         if self.now < self.tell_at {
@@ -518,7 +533,7 @@
         if self.mirror.loaded() && self.wall_offset.is_some() && !alone {
             self.answer(id, 200, Answer::Ready { ready: true });
         } else {
-            self.later(id, 503, "starting");
+            self.later(id, 503, STARTING);
         }
     }
 
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -7,7 +7,7 @@
 use quartzlever_wire::{CallError, Micros, SECOND, micros_from_secs};
 
 use crate::config::Config;
-use crate::engine::{CONTACT_LOST, Core, WorkerWait};
+use crate::engine::{CONTACT_LOST, Core, STARTING, WorkerWait};
 use crate::machine::{Amounts, Direct, Machine, Slot, SlotKey};
 use crate::messages::{Answer, Effect, RequestId};
 use crate::part::{Part, Place};
@@ -34,7 +34,7 @@
             return self.hello_own(id, &name, &report);
         }
         if !self.mirror.loaded() {
-            return self.later(id, 503, "starting");
+            return self.later(id, 503, STARTING);
         }
         if let Some(record) = self.part_of_host(&report.host) {
             let part = record.part.clone();
--- a/crates/quartzlever/benches/account.rs
+++ b/crates/quartzlever/benches/account.rs
@@ -5,8 +5,8 @@
 //! One controller holds one part, or the parts of all three names; so many machines are rented for
 //! its queue and report every six seconds and at each change. Three spans are measured: the start
 //! with all machines coming up, so many seconds with a queue and users who submit and look up, and
-//! so many seconds in which machines only report. After that the process is killed and started
-//! again among its machines. Processor time and thread switches are the kernel's own account of
+//! so many seconds in which machines only report. Between the two the process is killed and started
+//! again among its machines, first without the state service, so that it turns all of them away. Processor time and thread switches are the kernel's own account of
 //! each thread, by name; system calls are counted with `perf trace` if that is there, in spans
 //! of their own, since it slows the program down.
 
@@ -274,7 +274,7 @@
         let after = world.counts();
         let [reports, unanswered, submitted, looked_up] =
             std::array::from_fn(|n| after[n] - self.counts[n]);
-        let requests = (reports + submitted + looked_up).max(1);
+        let requests = (reports + unanswered + submitted + looked_up).max(1);
         let nanos: u64 = by_name.values().map(|s| s.nanos).sum();
         let switches: u64 = by_name.values().map(|s| s.switches).sum();
         let (tasks, machines) = world.crowd.running();
@@ -376,7 +376,8 @@
     let parts = arguments.next().unwrap_or(1).clamp(1, 3);
     let seconds = arguments.next().unwrap_or(20) as u64;
     let begin = Instant::now();
-    let store = http::serve_store(Arc::new(Mutex::new(Store::default())), begin).expect("store");
+    let keys = Arc::new(Mutex::new(Store::default()));
+    let store = http::serve_store(keys.clone(), begin).expect("store");
     let habits = Habits { report: 6 * SECOND, lease: 36 * SECOND, run_time: RUN_S * SECOND };
     let crowd = Crowd::start(habits, begin).expect("crowd");
     let mut cloud = Cloud::new(MACHINE, &["a"], machines);
@@ -411,6 +412,17 @@
     world.users.busy.store(false, Ordering::Relaxed);
     thread::sleep(Duration::from_secs(4));
     drop(node);
+    // Started anew while the state service is away, so that every worker is turned away.
+    keys.lock().expect("lock").outage = true;
+    let node = start(&config);
+    let process = node.child.id();
+    world.serve_from(&node);
+    let span = Span::begin("turned away", process, &world);
+    thread::sleep(Duration::from_secs(8));
+    span.end(&world);
+    let now = SECOND + begin.elapsed().as_micros() as u64;
+    keys.lock().expect("lock").end_outage(now);
+    drop(node);
     let node = start(&config);
     let process = node.child.id();
     let span = Span::begin("restart", process, &world);
--- /dev/null
+++ b/crates/quartzlever/src/crew.rs
@@ -0,0 +1,159 @@
+//! Connections that are accepted, and the threads that serve one after the other.
+//!
+//! While all workers look for a node that is entitled, each makes a connection a second for one
+//! answer. A thread started for each cost more than all the rest, so a thread that is done waits
+//! a while for the next connection. It waits by parking: a channel's receiver would spin first.
+
+use std::io;
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread::{self, Thread};
+use std::time::{Duration, Instant};
+
+/// The stack of a thread that serves connections.
+pub const STACK: usize = 128 * 1024;
+/// How long a thread without a connection stays.
+const KEPT: Duration = Duration::from_secs(20);
+/// Pause after a connection that could not be accepted.
+const NOT_ACCEPTED: Duration = Duration::from_millis(20);
+
+/// Where a thread without a connection waits for one.
+struct Berth {
+    thread: Thread,
+    stream: Mutex<Option<TcpStream>>,
+}
+
+struct Crew<H> {
+    handle: H,
+    /// Connections that are served.
+    open: AtomicUsize,
+    /// Threads without one; the last to come is the first to go on.
+    idle: Mutex<Vec<Arc<Berth>>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+/// Accepts connections for good, at most `most` at a time; more are closed at once.
+pub fn accept_loop(
+    name: &str,
+    listener: TcpListener,
+    most: usize,
+    handle: impl Fn(TcpStream) + Send + Sync + 'static,
+) -> io::Result<()> {
+    let crew = Arc::new(Crew { handle, open: AtomicUsize::new(0), idle: Mutex::default() });
+    let label = name.to_owned();
+    thread::Builder::new().name(format!("{name}-accept")).stack_size(STACK).spawn(move || {
+        loop {
+            let Ok((stream, _)) = listener.accept() else {
+                // No free sockets, or a connection that was given up.
+                thread::sleep(NOT_ACCEPTED);
+                continue;
+            };
+            if crew.open.fetch_add(1, Ordering::Relaxed) >= most
+                || !crew.clone().give(&label, stream)
+            {
+                crew.open.fetch_sub(1, Ordering::Relaxed);
+            }
+        }
+    })?;
+    Ok(())
+}
+
+impl<H: Fn(TcpStream) + Send + Sync + 'static> Crew<H> {
+    /// Has a connection served by a thread that is there, or else by a new one; `false` if there
+    /// can be none.
+    fn give(self: Arc<Self>, label: &str, stream: TcpStream) -> bool {
+        let berth = lock(&self.idle).pop();
+        if let Some(berth) = berth {
+            *lock(&berth.stream) = Some(stream);
+            berth.thread.unpark();
+            return true;
+        }
+        let thread = thread::Builder::new().name(label.to_owned()).stack_size(STACK);
+        thread.spawn(move || self.serve(stream)).is_ok()
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        let berth = Arc::new(Berth { thread: thread::current(), stream: Mutex::new(None) });
+        loop {
+            (self.handle)(stream);
+            self.open.fetch_sub(1, Ordering::Relaxed);
+            lock(&self.idle).push(berth.clone());
+            match self.next(&berth) {
+                Some(next) => stream = next,
+                None => return,
+            }
+        }
+    }
+
+    /// The next connection for a thread, if one comes in time.
+    fn next(&self, berth: &Arc<Berth>) -> Option<TcpStream> {
+        let end = Instant::now() + KEPT;
+        loop {
+            if let Some(stream) = lock(&berth.stream).take() {
+                return Some(stream);
+            }
+            let left = end.saturating_duration_since(Instant::now());
+            if !left.is_zero() {
+                thread::park_timeout(left);
+                continue;
+            }
+            let mut idle = lock(&self.idle);
+            match idle.iter().position(|b| Arc::ptr_eq(b, berth)) {
+                Some(at) => {
+                    idle.remove(at);
+                    return None;
+                }
+                // It was chosen just now, and the connection is on its way.
+                None => drop(idle),
+            }
+            thread::yield_now();
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::{Read, Write};
+
+    #[test]
+    fn threads_are_used_again_and_no_more_than_allowed() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let threads = Arc::new(Mutex::new(std::collections::HashSet::new()));
+        let seen = threads.clone();
+        accept_loop("test", listener, 2, move |mut stream| {
+            lock(&seen).insert(thread::current().id());
+            let mut byte = [0];
+            while stream.read(&mut byte).is_ok_and(|n| n > 0) && stream.write(&byte).is_ok() {}
+        })
+        .expect("a thread");
+        let echo = |stream: &mut TcpStream| {
+            let mut byte = [0];
+            stream.write_all(b"x").is_ok() && stream.read(&mut byte).is_ok_and(|n| n == 1)
+        };
+        let connect = || TcpStream::connect(address).expect("a connection");
+        // One after the other: a connection may come before the last thread is free again.
+        for _ in 0..20 {
+            let mut stream = connect();
+            while !echo(&mut stream) {
+                stream = connect();
+            }
+        }
+        assert!(lock(&threads).len() <= 2, "{} threads", lock(&threads).len());
+        // Two at a time, and a third is closed.
+        let (mut first, mut second) = (connect(), connect());
+        while !echo(&mut first) {
+            first = connect();
+        }
+        while !echo(&mut second) {
+            second = connect();
+        }
+        assert!(!echo(&mut connect()), "a third");
+        assert!(echo(&mut first) && echo(&mut second), "the others go on");
+    }
+}
--- a/crates/quartzlever/src/inbox.rs
+++ b/crates/quartzlever/src/inbox.rs
@@ -1,7 +1,7 @@
 //! The queue of commands of the core's thread, and the ways in.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::thread::{self, Thread};
 use std::time::Duration;
 
@@ -52,6 +52,15 @@
     submissions: Sender<Item>,
     ids: Arc<AtomicU64>,
     core: Thread,
+    gate: Arc<Gate>,
+}
+
+/// What connections may know without asking the core.
+#[derive(Debug)]
+struct Gate {
+    /// The core knows nothing yet: it would turn away every worker and health check.
+    starting: AtomicBool,
+    turned_away: AtomicU32,
 }
 
 /// The core's end of the queues.
@@ -59,9 +68,17 @@
     pub first: Receiver<Item>,
     pub questions: Receiver<Item>,
     pub submissions: Receiver<Item>,
+    gate: Arc<Gate>,
 }
 
 impl Outlet {
+    /// Tells connections whether the core is still starting; how many they have turned away
+    /// for it.
+    pub fn set_starting(&self, starting: bool) -> u32 {
+        self.gate.starting.store(starting, Ordering::Relaxed);
+        self.gate.turned_away.swap(0, Ordering::Relaxed)
+    }
+
     /// Whether nothing waits in any queue.
     pub fn is_empty(&self) -> bool {
         self.first.is_empty() && self.questions.is_empty() && self.submissions.is_empty()
@@ -84,9 +101,24 @@
         let (questions, questions_out) = bounded(QUESTIONS_WAITING);
         let (submissions, submissions_out) = bounded(SUBMISSIONS_WAITING);
         let ids = Arc::new(AtomicU64::new(1));
-        let outlet =
-            Outlet { first: first_out, questions: questions_out, submissions: submissions_out };
-        (Inbox { first, questions, submissions, ids, core: thread::current() }, outlet)
+        let gate =
+            Arc::new(Gate { starting: AtomicBool::new(false), turned_away: AtomicU32::new(0) });
+        let outlet = Outlet {
+            first: first_out,
+            questions: questions_out,
+            submissions: submissions_out,
+            gate: gate.clone(),
+        };
+        (Inbox { first, questions, submissions, ids, core: thread::current(), gate }, outlet)
+    }
+
+    /// Whether workers and health checks are to be turned away without asking the core.
+    pub fn starting(&self) -> bool {
+        let starting = self.gate.starting.load(Ordering::Relaxed);
+        if starting {
+            self.gate.turned_away.fetch_add(1, Ordering::Relaxed);
+        }
+        starting
     }
 
     /// Hands in what a call has brought.
--- a/crates/quartzlever/src/main.rs
+++ b/crates/quartzlever/src/main.rs
@@ -1,6 +1,7 @@
 //! The quartzlever controller.
 
 mod clock;
+mod crew;
 mod inbox;
 mod node;
 mod server;
--- a/crates/quartzlever/src/node.rs
+++ b/crates/quartzlever/src/node.rs
@@ -18,6 +18,7 @@
 use quartzlever_wire::{CallError, Micros};
 
 use crate::clock::{Clock, wall};
+use crate::crew;
 use crate::inbox::{Inbox, Item, Outlet, Reply};
 use crate::server::{self, BUSY, BUSY_BODY, Exit, Status};
 use crate::settings::Settings;
@@ -167,7 +168,7 @@
 /// Serves peers: a thread for each connection, each asking one thing at a time.
 fn serve_peers(address: SocketAddr, inbox: Inbox) -> io::Result<()> {
     let listener = TcpListener::bind(address)?;
-    server::accept_loop("peers", listener, PEER_CONNECTIONS, move |mut stream| {
+    crew::accept_loop("peers", listener, PEER_CONNECTIONS, move |mut stream| {
         let set = stream
             .set_read_timeout(Some(PEER_IDLE))
             .and_then(|()| stream.set_write_timeout(Some(PEER_PATIENCE)))
@@ -282,6 +283,7 @@
         for effect in core.step(now, batch) {
             carry_out(effect, &hands, &mut waiting, clock);
         }
+        core.turned_away_unasked(outlet.set_starting(core.starting()));
     }
 }
 
--- a/crates/quartzlever/src/server.rs
+++ b/crates/quartzlever/src/server.rs
@@ -20,9 +20,9 @@
 use socket2::SockRef;
 
 use crate::clock::Clock;
+use crate::crew::{STACK, accept_loop};
 use crate::inbox::{Inbox, Line};
 
-const STACK: usize = 128 * 1024;
 /// An idle connection is closed after this time, and when connections run short after a slice of
 /// it, before others are refused.
 const IDLE: Duration = Duration::from_secs(30);
@@ -120,41 +120,6 @@
     Ok(bound)
 }
 
-/// Accepts connections for good, at most `most` at a time; more are closed at once.
-pub fn accept_loop(
-    name: &str,
-    listener: TcpListener,
-    most: usize,
-    handle: impl Fn(TcpStream) + Send + Sync + 'static,
-) -> io::Result<()> {
-    let open = Arc::new(AtomicUsize::new(0));
-    let handle = Arc::new(handle);
-    let label = name.to_owned();
-    thread::Builder::new().name(format!("{name}-accept")).stack_size(STACK).spawn(move || {
-        loop {
-            let Ok((stream, _)) = listener.accept() else {
-                // No free sockets, or a connection that was given up.
-                thread::sleep(Duration::from_millis(20));
-                continue;
-            };
-            if open.fetch_add(1, Ordering::Relaxed) >= most {
-                open.fetch_sub(1, Ordering::Relaxed);
-                continue;
-            }
-            let (count, work) = (open.clone(), handle.clone());
-            let started =
-                thread::Builder::new().name(label.clone()).stack_size(STACK).spawn(move || {
-                    work(stream);
-                    count.fetch_sub(1, Ordering::Relaxed);
-                });
-            if started.is_err() {
-                open.fetch_sub(1, Ordering::Relaxed);
-            }
-        }
-    })?;
-    Ok(())
-}
-
 /// What a request is about.
 #[derive(Debug, PartialEq, Eq)]
 enum Path {
@@ -239,7 +204,9 @@
             let rest = scratch.split_off(sent);
             let _ = thread::Builder::new().name("slow-answer".into()).stack_size(STACK).spawn(
                 move || {
-                    if (&self.link.stream).write_all(&rest).is_ok() {
+                    let stream = &self.link.stream;
+                    let set = stream.set_write_timeout(Some(WHOLE));
+                    if set.is_ok() && (&self.link.stream).write_all(&rest).is_ok() {
                         self.finish();
                     } else {
                         let _ = self.link.stream.shutdown(std::net::Shutdown::Both);
@@ -313,8 +280,6 @@
     }
 
     fn run(&mut self) -> io::Result<()> {
-        self.link.stream.set_nodelay(true)?;
-        self.link.stream.set_write_timeout(Some(WHOLE))?;
         loop {
             let (request, body) = match self.read_request() {
                 Ok(Some(request)) => request,
@@ -460,6 +425,8 @@
         let body = &self.buffer[..body];
         match path {
             Path::Wrong(status, why) => self.answer(status, why, close),
+            // All workers ask every second then; the core need not wake for each.
+            Path::Ready | Path::Hello if self.inbox.starting() => self.busy(close),
             Path::Ready => {
                 self.ask(Line::First, HEALTH_PATIENCE, close, |id| Command::Ready { id })
             }
