Requests whose asker has closed the connection are not taken in

Cause: far behind, a node works through reports of workers that have closed the connection and reported elsewhere. Ruled out: memory, refused calls.

--- a/crates/quartzlever/src/node.rs
+++ b/crates/quartzlever/src/node.rs
@@ -27,6 +27,8 @@
 const TICK: Duration = Duration::from_millis(200);
 /// A loop that took longer than this did not listen meanwhile.
 const STOOD_STILL: Micros = 1_000_000;
+/// As long, and some of those who ask may have given up.
+const LATE: Micros = 400_000;
 /// The largest batch of the first queue before users get their turn.
 const BATCH: usize = 64;
 const QUESTION_BATCH: usize = 64;
@@ -253,6 +255,7 @@
             outlet.sleep(Duration::from_micros(tick_at - now));
         }
         let now = clock.now();
+        let late = now - last > LATE || outlet.first.len() > BATCH;
         let mut batch: Vec<Command> = Vec::new();
         let mut take = |Item { command, reply }: Item| {
             match reply {
@@ -261,6 +264,7 @@
                     exit.send(&BUSY, BUSY_BODY, &mut waiting.message);
                     return;
                 }
+                Some((_, Reply::Http(exit, _))) if late && exit.given_up() => return,
                 Some((id, reply)) => waiting.await_answer(id, reply),
                 None => {}
             }
--- a/crates/quartzlever/src/server.rs
+++ b/crates/quartzlever/src/server.rs
@@ -184,7 +184,26 @@
     close: bool,
 }
 
+impl Link {
+    /// Whether the other side has given up and closed the connection. What waits unread, which
+    /// nobody sends before an answer, does not matter.
+    fn given_up(&self) -> bool {
+        let mut byte = [std::mem::MaybeUninit::uninit()];
+        let peeked = SockRef::from(&self.stream)
+            .recv_with_flags(&mut byte, libc::MSG_PEEK | libc::MSG_DONTWAIT);
+        match peeked {
+            Ok(count) => count == 0,
+            Err(e) => !matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
+        }
+    }
+}
+
 impl Exit {
+    /// Whether nobody waits for the answer any more.
+    pub fn given_up(&self) -> bool {
+        self.link.given_up()
+    }
+
     /// Sends an answer; `scratch` is where it is written. Never waits: what the socket does not take
     /// at once is left to a thread of its own.
     pub fn send(self, answer: &Status, body: &[u8], scratch: &mut Vec<u8>) {
@@ -293,6 +312,11 @@
                 // Nobody sends a second request before the answer to the first.
                 return Ok(());
             }
+            if body == self.buffer.len() && self.link.given_up() {
+                // Read too late. Far behind, a node took in nothing but reports of workers that
+                // had closed the connection and reported elsewhere, and never caught up.
+                return Ok(());
+            }
             let stay = if request.path == Path::Hello { self.count_worker() } else { Stay::Kept };
             let close = request.close || stay != Stay::Kept;
             if stay == Stay::Refused {
