New connections wait to be accepted while 32 others have not been heard

Cause: a node that is behind has hundreds of threads ready to run, each with a new connection, and the renewal of its lease waits for a turn behind them at each of four steps; the lease is lost, with it the right to answer 200, and then every worker makes a connection a second. Ruled out: the order of the core's queue (a batch takes 3 ms of processor time), refused calls, memory.

--- a/crates/quartzlever/src/crew.rs
+++ b/crates/quartzlever/src/crew.rs
@@ -18,10 +18,46 @@
 /// Pause after a connection that could not be accepted.
 const NOT_ACCEPTED: Duration = Duration::from_millis(20);
 
+/// So many connections may be new, their first request not with the core yet; others wait to be
+/// accepted. Behind hundreds of threads that were ready to run, each with a connection that a
+/// worker had given up already, a renewed lease came too late to be of use.
+const MOST_NEW: usize = 32;
+
+/// How many connections are new.
+#[derive(Debug)]
+struct News {
+    count: AtomicUsize,
+    /// Accepts connections, when there are not too many.
+    acceptor: Thread,
+}
+
+/// A connection that is new for as long as this lives.
+#[derive(Debug)]
+pub struct New(Arc<News>);
+
+impl Drop for New {
+    fn drop(&mut self) {
+        if self.0.count.fetch_sub(1, Ordering::AcqRel) >= MOST_NEW {
+            self.0.acceptor.unpark();
+        }
+    }
+}
+
+impl News {
+    /// Another new connection, once there may be one.
+    fn wait(self: &Arc<Self>) -> New {
+        while self.count.load(Ordering::Acquire) >= MOST_NEW {
+            thread::park_timeout(NOT_ACCEPTED);
+        }
+        self.count.fetch_add(1, Ordering::AcqRel);
+        New(self.clone())
+    }
+}
+
 /// Where a thread without a connection waits for one.
 struct Berth {
     thread: Thread,
-    stream: Mutex<Option<TcpStream>>,
+    stream: Mutex<Option<(TcpStream, New)>>,
 }
 
 struct Crew<H> {
@@ -41,19 +77,21 @@
     name: &str,
     listener: TcpListener,
     most: usize,
-    handle: impl Fn(TcpStream) + Send + Sync + 'static,
+    handle: impl Fn(TcpStream, New) + Send + Sync + 'static,
 ) -> io::Result<()> {
     let crew = Arc::new(Crew { handle, open: AtomicUsize::new(0), idle: Mutex::default() });
     let label = name.to_owned();
     thread::Builder::new().name(format!("{name}-accept")).stack_size(STACK).spawn(move || {
+        let news = Arc::new(News { count: AtomicUsize::new(0), acceptor: thread::current() });
         loop {
+            let new = news.wait();
             let Ok((stream, _)) = listener.accept() else {
                 // No free sockets, or a connection that was given up.
                 thread::sleep(NOT_ACCEPTED);
                 continue;
             };
             if crew.open.fetch_add(1, Ordering::Relaxed) >= most
-                || !crew.clone().give(&label, stream)
+                || !crew.clone().give(&label, (stream, new))
             {
                 crew.open.fetch_sub(1, Ordering::Relaxed);
             }
@@ -62,10 +100,10 @@
     Ok(())
 }
 
-impl<H: Fn(TcpStream) + Send + Sync + 'static> Crew<H> {
+impl<H: Fn(TcpStream, New) + Send + Sync + 'static> Crew<H> {
     /// Has a connection served by a thread that is there, or else by a new one; `false` if there
     /// can be none.
-    fn give(self: Arc<Self>, label: &str, stream: TcpStream) -> bool {
+    fn give(self: Arc<Self>, label: &str, stream: (TcpStream, New)) -> bool {
         let berth = lock(&self.idle).pop();
         if let Some(berth) = berth {
             *lock(&berth.stream) = Some(stream);
@@ -76,10 +114,10 @@
         thread.spawn(move || self.serve(stream)).is_ok()
     }
 
-    fn serve(&self, mut stream: TcpStream) {
+    fn serve(&self, mut stream: (TcpStream, New)) {
         let berth = Arc::new(Berth { thread: thread::current(), stream: Mutex::new(None) });
         loop {
-            (self.handle)(stream);
+            (self.handle)(stream.0, stream.1);
             self.open.fetch_sub(1, Ordering::Relaxed);
             lock(&self.idle).push(berth.clone());
             match self.next(&berth) {
@@ -90,7 +128,7 @@
     }
 
     /// The next connection for a thread, if one comes in time.
-    fn next(&self, berth: &Arc<Berth>) -> Option<TcpStream> {
+    fn next(&self, berth: &Arc<Berth>) -> Option<(TcpStream, New)> {
         let end = Instant::now() + KEPT;
         loop {
             if let Some(stream) = lock(&berth.stream).take() {
@@ -126,7 +164,8 @@
         let address = listener.local_addr().expect("an address");
         let threads = Arc::new(Mutex::new(std::collections::HashSet::new()));
         let seen = threads.clone();
-        accept_loop("test", listener, 2, move |mut stream| {
+        accept_loop("test", listener, 2, move |mut stream, new| {
+            drop(new);
             lock(&seen).insert(thread::current().id());
             let mut byte = [0];
             while stream.read(&mut byte).is_ok_and(|n| n > 0) && stream.write(&byte).is_ok() {}
@@ -156,4 +195,32 @@
         assert!(!echo(&mut connect()), "a third");
         assert!(echo(&mut first) && echo(&mut second), "the others go on");
     }
+
+    #[test]
+    fn new_connections_wait_for_those_before_them() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let held = Arc::new(Mutex::new(Vec::new()));
+        let (kept, tell) = (held.clone(), crossbeam_channel::unbounded());
+        let told = tell.0;
+        accept_loop("test", listener, 1000, move |stream, new| {
+            lock(&kept).push((stream, new));
+            let _ = told.send(());
+        })
+        .expect("a thread");
+        let streams: Vec<TcpStream> =
+            (0..MOST_NEW + 5).map(|_| TcpStream::connect(address).expect("connects")).collect();
+        for _ in 0..MOST_NEW {
+            tell.1.recv().expect("accepted");
+        }
+        assert!(tell.1.try_recv().is_err(), "no more than {MOST_NEW} at first");
+        // Each that is new no longer lets another one in.
+        for n in 0..5 {
+            assert_eq!(lock(&held).len(), MOST_NEW);
+            let oldest = lock(&held).remove(0);
+            drop(oldest);
+            tell.1.recv().unwrap_or_else(|e| panic!("number {n}: {e}"));
+        }
+        assert_eq!(streams.len(), MOST_NEW + 5);
+    }
 }
--- a/crates/quartzlever/src/node.rs
+++ b/crates/quartzlever/src/node.rs
@@ -170,7 +170,8 @@
 /// Serves peers: a thread for each connection, each asking one thing at a time.
 fn serve_peers(address: SocketAddr, inbox: Inbox) -> io::Result<()> {
     let listener = TcpListener::bind(address)?;
-    crew::accept_loop("peers", listener, PEER_CONNECTIONS, move |mut stream| {
+    crew::accept_loop("peers", listener, PEER_CONNECTIONS, move |mut stream, new| {
+        drop(new);
         let set = stream
             .set_read_timeout(Some(PEER_IDLE))
             .and_then(|()| stream.set_write_timeout(Some(PEER_PATIENCE)))
@@ -258,6 +259,9 @@
         let late = now - last > LATE || outlet.first.len() > BATCH;
         let mut batch: Vec<Command> = Vec::new();
         let mut take = |Item { command, reply }: Item| {
+            if let Some((_, Reply::Http(exit, _))) = &reply {
+                exit.taken();
+            }
             match reply {
                 // Its asker has given up: what would be done for it comes too late.
                 Some((_, Reply::Http(exit, end))) if end <= now => {
--- a/crates/quartzlever/src/server.rs
+++ b/crates/quartzlever/src/server.rs
@@ -8,8 +8,8 @@
 
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -20,7 +20,7 @@
 use socket2::SockRef;
 
 use crate::clock::Clock;
-use crate::crew::{STACK, accept_loop};
+use crate::crew::{New, STACK, accept_loop};
 use crate::inbox::{Inbox, Line};
 
 /// An idle connection is closed after this time, and when connections run short after a slice of
@@ -108,9 +108,9 @@
     let listener = TcpListener::bind(address)?;
     let bound = listener.local_addr()?;
     let open = Arc::new(Open::default());
-    accept_loop("http", listener, bounds.all, move |stream| {
+    accept_loop("http", listener, bounds.all, move |stream, new| {
         open.all.fetch_add(1, Ordering::Relaxed);
-        let mut connection = Connection::new(stream, &inbox, clock, &open, bounds);
+        let mut connection = Connection::new((stream, new), &inbox, clock, &open, bounds);
         let _ = connection.run();
         if connection.worker {
             open.workers.fetch_sub(1, Ordering::Relaxed);
@@ -174,6 +174,8 @@
     stream: TcpStream,
     /// A request is with the core. Nobody may send another before its answer.
     asked: AtomicBool,
+    /// The connection is new, until the core has taken its first request.
+    new: Mutex<Option<New>>,
 }
 
 /// The way to a connection for one answer. The thread that has the answer writes it itself: a
@@ -185,6 +187,11 @@
 }
 
 impl Link {
+    /// A request of the connection is taken up.
+    fn taken(&self) {
+        drop(self.new.lock().unwrap_or_else(|e| e.into_inner()).take());
+    }
+
     /// Whether the other side has given up and closed the connection. What waits unread, which
     /// nobody sends before an answer, does not matter.
     fn given_up(&self) -> bool {
@@ -199,6 +206,11 @@
 }
 
 impl Exit {
+    /// The core has taken the request.
+    pub fn taken(&self) {
+        self.link.taken();
+    }
+
     /// Whether nobody waits for the answer any more.
     pub fn given_up(&self) -> bool {
         self.link.given_up()
@@ -273,13 +285,14 @@
 
 impl<'a> Connection<'a> {
     fn new(
-        stream: TcpStream,
+        (stream, new): (TcpStream, New),
         inbox: &'a Inbox,
         clock: Clock,
         open: &'a Open,
         bounds: Bounds,
     ) -> Self {
-        let link = Arc::new(Link { stream, asked: AtomicBool::new(false) });
+        let new = Mutex::new(Some(new));
+        let link = Arc::new(Link { stream, asked: AtomicBool::new(false), new });
         let buffer = Vec::new();
         Connection { link, buffer, inbox, clock, open, bounds, worker: false, limit: None }
     }
@@ -503,6 +516,7 @@
     }
 
     fn write(&self, status: Status, body: &[u8], close: bool) -> io::Result<()> {
+        self.link.taken();
         let mut message = Vec::new();
         write_message(&mut message, &status, body, close);
         (&self.link.stream).write_all(&message)?;
