Records are carried as text and read only when new; four watches a second at most

Values are written and read once, as text; a record at a known stamp is not read; a job's own commit goes into the copy.

--- a/crates/quartzlever-core/src/claims.rs
+++ b/crates/quartzlever-core/src/claims.rs
@@ -10,7 +10,7 @@
     hosts_in,
 };
 use quartzlever_wire::workers::Report;
-use quartzlever_wire::{CallError, Micros, SECOND};
+use quartzlever_wire::{CallError, Json, Micros, SECOND};
 use serde::Serialize;
 
 use crate::engine::{Core, Waiting};
@@ -160,7 +160,7 @@
             let txn = if hosts.is_empty() {
                 txn.delete(key)
             } else {
-                txn.write(key, serde_json::json!(HostBlock { m: hosts.clone() }))
+                txn.write(key, Json::of(&HostBlock { m: hosts.clone() }))
             };
             let dropped = work.drops.keys().cloned().collect();
             let waiting =
--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -8,7 +8,7 @@
 };
 use quartzlever_wire::peers::PeerRequest;
 use quartzlever_wire::state::{CATALOGUE, StateCall, StateReply, Txn};
-use quartzlever_wire::{CallError, Micros, SECOND, micros_from_secs};
+use quartzlever_wire::{CallError, Json, Micros, SECOND, micros_from_secs};
 
 use crate::engine::{Core, Waiting};
 use crate::holding::parse;
@@ -217,7 +217,7 @@
                 self.cloud.catalogue_waiting = false;
                 if let Ok(CloudReply::Catalogue(catalogue)) = result {
                     self.cloud.catalogue_at = self.now + CATALOGUE_EVERY;
-                    let txn = Txn::default().write(CATALOGUE, serde_json::json!(&catalogue));
+                    let txn = Txn::default().write(CATALOGUE, Json::of(&catalogue));
                     self.use_catalogue(catalogue);
                     self.ledger.spend(1);
                     self.state(Lane::Work, StateCall::Txn(txn), Waiting::KeptCatalogue);
--- a/crates/quartzlever-core/src/gaps.rs
+++ b/crates/quartzlever-core/src/gaps.rs
@@ -327,7 +327,12 @@
             });
             let Some(token) = token else { panic!("{name}: not read back") };
             let path = block_key("n-9");
-            let row = quartzlever_wire::state::Row { path, v, stamp: 21, charter: None };
+            let row = quartzlever_wire::state::Row {
+                path,
+                v: quartzlever_wire::Json::of(&v),
+                stamp: 21,
+                charter: None,
+            };
             let result = Ok(StateReply::Row(Some(row)));
             core.step(NOW + 2 * SECOND, vec![Command::State { token, result }]);
             if let Some(token) = txn(&core.step(NOW + 4 * SECOND, Vec::new())) {
--- a/crates/quartzlever-core/src/hearing.rs
+++ b/crates/quartzlever-core/src/hearing.rs
@@ -16,7 +16,7 @@
 use quartzlever_wire::peers::PeerRequest;
 use quartzlever_wire::state::{HEARD, HeardRecord, Row, StateCall, Txn};
 use quartzlever_wire::workers::WorkerCall;
-use quartzlever_wire::{Micros, SECOND};
+use quartzlever_wire::{Json, Micros, SECOND};
 use rand::seq::IteratorRandom;
 
 use crate::engine::{Core, Waiting, WorkerWait};
@@ -144,7 +144,7 @@
         self.ledger.spend(1);
         let key = format!("{HEARD}{part}/{}", self.cfg.node);
         // It hangs on this node's lease, so that nothing is left of it in the end.
-        let value = serde_json::json!(HeardRecord { machines });
+        let value = Json::of(&HeardRecord { machines });
         let txn = Txn::default().write_held(key, value, lease);
         self.state(Lane::Work, StateCall::Txn(txn), Waiting::Left);
     }
--- a/crates/quartzlever-core/src/holding.rs
+++ b/crates/quartzlever-core/src/holding.rs
@@ -6,7 +6,7 @@
     Event, HEARD, HOSTS, Hosts, LIVE, LiveRecord, OVER, OverRecord, PARTS, PartRecord, Row, Rows,
     StateCall, StateReply, Txn,
 };
-use quartzlever_wire::{CallError, Micros, SECOND};
+use quartzlever_wire::{CallError, Json, Micros, SECOND};
 use rand::Rng;
 use serde::de::DeserializeOwned;
 
@@ -23,6 +23,8 @@
 const RETRY: Micros = SECOND / 2;
 /// Share of the requests to the state service that may open watches.
 const WATCH_SHARE: f64 = 0.15;
+/// Shortest time between two watches: what comes meanwhile comes together.
+const WATCH_PAUSE: Micros = SECOND / 4;
 const WATCH_HOLD_MS: u64 = 5_000;
 const WATCH_DEAD: Micros = 3 * SECOND / 2;
 /// Home asks for its part this often, and counts as gone after this long without asking.
@@ -32,7 +34,7 @@
 const START_GRACE: Micros = 8 * SECOND;
 
 pub(crate) fn parse<T: DeserializeOwned>(row: &Row) -> Option<T> {
-    serde_json::from_value(row.v.clone()).ok()
+    row.v.parse()
 }
 
 impl Core {
@@ -122,7 +124,7 @@
         if (self.mirror.watching.is_none() || dead) && now >= self.mirror.watch_at {
             self.mirror.watching = Some(now);
             self.mirror.watch += 1;
-            self.mirror.watch_at = now + self.pause_for(WATCH_SHARE);
+            self.mirror.watch_at = now + self.pause_for(WATCH_SHARE).max(WATCH_PAUSE);
             let call = StateCall::Watch { from: self.mirror.epoch, hold_ms: WATCH_HOLD_MS };
             let number = self.mirror.watch;
             self.state(Lane::Watch, call, Waiting::Watch { number });
@@ -240,6 +242,7 @@
     fn event(&mut self, event: Event, known: u64) {
         match event {
             Event::Write { stamp, .. } | Event::Delete { stamp, .. } if stamp <= known => {}
+            Event::Write { write, stamp, .. } if self.known_already(&write, stamp) => {}
             Event::Write { write, v, stamp } => {
                 let row = Row { path: write, v, stamp, charter: None };
                 if row.path.starts_with(PARTS) {
@@ -278,6 +281,19 @@
         }
     }
 
+    /// Whether a record at this stamp, or a later one, has been taken in: by the write of this very
+    /// process, most of the time. Such records are not even read.
+    fn known_already(&self, key: &str, stamp: u64) -> bool {
+        if let Some(id) = key.strip_prefix(LIVE) {
+            let known = self.mirror.live.get(id).is_some_and(|(_, s)| *s >= stamp);
+            known || self.finals.get(id).is_some()
+        } else if let Some(id) = key.strip_prefix(OVER) {
+            self.finals.get(id).is_some()
+        } else {
+            is_hosts(key) && self.mirror.blocks.get(key).is_some_and(|(_, s)| *s >= stamp)
+        }
+    }
+
     /// A job's record as the state service has it. One that cannot be read is left alone: its
     /// job stays known, since lookups read what the copy does not have.
     fn live_row(&mut self, row: &Row) {
@@ -359,8 +375,7 @@
         self.releasing.remove(name);
         let record = PartRecord { node: self.cfg.node.clone(), process: self.process };
         let key = format!("{PARTS}{name}");
-        let Ok(value) = serde_json::to_value(&record) else { return };
-        let txn = Txn::default().when(key.clone(), stamp).write_held(key, value, lease);
+        let txn = Txn::default().when(key.clone(), stamp).write_held(key, Json::of(&record), lease);
         self.ledger.spend(1);
         self.state(Lane::Hold, StateCall::Txn(txn), Waiting::Acquire { part: name.to_owned() });
     }
--- a/crates/quartzlever-core/src/jobs.rs
+++ b/crates/quartzlever-core/src/jobs.rs
@@ -5,7 +5,7 @@
 };
 use quartzlever_wire::users::{JobAnswer, JobPhase, JobSpec, JobView};
 use quartzlever_wire::workers::TaskId;
-use quartzlever_wire::{CallError, Micros, Ranges, SECOND};
+use quartzlever_wire::{CallError, Json, Micros, Ranges, SECOND};
 use rand::seq::IndexedRandom;
 
 use crate::config::Config;
@@ -140,10 +140,8 @@
             finished: Ranges::default(),
             job: (*spec).clone(),
         };
-        let Ok(value) = serde_json::to_value(&record) else {
-            return self.later(id, 503, "cannot be written");
-        };
-        if value.to_string().len() > self.cfg.value_bytes {
+        let value = Json::of(&record);
+        if value.text().len() > self.cfg.value_bytes {
             // Nothing could ever be kept of such a job; a known one is still answered as known.
             return self.read(Purpose::Submit { id, job: spec.id.clone(), refuse: true });
         }
@@ -249,7 +247,7 @@
                 let txn = Txn::default()
                     .when(live.clone(), row.stamp)
                     .delete(live)
-                    .write(format!("{OVER}{job}"), serde_json::json!(over));
+                    .write(format!("{OVER}{job}"), Json::of(&over));
                 self.ledger.spend(2);
                 self.user_call(StateCall::Txn(txn), Waiting::Cancel { id, job, done, tries });
             }
@@ -360,12 +358,12 @@
         let txn = base.when(live.clone(), job.stamp);
         let txn = if all {
             let over = OverRecord { phase: JobPhase::Done, done: record.job.tasks };
-            txn.delete(live).write(format!("{OVER}{id}"), serde_json::json!(over))
+            txn.delete(live).write(format!("{OVER}{id}"), Json::of(&over))
         } else {
-            let value = serde_json::json!(record);
+            let value = Json::of(&record);
             // Too many gaps to be kept: more tasks have to finish first. What is not
             // recorded is not cleared on the machines either.
-            if value.to_string().len() > self.cfg.value_bytes {
+            if value.text().len() > self.cfg.value_bytes {
                 job.write_after = now + 2 * progress;
                 return;
             }
@@ -413,6 +411,7 @@
                     job.record.finished.add(&finished);
                     job.record.started = true;
                 }
+                let record = (job.stamp == stamp).then(|| job.record.clone());
                 if job.doubtful {
                     // Ours came into force at that stamp, so the doubtful one never will.
                     job.doubtful = false;
@@ -420,6 +419,10 @@
                     job.ready.add(&cut);
                     part.place_wanted = true;
                 }
+                if let Some(record) = record {
+                    // So the watch, which tells of it too, brings nothing new.
+                    self.absorb(record, stamp);
+                }
             }
             Ok(StateReply::Conflict(failed)) => {
                 if failed.contains(&key) {
--- a/crates/quartzlever-core/src/regressions.rs
+++ b/crates/quartzlever-core/src/regressions.rs
@@ -303,7 +303,12 @@
         });
         let Some(token) = token else { panic!("the kept catalogue is not read") };
         let v = serde_json::json!({ "chassis": types });
-        let row = Row { path: CATALOGUE.into(), v, stamp: 3, charter: None };
+        let row = Row {
+            path: CATALOGUE.into(),
+            v: quartzlever_wire::Json::of(&v),
+            stamp: 3,
+            charter: None,
+        };
         let result = Ok(StateReply::Row(kept.then_some(row)));
         core.step(NOW, vec![Command::State { token, result }]);
         assert_eq!(core.types.is_some(), known, "kept {kept}");
--- a/crates/quartzlever-core/src/stealing.rs
+++ b/crates/quartzlever-core/src/stealing.rs
@@ -4,7 +4,7 @@
 use quartzlever_wire::peers::{Load, PeerAnswer, PeerRequest, Room, ThiefRoom};
 use quartzlever_wire::state::{LiveRecord, PARTS, StateCall, StateReply};
 use quartzlever_wire::users::Rank;
-use quartzlever_wire::{CallError, Micros, Ranges, SECOND};
+use quartzlever_wire::{CallError, Json, Micros, Ranges, SECOND};
 use rand::seq::IndexedRandom;
 
 use crate::config::Config;
@@ -510,8 +510,8 @@
             let cut = job.ready.cut_last(count);
             let mut record = job.record.clone();
             record.move_tasks(&cut, victim, thief, term);
-            let value = serde_json::json!(&record);
-            let size = value.to_string().len();
+            let value = Json::of(&record);
+            let size = value.text().len();
             if size > value_bytes || bytes + size > 48 * 1024 {
                 job.ready.add(&cut);
                 continue;
@@ -557,7 +557,7 @@
             Ok(StateReply::Committed(stamp)) => {
                 let mut jobs = Vec::new();
                 for Move { job: id, cut, record } in moved {
-                    let text = serde_json::json!(&record).to_string();
+                    let text = Json::of(&record).text().to_owned();
                     if let Some(job) = self.parts.get_mut(name).and_then(|p| p.jobs.get_mut(&id)) {
                         job.writing = false;
                         job.cutting.subtract(&cut);
--- a/crates/quartzlever-core/tests/safety.rs
+++ b/crates/quartzlever-core/tests/safety.rs
@@ -347,7 +347,7 @@
     assert_eq!(world.submit_surely(0, &job(1, 100_000)), 201);
     for _ in 0..30 {
         world.run(2 * SECOND);
-        let size = world.store.get("live/req-000001").map_or(0, |(v, _)| v.to_string().len());
+        let size = world.store.get("live/req-000001").map_or(0, |(v, _)| v.text().len());
         assert!(size > 0 && size <= 16 * 1024, "{size}");
     }
     assert!(world.broken.is_empty(), "{:?}", &world.broken[..1]);
--- a/crates/quartzlever-core/tests/world/mod.rs
+++ b/crates/quartzlever-core/tests/world/mod.rs
@@ -545,7 +545,7 @@
     /// The final state of a job, if it has one.
     pub fn over(&self, id: &str) -> Option<JobPhase> {
         let (value, _) = self.store.get(&format!("over/{id}"))?;
-        serde_json::from_value::<OverRecord>(value.clone()).ok().map(|o| o.phase)
+        value.parse::<OverRecord>().map(|o| o.phase)
     }
 
     /// Waits until a user's request is answered.
--- a/crates/quartzlever-standin/src/store.rs
+++ b/crates/quartzlever-standin/src/store.rs
@@ -5,14 +5,13 @@
 use quartzlever_wire::state::{
     Change, Event, Row, Rows, StateCall, StateReply, TxnAnswer, WatchAnswer,
 };
-use quartzlever_wire::{CallError, Micros};
-use serde_json::Value;
+use quartzlever_wire::{CallError, Json, Micros};
 
 /// A consistent store with leases and a log of changes.
 #[derive(Debug, Default)]
 pub struct Store {
     epoch: u64,
-    keys: BTreeMap<String, (Value, u64, Option<u64>)>,
+    keys: BTreeMap<String, (Json, u64, Option<u64>)>,
     /// Life and end of each lease.
     leases: BTreeMap<u64, (Micros, Micros)>,
     granted: u64,
@@ -22,7 +21,7 @@
 }
 
 impl Store {
-    pub fn get(&self, key: &str) -> Option<(&Value, u64)> {
+    pub fn get(&self, key: &str) -> Option<(&Json, u64)> {
         self.keys.get(key).map(|(v, stamp, _)| (v, *stamp))
     }
 
--- a/crates/quartzlever-wire/src/lib.rs
+++ b/crates/quartzlever-wire/src/lib.rs
@@ -6,12 +6,14 @@
 //! attributes and appear nowhere else.
 
 pub mod cloud;
+pub mod json;
 pub mod peers;
 pub mod ranges;
 pub mod state;
 pub mod users;
 pub mod workers;
 
+pub use json::Json;
 pub use ranges::Ranges;
 
 /// A span or a point of time in whole microseconds.
--- a/crates/quartzlever-wire/src/state.rs
+++ b/crates/quartzlever-wire/src/state.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use serde::{Deserialize, Serialize};
-use serde_json::Value;
+use serde::{Deserialize, Deserializer, Serialize, de};
 
 use crate::Ranges;
+use crate::json::Json;
 use crate::users::{JobPhase, JobSpec};
 
 pub const PARTS: &str = "parts/";
@@ -23,7 +23,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Row {
     pub path: String,
-    pub v: Value,
+    pub v: Json,
     pub stamp: u64,
     #[serde(default)]
     pub charter: Option<u64>,
@@ -46,13 +46,13 @@
 }
 
 /// A change of a transaction.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(untagged)]
 pub enum Change {
     Write {
         write: String,
-        v: Value,
-        #[serde(default, skip_serializing_if = "Option::is_none")]
+        v: Json,
+        #[serde(skip_serializing_if = "Option::is_none")]
         charter: Option<u64>,
     },
     Delete {
@@ -75,12 +75,12 @@
         self
     }
 
-    pub fn write(mut self, path: impl Into<String>, v: Value) -> Self {
+    pub fn write(mut self, path: impl Into<String>, v: Json) -> Self {
         self.changes.push(Change::Write { write: path.into(), v, charter: None });
         self
     }
 
-    pub fn write_held(mut self, path: impl Into<String>, v: Value, lease: u64) -> Self {
+    pub fn write_held(mut self, path: impl Into<String>, v: Json, lease: u64) -> Self {
         self.changes.push(Change::Write { write: path.into(), v, charter: Some(lease) });
         self
     }
@@ -112,13 +112,50 @@
 }
 
 /// One change in the log of a watch.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(untagged)]
 pub enum Event {
-    Write { write: String, v: Value, stamp: u64 },
+    Write { write: String, v: Json, stamp: u64 },
     Delete { delete: String, stamp: u64 },
 }
 
+/// All that a change or an event can hold. An untagged enum would be read into values first, and
+/// those could not be carried as text.
+#[derive(Deserialize)]
+struct Fields {
+    write: Option<String>,
+    delete: Option<String>,
+    v: Option<Json>,
+    charter: Option<u64>,
+    stamp: Option<u64>,
+}
+
+impl<'de> Deserialize<'de> for Change {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        match Fields::deserialize(d)? {
+            Fields { write: Some(write), v: Some(v), charter, .. } => {
+                Ok(Change::Write { write, v, charter })
+            }
+            Fields { delete: Some(delete), .. } => Ok(Change::Delete { delete }),
+            _ => Err(de::Error::custom("neither a write nor a deletion")),
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Event {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        match Fields::deserialize(d)? {
+            Fields { write: Some(write), v: Some(v), stamp: Some(stamp), .. } => {
+                Ok(Event::Write { write, v, stamp })
+            }
+            Fields { delete: Some(delete), stamp: Some(stamp), .. } => {
+                Ok(Event::Delete { delete, stamp })
+            }
+            _ => Err(de::Error::custom("neither a write nor a deletion")),
+        }
+    }
+}
+
 /// Answer to a watch.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WatchAnswer {
@@ -223,7 +260,7 @@
 }
 
 /// The machines under a key: a block, or one machine as an earlier version kept it.
-pub fn hosts_in(path: &str, value: &Value) -> Option<Hosts> {
+pub fn hosts_in(path: &str, value: &Json) -> Option<Hosts> {
     #[derive(Deserialize)]
     struct Earlier {
         part: String,
@@ -232,10 +269,10 @@
         zone: String,
         spot: bool,
     }
-    if value.get("part").is_none() {
-        return HostBlock::deserialize(value).ok().map(|block| block.m);
+    if let Some(block) = value.parse::<HostBlock>() {
+        return Some(block.m);
     }
-    let Earlier { part, address, kind, zone, spot } = Earlier::deserialize(value).ok()?;
+    let Earlier { part, address, kind, zone, spot } = value.parse()?;
     let name = path.strip_prefix(HOSTS)?.to_owned();
     Some(BTreeMap::from([(name, HostRecord { part, address, kind, zone, spot })]))
 }
--- a/crates/quartzlever-wire/tests/formats.rs
+++ b/crates/quartzlever-wire/tests/formats.rs
@@ -4,7 +4,7 @@
 use quartzlever_wire::state::{LiveRecord, Share};
 use quartzlever_wire::users::{BadJob, JobSpec};
 use quartzlever_wire::workers::Report;
-use quartzlever_wire::{MAX_BODY, Ranges};
+use quartzlever_wire::{Json, MAX_BODY, Ranges};
 use serde_json::{Value, json};
 
 fn submission() -> Value {
@@ -210,7 +210,7 @@
         ("neither", "hosts/n-~0", json!([1, 2]), None),
         ("a piece of one", "hosts/n-1", json!({"part":"one"}), None),
     ] {
-        let found = hosts_in(path, &value);
+        let found = hosts_in(path, &Json::of(&value));
         assert_eq!(found.as_ref().map(|h| h.len()), hosts, "{name}");
         if let Some(found) = found {
             assert_eq!(found["n-1"].part, "one", "{name}");
