--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -635,7 +635,7 @@
             let usable = |m: &crate::machine::Machine| {
                 !job.failed_on.contains(&m.name) && m.return_wanted.is_none()
             };
-            let nowhere = !job.failed_on.is_empty() && !self.machines.values().any(usable);
+            let nowhere = !job.failed_on.is_empty() && !self.machines.values().any(|m| usable(m));
             let spec = job.spec();
             let need = job.need();
             let expect = paces.expect(spec).max(SECOND);
--- a/crates/quartzlever-core/src/jobs.rs
+++ b/crates/quartzlever-core/src/jobs.rs
@@ -331,7 +331,7 @@
                 }
             }
             for id in done_with {
-                part.jobs.remove(&id);
+                part.jobs.swap_remove(&id);
             }
         }
         due.sort();
--- a/crates/quartzlever-core/src/part.rs
+++ b/crates/quartzlever-core/src/part.rs
@@ -2,9 +2,11 @@
 //! present holder knows of both.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::hash::{BuildHasherDefault, DefaultHasher};
 use std::ops::Bound;
 use std::sync::Arc;
 
+use indexmap::IndexMap;
 use quartzlever_wire::cloud::MachineType;
 use quartzlever_wire::state::{HostRecord, LIVE, LiveRecord, PARTS, Txn};
 use quartzlever_wire::users::{JobSpec, Rank};
@@ -16,6 +18,11 @@
 use crate::machine::{Amounts, Machine, Slot, SlotKey};
 use crate::rooms::Rooms;
 
+/// Records by name, each in a place of its own: looking one up reads little memory, and where three
+/// controllers share a core, most of what a report cost was waiting for memory. The order is that
+/// of insertions and removals, so the same commands give the same effects.
+pub type Table<T> = IndexMap<String, Box<T>, BuildHasherDefault<DefaultHasher>>;
+
 /// A job that failed on so many machines and was never done is taken as mistaken itself.
 const MISTAKEN_AFTER: usize = 3;
 
@@ -113,8 +120,8 @@
     pub acquired: Micros,
     /// Its jobs and machines are known as of the acquisition or later; nothing is decided before.
     pub loaded: bool,
-    pub jobs: BTreeMap<String, PartJob>,
-    pub machines: BTreeMap<String, Machine>,
+    pub jobs: Table<PartJob>,
+    pub machines: Table<Machine>,
     /// Whether every machine is known to hold nothing that an earlier holder started unseen.
     pub barrier_open: bool,
     attempts: u64,
@@ -154,8 +161,8 @@
             term,
             acquired: now,
             loaded: false,
-            jobs: BTreeMap::new(),
-            machines: BTreeMap::new(),
+            jobs: Table::default(),
+            machines: Table::default(),
             barrier_open: false,
             attempts: 0,
             fleet: Fleet::default(),
@@ -214,7 +221,7 @@
             let age = wall.saturating_sub(record.since);
             let since = now.saturating_sub(age);
             let due = record.job.due_s.map(|s| since + quartzlever_wire::micros_from_secs(s));
-            PartJob {
+            Box::new(PartJob {
                 record: record.clone(),
                 stamp: 0,
                 ready: Ranges::default(),
@@ -233,7 +240,7 @@
                 good: 0,
                 no_start_before: 0,
                 stopped: Ranges::default(),
-            }
+            })
         });
         if stamp <= job.stamp {
             return;
@@ -266,13 +273,13 @@
         self.place_wanted |= !job.ready.is_empty() && !at_once.is_empty();
         if job.idle() && owned.is_empty() {
             let id = job.record.job.id.clone();
-            self.jobs.remove(&id);
+            self.jobs.swap_remove(&id);
         }
     }
 
     /// Forgets a job that is over; what is left of it on machines is to end.
     pub fn drop_job(&mut self, id: &str) {
-        if self.jobs.remove(id).is_none() {
+        if self.jobs.swap_remove(id).is_none() {
             // What machines may have of it is unwanted already.
             return;
         }
@@ -334,7 +341,7 @@
         self.urgent.remove(name);
         self.unfenced.remove(name);
         self.rooms.remove(name);
-        self.machines.remove(name).is_some()
+        self.machines.swap_remove(name).is_some()
     }
 
     /// Brings what is kept of a machine's room up to date, after its attempts or its standing
@@ -368,8 +375,10 @@
     /// earlier holder ever commanded it.
     pub fn add_machine(&mut self, name: &str, record: HostRecord, ours: bool, now: Micros) {
         self.fleet.arrived(name);
-        let machine =
-            self.machines.entry(name.to_owned()).or_insert_with(|| Machine::new(name, record, now));
+        let machine = self
+            .machines
+            .entry(name.to_owned())
+            .or_insert_with(|| Box::new(Machine::new(name, record, now)));
         if ours {
             machine.fenced = true;
             machine.proven = true;
--- a/crates/quartzlever-core/src/placement.rs
+++ b/crates/quartzlever-core/src/placement.rs
@@ -10,7 +10,7 @@
 
 use crate::config::{Config, Objective};
 use crate::engine::Core;
-use crate::machine::{Amounts, Machine, Slot, SlotKey};
+use crate::machine::{Amounts, Slot, SlotKey};
 use crate::messages::{Effect, Weight};
 use crate::part::{Part, PartJob, Place};
 
@@ -420,8 +420,8 @@
         let starved =
             |j: &PartJob| !j.ready.is_empty() && j.no_start_before <= now && j.standing(now).0;
         if let Some((host, job)) = &self.kept_for
-            && self.jobs.get(job).is_some_and(starved)
-            && self.machines.get(host).is_some_and(Machine::usable)
+            && self.jobs.get(job).is_some_and(|j| starved(j))
+            && self.machines.get(host).is_some_and(|m| m.usable())
         {
             return;
         }
