Fewer wake-ups: clears and ticks go along; a job enters a part that has far less

A clear by itself made every worker report once more for each task; the tick woke the process five times a second; and one controller of three had two thirds of all machines, with the others at a quarter of their share.

--- a/crates/quartzlever-core/examples/cost.rs
+++ b/crates/quartzlever-core/examples/cost.rs
@@ -121,6 +121,7 @@
         state_write_rps: 300.0,
         value_bytes: 16 * 1024,
         txn_ops: 24,
+        at_ease: 10_000,
         operator: Operator::default(),
         notes: Weight::Error,
     };
--- a/crates/quartzlever-core/src/config.rs
+++ b/crates/quartzlever-core/src/config.rs
@@ -107,6 +107,8 @@
     pub state_write_rps: f64,
     pub value_bytes: usize,
     pub txn_ops: usize,
+    /// How many machines a controller's processor serves at ease.
+    pub at_ease: usize,
     pub operator: Operator,
     /// Notes of less weight than this are not even written.
     pub notes: crate::messages::Weight,
--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -497,6 +497,11 @@
         !self.mirror.loaded() && self.parts.is_empty()
     }
 
+    /// Whether something is to be placed at a certain time, or as soon as may be.
+    pub fn awaits_time(&self) -> bool {
+        self.parts.values().any(|p| p.place_wanted || p.place_due.is_some())
+    }
+
     /// So many were turned away for that reason without asking.
     pub fn turned_away_unasked(&mut self, count: u32) {
         if count > 0 {
--- a/crates/quartzlever-core/src/jobs.rs
+++ b/crates/quartzlever-core/src/jobs.rs
@@ -1,5 +1,7 @@
 //! Jobs: what users ask for, and the writing of each job's record.
 
+use std::collections::BTreeMap;
+
 use quartzlever_wire::state::{
     LIVE, LiveRecord, OVER, OverRecord, PARTS, Row, Share, StateCall, StateReply, Txn,
 };
@@ -166,7 +168,8 @@
             && let Some(part) =
                 self.parts.get(&self.cfg.node).or_else(|| self.parts.values().next())
         {
-            return Some((part.name.clone(), part.term));
+            let own = (part.name.clone(), part.term);
+            return Some(self.lighter_part(&own.0).unwrap_or(own));
         }
         // A node without a part, such as one that is back and waits for its own, accepts into
         // another's: the write has that part's term as its condition, and the watch tells the holder.
@@ -175,6 +178,29 @@
         held.choose(&mut self.rng).map(|(name, stamp)| ((*name).clone(), **stamp))
     }
 
+    /// A part of another node that a new job enters instead of this one, which has more tasks than
+    /// its processor could serve machines at ease, while the other has less than half. Each task
+    /// brings a machine at the most, and a part never gives machines away: of three controllers one
+    /// had two thirds of them and went under, with the others at a quarter of their share.
+    fn lighter_part(&self, own: &str) -> Option<(String, u64)> {
+        let mut tasks: BTreeMap<&str, usize> = BTreeMap::new();
+        for (record, _) in self.mirror.live.values() {
+            for share in &record.shares {
+                // What is finished counts until the job is over: nothing hangs on it.
+                *tasks.entry(share.part.as_str()).or_default() += share.tasks.len() as usize;
+            }
+        }
+        let of = |part: &str| tasks.get(part).copied().unwrap_or(0);
+        if of(own) <= self.cfg.at_ease {
+            return None;
+        }
+        let others = self.mirror.parts.iter().filter(|(name, (record, _))| {
+            *name != own && record.node == **name && !self.parts.contains_key(*name)
+        });
+        let (name, (_, term)) = others.min_by_key(|(name, _)| of(name))?;
+        (of(name) < of(own) / 2).then(|| (name.clone(), *term))
+    }
+
     pub(crate) fn accept_answered(
         &mut self,
         id: RequestId,
--- a/crates/quartzlever-core/src/regressions.rs
+++ b/crates/quartzlever-core/src/regressions.rs
@@ -76,6 +76,7 @@
         state_write_rps: 300.0,
         value_bytes: 16 * 1024,
         txn_ops: 24,
+        at_ease: 10_000,
         operator: Operator::default(),
         notes: Weight::Error,
     };
@@ -205,6 +206,102 @@
     }
 }
 
+#[test]
+fn what_has_ended_is_cleared_along_with_other_orders() {
+    // (ended attempts, whether a task is to start, in the answer to a report; orders, clears)
+    for (ended, starts, answer, orders, clears) in [
+        (1, false, true, 0, 0),
+        (1, true, true, 2, 1),
+        (1, false, false, 1, 1),
+        (3, false, true, 0, 0),
+        (4, false, true, 4, 4),
+        (0, true, true, 1, 0),
+    ] {
+        let mut core = core();
+        core.absorb(record("0-9", ""), 10);
+        let cfg = core.cfg.clone();
+        let Some(part) = core.parts.get_mut("one") else { unreachable!() };
+        let mut paces = Paces::default();
+        part.take_report(&cfg, &mut paces, &report(1, &[]), true, NOW);
+        let mut list = Vec::new();
+        for index in 0..ended {
+            part.start("req-1", index, "n-1", NOW);
+            let attempt = part.jobs["req-1"].located[&index].attempt;
+            list.push((attempt, TaskPhase::Exited, Some(Cause::Halted)));
+        }
+        let mut told = report(2, &list);
+        for (index, task) in told.tasks.iter_mut().enumerate() {
+            task.task.index = index as u32;
+        }
+        part.take_report(&cfg, &mut paces, &told, true, NOW);
+        if starts {
+            part.start("req-1", 9, "n-1", NOW);
+        }
+        let found = part.orders_for("n-1", answer);
+        let cleared = found.iter().filter(|o| matches!(o, Order::Clear { .. })).count();
+        assert_eq!((found.len(), cleared), (orders, clears), "{ended} {starts} {answer}");
+    }
+}
+
+/// What a report that tells nothing new brings is what the long way would have brought.
+#[test]
+fn nothing_new_is_the_same_as_the_long_way() {
+    // (phases of two tasks in the last report but one and in the last; whether that is short)
+    let running = (TaskPhase::Running, None);
+    let ended = (TaskPhase::Exited, Some(Cause::Halted));
+    let pulling = (TaskPhase::Pulling, None);
+    for (before, after, short) in [
+        ([running, running], [running, running], true),
+        ([pulling, running], [pulling, running], true),
+        ([pulling, running], [running, running], false),
+        ([running, ended], [running, ended], true),
+        ([running, running], [running, ended], false),
+    ] {
+        let make = || {
+            let mut core = core();
+            core.absorb(record("0-9", ""), 10);
+            let cfg = core.cfg.clone();
+            let part = core.parts.get_mut("one").expect("held");
+            let mut paces = Paces::default();
+            part.take_report(&cfg, &mut paces, &report(1, &[]), true, NOW);
+            for index in 0..2 {
+                part.start("req-1", index, "n-1", NOW);
+            }
+            let attempts: Vec<u64> =
+                (0..2).map(|i| part.jobs["req-1"].located[&i].attempt).collect();
+            let told = |tick, phases: [(TaskPhase, Option<Cause>); 2]| {
+                let list: Vec<_> =
+                    attempts.iter().zip(phases).map(|(a, (p, c))| (*a, p, c)).collect();
+                let mut told = report(tick, &list);
+                for (index, task) in told.tasks.iter_mut().enumerate() {
+                    task.task.index = index as u32;
+                }
+                told
+            };
+            part.orders_for("n-1", true);
+            part.take_report(&cfg, &mut paces, &told(2, before), true, NOW);
+            part.urgent.clear();
+            part.place_wanted = false;
+            let last = told(3, after);
+            (core, cfg, paces, last)
+        };
+        let (mut one, cfg, mut paces, last) = make();
+        let part = one.parts.get_mut("one").expect("held");
+        assert_eq!(part.machines["n-1"].shows_nothing_new(&last), short, "{before:?} {after:?}");
+        part.take_report(&cfg, &mut paces, &last, true, NOW + 1);
+        let (mut two, cfg, mut paces, last) = make();
+        let other = two.parts.get_mut("one").expect("held");
+        if short {
+            if let Some(machine) = other.machines.get_mut("n-1") {
+                (machine.tick, machine.heard) = (last.tick, NOW + 1);
+            }
+            other.take_news(&cfg, &mut paces, &last, true, NOW + 1);
+            let part = one.parts.get("one").expect("held");
+            assert_eq!(format!("{part:?}"), format!("{other:?}"), "{before:?} {after:?}");
+        }
+    }
+}
+
 #[test]
 fn a_cut_of_unknown_outcome_is_settled_before_it_is_used() {
     // (outcome of the move, of the write that settles it; ready tasks after each)
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -2,7 +2,7 @@
 
 use quartzlever_wire::users::Rank;
 use quartzlever_wire::workers::{
-    Cause, Orders, Report, TaskPhase, TaskReport, WorkerCall, WorkerReply,
+    Cause, Order, Orders, Report, TaskPhase, TaskReport, WorkerCall, WorkerReply,
 };
 use quartzlever_wire::{CallError, Micros, SECOND, micros_from_secs};
 
@@ -22,6 +22,9 @@
 /// As many, to fence machines, while most of them will still report by themselves.
 const FIRST_CALLS: usize = 24;
 
+/// So many ended attempts are cleared for themselves alone.
+const CLEARED_TOGETHER: usize = 4;
+
 /// Machines that are asked whether they are there, at once.
 const MOST_VOUCHING: usize = 16;
 
@@ -307,18 +310,20 @@
 impl Part {
     /// The commands for a machine; notes which `run`s they carry if they are the answer to a
     /// report.
-    pub fn orders_for(
-        &mut self,
-        name: &str,
-        answer: bool,
-    ) -> Vec<quartzlever_wire::workers::Order> {
+    pub fn orders_for(&mut self, name: &str, answer: bool) -> Vec<Order> {
         let jobs = &self.jobs;
         let Some(machine) = self.machines.get_mut(name) else { return Vec::new() };
-        let orders = machine.orders(|key, slot| {
+        let mut orders = machine.orders(|key, slot| {
             // The result of a finished task is kept on the machine until its end is recorded.
             slot.cause != Some(Cause::Done)
                 || jobs.get(&key.0.job).is_none_or(|job| job.record.finished.contains(key.0.index))
         });
+        // Whatever an answer orders makes the worker report again at once. What has ended does no
+        // harm where it is, so it goes with the next order that does something, or a few together.
+        let clears = |o: &Order| matches!(o, Order::Clear { .. });
+        if answer && orders.len() < CLEARED_TOGETHER && orders.iter().all(clears) {
+            orders.clear();
+        }
         for slot in machine.slots.values_mut() {
             if slot.wanted && slot.phase.is_none() {
                 slot.sent = true;
@@ -362,7 +367,7 @@
     }
 
     /// Takes in a report that may change something.
-    fn take_news(
+    pub(crate) fn take_news(
         &mut self,
         cfg: &Config,
         paces: &mut Paces,
--- a/crates/quartzlever-core/tests/world/mod.rs
+++ b/crates/quartzlever-core/tests/world/mod.rs
@@ -33,6 +33,7 @@
         state_write_rps: 300.0,
         value_bytes: 16 * 1024,
         txn_ops: 24,
+        at_ease: 10_000,
         operator: Operator {
             hold_life: 5 * SECOND,
             takeover_after: SECOND,
--- a/crates/quartzlever/src/node.rs
+++ b/crates/quartzlever/src/node.rs
@@ -253,7 +253,10 @@
         let now = clock.now();
         let tick_at = ticked.map_or(now, |t| t + TICK_MICROS);
         if now < tick_at {
-            outlet.sleep(Duration::from_micros(tick_at - now));
+            // Whatever else comes brings the tick with it: woken for itself alone it costs more
+            // than it does, so it comes later if nothing is due.
+            let lazy = if core.awaits_time() { 0 } else { TICK_MICROS };
+            outlet.sleep(Duration::from_micros(tick_at + lazy - now));
         }
         let now = clock.now();
         let late = now - last > LATE || outlet.first.len() > BATCH;
--- a/crates/quartzlever/src/settings.rs
+++ b/crates/quartzlever/src/settings.rs
@@ -104,6 +104,7 @@
 #[derive(Deserialize)]
 struct LimitsEntry {
     #[serde(default)]
+    cpu_share: Option<f64>,
     sockets: Option<u32>,
     #[serde(default)]
     threads: Option<u32>,
@@ -288,6 +289,7 @@
         lease: check.span("params.workers.lease_s", params.workers.lease_s, 1.0, 86_400.0)?,
     };
     let state = &params.state;
+    let at_ease = at_ease(&check, params.machine_limits.as_ref(), params.workers.report_s)?;
     Ok(Settings {
         api: check.address("api_addr", &entry.api_addr)?,
         internal: check.address("internal_addr", &entry.internal_addr)?,
@@ -309,12 +311,31 @@
             value_bytes: (check.amount("params.state.value_kb", state.value_kb, 1.0, 1e6)? * 1024.0)
                 as usize,
             txn_ops: check.amount("params.state.txn_ops", state.txn_ops as f64, 2.0, 1e6)? as usize,
+            at_ease,
             operator,
             notes,
         },
     })
 }
 
+/// What a report costs with all that follows from it, in processor seconds, and how many reports
+/// come for each that is due: every change of a task brings one.
+const REPORT_COST: f64 = 150e-6;
+const REPORTS_EACH: f64 = 2.0;
+/// Share of the processor that reports may take at ease: bursts need the rest.
+const EASE: f64 = 0.5;
+
+/// How many machines the processor serves at ease; any number if nothing is said of it.
+fn at_ease(
+    check: &Checker,
+    entry: Option<&LimitsEntry>,
+    report_s: f64,
+) -> Result<usize, BadSettings> {
+    let Some(share) = entry.and_then(|l| l.cpu_share) else { return Ok(usize::MAX) };
+    let share = check.amount("params.machine_limits.cpu_share", share, 0.001, 1e4)?;
+    Ok((share * EASE * report_s / (REPORTS_EACH * REPORT_COST)).max(1.0) as usize)
+}
+
 fn limits(check: &Checker, entry: Option<&LimitsEntry>) -> Result<Limits, BadSettings> {
     let count = |field: &str, value: Option<u32>, usual: u32, least: f64| {
         let field = format!("params.machine_limits.{field}");
