--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -614,6 +614,16 @@
         self.peer_done(work, result);
     }
 
+    /// Ends a part's recovery once every machine is proven.
+    pub(crate) fn open_barrier(&mut self, name: &str) {
+        if let Some(part) = self.parts.get_mut(name)
+            && part.try_open_barrier()
+        {
+            let after = (self.now - part.acquired) / 1000;
+            self.note(Weight::Info, || format!("part {name}: recovered after {after} ms"));
+        }
+    }
+
     /// All decisions of this moment.
     fn decide(&mut self) {
         let names: Vec<String> = self.parts.keys().cloned().collect();
@@ -625,12 +635,7 @@
             if look {
                 self.expire_silent(name);
             }
-            if let Some(part) = self.parts.get_mut(name)
-                && part.try_open_barrier()
-            {
-                let after = (self.now - part.acquired) / 1000;
-                self.note(Weight::Info, || format!("part {name}: recovered after {after} ms"));
-            }
+            self.open_barrier(name);
             let lines = self.parts.get_mut(name).map(|p| std::mem::take(&mut p.notes));
             for line in lines.into_iter().flatten() {
                 self.note(Weight::Debug, || format!("part {name}: {line}"));
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -132,7 +132,7 @@
             return self.later(id, 503, "not entitled");
         }
         let newer = part.take_report(&self.cfg, &mut self.paces, report, true, now);
-        part.try_open_barrier();
+        self.open_barrier(name);
         self.place(name);
         self.fill(name, &report.host);
         let Some(part) = self.parts.get_mut(name) else { return };
@@ -166,9 +166,16 @@
             let machine = machines.get(*host);
             machine.is_some_and(|m| m.call.is_none() && !m.returning && now >= m.no_call_before)
         };
-        // Reports that come by themselves fence most machines; calls are for the rest.
-        let early = now < part.acquired + self.cfg.workers.report * 3 / 2;
-        let fencing = if early { FIRST_CALLS } else { MOST_CALLS };
+        // Reports that come by themselves fence most machines; calls are for the rest. A call is
+        // dearer than a report, so a processor that is short of time for both waits for reports.
+        let since = now.saturating_sub(part.acquired);
+        let report = self.cfg.workers.report;
+        let short = machines.len() > self.cfg.at_ease / 2;
+        let fencing = match since {
+            _ if short && since < report / 2 => 0,
+            _ if since < report * 3 / 2 => FIRST_CALLS,
+            _ => MOST_CALLS,
+        };
         let chosen: Vec<String> = part
             .urgent
             .iter()
