The port is served once the state service has been read

Until it has read, or for 5 s, a process now takes the port without listening, so the system refuses at no cost.

--- a/crates/quartzlever/src/node.rs
+++ b/crates/quartzlever/src/node.rs
@@ -20,7 +20,7 @@
 use crate::clock::{Clock, wall};
 use crate::crew;
 use crate::inbox::{Inbox, Item, Outlet, Reply};
-use crate::server::{self, BUSY, BUSY_BODY, Exit, Status};
+use crate::server::{self, BUSY, BUSY_BODY, Exit, Port, Status};
 use crate::settings::Settings;
 
 const STACK: usize = 192 * 1024;
@@ -29,6 +29,9 @@
 const STOOD_STILL: Micros = 1_000_000;
 /// As long, and some of those who ask may have given up.
 const LATE: Micros = 400_000;
+/// Users and workers are served once the state service has been read, or else after this time, to
+/// be told when to come back.
+const OPEN_AFTER: Micros = 5_000_000;
 /// The largest batch of the first queue before users get their turn.
 const BATCH: usize = 64;
 const QUESTION_BATCH: usize = 64;
@@ -197,11 +200,10 @@
     let hands = Hands::start(&settings, &inbox, clock)?;
     serve_peers(settings.internal, inbox.clone())?;
     let bounds = server::Bounds::of(settings.limits);
-    let bound = server::serve(settings.api, bounds, inbox, clock)?;
-    tracing::info!("{} serves {bound}", settings.core.node);
+    let port = Port::take(settings.api, bounds, inbox, clock)?;
+    tracing::info!("{} serves {}", settings.core.node, port.address()?);
     let core = Core::new(settings.core, seed, clock.now());
-    work(core, outlet, hands, clock);
-    Ok(())
+    work(core, outlet, hands, port, clock)
 }
 
 /// Requests that wait for their answers.
@@ -244,11 +246,12 @@
 }
 
 /// The one owner of all state: takes commands in batches and hands out effects.
-fn work(mut core: Core, outlet: Outlet, hands: Hands, clock: Clock) {
+fn work(mut core: Core, outlet: Outlet, hands: Hands, port: Port, clock: Clock) -> io::Result<()> {
     const TICK_MICROS: Micros = TICK.as_micros() as Micros;
     let mut waiting = Waiting::default();
     let mut ticked = None;
     let (mut last, mut behind) = (clock.now(), false);
+    let (mut port, open_at) = (Some(port), clock.now() + OPEN_AFTER);
     loop {
         let now = clock.now();
         let tick_at = ticked.map_or(now, |t| t + TICK_MICROS);
@@ -295,6 +298,11 @@
             carry_out(effect, &hands, &mut waiting, clock);
         }
         core.turned_away_unasked(outlet.set_starting(core.starting()));
+        if (!core.starting() || now >= open_at)
+            && let Some(port) = port.take()
+        {
+            port.open()?;
+        }
     }
 }
 
--- a/crates/quartzlever/src/server.rs
+++ b/crates/quartzlever/src/server.rs
@@ -7,7 +7,7 @@
 //! bound on connections and a deadline on everything.
 
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -17,7 +17,7 @@
 use quartzlever_wire::users::{JobSpec, valid_id};
 use quartzlever_wire::workers::Report;
 use quartzlever_wire::{MAX_BODY, Micros};
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 
 use crate::clock::Clock;
 use crate::crew::{New, STACK, accept_loop};
@@ -98,26 +98,52 @@
     workers: AtomicUsize,
 }
 
-/// Opens a port and serves it from threads of its own.
-pub fn serve(
-    address: SocketAddr,
+/// A port that is taken but not served yet: whoever comes is refused by the system at no cost. All
+/// workers knock every second at a node that has just started, and turning them away one by one
+/// took it 14 s of what it needed to come to be of use.
+pub struct Port {
+    socket: Socket,
     bounds: Bounds,
     inbox: Inbox,
     clock: Clock,
-) -> io::Result<SocketAddr> {
-    let listener = TcpListener::bind(address)?;
-    let bound = listener.local_addr()?;
-    let open = Arc::new(Open::default());
-    accept_loop("http", listener, bounds.all, move |stream, new| {
-        open.all.fetch_add(1, Ordering::Relaxed);
-        let mut connection = Connection::new((stream, new), &inbox, clock, &open, bounds);
-        let _ = connection.run();
-        if connection.worker {
-            open.workers.fetch_sub(1, Ordering::Relaxed);
-        }
-        open.all.fetch_sub(1, Ordering::Relaxed);
-    })?;
-    Ok(bound)
+}
+
+/// How many connections the system keeps until they are accepted.
+const BACKLOG: i32 = 128;
+
+impl Port {
+    pub fn take(
+        address: SocketAddr,
+        bounds: Bounds,
+        inbox: Inbox,
+        clock: Clock,
+    ) -> io::Result<Port> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&address.into())?;
+        Ok(Port { socket, bounds, inbox, clock })
+    }
+
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        let address = self.socket.local_addr()?;
+        address.as_socket().ok_or_else(|| io::ErrorKind::AddrNotAvailable.into())
+    }
+
+    /// Serves the port from threads of its own.
+    pub fn open(self) -> io::Result<()> {
+        let Port { socket, bounds, inbox, clock } = self;
+        socket.listen(BACKLOG)?;
+        let open = Arc::new(Open::default());
+        accept_loop("http", socket.into(), bounds.all, move |stream, new| {
+            open.all.fetch_add(1, Ordering::Relaxed);
+            let mut connection = Connection::new((stream, new), &inbox, clock, &open, bounds);
+            let _ = connection.run();
+            if connection.worker {
+                open.workers.fetch_sub(1, Ordering::Relaxed);
+            }
+            open.all.fetch_sub(1, Ordering::Relaxed);
+        })
+    }
 }
 
 /// What a request is about.
@@ -629,7 +655,10 @@
         });
         let bounds = Bounds { all: 9, workers: 6, kept: 4 };
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
-        let address = serve(address, bounds, inbox, Clock::new()).expect("a free port");
+        let port = Port::take(address, bounds, inbox, Clock::new()).expect("a free port");
+        let address = port.address().expect("an address");
+        assert!(TcpStream::connect(address).is_err(), "refused before the port is open");
+        port.open().expect("a thread");
         let mut workers: Vec<Reporter> =
             (0..12).map(|_| Reporter { address, stream: None }).collect();
         for round in 0..3 {
