--- a/crates/quartzlever-core/src/lib.rs
+++ b/crates/quartzlever-core/src/lib.rs
@@ -24,6 +24,8 @@
 pub mod jobs;
 #[cfg(test)]
 mod joint;
+#[cfg(test)]
+mod lean;
 mod ledger;
 mod lookups;
 pub mod machine;
--- a/crates/quartzlever/tests/end_to_end.rs
+++ b/crates/quartzlever/tests/end_to_end.rs
@@ -173,6 +173,7 @@
 #[test]
 fn bad_settings_end_the_start_with_one_line() {
     let good = settings("127.0.0.1:1", "127.0.0.1:2");
+    let limits = |fields: &str| format!("{good}[params.machine_limits]\n{fields}\n");
     let cases: &[(&str, String, &str, i32, &str)] = &[
         ("good", good.clone(), "steal_fraction: 0.5\n", 0, ""),
         ("empty operator file", good.clone(), "", 0, ""),
@@ -180,6 +181,10 @@
         ("bad address", good.replace("127.0.0.1:1\"", "nowhere\""), "", 2, "external.state"),
         ("out of range", good.replace("lease_s = 10.0", "lease_s = -1.0"), "", 2, "lease_s"),
         ("wrong type", good.replace("rps = 500.0", "rps = \"many\""), "", 2, "string"),
+        ("no processor", limits("cpu_share = 0.0"), "", 2, "machine_limits.cpu_share"),
+        ("less than none", limits("cpu_share = -0.019"), "", 2, "machine_limits.cpu_share"),
+        ("no memory", limits("memory_mb = 0.0"), "", 2, "machine_limits.memory_mb"),
+        ("small, but enough", limits("cpu_share = 0.019\nmemory_mb = 85.0"), "", 0, ""),
         ("unknown key", good.clone(), "steal_everything: true\n", 2, "steal_everything"),
         ("operator out of range", good.clone(), "steal_fraction: 7\n", 2, "steal_fraction"),
     ];
