Health checks are answered where they come in; one way to start the program in tests

Cause: a late answer to a health check takes a node out of service for 3 s, and each time for twice as long. Connections answer from the core's last word, which counts for 2 s.

--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -547,16 +547,21 @@
     }
 
     fn ready(&mut self, id: RequestId) {
+        if self.is_ready() {
+            self.answer(id, 200, Answer::Ready { ready: true });
+        } else {
+            self.later(id, 503, STARTING);
+        }
+    }
+
+    /// Whether this node can take requests.
+    pub fn is_ready(&self) -> bool {
         // A node without a part can still look up, cancel and accept into another's part; it is
         // of no use only while it has no picture of the service at all.
         // One that alone is refused by the state service can do nothing for users whom others
         // could serve; in an outage all go on, since nobody could do better.
         let alone = self.contact.alone.is_some_and(|t| self.now < t + 3 * CONTACT_ASK);
-        if self.mirror.loaded() && self.wall_offset.is_some() && !alone {
-            self.answer(id, 200, Answer::Ready { ready: true });
-        } else {
-            self.later(id, 503, STARTING);
-        }
+        self.mirror.loaded() && self.wall_offset.is_some() && !alone
     }
 
     fn state_answer(&mut self, waiting: Waiting, result: Result<StateReply, CallError>) {
--- /dev/null
+++ b/crates/quartzlever-standin/src/program.rs
@@ -0,0 +1,45 @@
+//! The real program as a child process.
+
+use std::io::{self, BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::thread;
+
+/// A running controller; ended with this value.
+#[derive(Debug)]
+pub struct Node {
+    child: Child,
+    pub address: SocketAddr,
+}
+
+impl Node {
+    /// Starts the program with a settings file and waits until it names its port.
+    pub fn start(program: &str, config: &Path) -> io::Result<Node> {
+        let mut child =
+            Command::new(program).arg("--config").arg(config).stderr(Stdio::piped()).spawn()?;
+        let log = child.stderr.take().ok_or(io::ErrorKind::BrokenPipe)?;
+        let mut lines = BufReader::new(log).lines();
+        let address = loop {
+            let line = lines.next().ok_or(io::ErrorKind::UnexpectedEof)??;
+            if let Some((_, address)) = line.split_once("serves ") {
+                break address.trim().parse().map_err(io::Error::other)?;
+            }
+        };
+        // What it logs after that is read, so that it never waits for a reader.
+        thread::spawn(move || lines.for_each(drop));
+        Ok(Node { child, address })
+    }
+
+    /// The number of its process.
+    pub fn process(&self) -> u32 {
+        self.child.id()
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/crates/quartzlever/benches/account.rs
+++ b/crates/quartzlever/benches/account.rs
@@ -11,16 +11,16 @@
 //! of their own, since it slows the program down.
 
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use quartzlever_standin::crowd::{Crowd, Habits};
+use quartzlever_standin::program::Node;
 use quartzlever_standin::{Cloud, Store, http};
 use quartzlever_wire::SECOND;
 use serde_json::json;
@@ -84,34 +84,8 @@
     )
 }
 
-struct Node {
-    child: Child,
-    address: SocketAddr,
-}
-
-impl Drop for Node {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 fn start(config: &Path) -> Node {
-    let mut child = Command::new(PROGRAM)
-        .arg("--config")
-        .arg(config)
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the program starts");
-    let mut lines = BufReader::new(child.stderr.take().expect("stderr")).lines();
-    let address = loop {
-        let line = lines.next().expect("a line that names the port").expect("text");
-        if let Some((_, address)) = line.split_once("serves ") {
-            break address.trim().parse().expect("an address");
-        }
-    };
-    thread::spawn(move || lines.for_each(drop));
-    Node { child, address }
+    Node::start(PROGRAM, config).expect("the program starts")
 }
 
 /// Processor time and switches of a thread, or of all threads of a name.
@@ -397,7 +371,7 @@
     let fills = (machines as f64 * MACHINE / TASK) as usize;
     thread::spawn(move || users.go_on(fills * 3 / 2 / TASKS + 1));
     let node = start(&config);
-    let process = node.child.id();
+    let process = node.process();
     let span = Span::begin("start", process, &world);
     world.serve_from(&node);
     world.users.busy.store(true, Ordering::Relaxed);
@@ -415,7 +389,7 @@
     // Started anew while the state service is away, so that every worker is turned away.
     keys.lock().expect("lock").outage = true;
     let node = start(&config);
-    let process = node.child.id();
+    let process = node.process();
     world.serve_from(&node);
     let span = Span::begin("turned away", process, &world);
     thread::sleep(Duration::from_secs(8));
@@ -424,7 +398,7 @@
     keys.lock().expect("lock").end_outage(now);
     drop(node);
     let node = start(&config);
-    let process = node.child.id();
+    let process = node.process();
     let span = Span::begin("restart", process, &world);
     world.serve_from(&node);
     thread::sleep(Duration::from_secs(12));
--- a/crates/quartzlever/src/inbox.rs
+++ b/crates/quartzlever/src/inbox.rs
@@ -61,6 +61,8 @@
     /// The core knows nothing yet: it would turn away every worker and health check.
     starting: AtomicBool,
     turned_away: AtomicU32,
+    /// Until then the node can take requests, as far as the core has said.
+    ready_until: AtomicU64,
 }
 
 /// The core's end of the queues.
@@ -72,10 +74,11 @@
 }
 
 impl Outlet {
-    /// Tells connections whether the core is still starting; how many they have turned away
-    /// for it.
-    pub fn set_starting(&self, starting: bool) -> u32 {
+    /// Tells connections whether the core is still starting and until when the node can take
+    /// requests; how many they have turned away since.
+    pub fn tell_state(&self, starting: bool, ready_until: Micros) -> u32 {
         self.gate.starting.store(starting, Ordering::Relaxed);
+        self.gate.ready_until.store(ready_until, Ordering::Relaxed);
         self.gate.turned_away.swap(0, Ordering::Relaxed)
     }
 
@@ -101,8 +104,11 @@
         let (questions, questions_out) = bounded(QUESTIONS_WAITING);
         let (submissions, submissions_out) = bounded(SUBMISSIONS_WAITING);
         let ids = Arc::new(AtomicU64::new(1));
-        let gate =
-            Arc::new(Gate { starting: AtomicBool::new(false), turned_away: AtomicU32::new(0) });
+        let gate = Arc::new(Gate {
+            starting: AtomicBool::new(false),
+            turned_away: AtomicU32::new(0),
+            ready_until: AtomicU64::new(0),
+        });
         let outlet = Outlet {
             first: first_out,
             questions: questions_out,
@@ -121,6 +127,11 @@
         starting
     }
 
+    /// Whether the core has said of late that the node can take requests.
+    pub fn ready(&self, now: Micros) -> bool {
+        now < self.gate.ready_until.load(Ordering::Relaxed)
+    }
+
     /// Hands in what a call has brought.
     pub fn tell(&self, command: Command) {
         // Fails only when the core's thread has ended, and then the process ends.
--- a/crates/quartzlever/src/node.rs
+++ b/crates/quartzlever/src/node.rs
@@ -32,6 +32,8 @@
 /// Users and workers are served once the state service has been read, or else after this time, to
 /// be told when to come back.
 const OPEN_AFTER: Micros = 5_000_000;
+/// How long the core's word that the node can take requests counts.
+const READY_FOR: Micros = 2_000_000;
 /// The largest batch of the first queue before users get their turn.
 const BATCH: usize = 64;
 const QUESTION_BATCH: usize = 64;
@@ -297,7 +299,8 @@
         for effect in core.step(now, batch) {
             carry_out(effect, &hands, &mut waiting, clock);
         }
-        core.turned_away_unasked(outlet.set_starting(core.starting()));
+        let ready_until = if core.is_ready() { now + READY_FOR } else { 0 };
+        core.turned_away_unasked(outlet.tell_state(core.starting(), ready_until));
         if (!core.starting() || now >= open_at)
             && let Some(port) = port.take()
         {
--- a/crates/quartzlever/src/server.rs
+++ b/crates/quartzlever/src/server.rs
@@ -292,6 +292,8 @@
 pub const BUSY: Status = Status { status: 503, retry_after_s: Some(1) };
 pub const BUSY_BODY: &[u8] = b"{\"error\":\"busy\"}";
 
+const READY_BODY: &[u8] = b"{\"ready\":true}";
+
 struct Connection<'a> {
     link: Arc<Link>,
     buffer: Vec<u8>,
@@ -490,6 +492,11 @@
             Path::Wrong(status, why) => self.answer(status, why, close),
             // All workers ask every second then; the core need not wake for each.
             Path::Ready | Path::Hello if self.inbox.starting() => self.busy(close),
+            // A late answer to a health check takes the node out of service for seconds, and each
+            // time for twice as long; it must not wait for what the core has to do first.
+            Path::Ready if self.inbox.ready(self.clock.now()) => {
+                self.write(Status { status: 200, retry_after_s: None }, READY_BODY, close)
+            }
             Path::Ready => {
                 self.ask(Line::First, HEALTH_PATIENCE, close, |id| Command::Ready { id })
             }
--- a/crates/quartzlever/tests/end_to_end.rs
+++ b/crates/quartzlever/tests/end_to_end.rs
@@ -1,13 +1,12 @@
 //! The real program with the stand-ins on loopback.
 
-use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use quartzlever_standin::program::Node;
 use quartzlever_standin::{Cloud, Store, http};
 use quartzlever_wire::SECOND;
 use serde_json::{Value, json};
@@ -51,35 +50,8 @@
     path
 }
 
-/// A running controller; ended with the test.
-struct Node {
-    child: Child,
-    address: SocketAddr,
-}
-
-impl Drop for Node {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 fn start(config: &Path) -> Node {
-    let mut child = Command::new(PROGRAM)
-        .arg("--config")
-        .arg(config)
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the program starts");
-    let mut lines = BufReader::new(child.stderr.take().expect("stderr")).lines();
-    let address = loop {
-        let line = lines.next().expect("a line that names the port").expect("text");
-        if let Some((_, address)) = line.split_once("serves ") {
-            break address.trim().parse().expect("an address");
-        }
-    };
-    thread::spawn(move || lines.for_each(drop));
-    Node { child, address }
+    Node::start(PROGRAM, config).expect("the program starts")
 }
 
 fn call(method: &str, url: &str, body: Option<&str>) -> (u16, Value) {
