--- a/crates/quartzlever-standin/src/crowd.rs
+++ b/crates/quartzlever-standin/src/crowd.rs
@@ -168,9 +168,6 @@
             let mut worker = member.lock().map_err(|_| gone())?;
             worker.answered(&orders, sent, report.session, self.now());
             drop(worker);
-            if close {
-                return Ok(());
-            }
             // Until the next report is due, or something has changed.
             let number = number(&report.host);
             let spread = SECOND * u64::from(number % 50) / 50;
@@ -187,6 +184,9 @@
                     break;
                 }
             }
+            if close {
+                return Ok(());
+            }
         }
     }
 
