A table case for a controller that is far behind; the account keeps its settings apart

Steps 0.2 to 5 s apart for 30 s, each call answered a step later: the hold is kept, every report is answered, no machine is returned, renewals do not pile up.

--- a/crates/quartzlever-core/src/jobs.rs
+++ b/crates/quartzlever-core/src/jobs.rs
@@ -183,6 +183,12 @@
     /// brings a machine at the most, and a part never gives machines away: of three controllers one
     /// had two thirds of them and went under, with the others at a quarter of their share.
     fn lighter_part(&self, own: &str) -> Option<(String, u64)> {
+        let others = || {
+            self.mirror.parts.iter().filter(|(name, (record, _))| {
+                *name != own && record.node == **name && !self.parts.contains_key(*name)
+            })
+        };
+        others().next()?;
         let mut tasks: BTreeMap<&str, usize> = BTreeMap::new();
         for (record, _) in self.mirror.live.values() {
             for share in &record.shares {
@@ -194,10 +200,7 @@
         if of(own) <= self.cfg.at_ease {
             return None;
         }
-        let others = self.mirror.parts.iter().filter(|(name, (record, _))| {
-            *name != own && record.node == **name && !self.parts.contains_key(*name)
-        });
-        let (name, (_, term)) = others.min_by_key(|(name, _)| of(name))?;
+        let (name, (_, term)) = others().min_by_key(|(name, _)| of(name))?;
         (of(name) < of(own) / 2).then(|| (name.clone(), *term))
     }
 
--- a/crates/quartzlever-core/src/lean.rs
+++ b/crates/quartzlever-core/src/lean.rs
@@ -1,11 +1,13 @@
 //! What a controller does otherwise whose processor is short of time, and what it leaves undone
 //! because it is known already, as tables.
 
+use quartzlever_wire::cloud::CloudCall;
 use quartzlever_wire::state::{
     Event, HostRecord, LiveRecord, OverRecord, PartRecord, Share, StateCall, StateReply,
     WatchAnswer,
 };
 use quartzlever_wire::users::JobPhase;
+use quartzlever_wire::workers::{Report, TaskId, TaskPhase, TaskReport};
 use quartzlever_wire::{Json, Ranges, SECOND};
 
 use crate::config::Objective;
@@ -21,6 +23,29 @@
     LiveRecord { job, since: NOW, started: false, shares, finished: Ranges::default() }
 }
 
+/// A report of the machine of part "one" that is there from the beginning, and runs an attempt.
+fn report(tick: u64, attempt: Option<u64>) -> Report {
+    let running = |attempt| TaskReport {
+        task: TaskId { job: "req-1".into(), index: 0 },
+        attempt,
+        phase: TaskPhase::Running,
+        cause: None,
+        kept: None,
+    };
+    Report {
+        host: "n-1".into(),
+        address: "n-1:9000".into(),
+        kind: "m".into(),
+        zone: "a".into(),
+        spot: true,
+        session: 1,
+        tick,
+        baton: 5,
+        warning_s: None,
+        tasks: attempt.map(running).into_iter().collect(),
+    }
+}
+
 fn with_holders(at_ease: usize) -> Core {
     let mut core = core();
     core.cfg.at_ease = at_ease;
@@ -101,6 +126,49 @@
     }
 }
 
+#[test]
+fn a_controller_that_is_behind_keeps_its_hold_and_its_machines() {
+    // Seconds between two steps for 30 s, with the answer to each call only in the next step.
+    for step_ms in [200, 1_500, 3_000, 5_000] {
+        let mut core = with_holders(100);
+        core.hold.next = NOW + 1;
+        core.hold.sure_until = NOW + 13 * SECOND;
+        // Its one task runs all the time, so that the machine is not returned as idle.
+        core.absorb(job(1, 1, "one"), 10);
+        core.step(NOW, vec![Command::Report { id: 1_000, report: report(1, None) }]);
+        let located = core.parts["one"].jobs["req-1"].located.get(&0).map(|p| p.attempt);
+        assert!(located.is_some(), "{step_ms}: placed");
+        let (mut now, mut renewals, mut returns) = (NOW, 0, 0);
+        let (mut reported, mut reports, mut answers) = (NOW, 0, 0);
+        let mut waiting = Vec::new();
+        while now < NOW + 30 * SECOND {
+            now += step_ms * 1_000;
+            let mut batch = std::mem::take(&mut waiting);
+            batch.push(Command::Tick { wall: now, behind: step_ms > 1_000 });
+            if now - reported >= core.cfg.workers.report {
+                reported = now;
+                reports += 1;
+                batch.push(Command::Report { id: reports, report: report(1 + reports, located) });
+            }
+            for effect in core.step(now, batch) {
+                match effect {
+                    Effect::State { token, call: StateCall::Renew { .. }, .. } => {
+                        renewals += 1;
+                        waiting.push(Command::State { token, result: Ok(StateReply::Renewed) });
+                    }
+                    Effect::Cloud { call: CloudCall::Return(_), .. } => returns += 1,
+                    Effect::Answer { status: 200, .. } => answers += 1,
+                    _ => {}
+                }
+            }
+            assert!(core.sure(), "{step_ms}: the hold after {} s", (now - NOW) / SECOND);
+        }
+        assert!(core.parts.contains_key("one"), "{step_ms}");
+        assert!((3..=15).contains(&renewals), "{step_ms}: {renewals} renewals");
+        assert_eq!((answers, returns), (reports, 0), "{step_ms}: reports answered, machines gone");
+    }
+}
+
 #[test]
 fn what_is_known_by_its_stamp_is_not_read() {
     // An unreadable record shows whether it was read. (key, stamp, whether it is)
--- a/crates/quartzlever/benches/account.rs
+++ b/crates/quartzlever/benches/account.rs
@@ -363,7 +363,8 @@
         http::serve_rentals(cloud, move |host| left.returned(host), move |r| joined.rented(r));
     let cloud = cloud.expect("cloud");
     let names = &["one", "two", "three"][..parts];
-    let config = Path::new(env!("CARGO_TARGET_TMPDIR")).join("account.toml");
+    let config =
+        Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("account-{}.toml", std::process::id()));
     std::fs::write(&config, settings(store, cloud, names)).expect("a scratch file");
 
     let users = Arc::new(Users::default());
