--- a/crates/quartzlever-core/examples/cost.rs
+++ b/crates/quartzlever-core/examples/cost.rs
@@ -116,7 +116,7 @@
         zones: vec!["a".into()],
         teams: vec![Team { name: "free".into(), ..Team::default() }],
         objectives: Vec::new(),
-        workers: WorkerTimes { report: 3 * SECOND, lease: LEASE },
+        workers: WorkerTimes { report: 3 * SECOND, lease: LEASE, cancel: 2 * LEASE },
         state_rps: 300.0,
         state_write_rps: 300.0,
         value_bytes: 16 * 1024,
--- a/crates/quartzlever-core/src/config.rs
+++ b/crates/quartzlever-core/src/config.rs
@@ -43,6 +43,8 @@
 pub struct WorkerTimes {
     pub report: Micros,
     pub lease: Micros,
+    /// Within this time of a confirmed cancellation all tasks of the job must be gone.
+    pub cancel: Micros,
 }
 
 /// The operator's own settings, each with its default.
@@ -128,6 +130,13 @@
     span - span * DRIFT_PER_10K / 10_000
 }
 
+/// Kept back of `cancel` for answers on their way out and for the steps of clocks.
+const CANCEL_MARGIN: Micros = 3 * SECOND;
+/// The shortest bound on the age of a view that a controller can keep to.
+const SHORTEST_VIEW: Micros = 4 * SECOND;
+/// The longest that a watch stays open without news.
+const LONGEST_WATCH: Micros = 5 * SECOND;
+
 /// What a node without a part may use of an equal share.
 const WITHOUT_PART: f64 = 0.5;
 
@@ -165,6 +174,37 @@
         if holds { (1.0 - idle * (nodes - holders) as f64) / holders as f64 } else { idle }
     }
 
+    /// How old the view of the jobs may be while workers get orders or have their leases renewed.
+    /// A cancellation that is not in the view was confirmed after the view was read; with the
+    /// renewal at the latest moment the tasks end with their lease, still within `cancel`:
+    /// view + lease + drift + margin = cancel. `None` if no view can be as fresh as that.
+    fn view_room(&self) -> Option<Micros> {
+        let kept = surely_after(self.workers.lease) + CANCEL_MARGIN;
+        let room = surely_within(self.workers.cancel.checked_sub(kept)?);
+        (room >= SHORTEST_VIEW).then_some(room)
+    }
+
+    /// Whether leases alone end the tasks of a cancelled job in time, whatever is cut off.
+    pub fn leases_meet_cancel(&self) -> bool {
+        self.view_room().is_some()
+    }
+
+    /// The bound on the age of the view.
+    pub fn view_bound(&self) -> Micros {
+        self.view_room().unwrap_or(SHORTEST_VIEW)
+    }
+
+    /// How long a watch stays open, so that its answers keep the view fresh by themselves.
+    pub fn watch_hold(&self) -> Micros {
+        LONGEST_WATCH.min(self.view_bound() / 3)
+    }
+
+    /// How long after the end of a job its tasks may be not proven gone before their machine is
+    /// returned: that takes a few seconds, and more while the cloud refuses.
+    pub fn gone_within(&self) -> Micros {
+        self.workers.cancel / 2
+    }
+
     /// How long a silent machine needs to lose its lease for certain.
     pub fn lease_gone_after(&self) -> Micros {
         surely_after(self.workers.lease) + SECOND
--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -50,10 +50,12 @@
     ListJobs,
     Watch {
         number: u64,
+        sent: Micros,
     },
-    /// The present revision, for the questions that wait for it.
+    /// The present revision, for the questions that wait for it, and for the age of the view.
     Fence {
         asked: Vec<Asked>,
+        sent: Micros,
     },
     ReadLive {
         purpose: Purpose,
@@ -126,6 +128,9 @@
     pub lease: Option<u64>,
     /// Until then the lease is surely alive.
     pub sure_until: Micros,
+    /// When the renewal was sent that ended the latest time without a sure lease. The view must
+    /// have been read later: a holder that was away may have missed anything.
+    pub regained: Micros,
     pub waiting: bool,
     pub next: Micros,
 }
@@ -142,6 +147,15 @@
     pub watching: Option<Micros>,
     pub watch_at: Micros,
     pub epoch: u64,
+    /// Everything that was committed before this moment is in the copy: the sending of the latest
+    /// read that it has caught up with.
+    pub viewed: Micros,
+    /// Reads of the revision that the copy has not caught up with: the revision, and the sending.
+    pub ahead: VecDeque<(u64, Micros)>,
+    /// When the listing under way was begun.
+    pub listed: Micros,
+    /// When the revision may be read next for the age of the view alone.
+    pub view_read_at: Micros,
     /// The latest revision that any answer told of.
     pub newest: u64,
     pub parts: BTreeMap<String, (PartRecord, u64)>,
@@ -149,6 +163,8 @@
     pub blocks: HashMap<String, (Hosts, u64)>,
     pub hosts: HashMap<String, String>,
     pub live: BTreeMap<String, (LiveRecord, u64)>,
+    /// Jobs whose records cannot be read; they are not over for that.
+    pub unread: BTreeSet<String>,
 }
 
 impl Mirror {
@@ -156,6 +172,34 @@
         self.loaded
     }
 
+    /// Whether a job is neither done nor cancelled, as far as the copy has come.
+    pub fn is_live(&self, job: &str) -> bool {
+        self.live.contains_key(job) || self.unread.contains(job)
+    }
+
+    /// A read sent at that moment has shown this revision to be the present one.
+    pub fn read_revision(&mut self, epoch: u64, sent: Micros) {
+        self.newest = self.newest.max(epoch);
+        self.ahead.push_back((epoch, sent));
+        self.catch_up();
+    }
+
+    /// Reckons the age of the view anew after the copy has come further.
+    pub fn catch_up(&mut self) {
+        if !self.loaded {
+            return;
+        }
+        let (epoch, mut viewed) = (self.epoch, self.viewed);
+        self.ahead.retain(|(revision, sent)| {
+            let reached = *revision <= epoch;
+            if reached {
+                viewed = viewed.max(*sent);
+            }
+            !reached
+        });
+        self.viewed = viewed;
+    }
+
     /// How many nodes hold parts.
     pub fn holders(&self) -> usize {
         let nodes: BTreeSet<&str> = self.parts.values().map(|(r, _)| r.node.as_str()).collect();
@@ -300,7 +344,7 @@
 impl Core {
     /// A controller that has just started. `seed` must differ between processes of one node.
     pub fn new(cfg: Config, seed: u64, now: Micros) -> Self {
-        Core {
+        let mut core = Core {
             stealing: Stealing::new(&cfg),
             cfg,
             rng: SmallRng::seed_from_u64(seed),
@@ -339,7 +383,15 @@
             look_at: 0,
             write_at: 0,
             blocks_at: 0,
+        };
+        if !core.cfg.leases_meet_cancel() {
+            core.note(Weight::Error, || {
+                "workers.cancel_s is too short for workers.lease_s: what cannot be reached is not \
+                 gone in time by its lease alone"
+                    .into()
+            });
         }
+        core
     }
 
     /// Works through a batch and says what is to be done.
@@ -428,11 +480,28 @@
         quartzlever_wire::micros_from_secs(1.0 / rate.max(0.1))
     }
 
-    /// Whether this process surely holds its lease, so may act for its parts.
-    pub(crate) fn sure(&self) -> bool {
+    /// Whether this process surely holds its lease.
+    pub(crate) fn holds(&self) -> bool {
         self.hold.lease.is_some() && self.now < self.hold.sure_until
     }
 
+    /// Until when this process may act for its parts: as long as its lease is surely alive and its
+    /// view of the jobs fresh. One does not follow from the other: while the state service refused
+    /// a holder alone and then everybody, its lease lived on, its watch told nothing, and another
+    /// node had confirmed cancellations.
+    pub(crate) fn acts_until(&self) -> Micros {
+        let caught_up = self.mirror.viewed >= self.hold.regained;
+        if self.hold.lease.is_none() || !caught_up {
+            return 0;
+        }
+        self.hold.sure_until.min(self.mirror.viewed + self.cfg.view_bound())
+    }
+
+    /// Whether this process may act for its parts.
+    pub(crate) fn sure(&self) -> bool {
+        self.now < self.acts_until()
+    }
+
     /// The present time of day.
     pub(crate) fn wall(&self) -> Micros {
         (self.now as i64 + self.wall_offset.unwrap_or(0)).max(0) as Micros
@@ -464,7 +533,7 @@
     ) -> Token {
         let token = self.token();
         self.worker_waits.insert(token, wait);
-        let until = self.hold.sure_until;
+        let until = self.acts_until();
         self.out.push(Effect::Worker { token, address, call, until });
         token
     }
@@ -574,8 +643,8 @@
             Waiting::ListParts { from_epoch } => self.parts_listed(from_epoch, result),
             Waiting::ListHosts => self.hosts_listed(result),
             Waiting::ListJobs => self.jobs_listed(result),
-            Waiting::Watch { number } => self.watched(number, result),
-            Waiting::Fence { asked } => self.fenced(asked, result),
+            Waiting::Watch { number, sent } => self.watched(number, sent, result),
+            Waiting::Fence { asked, sent } => self.fenced(asked, sent, result),
             Waiting::KeptCatalogue => self.catalogue_read(result),
             Waiting::ReadLive { purpose } => self.live_read(purpose, result),
             Waiting::ReadOver { purpose } => self.over_read(purpose, result),
--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -372,6 +372,8 @@
         let deaf = part.machines.values().filter(|m| m.deaf(now, report)).count();
         let deaf_returned = deaf <= MOST_DEAF.max(part.machines.len() / 10);
         let (acquired, attentive) = (part.acquired, self.hearing.attentive);
+        let gone_within = self.cfg.gone_within();
+        let listened = now.saturating_sub(attentive) > report;
         let mut changed: Vec<String> = Vec::new();
         for machine in part.machines.values_mut().filter(|m| !m.returning) {
             let before = machine.return_wanted;
@@ -398,6 +400,10 @@
                     && machine.pace.iter().sum::<u32>() / machine.pace.len() as u32 > CRAWL_PACE;
                 if quiet > silent_return {
                     Some("silent")
+                } else if listened && machine.holds_on(now, gone_within) {
+                    // Its lease ends what it has in time, unless it hangs or a late command starts
+                    // a task after all: then only this does.
+                    Some("not gone")
                 } else if deaf_returned && machine.deaf(now, report) {
                     Some("deaf")
                 } else if machine.warned_until.is_some_and(|t| now > t) && quiet > 2 * report {
@@ -434,7 +440,7 @@
             .filter(|m| {
                 !m.returning
                     && match m.return_wanted {
-                        Some("silent" | "taken" | "failed" | "deaf") => true,
+                        Some("silent" | "taken" | "failed" | "deaf" | "not gone") => true,
                         // Everything else waits until the machine has no work.
                         Some(_) => !m.busy() && m.slots.values().all(|s| s.settled),
                         None => false,
--- a/crates/quartzlever-core/src/holding.rs
+++ b/crates/quartzlever-core/src/holding.rs
@@ -25,8 +25,9 @@
 const WATCH_SHARE: f64 = 0.15;
 /// Shortest time between two watches: what comes meanwhile comes together.
 const WATCH_PAUSE: Micros = SECOND / 4;
-const WATCH_HOLD_MS: u64 = 5_000;
 const WATCH_DEAD: Micros = 3 * SECOND / 2;
+/// A view that is older than the longest watch by this much is renewed by a read.
+const VIEW_LATE: Micros = SECOND;
 /// Home asks for its part this often, and counts as gone after this long without asking.
 const HOME_ASK: Micros = SECOND;
 const HOME_GONE: Micros = 3 * SECOND;
@@ -57,6 +58,12 @@
     }
 
     fn extend_hold(&mut self, sent: Micros) {
+        if !self.holds() {
+            // The store may have been away, and its leases with their full time again: nobody is
+            // called silent for what was not answered meanwhile.
+            self.hold.regained = sent;
+            self.hearing.attentive = self.now;
+        }
         let life = surely_within(self.cfg.operator.hold_life);
         self.hold.sure_until = self.hold.sure_until.max(sent + life.saturating_sub(HOLD_MARGIN));
         self.hold.next = sent + self.cfg.operator.hold_life / 6;
@@ -112,6 +119,7 @@
         if !self.mirror.loaded {
             if !self.mirror.loading && now >= self.mirror.retry_at {
                 self.mirror.loading = true;
+                self.mirror.listed = now;
                 let call = StateCall::List { prefix: PARTS.into(), from: None };
                 self.state(Lane::Hold, call, Waiting::ListParts { from_epoch: None });
             }
@@ -125,10 +133,26 @@
             self.mirror.watching = Some(now);
             self.mirror.watch += 1;
             self.mirror.watch_at = now + self.pause_for(WATCH_SHARE).max(WATCH_PAUSE);
-            let call = StateCall::Watch { from: self.mirror.epoch, hold_ms: WATCH_HOLD_MS };
+            let hold_ms = self.cfg.watch_hold() / 1000;
+            let call = StateCall::Watch { from: self.mirror.epoch, hold_ms };
             let number = self.mirror.watch;
-            self.state(Lane::Watch, call, Waiting::Watch { number });
+            self.state(Lane::Watch, call, Waiting::Watch { number, sent: now });
+        }
+        self.keep_view();
+    }
+
+    /// Reads the revision when the watch has not shown for long that the view is fresh, and after
+    /// each time without a sure lease.
+    fn keep_view(&mut self) {
+        let now = self.now;
+        let aged = now.saturating_sub(self.mirror.viewed) > self.cfg.watch_hold() + VIEW_LATE;
+        let behind = self.mirror.viewed < self.hold.regained;
+        if !(aged || behind) || now < self.mirror.view_read_at {
+            return;
         }
+        self.mirror.view_read_at = now + RETRY;
+        let waiting = Waiting::Fence { asked: Vec::new(), sent: now };
+        self.state(Lane::Hold, StateCall::Epoch, waiting);
     }
 
     fn mirror_failed(&mut self) {
@@ -148,6 +172,7 @@
             self.mirror.blocks.clear();
             self.mirror.hosts.clear();
             self.mirror.live.clear();
+            self.mirror.unread.clear();
         }
         for row in &rows.rows {
             self.part_seen(&row.path, parse(row), row.stamp);
@@ -186,20 +211,27 @@
         }
         self.mirror.loading = false;
         self.mirror.loaded = true;
-        self.close_gap(rows.epoch);
+        self.close_gap();
+        self.mirror.viewed = self.mirror.viewed.max(self.mirror.listed);
+        self.mirror.catch_up();
     }
 
     /// The copy was made anew: parts that were held before may have missed changes.
-    fn close_gap(&mut self, epoch: u64) {
+    fn close_gap(&mut self) {
         let now = self.now;
-        let mut ended = Vec::new();
+        // What was there at the revision at which the listing began, and is not listed, is over:
+        // its tasks end here and now, since the view counts as fresh from here on. Which end it
+        // came to is read when somebody asks.
+        let epoch = self.mirror.epoch;
         for part in self.parts.values_mut().filter(|p| p.active()) {
-            // Jobs that are known here but not listed ended in the gap.
-            for (id, job) in &mut part.jobs {
-                if job.stamp <= epoch && !job.writing && !self.mirror.live.contains_key(id) {
-                    job.writing = true;
-                    ended.push((part.name.clone(), part.term, id.clone()));
-                }
+            let over: Vec<String> = part
+                .jobs
+                .iter()
+                .filter(|(id, job)| job.stamp <= epoch && !self.mirror.is_live(id))
+                .map(|(id, _)| id.clone())
+                .collect();
+            for id in over {
+                part.drop_job(&id, now);
             }
             let name = part.name.clone();
             for (hosts, _) in self.mirror.blocks.values() {
@@ -210,13 +242,14 @@
                 }
             }
         }
-        for (part, term, job) in ended {
-            let call = StateCall::Get(format!("{OVER}{job}"));
-            self.state(Lane::Work, call, Waiting::RereadOver { part, term, job });
-        }
     }
 
-    pub(crate) fn watched(&mut self, number: u64, result: Result<StateReply, CallError>) {
+    pub(crate) fn watched(
+        &mut self,
+        number: u64,
+        sent: Micros,
+        result: Result<StateReply, CallError>,
+    ) {
         if number == self.mirror.watch {
             self.mirror.watching = None;
         }
@@ -228,7 +261,8 @@
                     self.event(event, known);
                 }
                 self.mirror.epoch = known.max(answer.epoch);
-                self.mirror.newest = self.mirror.newest.max(answer.epoch);
+                // It tells all that was committed before it was opened, at least.
+                self.mirror.read_revision(answer.epoch, sent);
             }
             Ok(StateReply::Watched(_)) => {}
             Ok(StateReply::TooOld) => {
@@ -272,10 +306,11 @@
                     if self.mirror.blocks.get(&delete).is_some_and(|(_, s)| *s <= stamp) {
                         self.block_seen(&delete, Hosts::new(), stamp + 1);
                     }
-                } else if let Some(id) = delete.strip_prefix(LIVE)
-                    && self.mirror.live.get(id).is_some_and(|(_, s)| *s <= stamp)
-                {
-                    self.mirror.live.remove(id);
+                } else if let Some(id) = delete.strip_prefix(LIVE) {
+                    self.mirror.unread.remove(id);
+                    if self.mirror.live.get(id).is_some_and(|(_, s)| *s <= stamp) {
+                        self.mirror.live.remove(id);
+                    }
                 }
             }
         }
@@ -300,8 +335,10 @@
         match parse::<LiveRecord>(row) {
             Some(record) => self.absorb(record, row.stamp),
             None => {
-                let path = row.path.clone();
-                self.note(Weight::Error, || format!("unreadable record: {path}"));
+                if let Some(id) = row.path.strip_prefix(LIVE) {
+                    self.mirror.unread.insert(id.to_owned());
+                }
+                self.note(Weight::Error, || format!("unreadable record: {}", row.path));
             }
         }
     }
@@ -326,7 +363,7 @@
     /// Takes, asks for and hands back parts.
     pub(crate) fn keep_parts(&mut self) {
         self.load_parts();
-        if !self.mirror.loaded() || !self.sure() {
+        if !self.mirror.loaded() || !self.holds() {
             return;
         }
         for name in self.cfg.nodes.clone() {
@@ -439,6 +476,7 @@
                 part.absorb(&self.cfg, record.clone(), stamp, now, wall);
             }
         }
+        self.mirror.unread.remove(id);
         if self.mirror.live.get(id).is_none_or(|(_, s)| *s <= stamp) {
             self.mirror.live.insert(id.clone(), (record, stamp));
         }
@@ -448,8 +486,10 @@
     pub(crate) fn job_over(&mut self, id: &str, over: OverRecord) {
         self.finals.put(id, over);
         self.mirror.live.remove(id);
+        // It ended after the view was read that this process had until now.
+        let since = self.mirror.viewed.min(self.now);
         for part in self.parts.values_mut() {
-            part.drop_job(id);
+            part.drop_job(id, since);
         }
     }
 
--- a/crates/quartzlever-core/src/jobs.rs
+++ b/crates/quartzlever-core/src/jobs.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use quartzlever_wire::peers::PeerRequest;
 use quartzlever_wire::state::{
     LIVE, LiveRecord, OVER, OverRecord, PARTS, Row, Share, StateCall, StateReply, Txn,
 };
@@ -16,6 +17,7 @@
 use crate::ledger::Change;
 use crate::messages::{Answer, Lane, RequestId, Weight};
 use crate::part::{Part, live_key};
+use crate::stealing::PeerWork;
 
 /// Users' requests under way beyond which new ones are shed at once.
 const MOST_USER_CALLS: usize = 64;
@@ -216,7 +218,11 @@
             Ok(StateReply::Committed(stamp)) => {
                 // Whichever node holds the part hears of it by the watch; here it may start now.
                 self.absorb(record, stamp);
-                self.user_answer(id, 201, &job, JobPhase::Queued);
+                // It may be over by now, and a user may have been told so at another node.
+                match self.finals.get(&job).map(|over| over.phase) {
+                    Some(phase) => self.user_answer(id, 200, &job, phase),
+                    None => self.user_answer(id, 201, &job, JobPhase::Queued),
+                }
             }
             Ok(StateReply::Conflict(failed)) => {
                 let known = failed.iter().any(|k| k.starts_with(LIVE) || k.starts_with(OVER));
@@ -324,6 +330,7 @@
         self.user_calls -= 1;
         match result {
             Ok(StateReply::Committed(_)) => {
+                self.tell_cancelled(&job, done);
                 self.job_over(&job, OverRecord { phase: JobPhase::Aborted, done });
                 self.user_answer(id, 200, &job, JobPhase::Aborted);
             }
@@ -334,6 +341,20 @@
         }
     }
 
+    /// Tells the holders of a job that was just cancelled, so that its tasks end sooner where the
+    /// watch is late. Nothing rests on it.
+    fn tell_cancelled(&mut self, job: &str, done: u32) {
+        let Some((record, _)) = self.mirror.live.get(job) else { return };
+        let mut nodes: Vec<&str> =
+            record.shares.iter().filter_map(|share| self.holder_of(&share.part)).collect();
+        nodes.sort_unstable();
+        nodes.dedup();
+        for node in nodes.into_iter().map(str::to_owned).collect::<Vec<_>>() {
+            let request = PeerRequest::Cancelled { job: job.to_owned(), done };
+            self.ask_peer(&node, request, PeerWork::Told);
+        }
+    }
+
     /// Writes what has changed of the jobs, each job at most once at a time: ends first, then what
     /// has waited longest, as far as the account of changes allows.
     pub(crate) fn write_jobs(&mut self) {
--- a/crates/quartzlever-core/src/lean.rs
+++ b/crates/quartzlever-core/src/lean.rs
@@ -188,7 +188,7 @@
         core.mirror.watch = 1;
         let v = Json::of(&"no record");
         let log = vec![Event::Write { write: key.into(), v, stamp }];
-        core.watched(1, Ok(StateReply::Watched(WatchAnswer { epoch: 12, log })));
+        core.watched(1, NOW, Ok(StateReply::Watched(WatchAnswer { epoch: 12, log })));
         let noted = core.out.iter().any(|e| matches!(e, Effect::Note { .. }));
         assert_eq!(noted, read, "{key} {stamp}");
         assert_eq!(core.mirror.epoch, 12, "{key} {stamp}");
--- a/crates/quartzlever-core/src/lookups.rs
+++ b/crates/quartzlever-core/src/lookups.rs
@@ -60,7 +60,7 @@
             lookups.next = now + pause;
             let asked = std::mem::take(&mut lookups.waiting);
             let call = quartzlever_wire::state::StateCall::Epoch;
-            self.state(Lane::User, call, Waiting::Fence { asked });
+            self.state(Lane::User, call, Waiting::Fence { asked, sent: now });
         }
         let loaded = self.mirror.loaded();
         while let Some((epoch, _)) = self.lookups.fenced.front()
@@ -83,12 +83,21 @@
         }
     }
 
-    pub(crate) fn fenced(&mut self, asked: Vec<Asked>, result: Result<StateReply, CallError>) {
-        self.lookups.reading = false;
+    pub(crate) fn fenced(
+        &mut self,
+        asked: Vec<Asked>,
+        sent: Micros,
+        result: Result<StateReply, CallError>,
+    ) {
+        if !asked.is_empty() {
+            self.lookups.reading = false;
+        }
         match result {
             Ok(StateReply::Epoch(epoch)) => {
-                self.mirror.newest = self.mirror.newest.max(epoch);
-                self.lookups.fenced.push_back((epoch, asked));
+                self.mirror.read_revision(epoch, sent);
+                if !asked.is_empty() {
+                    self.lookups.fenced.push_back((epoch, asked));
+                }
             }
             _ => {
                 for one in asked {
--- a/crates/quartzlever-core/src/machine.rs
+++ b/crates/quartzlever-core/src/machine.rs
@@ -97,6 +97,8 @@
     pub settled: bool,
     /// The command was handed to the worker's address at least once.
     pub sent: bool,
+    /// Since when its job may have been over, at the earliest.
+    pub over_since: Option<Micros>,
     /// Its start need not be told by a call: the answer to the next report is soon enough.
     pub patient: bool,
     pub kill_sent: Option<Micros>,
@@ -195,6 +197,16 @@
             && self.unheeded == 0
     }
 
+    /// Whether an attempt that must not be here is not proven gone although it has had that long:
+    /// its job is over, or its `run` may still arrive and nothing will ever tell.
+    pub fn holds_on(&self, now: Micros, within: Micros) -> bool {
+        self.slots.values().filter(|s| !s.wanted && !s.exited()).any(|s| {
+            let lost = s.phase.is_none() && s.direct == Direct::Doubtful;
+            let since = s.over_since.or(lost.then_some(s.since));
+            since.is_some_and(|t| now.saturating_sub(t) > within)
+        })
+    }
+
     /// Whether it reports but heeds nothing that it is told.
     pub fn deaf(&self, now: Micros, report: Micros) -> bool {
         self.unheeded >= DEAF_REPORTS && now.saturating_sub(self.unheeded_since) >= report
@@ -297,6 +309,8 @@
                 orders.push(Order::Run { task: key.0.clone(), attempt: key.1 });
             }
         }
+        // Whatever does not fit, what has to end goes first.
+        orders.sort_by_key(|o| !matches!(o, Order::Kill { .. }));
         orders.truncate(MOST);
         orders
     }
--- a/crates/quartzlever-core/src/part.rs
+++ b/crates/quartzlever-core/src/part.rs
@@ -280,8 +280,9 @@
         }
     }
 
-    /// Forgets a job that is over; what is left of it on machines is to end.
-    pub fn drop_job(&mut self, id: &str) {
+    /// Forgets a job that is over, since that moment at the earliest; what is left of it on
+    /// machines is to end.
+    pub fn drop_job(&mut self, id: &str, since: Micros) {
         if self.jobs.swap_remove(id).is_none() {
             // What machines may have of it is unwanted already.
             return;
@@ -297,6 +298,7 @@
                 if slot.exited() {
                     slot.settled = true;
                 } else {
+                    slot.over_since.get_or_insert(since);
                     self.urgent.insert(name.clone());
                 }
             }
--- a/crates/quartzlever-core/src/placement_tests.rs
+++ b/crates/quartzlever-core/src/placement_tests.rs
@@ -238,7 +238,7 @@
         assert_eq!(placed(&core, "req-2").len(), small, "{age}: takes the room");
         // The first task ends.
         if let Some(part) = core.parts.get_mut("one") {
-            part.drop_job("req-7");
+            part.drop_job("req-7", NOW);
             part.empty_machine("n-1");
             part.place_wanted = true;
         }
--- a/crates/quartzlever-core/src/regressions.rs
+++ b/crates/quartzlever-core/src/regressions.rs
@@ -71,7 +71,7 @@
             Team { name: "tight".into(), cpus_max: 8.0, ..Team::default() },
         ],
         objectives: Vec::new(),
-        workers: WorkerTimes { report: SECOND, lease: 10 * SECOND },
+        workers: WorkerTimes { report: SECOND, lease: 10 * SECOND, cancel: 3600 * SECOND },
         state_rps: 300.0,
         state_write_rps: 300.0,
         value_bytes: 16 * 1024,
@@ -96,6 +96,7 @@
     core.types = Some(Arc::new(BTreeMap::from([("m".into(), kind)])));
     core.hold.lease = Some(1);
     core.hold.sure_until = NOW + 1_000 * SECOND;
+    core.mirror.viewed = NOW;
     let mut part = Part::new("one", 5, core.types.clone(), NOW);
     (part.loaded, part.barrier_open) = (true, true);
     let host = HostRecord {
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -123,7 +123,7 @@
         if !self.sure() {
             return self.later(id, 503, "not entitled");
         }
-        let until = self.hold.sure_until;
+        let until = self.acts_until();
         let Some(part) = self.parts.get_mut(name).filter(|p| p.active()) else {
             return self.later(id, 503, "not entitled");
         };
@@ -142,7 +142,12 @@
         // A late report's answer is dropped by the worker; the lease is taken as renewed all
         // the same, which errs on the safe side.
         machine.answered = now;
-        let orders = if newer { part.orders_for(&report.host, true) } else { Vec::new() };
+        let orders = if newer {
+            part.orders_for(&report.host, true)
+        } else {
+            let mirror = &self.mirror;
+            part.kills_for(report, |job| !mirror.is_live(job))
+        };
         let body = Answer::Orders(Orders { baton: part.term, session: None, orders });
         self.out.push(Effect::Answer {
             id,
@@ -340,6 +345,27 @@
         orders
     }
 
+    /// What an answer has to end although nothing new is learned from its report: the answer renews
+    /// the worker's lease, and with it the life of whatever it runs. An attempt whose job is over,
+    /// or which is unwanted, may be killed however old the report is.
+    pub fn kills_for(&self, report: &Report, over: impl Fn(&str) -> bool) -> Vec<Order> {
+        let slots = self.machines.get(&report.host).map(|m| &m.slots);
+        let unwanted = |t: &TaskReport| {
+            let key = (t.task.clone(), t.attempt);
+            slots.and_then(|s| s.get(&key)).is_some_and(|s| !s.wanted && s.leeway_s <= 0.0)
+        };
+        let ends = |t: &&TaskReport| {
+            t.phase != TaskPhase::Exited
+                && (unwanted(t) || (!self.jobs.contains_key(&t.task.job) && over(&t.task.job)))
+        };
+        let kill = |t: &TaskReport| Order::Kill {
+            task: t.task.clone(),
+            attempt: t.attempt,
+            leeway_s: 0.0,
+        };
+        report.tasks.iter().filter(ends).map(kill).collect()
+    }
+
     /// Takes in a report; `false` if it is older than what is known. `hello` says that it is a
     /// report of the worker's own accord, which proves that earlier answers were executed or
     /// dropped.
@@ -582,6 +608,11 @@
         let mut slot = Slot::blank(now);
         (slot.phase, slot.cause) = (Some(seen.phase), seen.cause);
         (slot.wanted, slot.sent) = (false, true);
+        if !self.jobs.contains_key(&seen.task.job) {
+            // Its job may have ended while no holder acted: then it has had that time already.
+            let absent = cfg.operator.hold_life + cfg.operator.takeover_after;
+            slot.over_since = Some(now.saturating_sub(absent));
+        }
         if let Some(job) = self.jobs.get_mut(&seen.task.job) {
             slot.describe(&job.record.job);
             self.attempted.entry(seen.task.job.clone()).or_default().insert(host.to_owned());
@@ -633,6 +664,7 @@
             in_answer: false,
             settled: false,
             sent: false,
+            over_since: None,
             patient: false,
             kill_sent: None,
         }
--- a/crates/quartzlever-core/src/stealing.rs
+++ b/crates/quartzlever-core/src/stealing.rs
@@ -2,8 +2,8 @@
 //! half the ready tasks of the most loaded, and doubles its wait after a failure.
 
 use quartzlever_wire::peers::{Load, PeerAnswer, PeerRequest, Room, ThiefRoom};
-use quartzlever_wire::state::{LiveRecord, PARTS, StateCall, StateReply};
-use quartzlever_wire::users::Rank;
+use quartzlever_wire::state::{LiveRecord, OverRecord, PARTS, StateCall, StateReply};
+use quartzlever_wire::users::{JobPhase, Rank};
 use quartzlever_wire::{CallError, Json, Micros, Ranges, SECOND};
 use rand::seq::IndexedRandom;
 
@@ -422,6 +422,10 @@
                 self.told_heard(part, machines);
                 PeerAnswer::Nothing
             }
+            PeerRequest::Cancelled { job, done } => {
+                self.job_over(&job, OverRecord { phase: JobPhase::Aborted, done });
+                PeerAnswer::Nothing
+            }
             PeerRequest::Rented { part, hosts } => {
                 for host in hosts {
                     self.cloud.hint(host, &part);
--- /dev/null
+++ b/crates/quartzlever-core/tests/world/judge.rs
@@ -0,0 +1,250 @@
+//! Judges every rule of the protocol from what the world saw: tasks on machines, their starts and
+//! ends, and what users were told. It knows nothing of what controllers believe.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use quartzlever_core::Team;
+use quartzlever_wire::Micros;
+use quartzlever_wire::users::JobSpec;
+use quartzlever_wire::workers::TaskId;
+
+/// What a user asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Asked {
+    Submit,
+    Lookup,
+    Cancel,
+}
+
+/// A machine with the tasks that are on it.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub host: String,
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+    pub tasks: Vec<TaskId>,
+}
+
+/// What users were told of a job.
+#[derive(Clone, Debug, Default)]
+struct Told {
+    accepted: Option<Micros>,
+    /// The final phase, and when any user was first told.
+    over: Option<(String, Micros)>,
+    cancel_asked: bool,
+    answered: Micros,
+}
+
+#[derive(Debug)]
+pub struct Judge {
+    cancel: Micros,
+    teams: Vec<Team>,
+    pub specs: BTreeMap<String, JobSpec>,
+    told: BTreeMap<String, Told>,
+    completed: BTreeMap<String, BTreeSet<u32>>,
+    /// Jobs that are done in the state service, and since when.
+    ended: BTreeMap<String, Micros>,
+    begun: BTreeSet<String>,
+    /// Broken rules, each with its time; the name of the rule comes first.
+    pub broken: Vec<String>,
+    /// Starts after a confirmed cancellation, still within the time for its tasks to be gone.
+    pub starts_after_cancel: usize,
+    pub cancellations: usize,
+}
+
+impl Judge {
+    pub fn new(cancel: Micros, teams: Vec<Team>) -> Self {
+        Judge {
+            cancel,
+            teams,
+            specs: BTreeMap::new(),
+            told: BTreeMap::new(),
+            completed: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            begun: BTreeSet::new(),
+            broken: Vec::new(),
+            starts_after_cancel: 0,
+            cancellations: 0,
+        }
+    }
+
+    fn breaks(&mut self, rule: &str, now: Micros, what: &str) {
+        self.broken.push(format!("{rule} at {} ms: {what}", now / 1000));
+    }
+
+    /// A user sends a question.
+    pub fn asks(&mut self, asked: Asked, job: &str, spec: Option<&JobSpec>) {
+        let told = self.told.entry(job.to_owned()).or_default();
+        told.cancel_asked |= asked == Asked::Cancel;
+        if let Some(spec) = spec {
+            self.specs.entry(job.to_owned()).or_insert_with(|| spec.clone());
+        }
+    }
+
+    /// A user gets an answer to a question sent at `sent`.
+    pub fn answer(
+        &mut self,
+        now: Micros,
+        sent: Micros,
+        asked: Asked,
+        job: &str,
+        status: u16,
+        phase: &str,
+    ) {
+        let told = self.told.entry(job.to_owned()).or_default();
+        let known_before = told.accepted.is_some_and(|at| at < sent);
+        let over = told.over.clone();
+        let cancel_asked = told.cancel_asked;
+        if matches!(status, 200 | 201 | 404) {
+            told.answered = now;
+        }
+        match status {
+            200 | 201 => {
+                if told.accepted.is_none() {
+                    told.accepted = Some(now);
+                }
+                let fresh_end = matches!(phase, "done" | "aborted") && over.is_none();
+                if fresh_end {
+                    told.over = Some((phase.to_owned(), now));
+                }
+                if !self.specs.contains_key(job) {
+                    self.breaks("invented", now, job);
+                }
+                if fresh_end && phase == "aborted" {
+                    self.cancellations += 1;
+                    if !cancel_asked {
+                        self.breaks("went_back", now, &format!("{job} cancelled by nobody"));
+                    }
+                }
+                if fresh_end && phase == "done" {
+                    let tasks = self.specs.get(job).map_or(0, |s| s.tasks);
+                    let done = self.completed.get(job).map_or(0, |c| c.len() as u32);
+                    if done < tasks {
+                        self.breaks("not_done", now, &format!("{job}: {done} of {tasks}"));
+                    }
+                }
+                if let Some((end, at)) = over
+                    && phase != end
+                    && (sent > at || matches!(phase, "done" | "aborted"))
+                {
+                    self.breaks("went_back", now, &format!("{job}: {end}, then {phase}"));
+                }
+            }
+            404 if known_before => self.breaks("forgotten", now, &format!("{job}: 404")),
+            400 | 422 if known_before && asked == Asked::Submit => {
+                self.breaks("forgotten", now, &format!("{job}: {status} to its repetition"));
+            }
+            _ => {}
+        }
+    }
+
+    /// Each machine as it is now.
+    pub fn machines(&mut self, now: Micros, machines: &[Seen]) {
+        let mut on: BTreeMap<&TaskId, &str> = BTreeMap::new();
+        let mut used: BTreeMap<String, (f64, f64)> = BTreeMap::new();
+        let mut broken = Vec::new();
+        for machine in machines {
+            for task in &machine.tasks {
+                if let Some(other) = on.insert(task, &machine.host) {
+                    broken.push(("ran_twice", format!("{task} on {other} and {}", machine.host)));
+                }
+                if let Some(spec) = self.specs.get(&task.job) {
+                    let sum = used.entry(spec.team.clone()).or_default();
+                    *sum = (sum.0 + spec.cpus, sum.1 + spec.gpus);
+                }
+                if self.cancelled(&task.job).is_some_and(|at| now > at + self.cancel) {
+                    broken.push(("ran_cancelled", format!("{task} on {}", machine.host)));
+                }
+            }
+        }
+        for team in &self.teams {
+            let (cpus, gpus) = used.get(&team.name).copied().unwrap_or_default();
+            if (team.cpus_max > 0.0 && cpus > team.cpus_max + 1e-6)
+                || (team.gpus_max > 0.0 && gpus > team.gpus_max + 1e-6)
+            {
+                broken.push(("quota", format!("{} uses {cpus} and {gpus}", team.name)));
+            }
+        }
+        for (rule, what) in broken {
+            self.breaks(rule, now, &what);
+        }
+    }
+
+    /// When a user was first told that a job is cancelled.
+    pub fn cancelled(&self, job: &str) -> Option<Micros> {
+        let (phase, at) = self.told.get(job)?.over.as_ref()?;
+        (phase == "aborted").then_some(*at)
+    }
+
+    /// A task starts on a machine, while `machines` are as they are with it.
+    pub fn starts(&mut self, now: Micros, task: &TaskId, host: &str, machines: &[Seen]) {
+        self.begun.insert(task.job.clone());
+        if let Some(at) = self.cancelled(&task.job).filter(|at| now > *at) {
+            self.starts_after_cancel += 1;
+            if now > at + self.cancel {
+                self.breaks("ran_cancelled", now, &format!("{task} starts on {host}"));
+            }
+        }
+        if self.ended.get(&task.job).is_some_and(|end| now > *end) {
+            self.breaks("ran_after_end", now, &format!("{task} starts on {host}"));
+        }
+        let Some(spec) = self.specs.get(&task.job).cloned() else {
+            return self.breaks("invented", now, &format!("{task} starts"));
+        };
+        let Some(place) = machines.iter().find(|m| m.host == host) else { return };
+        let kind = spec.types.as_ref().is_none_or(|t| t.contains(&place.kind));
+        let zone = spec.zone.as_ref().is_none_or(|z| *z == place.zone);
+        let spot = spec.spot || !place.spot;
+        let of_job = |m: &&Seen| m.tasks.iter().any(|t| t.job == task.job);
+        let together =
+            !spec.one_zone || machines.iter().filter(of_job).all(|m| m.zone == place.zone);
+        let here = machines
+            .iter()
+            .filter(|m| m.zone == place.zone)
+            .flat_map(|m| &m.tasks)
+            .filter(|t| t.job == task.job)
+            .count();
+        let apart = !spec.spread || here as u32 <= spec.tasks.div_ceil(2);
+        if !(kind && zone && spot && together && apart) {
+            self.breaks("wrong_place", now, &format!("{task} on {host} in {}", place.zone));
+        }
+    }
+
+    /// A task has run to its end.
+    pub fn completes(&mut self, task: &TaskId) {
+        self.completed.entry(task.job.clone()).or_default().insert(task.index);
+    }
+
+    /// A job is done in the state service.
+    pub fn ends(&mut self, now: Micros, job: &str) {
+        self.ended.entry(job.to_owned()).or_insert(now);
+    }
+
+    /// Jobs that were accepted, are not over as far as users know, and have begun or not.
+    pub fn waiting(&self) -> Vec<&str> {
+        let open = |(job, told): &(&String, &Told)| {
+            told.accepted.is_some() && told.over.is_none() && !self.begun.contains(*job)
+        };
+        self.told.iter().filter(open).map(|(job, _)| job.as_str()).collect()
+    }
+
+    pub fn asked_to_cancel(&self, job: &str) -> bool {
+        self.told.get(job).is_some_and(|t| t.cancel_asked)
+    }
+
+    /// All jobs that were accepted.
+    pub fn accepted(&self) -> Vec<String> {
+        let accepted = self.told.iter().filter(|(_, t)| t.accepted.is_some());
+        accepted.map(|(job, _)| job.clone()).collect()
+    }
+
+    /// Notes an accepted job about which no question was answered since `since`.
+    pub fn unanswered(&mut self, now: Micros, since: Micros) {
+        for job in self.accepted() {
+            if self.told[&job].answered < since {
+                self.breaks("forgotten", now, &format!("{job}: no answer"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/quartzlever-core/tests/world/judging.rs
@@ -0,0 +1,136 @@
+//! The judge catches a violation of each rule, and finds nothing in what is right.
+
+use quartzlever_core::Team;
+use quartzlever_wire::SECOND;
+use quartzlever_wire::workers::TaskId;
+
+use crate::judge::{Asked, Judge, Seen};
+use crate::sim::{START, job};
+
+fn task(n: u32, index: u32) -> TaskId {
+    TaskId { job: job(n, 1).id, index }
+}
+
+fn on(host: &str, zone: &str, tasks: &[TaskId]) -> Seen {
+    Seen {
+        host: host.into(),
+        kind: "m".into(),
+        zone: zone.into(),
+        spot: true,
+        tasks: tasks.to_vec(),
+    }
+}
+
+/// A judge that knows of a job of two tasks, accepted at the start.
+fn judge(change: impl FnOnce(&mut quartzlever_wire::users::JobSpec)) -> Judge {
+    let tight = Team { name: "tight".into(), cpus_max: 3.0, ..Team::default() };
+    let mut judge = Judge::new(20 * SECOND, vec![tight]);
+    let mut spec = job(1, 2);
+    change(&mut spec);
+    judge.asks(Asked::Submit, &spec.id, Some(&spec));
+    judge.answer(START, START - 1, Asked::Submit, &spec.id, 201, "queued");
+    judge
+}
+
+type Script = fn(&mut Judge);
+
+#[test]
+fn each_broken_rule_is_found_and_nothing_else() {
+    let id = "req-000001";
+    assert_eq!(job(1, 2).id, id);
+    // (rule, what happens)
+    let cases: &[(&str, Script)] = &[
+        ("", |j| {
+            // All is well: one task ends, both have run, and the job is done.
+            let both = [on("n1", "a", &[task(1, 0)]), on("n2", "b", &[task(1, 1)])];
+            j.starts(START + 1, &task(1, 0), "n1", &both);
+            j.machines(START + 1, &both);
+            j.completes(&task(1, 0));
+            j.completes(&task(1, 1));
+            j.answer(START + 9, START + 8, Asked::Lookup, "req-000001", 200, "done");
+        }),
+        ("", |j| {
+            // A question sent before the end was told may get an older answer.
+            j.asks(Asked::Cancel, "req-000001", None);
+            j.answer(START + 9, START + 5, Asked::Cancel, "req-000001", 200, "aborted");
+            j.answer(START + 10, START + 8, Asked::Lookup, "req-000001", 200, "running");
+            let still = [on("n1", "a", &[task(1, 0)])];
+            j.machines(START + 9 + 20 * SECOND, &still);
+        }),
+        ("ran_twice", |j| {
+            j.machines(START, &[on("n1", "a", &[task(1, 0)]), on("n2", "a", &[task(1, 0)])]);
+        }),
+        ("ran_cancelled", |j| {
+            j.asks(Asked::Cancel, "req-000001", None);
+            j.answer(START, START - 1, Asked::Cancel, "req-000001", 200, "aborted");
+            j.machines(START + 20 * SECOND + 1, &[on("n1", "a", &[task(1, 0)])]);
+        }),
+        ("ran_cancelled", |j| {
+            j.asks(Asked::Cancel, "req-000001", None);
+            j.answer(START, START - 1, Asked::Cancel, "req-000001", 200, "aborted");
+            j.starts(START + 20 * SECOND + 1, &task(1, 0), "n1", &[]);
+        }),
+        ("forgotten", |j| j.answer(START + 9, START + 8, Asked::Lookup, "req-000001", 404, "")),
+        ("forgotten", |j| j.answer(START + 9, START + 8, Asked::Submit, "req-000001", 422, "")),
+        ("forgotten", |j| j.answer(START + 9, START + 8, Asked::Submit, "req-000001", 400, "")),
+        ("forgotten", |j| j.unanswered(START + 90 * SECOND, START + SECOND)),
+        ("invented", |j| j.answer(START, START - 1, Asked::Lookup, "req-000002", 200, "queued")),
+        ("invented", |j| j.starts(START, &task(2, 0), "n1", &[])),
+        ("not_done", |j| {
+            j.completes(&task(1, 0));
+            j.answer(START + 9, START + 8, Asked::Lookup, "req-000001", 200, "done");
+        }),
+        ("went_back", |j| {
+            j.asks(Asked::Cancel, "req-000001", None);
+            j.answer(START + 9, START + 8, Asked::Cancel, "req-000001", 200, "aborted");
+            j.answer(START + 12, START + 10, Asked::Submit, "req-000001", 200, "queued");
+        }),
+        ("went_back", |j| {
+            j.asks(Asked::Cancel, "req-000001", None);
+            j.completes(&task(1, 0));
+            j.completes(&task(1, 1));
+            j.answer(START + 9, START + 8, Asked::Lookup, "req-000001", 200, "done");
+            j.answer(START + 9, START + 8, Asked::Cancel, "req-000001", 200, "aborted");
+        }),
+        ("went_back", |j| {
+            j.answer(START + 9, START + 8, Asked::Lookup, "req-000001", 200, "aborted");
+        }),
+        ("ran_after_end", |j| {
+            j.ends(START, "req-000001");
+            j.starts(START + 1, &task(1, 0), "n1", &[]);
+        }),
+    ];
+    for (n, (rule, script)) in cases.iter().enumerate() {
+        let mut judge = judge(|_| {});
+        script(&mut judge);
+        let found: Vec<&str> = judge.broken.iter().filter_map(|b| b.split(' ').next()).collect();
+        let expected: Vec<&str> = if rule.is_empty() { vec![] } else { vec![rule] };
+        assert_eq!(found, expected, "case {n}");
+    }
+}
+
+#[test]
+fn places_and_limits_are_judged() {
+    type Change = fn(&mut quartzlever_wire::users::JobSpec);
+    let both = [on("n1", "a", &[task(1, 0)]), on("n2", "b", &[task(1, 1)])];
+    let same = [on("n1", "a", &[task(1, 0)]), on("n2", "a", &[task(1, 1)])];
+    // (rule, the job, the machines when its second task starts on n2)
+    let cases: &[(&str, Change, &[Seen])] = &[
+        ("", |_| {}, &both),
+        ("wrong_place", |s| s.types = Some(vec!["x".into()]), &both),
+        ("wrong_place", |s| s.zone = Some("a".into()), &both),
+        ("wrong_place", |s| s.spot = false, &both),
+        ("wrong_place", |s| s.one_zone = true, &both),
+        ("", |s| s.one_zone = true, &same),
+        ("wrong_place", |s| s.spread = true, &same),
+        ("", |s| s.spread = true, &both),
+        ("quota", |s| s.team = "tight".into(), &both),
+    ];
+    for (n, (rule, change, machines)) in cases.iter().enumerate() {
+        let mut judge = judge(*change);
+        judge.starts(START + 1, &task(1, 1), "n2", machines);
+        judge.machines(START + 1, machines);
+        let found = judge.broken.first().and_then(|b| b.split(' ').next()).unwrap_or("");
+        assert_eq!(found, *rule, "case {n}");
+    }
+}
--- /dev/null
+++ b/crates/quartzlever-core/tests/world/meetings.rs
@@ -0,0 +1,821 @@
+//! Meetings of troubles: each row brings one about, shows that it did, and must break no rule.
+//! `docs/meetings.md` says where in the code each is decided.
+
+use quartzlever_core::Config;
+use quartzlever_wire::users::{JobPhase, JobSpec, Rank};
+use quartzlever_wire::{Micros, SECOND};
+
+use crate::judge::Judge;
+use crate::sim::{Counts, Luck, World, job};
+
+const NODES: &[&str] = &["one", "two", "three"];
+const SEEDS: u64 = 4;
+
+/// One meeting.
+struct Meeting {
+    name: &'static str,
+    /// Settings that make the meeting harder than the usual ones.
+    tune: fn(&mut Config),
+    bring_about: fn(&mut World),
+    /// Whether it did come about, over all seeds.
+    came: fn(&Counts, &Judge) -> bool,
+}
+
+fn usual(_: &mut Config) {}
+
+/// Leases in the state service that live longer than a cancelled task may.
+fn long_holds(cfg: &mut Config) {
+    cfg.operator.hold_life = 15 * SECOND;
+}
+
+fn submit(w: &mut World, from: u32, count: u32, change: impl Fn(u32, &mut JobSpec)) -> Vec<String> {
+    let mut ids = Vec::new();
+    for k in from..from + count {
+        let mut spec = job(k, 4);
+        change(k, &mut spec);
+        assert_ne!(w.submit_surely(k as usize % NODES.len(), &spec), 0, "no answer");
+        ids.push(spec.id);
+    }
+    ids
+}
+
+/// Jobs with tasks of a minute, all begun.
+fn long_tasks(w: &mut World) -> Vec<String> {
+    w.run_time = 60 * SECOND;
+    let ids = submit(w, 0, 5, |_, _| {});
+    w.run(7 * SECOND);
+    ids
+}
+
+fn other(n: usize) -> usize {
+    (n + 1) % NODES.len()
+}
+
+fn hang(w: &mut World, names: &[String], hung: bool) {
+    for name in names {
+        if let Some(worker) = w.workers.get_mut(name) {
+            worker.hung = hung;
+        }
+    }
+}
+
+fn all_machines(w: &World) -> Vec<String> {
+    w.workers.keys().cloned().collect()
+}
+
+fn outage(w: &mut World, span: Micros) {
+    w.store.outage = true;
+    w.run(span);
+    let now = w.now;
+    w.store.end_outage(now);
+}
+
+/// The state service refuses the busiest holder alone; `troubles` follow, then it is away for all.
+fn refused_alone_then_all(w: &mut World, pause: Micros, troubles: impl Fn(&mut World, &[String])) {
+    let ids = long_tasks(w);
+    let (_, holder) = w.busiest();
+    w.lonely.insert(holder);
+    w.run(pause);
+    for id in &ids[..3] {
+        w.abort_surely(other(holder), id);
+    }
+    w.store.outage = true;
+    troubles(w, &ids[..3]);
+    w.run(4 * SECOND);
+    w.lonely.clear();
+    w.run(30 * SECOND);
+    let now = w.now;
+    w.store.end_outage(now);
+}
+
+/// A node and the machines of zone "a" are cut off from everything else.
+fn cut_zone(w: &mut World, node: usize) {
+    let zones: Vec<(String, String)> =
+        w.workers.values().map(|m| (m.rental.name.clone(), m.rental.zone.clone())).collect();
+    for (name, zone) in zones {
+        for n in 0..NODES.len() {
+            if (n == node) != (zone == "a") {
+                w.cut.insert((n, name.clone()));
+            }
+        }
+    }
+    w.lonely.insert(node);
+    w.apart.insert(node);
+}
+
+const MEETINGS: &[Meeting] = &[
+    Meeting {
+        name: "the holder is refused alone, others confirm cancellations, the store goes",
+        tune: long_holds,
+        bring_about: |w| refused_alone_then_all(w, SECOND, |_, _| {}),
+        came: |c, j| {
+            c.refused_alone > 10
+                && c.not_entitled > 50
+                && c.leases_lost > 4
+                && j.cancellations >= 12
+        },
+    },
+    Meeting {
+        name: "so it is, while peers do not reach each other and machines hang and go on",
+        tune: long_holds,
+        bring_about: |w| {
+            w.apart.extend(0..NODES.len());
+            refused_alone_then_all(w, SECOND / 10, |w, ids| {
+                let machines = w.machines_of(&ids[0]);
+                hang(w, &machines, true);
+                w.run(9 * SECOND);
+                hang(w, &machines, false);
+            });
+        },
+        came: |c, j| {
+            c.refused_alone > 4 && c.not_entitled > 50 && c.leases_lost > 4 && j.cancellations >= 12
+        },
+    },
+    Meeting {
+        name: "jobs are cancelled as the holder is refused; a second later the store is away, slow after",
+        tune: usual,
+        bring_about: |w| {
+            w.slow = SECOND / 2;
+            refused_alone_then_all(w, 0, |_, _| {});
+            w.run(5 * SECOND);
+        },
+        came: |c, j| c.refused_alone > 5 && c.refused_all > 20 && j.cancellations >= 4,
+    },
+    Meeting {
+        name: "the store is back, and the old holder finds lost tasks of cancelled jobs",
+        tune: |cfg| {
+            cfg.operator.hold_life = 40 * SECOND;
+            cfg.workers.cancel = 60 * SECOND;
+        },
+        bring_about: |w| {
+            let ids = long_tasks(w);
+            let (_, holder) = w.busiest();
+            w.apart.extend(0..NODES.len());
+            w.lonely.insert(holder);
+            w.run(2 * SECOND);
+            for id in &ids[..3] {
+                w.abort_surely(other(holder), id);
+            }
+            w.store.outage = true;
+            w.run(14 * SECOND);
+            let all = all_machines(w);
+            hang(w, &all, true);
+            w.cloud_down = true;
+            w.run(16 * SECOND);
+            hang(w, &all, false);
+            w.cloud_down = false;
+            let now = w.now;
+            w.store.end_outage(now);
+            w.run(2 * SECOND);
+            w.lonely.clear();
+            w.run(5 * SECOND);
+        },
+        came: |c, j| c.refused_alone > 20 && c.leases_lost > 3 && j.cancellations >= 8,
+    },
+    Meeting {
+        name: "workers reach no controller while direct commands reach them",
+        tune: usual,
+        bring_about: |w| {
+            let ids = long_tasks(w);
+            w.mute.extend(all_machines(w));
+            w.run(2 * SECOND);
+            w.abort_surely(0, &ids[0]);
+            w.restart(1, SECOND);
+            w.run(7 * SECOND);
+            w.mute.clear();
+            w.run(4 * SECOND);
+            w.mute.extend(all_machines(w));
+            w.abort_surely(1, &ids[1]);
+            w.run(16 * SECOND);
+        },
+        came: |c, j| c.mute > 50 && j.cancellations >= 6,
+    },
+    Meeting {
+        name: "jobs are cancelled in the seconds in which work changes hands",
+        tune: usual,
+        bring_about: |w| {
+            let ids = long_tasks(w);
+            let (_, holder) = w.busiest();
+            w.kill(holder);
+            for id in &ids {
+                w.run(3 * SECOND / 2);
+                w.abort_surely(other(holder), id);
+            }
+            w.start(holder);
+            w.run(4 * SECOND);
+        },
+        came: |c, j| c.holders > 12 && j.cancellations >= 12,
+    },
+    Meeting {
+        name: "all controllers are away for longer than a lease",
+        tune: usual,
+        bring_about: |w| {
+            let ids = long_tasks(w);
+            for n in 0..NODES.len() {
+                w.kill(n);
+            }
+            w.run(16 * SECOND);
+            for n in 0..NODES.len() {
+                w.start(n);
+            }
+            w.abort_surely(0, &ids[0]);
+        },
+        came: |c, _| c.leases_lost > 4,
+    },
+    Meeting {
+        name: "jobs of two or three tasks end far apart across a change of holder",
+        tune: usual,
+        bring_about: |w| {
+            w.run_time = 4 * SECOND;
+            submit(w, 0, 6, |k, s| s.tasks = 2 + k % 2);
+            w.run(4 * SECOND);
+            let late: Vec<String> = all_machines(w).into_iter().step_by(2).collect();
+            hang(w, &late, true);
+            w.run(2 * SECOND);
+            let (_, holder) = w.busiest();
+            w.restart(holder, SECOND / 2);
+            w.run(5 * SECOND);
+            hang(w, &late, false);
+            let (_, holder) = w.busiest();
+            w.restart(holder, 8 * SECOND);
+        },
+        came: |c, _| c.holders > 16,
+    },
+    Meeting {
+        name: "a cancellation, a question and a repeated submission meet the end of the last task",
+        tune: usual,
+        bring_about: |w| {
+            w.run_time = 2 * SECOND;
+            submit(w, 90, 3, |_, _| {});
+            w.run(7 * SECOND);
+            for k in 0..10 {
+                submit(w, k, 1, |_, s| s.tasks = 2);
+                let id = job(k, 1).id;
+                let tenths = 30 + 6 * u64::from(k);
+                w.run(tenths * SECOND / 10);
+                w.look_closely(&id);
+                w.abort(k as usize % 3, &id);
+                w.look_closely(&id);
+                for _ in 0..10 {
+                    w.run(SECOND / 10);
+                    w.look_closely(&id);
+                }
+            }
+        },
+        came: |c, j| j.cancellations > 8 && j.cancellations < 32 && c.answers > 500,
+    },
+    Meeting {
+        name: "new machines get work at once while writes lag, and the holder ends",
+        tune: usual,
+        bring_about: |w| {
+            w.boot = SECOND / 2;
+            w.luck.late_writes = 40;
+            w.run_time = 20 * SECOND;
+            submit(w, 0, 8, |_, s| s.tasks = 6);
+            let (_, holder) = w.busiest();
+            w.restart(holder, 3 * SECOND);
+            w.run(3 * SECOND);
+            let (_, holder) = w.busiest();
+            w.restart(holder, SECOND / 5);
+            w.run(12 * SECOND);
+        },
+        came: |c, _| c.late_in_force > 3 && c.late_conflicts > 10 && c.holders > 14,
+    },
+    Meeting {
+        name: "the holder ends while machines with long tasks cannot be reached, or hear nothing",
+        tune: usual,
+        bring_about: |w| {
+            let ids = long_tasks(w);
+            let (part, holder) = w.busiest();
+            let all = all_machines(w);
+            for n in 0..NODES.len() {
+                w.cut.extend(all.iter().take(2).map(|m| (n, m.clone())));
+            }
+            w.deaf.extend(all.iter().skip(2).take(2).cloned());
+            w.abort_surely(other(holder), &ids[0]);
+            w.kill(holder);
+            w.run(9 * SECOND);
+            w.abort_surely(other(holder), &ids[1]);
+            w.run(3 * SECOND);
+            w.start(holder);
+            w.run(6 * SECOND);
+            w.cut.clear();
+            w.run(4 * SECOND);
+            assert!(w.holder(&part).is_some(), "somebody has taken over");
+        },
+        came: |c, j| c.deaf > 20 && c.holders > 14 && j.cancellations >= 8,
+    },
+    Meeting {
+        name: "commands and their answers are held up for seconds, and machines go on",
+        tune: usual,
+        bring_about: |w| {
+            w.run_time = 15 * SECOND;
+            submit(w, 90, 3, |_, _| {});
+            w.run(5 * SECOND);
+            w.luck = Luck { late: 30, ..Luck::default() };
+            let ids = submit(w, 0, 6, |_, s| {
+                s.rank = Rank::Urgent;
+                s.due_s = Some(5.0);
+            });
+            let all = all_machines(w);
+            hang(w, &all[..2], true);
+            for id in &ids[..4] {
+                w.run(SECOND);
+                w.abort_surely(1, id);
+            }
+            w.run(4 * SECOND);
+            hang(w, &all, false);
+            w.run(25 * SECOND);
+        },
+        came: |c, j| c.held_executed + c.held_refused > 10 && j.cancellations >= 10,
+    },
+    Meeting {
+        name: "transactions without an answer are carried out after newer ones",
+        tune: usual,
+        bring_about: |w| {
+            w.luck.late_writes = 30;
+            w.run_time = 3 * SECOND;
+            for k in 0..8 {
+                submit(w, k, 1, |_, _| {});
+                w.run(2 * SECOND);
+                let id = job(k, 1).id;
+                w.look_closely(&id);
+                if k % 3 == 0 {
+                    w.abort_surely(k as usize % 3, &id);
+                    w.look_closely(&id);
+                }
+            }
+            w.run(15 * SECOND);
+        },
+        came: |c, j| c.late_in_force > 5 && c.late_conflicts > 50 && j.cancellations >= 8,
+    },
+    Meeting {
+        name: "transactions are carried out and only their answers lost, while others read",
+        tune: usual,
+        bring_about: |w| {
+            w.luck.unanswered = 40;
+            w.run_time = 2 * SECOND;
+            for k in 0..10 {
+                let mut spec = job(k, 3);
+                spec.rank = Rank::Urgent;
+                let n = k as usize % 3;
+                w.submit(n, spec.clone());
+                w.run(SECOND / 10);
+                w.look_closely(&spec.id);
+                w.submit_surely(other(n), &spec);
+                w.run(SECOND);
+                if k % 2 == 0 {
+                    w.abort(n, &spec.id);
+                    w.run(SECOND / 10);
+                    w.look_closely(&spec.id);
+                    w.abort_surely(other(n), &spec.id);
+                    w.look_closely(&spec.id);
+                }
+                w.run(2 * SECOND);
+            }
+            w.run(5 * SECOND);
+        },
+        came: |c, j| c.unanswered > 40 && j.cancellations >= 10,
+    },
+    Meeting {
+        name: "one-task jobs come four a second, a quarter of them cancelled",
+        tune: usual,
+        bring_about: |w| {
+            w.run_time = SECOND;
+            for k in 0..160 {
+                let spec = job(k, 1);
+                w.submit(k as usize % 3, spec);
+                w.run(SECOND / 4);
+                if k >= 4 && k % 4 == 0 {
+                    let id = job(k - 4, 1).id;
+                    w.abort(w.now as usize % 3, &id);
+                    w.look_closely(&id);
+                }
+                if k == 80 {
+                    let (_, holder) = w.busiest();
+                    w.restart(holder, SECOND / 2);
+                }
+            }
+        },
+        came: |c, j| c.answers > 400 && j.cancellations > 20,
+    },
+    Meeting {
+        name: "controllers hand over and back, all end, and one returns within a second",
+        tune: usual,
+        bring_about: |w| {
+            w.run_time = 6 * SECOND;
+            let ids = submit(w, 0, 8, |_, _| {});
+            w.restart(0, 8 * SECOND);
+            w.run(5 * SECOND);
+            w.abort_surely(1, &ids[7]);
+            for n in 0..NODES.len() {
+                w.kill(n);
+            }
+            w.run(SECOND / 2);
+            w.start(1);
+            w.run(9 * SECOND);
+            w.start(0);
+            w.start(2);
+            w.run(4 * SECOND);
+        },
+        came: |c, _| c.holders > 24,
+    },
+    Meeting {
+        name: "a zone with workers and a controller is cut off for longer than a lease",
+        tune: long_holds,
+        bring_about: |w| {
+            let ids = long_tasks(w);
+            let (_, holder) = w.busiest();
+            cut_zone(w, holder);
+            w.run(SECOND);
+            for id in &ids[..2] {
+                w.abort_surely(other(holder), id);
+            }
+            w.run(20 * SECOND);
+        },
+        came: |c, j| c.refused_alone > 20 && c.leases_lost > 2 && j.cancellations >= 6,
+    },
+    Meeting {
+        name: "jobs bound to one zone lose machines",
+        tune: usual,
+        bring_about: |w| {
+            w.run_time = 5 * SECOND;
+            submit(w, 0, 6, |k, s| match k % 3 {
+                0 => s.zone = Some("a".into()),
+                1 => s.one_zone = true,
+                _ => s.spread = true,
+            });
+            w.run(5 * SECOND);
+            for round in 0..3 {
+                let all = all_machines(w);
+                hang(w, &all[..2.min(all.len())], true);
+                if round == 1 {
+                    let (_, holder) = w.busiest();
+                    w.restart(holder, 2 * SECOND);
+                }
+                w.run(14 * SECOND);
+            }
+        },
+        came: |c, _| c.holders > 14,
+    },
+    Meeting {
+        name: "old reports reach every controller as a new holder begins",
+        tune: usual,
+        bring_about: |w| {
+            w.luck = Luck { for_next: 40, copies: 15, ..Luck::default() };
+            w.run_time = 20 * SECOND;
+            let ids = submit(w, 0, 6, |_, _| {});
+            for (k, id) in ids.iter().enumerate().take(3) {
+                w.run(5 * SECOND);
+                w.abort_surely(other(k), id);
+                let (_, holder) = w.busiest();
+                let away = if k == 1 { 9 * SECOND } else { SECOND / 2 };
+                w.restart(holder, away);
+            }
+            w.run(10 * SECOND);
+        },
+        came: |c, j| c.copies_for_next > 40 && c.copies > 100 && j.cancellations >= 8,
+    },
+    Meeting {
+        name: "late copies of reports come from earlier sessions and attempts",
+        tune: usual,
+        bring_about: |w| {
+            w.luck = Luck { copies: 40, ..Luck::default() };
+            let ids = long_tasks(w);
+            let all = all_machines(w);
+            hang(w, &all[..2], true);
+            w.abort_surely(0, &ids[0]);
+            w.run(14 * SECOND);
+            hang(w, &all, false);
+            w.run(8 * SECOND);
+            w.deaf.extend(all.iter().take(3).cloned());
+            w.abort_surely(1, &ids[1]);
+            w.run(14 * SECOND);
+            w.deaf.clear();
+            w.run(20 * SECOND);
+        },
+        came: |c, j| c.copies > 200 && c.leases_lost > 2 && j.cancellations >= 6,
+    },
+    Meeting {
+        name: "there is more work than room, urgent and not, over slow links",
+        tune: usual,
+        bring_about: |w| {
+            w.slow = SECOND;
+            w.run_time = 3 * SECOND;
+            w.luck = Luck { lost: 3, late: 3, ..Luck::default() };
+            submit(w, 0, 10, |k, s| {
+                s.tasks = 8;
+                s.rank = if k % 3 == 0 { Rank::Urgent } else { Rank::Standard };
+            });
+            w.run(20 * SECOND);
+        },
+        came: |c, _| c.answers >= 40,
+    },
+    Meeting {
+        name: "a team is at its limit, its cancelled tasks hang or are cut off, and the holder changes",
+        tune: usual,
+        bring_about: |w| {
+            w.run_time = 15 * SECOND;
+            let ids = submit(w, 0, 6, |_, s| {
+                s.tasks = 2;
+                s.team = "tight".into();
+            });
+            w.run(5 * SECOND);
+            for round in 0..3_usize {
+                let running: Vec<String> =
+                    ids.iter().filter(|id| !w.machines_of(id).is_empty()).cloned().collect();
+                let Some(id) = running.first() else { continue };
+                let machines = w.machines_of(id);
+                if round == 1 {
+                    for n in 0..NODES.len() {
+                        w.cut.extend(machines.iter().map(|m| (n, m.clone())));
+                    }
+                } else {
+                    hang(w, &machines, true);
+                }
+                w.abort_surely(round, id);
+                let (_, holder) = w.busiest();
+                w.restart(holder, if round == 2 { SECOND / 5 } else { 8 * SECOND });
+                w.run(4 * SECOND);
+                w.cut.clear();
+                hang(w, &machines, false);
+                w.run(10 * SECOND);
+            }
+        },
+        came: |c, j| c.holders > 16 && j.cancellations >= 8,
+    },
+    Meeting {
+        name: "a team is at its limit as the holder changes, and machines cannot be asked",
+        tune: usual,
+        bring_about: |w| {
+            w.run_time = 25 * SECOND;
+            let ids = submit(w, 0, 4, |_, s| {
+                s.tasks = 2;
+                s.team = "tight".into();
+            });
+            w.run(5 * SECOND);
+            let all = all_machines(w);
+            let (_, holder) = w.busiest();
+            w.kill(holder);
+            w.cloud_down = true;
+            for n in 0..NODES.len() {
+                w.cut.extend(all.iter().map(|m| (n, m.clone())));
+            }
+            w.run(6 * SECOND);
+            let running: Vec<String> =
+                ids.iter().filter(|id| !w.machines_of(id).is_empty()).cloned().collect();
+            for id in &running {
+                w.abort_surely(other(holder), id);
+            }
+            w.start(holder);
+            w.run(4 * SECOND);
+            w.cut.clear();
+            w.cloud_down = false;
+        },
+        came: |c, j| c.holders > 14 && j.cancellations >= 4,
+    },
+    Meeting {
+        name: "a holder has only its workers and users left, and jobs end through the new one",
+        tune: long_holds,
+        bring_about: |w| {
+            let ids = long_tasks(w);
+            let (_, holder) = w.busiest();
+            w.lonely.insert(holder);
+            w.apart.insert(holder);
+            for id in &ids[..3] {
+                w.run(2 * SECOND);
+                w.abort_surely(other(holder), id);
+                w.look_closely(id);
+            }
+            w.run(20 * SECOND);
+        },
+        came: |c, j| c.refused_alone > 30 && c.not_entitled > 10 && j.cancellations >= 8,
+    },
+    Meeting {
+        name: "holders change ten times in two minutes, also inside an outage",
+        tune: usual,
+        bring_about: |w| {
+            w.run_time = 8 * SECOND;
+            w.luck = Luck { lost: 2, late: 2, copies: 10, ..Luck::default() };
+            for k in 0..10_u32 {
+                submit(w, 2 * k, 2, |_, s| s.tasks = 3);
+                let id = job(2 * k, 1).id;
+                if k == 4 || k == 7 {
+                    w.store.outage = true;
+                }
+                let (_, holder) = w.busiest();
+                w.restart(holder, if k % 2 == 0 { SECOND / 2 } else { 7 * SECOND });
+                if k == 4 || k == 7 {
+                    outage(w, 4 * SECOND);
+                }
+                if k % 3 == 0 {
+                    w.abort_surely(other(holder), &id);
+                }
+                w.pass(4 * SECOND);
+            }
+        },
+        came: |c, j| c.holders > 40 && c.refused_all > 20 && j.cancellations >= 10,
+    },
+    Meeting {
+        name: "users ask at all nodes at once after each acceptance, end and cancellation",
+        tune: usual,
+        bring_about: |w| {
+            w.run_time = 2 * SECOND;
+            for k in 0..12_u32 {
+                let spec = job(k, 2);
+                let n = k as usize % 3;
+                w.submit_surely(n, &spec);
+                w.look_closely(&spec.id);
+                if k % 3 == 0 {
+                    w.abort(other(n), &spec.id);
+                }
+                for step in 0..40 {
+                    w.run(SECOND / 10);
+                    w.look_closely(&spec.id);
+                    if k % 3 == 1 && step == 18 {
+                        w.abort_surely(other(n), &spec.id);
+                    }
+                }
+            }
+        },
+        came: |c, j| c.answers > 5_000 && j.cancellations >= 12,
+    },
+];
+
+/// After the troubles: what must hold however a world went.
+fn settles(w: &mut World, name: &str) {
+    w.calm();
+    let calm = w.now;
+    w.run_time = 3 * SECOND;
+    w.workers.values_mut().for_each(|worker| worker.run_time = 3 * SECOND);
+    w.pass(90 * SECOND);
+    if w.has_room() {
+        assert!(w.judge.waiting().is_empty(), "{name}: {:?} wait", w.judge.waiting());
+    }
+    w.pass(60 * SECOND);
+    let now = w.now;
+    w.judge.unanswered(now, calm + 75 * SECOND);
+    assert!(w.judge.broken.is_empty(), "{name}: {:?}", &w.judge.broken[..1]);
+    for id in w.judge.accepted() {
+        let told = w.judge.cancelled(&id).is_some();
+        let expected = if told { JobPhase::Aborted } else { JobPhase::Done };
+        let over = w.over(&id);
+        // A cancellation that was asked for may have come into force without its answer.
+        assert!(
+            over == Some(expected)
+                || (over == Some(JobPhase::Aborted) && w.judge.asked_to_cancel(&id)),
+            "{name}: {id} is {over:?}"
+        );
+    }
+}
+
+/// One trouble, drawn at random; some end by themselves, others with the world's calm.
+fn any_trouble(w: &mut World) {
+    let machines = all_machines(w);
+    let some: Vec<String> = machines.into_iter().filter(|_| w.chance(40)).collect();
+    let node = w.pick(NODES.len());
+    match w.pick(14) {
+        0 => w.restart(node, SECOND / 5),
+        1 => w.restart(node, 7 * SECOND),
+        2 => outage(w, 6 * SECOND),
+        3 => {
+            w.store.outage = true;
+            w.kill(node);
+            w.run(SECOND);
+            w.start(node);
+            outage(w, 14 * SECOND);
+        }
+        4 => {
+            w.lonely.insert(node);
+            if w.chance(50) {
+                w.apart.insert(node);
+            }
+        }
+        5 => {
+            hang(w, &some, true);
+        }
+        6 => w.mute.extend(some),
+        7 => w.deaf.extend(some),
+        8 => {
+            for n in 0..NODES.len() {
+                w.cut.extend(some.iter().map(|m| (n, m.clone())));
+            }
+        }
+        9 => w.luck.late_writes = 50,
+        10 => w.luck.unanswered = 50,
+        11 => w.luck = Luck { copies: 25, for_next: 25, ..w.luck },
+        12 => w.slow = SECOND / 2,
+        _ => w.cloud_down = true,
+    }
+}
+
+/// Troubles of all kinds, two to five at a time, with jobs and cancellations between them.
+#[test]
+fn no_mix_of_troubles_breaks_a_rule() {
+    let mut counts = Counts::default();
+    for seed in 0..40 {
+        let mut w =
+            World::with(50_000 + seed, NODES, if seed % 2 == 0 { usual } else { long_holds });
+        w.run(3 * SECOND);
+        w.run_time = [4, 15, 40][seed as usize % 3] * SECOND;
+        for round in 0..3 {
+            for k in 0..4 {
+                let mut spec = job(10 * round + k, 2 + k);
+                if k == 3 {
+                    spec.team = "tight".into();
+                }
+                spec.one_zone = k == 1;
+                let n = w.pick(NODES.len());
+                w.submit(n, spec);
+            }
+            w.run(3 * SECOND);
+            for _ in 0..2 + w.pick(4) {
+                any_trouble(&mut w);
+                w.run(2 * SECOND);
+                let accepted = w.judge.accepted();
+                if !accepted.is_empty() && w.chance(60) {
+                    let job = accepted[w.pick(accepted.len())].clone();
+                    for n in 0..NODES.len() {
+                        w.abort(n, &job);
+                    }
+                    w.look_closely(&job);
+                }
+            }
+            w.pass(12 * SECOND);
+            w.calm();
+            w.pass(8 * SECOND);
+        }
+        settles(&mut w, &format!("mix {seed}"));
+        add(&mut counts, w.counts);
+    }
+    let Counts { holders, refused_alone, refused_all, late_in_force, .. } = counts;
+    let Counts { unanswered, copies_for_next, mute, deaf, leases_lost, .. } = counts;
+    for (what, count, least) in [
+        ("holders", holders, 100),
+        ("refused_alone", refused_alone, 100),
+        ("refused_all", refused_all, 100),
+        ("late_in_force", late_in_force, 5),
+        ("unanswered", unanswered, 20),
+        ("copies_for_next", copies_for_next, 50),
+        ("mute", mute, 50),
+        ("deaf", deaf, 50),
+        ("leases_lost", leases_lost, 20),
+    ] {
+        assert!(count >= least, "{what}: {counts:?}");
+    }
+}
+
+fn add(sum: &mut Counts, one: Counts) {
+    sum.holders += one.holders;
+    sum.refused_alone += one.refused_alone;
+    sum.refused_all += one.refused_all;
+    sum.not_entitled += one.not_entitled;
+    sum.late_in_force += one.late_in_force;
+    sum.late_conflicts += one.late_conflicts;
+    sum.unanswered += one.unanswered;
+    sum.copies += one.copies;
+    sum.copies_for_next += one.copies_for_next;
+    sum.mute += one.mute;
+    sum.deaf += one.deaf;
+    sum.held_executed += one.held_executed;
+    sum.held_refused += one.held_refused;
+    sum.leases_lost += one.leases_lost;
+    sum.answers += one.answers;
+}
+
+#[test]
+fn no_meeting_of_troubles_breaks_a_rule() {
+    let mut failures = Vec::new();
+    for (n, meeting) in MEETINGS.iter().enumerate() {
+        let outcome = std::panic::catch_unwind(|| {
+            let mut sum = Counts::default();
+            let mut judged = Judge::new(0, Vec::new());
+            for seed in 0..SEEDS {
+                let mut world = World::with(1_000 * n as u64 + seed, NODES, meeting.tune);
+                world.run(3 * SECOND);
+                (meeting.bring_about)(&mut world);
+                settles(&mut world, &format!("{} (seed {seed})", meeting.name));
+                add(&mut sum, world.counts);
+                judged.cancellations += world.judge.cancellations;
+                judged.starts_after_cancel += world.judge.starts_after_cancel;
+            }
+            let (told, late) = (judged.cancellations, judged.starts_after_cancel);
+            assert!(
+                (meeting.came)(&sum, &judged),
+                "{} did not come about: {sum:?}, {told} cancellations",
+                meeting.name
+            );
+            (sum, told, late)
+        });
+        match outcome {
+            Ok((sum, told, late)) => {
+                println!(
+                    "{}: {told} cancellations, {late} starts after one, {sum:?}",
+                    meeting.name
+                );
+            }
+            Err(_) => failures.push(meeting.name),
+        }
+    }
+    assert!(failures.is_empty(), "{} rows: {failures:#?}", failures.len());
+}
--- a/crates/quartzlever-core/tests/safety.rs
+++ b/crates/quartzlever-core/tests/world/safety.rs
@@ -1,12 +1,9 @@
 //! The safety statements, driven against pure cores: messages reordered, repeated, lost and
 //! late, processes killed, machines hung, networks cut.
 
-mod world;
-
-use quartzlever_core::Command;
+use crate::sim::{Luck, World, job};
 use quartzlever_wire::SECOND;
 use quartzlever_wire::users::JobPhase;
-use world::{Luck, World, job};
 
 const NODES: &[&str] = &["one", "two", "three"];
 
@@ -142,7 +139,7 @@
 #[test]
 fn work_is_done_once_whatever_befalls() {
     use Trouble::*;
-    let bad = Luck { lost: 4, late: 4 };
+    let bad = Luck { lost: 4, late: 4, ..Luck::default() };
     let good = Luck::default();
     let cases: &[(&str, Luck, &[Trouble])] = &[
         ("nothing happens", good, &[None]),
@@ -204,7 +201,7 @@
             let ended = world.abort_surely(up, &jobs[5]);
             assert!(ended.is_some(), "{name} {seed}: cancellation is never answered");
             world.run(150 * SECOND);
-            assert!(world.broken.is_empty(), "{name} {seed}: {:?}", &world.broken[..1]);
+            assert!(world.judge.broken.is_empty(), "{name} {seed}: {:?}", &world.judge.broken[..1]);
             for id in &jobs[..5] {
                 assert_eq!(world.over(id), Some(JobPhase::Done), "{name} {seed}: {id}");
             }
@@ -220,12 +217,12 @@
         let mut world = World::new(seed, NODES);
         world.run(3 * SECOND);
         world.run_time = SECOND;
-        world.luck = Luck { lost: 5, late: 25 };
+        world.luck = Luck { lost: 5, late: 25, ..Luck::default() };
         for k in 0..5 {
             assert_ne!(world.submit_surely(0, &job(k, 20)), 0);
         }
         world.run(240 * SECOND);
-        assert!(world.broken.is_empty(), "{seed}: {:?}", &world.broken[..1]);
+        assert!(world.judge.broken.is_empty(), "{seed}: {:?}", &world.judge.broken[..1]);
         for k in 0..5 {
             assert_eq!(world.over(&format!("req-{k:06}")), Some(JobPhase::Done), "{seed} {k}");
         }
@@ -240,7 +237,7 @@
         let mut world = World::new(seed, NODES);
         world.run(3 * SECOND);
         world.run_time = 4 * SECOND;
-        world.luck = Luck { lost: 0, late: 12 };
+        world.luck = Luck { late: 12, ..Luck::default() };
         for k in 0..4 {
             assert_ne!(world.submit_surely(k as usize % 3, &job(k, 16)), 0);
         }
@@ -252,7 +249,7 @@
             world.run(SECOND);
         }
         world.run(120 * SECOND);
-        assert!(world.broken.is_empty(), "{seed}: {:?}", &world.broken[..1]);
+        assert!(world.judge.broken.is_empty(), "{seed}: {:?}", &world.judge.broken[..1]);
         for k in (0..4).chain(10..22) {
             assert_eq!(world.over(&format!("req-{k:06}")), Some(JobPhase::Done), "{seed} {k}");
         }
@@ -276,10 +273,14 @@
             let phase = world.abort_surely((seed as usize + 1) % 3, "req-000001");
             assert!(may.contains(&phase.as_deref().unwrap_or("")), "{tenths} {seed}: {phase:?}");
             world.run(30 * SECOND);
-            assert!(world.broken.is_empty(), "{tenths} {seed}: {:?}", &world.broken[..1]);
+            assert!(
+                world.judge.broken.is_empty(),
+                "{tenths} {seed}: {:?}",
+                &world.judge.broken[..1]
+            );
             // Whatever was said stays true, at every node.
             for n in 0..3 {
-                let id = world.request(n, |id| Command::Lookup { id, job: "req-000001".into() });
+                let id = world.lookup(n, "req-000001");
                 let answer = world.answer(id, SECOND).map(|a| a.1["phase"].clone());
                 assert_eq!(answer, phase.clone().map(Into::into), "{tenths} {seed} node {n}");
             }
@@ -330,7 +331,7 @@
         assert_eq!(world.answer(id, SECOND).map(|a| a.0), Some(status), "{name}");
     }
     for n in 0..3 {
-        let id = world.request(n, |id| Command::Lookup { id, job: "req-000999".into() });
+        let id = world.lookup(n, "req-000999");
         assert_eq!(world.answer(id, SECOND).map(|a| a.0), Some(404), "never submitted");
     }
     // In an outage everything is answered at once with a time to come back.
@@ -350,5 +351,5 @@
         let size = world.store.get("live/req-000001").map_or(0, |(v, _)| v.text().len());
         assert!(size > 0 && size <= 16 * 1024, "{size}");
     }
-    assert!(world.broken.is_empty(), "{:?}", &world.broken[..1]);
+    assert!(world.judge.broken.is_empty(), "{:?}", &world.judge.broken[..1]);
 }
--- a/crates/quartzlever-core/tests/world/mod.rs
+++ b/crates/quartzlever-core/tests/world/sim.rs
@@ -3,19 +3,21 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::judge::{Asked, Judge, Seen};
 use quartzlever_core::{Command, Config, Core, Effect, Operator, Team, Weight, WorkerTimes};
 use quartzlever_standin::{Cloud, Store, Worker};
 use quartzlever_wire::cloud::CloudReply;
 use quartzlever_wire::state::{OverRecord, StateCall, StateReply};
 use quartzlever_wire::users::{JobPhase, JobSpec, Rank, Shape};
-use quartzlever_wire::workers::{Orders, WorkerCall};
+use quartzlever_wire::workers::{Orders, Report, WorkerCall, WorkerReply};
 use quartzlever_wire::{CallError, Micros, SECOND};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 pub const LEASE: Micros = 12 * SECOND;
+pub const CANCEL: Micros = 20 * SECOND;
 const STEP: Micros = 50_000;
-const START: Micros = 1_000 * SECOND;
+pub const START: Micros = 1_000 * SECOND;
 
 pub fn config(node: &str, nodes: &[&str]) -> Config {
     Config {
@@ -28,7 +30,7 @@
             Team { name: "tight".into(), cpus_max: 4.0, ..Team::default() },
         ],
         objectives: Vec::new(),
-        workers: WorkerTimes { report: SECOND, lease: LEASE },
+        workers: WorkerTimes { report: SECOND, lease: LEASE, cancel: CANCEL },
         state_rps: 300.0,
         state_write_rps: 300.0,
         value_bytes: 16 * 1024,
@@ -77,6 +79,8 @@
     Worker(usize, u64, u64, String, WorkerCall, bool),
     Hello(usize, String, Box<Orders>, Micros, u64),
     /// A late copy of a transaction or of a direct command; nobody waits for its answer.
+    /// A late copy of a report, to each of these nodes.
+    Copy(Vec<usize>, Box<Report>),
     LateState(StateCall),
     LateWorker(String, WorkerCall),
 }
@@ -88,6 +92,42 @@
     pub lost: u32,
     /// Calls that seem lost, and are carried out up to a minute later.
     pub late: u32,
+    /// Transactions that are carried out, with only their answer lost.
+    pub unanswered: u32,
+    /// Transactions that get no answer and are carried out 2 to 12 s later.
+    pub late_writes: u32,
+    /// Reports of which a copy arrives again, from 2 s to two leases later.
+    pub copies: u32,
+    /// Reports of which a copy is kept until the next holder begins, and goes to every node then.
+    pub for_next: u32,
+}
+
+/// What came about, for tests to see that it did.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    /// Times that a part's key was written: acquisitions.
+    pub holders: usize,
+    /// Calls refused to a node alone, and to everybody.
+    pub refused_alone: usize,
+    pub refused_all: usize,
+    /// Reports refused by a node that may not act.
+    pub not_entitled: usize,
+    /// Transactions carried out late: those that came into force and those that did not.
+    pub late_in_force: usize,
+    pub late_conflicts: usize,
+    pub unanswered: usize,
+    pub copies: usize,
+    pub copies_for_next: usize,
+    /// Reports that never reached anybody, and answers that never reached a machine.
+    pub mute: usize,
+    pub deaf: usize,
+    /// Direct commands that were held up and executed afterwards, or refused by then.
+    pub held_executed: usize,
+    pub held_refused: usize,
+    /// Sessions that ended with tasks on the machine.
+    pub leases_lost: usize,
+    /// Questions of users that were answered for good.
+    pub answers: usize,
 }
 
 struct Watch {
@@ -120,21 +160,37 @@
     /// Nodes that stand still: what comes for them waits.
     pub frozen: BTreeSet<usize>,
     thawed: BTreeSet<usize>,
-    /// Since when each job is over.
-    ended: BTreeMap<String, Micros>,
+    /// Machines that reach no node, and those that are reached by nothing.
+    pub mute: BTreeSet<String>,
+    pub deaf: BTreeSet<String>,
+    /// What each call to the state service takes longer.
+    pub slow: Micros,
+    /// How long a new machine takes to come up.
+    pub boot: Micros,
+    pub counts: Counts,
+    kept_copies: Vec<Report>,
+    part_stamps: BTreeMap<String, u64>,
     seen_starts: BTreeMap<String, usize>,
+    seen_ends: BTreeMap<String, usize>,
     rng: SmallRng,
     requests: BTreeMap<u64, (usize, u64)>,
     request: u64,
     pub answers: BTreeMap<u64, (u16, serde_json::Value)>,
-    pub cancelled: BTreeMap<String, Micros>,
-    pub broken: Vec<String>,
-    pub specs: BTreeMap<String, JobSpec>,
+    asked: BTreeMap<u64, (Asked, String, Micros)>,
+    pub judge: Judge,
+    tune: fn(&mut Config),
     pub run_time: Micros,
 }
 
 impl World {
     pub fn new(seed: u64, names: &[&'static str]) -> Self {
+        World::with(seed, names, |_| {})
+    }
+
+    /// A world whose controllers have other settings.
+    pub fn with(seed: u64, names: &[&'static str], tune: fn(&mut Config)) -> Self {
+        let mut cfg = config(names[0], names);
+        tune(&mut cfg);
         let mut world = World {
             now: START,
             names: names.to_vec(),
@@ -154,15 +210,22 @@
             apart: BTreeSet::new(),
             frozen: BTreeSet::new(),
             thawed: BTreeSet::new(),
-            ended: BTreeMap::new(),
+            mute: BTreeSet::new(),
+            deaf: BTreeSet::new(),
+            slow: 0,
+            boot: SECOND,
+            counts: Counts::default(),
+            kept_copies: Vec::new(),
+            part_stamps: BTreeMap::new(),
             seen_starts: BTreeMap::new(),
+            seen_ends: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(seed),
             requests: BTreeMap::new(),
             request: 1 << 32,
             answers: BTreeMap::new(),
-            cancelled: BTreeMap::new(),
-            broken: Vec::new(),
-            specs: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            judge: Judge::new(cfg.workers.cancel, cfg.teams),
+            tune,
             run_time: 3 * SECOND,
         };
         for n in 0..names.len() {
@@ -173,7 +236,8 @@
 
     pub fn start(&mut self, n: usize) {
         self.lives[n] += 1;
-        let cfg = config(self.names[n], &self.names);
+        let mut cfg = config(self.names[n], &self.names);
+        (self.tune)(&mut cfg);
         let seed = self.lives[n] * 1000 + n as u64;
         self.cores[n] = Some(Core::new(cfg, seed, self.now));
     }
@@ -211,9 +275,119 @@
         id
     }
 
+    fn ask(&mut self, n: usize, asked: Asked, job: &str, make: impl FnOnce(u64) -> Command) -> u64 {
+        let id = self.request(n, make);
+        self.asked.insert(id, (asked, job.to_owned(), self.now));
+        id
+    }
+
     pub fn submit(&mut self, n: usize, spec: JobSpec) -> u64 {
-        self.specs.insert(spec.id.clone(), spec.clone());
-        self.request(n, |id| Command::Submit { id, spec: Box::new(spec) })
+        let job = spec.id.clone();
+        self.judge.asks(Asked::Submit, &job, Some(&spec));
+        self.ask(n, Asked::Submit, &job, |id| Command::Submit { id, spec: Box::new(spec) })
+    }
+
+    pub fn lookup(&mut self, n: usize, job: &str) -> u64 {
+        let name = job.to_owned();
+        self.ask(n, Asked::Lookup, job, |id| Command::Lookup { id, job: name })
+    }
+
+    pub fn abort(&mut self, n: usize, job: &str) -> u64 {
+        self.judge.asks(Asked::Cancel, job, None);
+        let name = job.to_owned();
+        self.ask(n, Asked::Cancel, job, |id| Command::Abort { id, job: name })
+    }
+
+    /// Users ask at all nodes and repeat the submission, all at once.
+    pub fn look_closely(&mut self, job: &str) {
+        for n in 0..self.names.len() {
+            self.lookup(n, job);
+            if let Some(spec) = self.judge.specs.get(job).cloned() {
+                self.submit(n, spec);
+            }
+        }
+    }
+
+    /// The node that holds most machines' parts; the first one of several.
+    pub fn holder(&self, part: &str) -> Option<usize> {
+        let (value, _) = self.store.get(&format!("parts/{part}"))?;
+        let record = value.parse::<quartzlever_wire::state::PartRecord>()?;
+        self.names.iter().position(|n| *n == record.node)
+    }
+
+    /// The part whose machines run most tasks, with its holder.
+    pub fn busiest(&self) -> (String, usize) {
+        let mut tasks: BTreeMap<String, usize> = BTreeMap::new();
+        for key in self.store.keys("hosts/") {
+            let Some((value, _)) = self.store.get(&key) else { continue };
+            for (host, record) in
+                quartzlever_wire::state::hosts_in(&key, value).into_iter().flatten()
+            {
+                let on = self.workers.get(&host).map_or(0, |w| w.running().len());
+                *tasks.entry(record.part).or_default() += on;
+            }
+        }
+        let most = tasks.into_iter().max_by_key(|(_, n)| *n).map(|(part, _)| part);
+        let part = most.unwrap_or_else(|| self.names[0].to_owned());
+        let holder = self.holder(&part).unwrap_or(0);
+        (part, holder)
+    }
+
+    /// Ends all troubles.
+    pub fn calm(&mut self) {
+        self.luck = Luck::default();
+        self.cut.clear();
+        self.lonely.clear();
+        self.apart.clear();
+        self.frozen.clear();
+        self.mute.clear();
+        self.deaf.clear();
+        (self.slow, self.cloud_down) = (0, false);
+        self.workers.values_mut().for_each(|w| w.hung = false);
+        if self.store.outage {
+            self.store.end_outage(self.now);
+        }
+        for n in 0..self.names.len() {
+            if self.cores[n].is_none() {
+                self.start(n);
+            }
+        }
+    }
+
+    /// Lets time pass while users ask about all their jobs now and then, at any node.
+    pub fn pass(&mut self, span: Micros) {
+        let end = self.now + span;
+        while self.now < end {
+            for job in self.judge.accepted() {
+                let n = self.rng.random_range(0..self.names.len());
+                if self.cores[n].is_some() {
+                    self.lookup(n, &job);
+                }
+            }
+            self.run((2 * SECOND).min(end - self.now));
+        }
+    }
+
+    /// A chance of so many in a hundred.
+    pub fn chance(&mut self, percent: u32) -> bool {
+        self.rng.random_range(0..100) < percent
+    }
+
+    pub fn pick(&mut self, below: usize) -> usize {
+        self.rng.random_range(0..below)
+    }
+
+    /// Kills a node and starts it again after a while.
+    pub fn restart(&mut self, n: usize, after: Micros) {
+        self.kill(n);
+        self.run(after);
+        self.start(n);
+    }
+
+    /// Machines on which a job has tasks now.
+    pub fn machines_of(&self, job: &str) -> Vec<String> {
+        let on = |w: &Worker| w.running().iter().any(|t| t.job == job);
+        self.workers.iter().filter(|(_, w)| on(w)).map(|(name, _)| name.clone()).collect()
     }
 
     /// Lets time pass.
@@ -228,8 +402,11 @@
     fn step(&mut self) {
         let now = self.now;
         for worker in self.workers.values_mut() {
+            let (session, busy) = (worker.session(), !worker.running().is_empty());
             worker.pass(now);
+            self.counts.leases_lost += usize::from(busy && worker.session() > session);
         }
+        self.note_ends();
         self.workers.retain(|name, _| !self.cloud.gone.contains(name));
         let due: Vec<(Micros, u64, Message)> = {
             let (mut due, rest): (Vec<_>, Vec<_>) =
@@ -276,9 +453,15 @@
             Message::State(n, life, token, call, lost) => {
                 let refused = Err(CallError::Refused);
                 let lonely = self.lonely.contains(&n);
+                self.counts.refused_alone += usize::from(lonely && !self.store.outage);
+                self.counts.refused_all += usize::from(self.store.outage);
                 let mut result = if lonely { refused } else { self.store.call(now, &call) };
-                let mut delay = self.short();
-                if lost {
+                let mut delay = self.short() + self.slow / 2;
+                let unanswered = matches!(call, StateCall::Txn(_))
+                    && matches!(result, Ok(StateReply::Committed(_)))
+                    && self.rng.random_range(0..100) < self.luck.unanswered;
+                self.counts.unanswered += usize::from(unanswered);
+                if lost || unanswered {
                     result = Err(CallError::Unknown);
                     delay = 1_500_000;
                 }
@@ -287,12 +470,10 @@
             }
             Message::Worker(n, life, token, address, call, lost) => {
                 let name = address.trim_end_matches(":9000").to_owned();
-                let cut = self.cut.contains(&(n, name.clone()));
+                let cut = self.cut.contains(&(n, name.clone())) || self.deaf.contains(&name);
                 let result = match self.workers.get_mut(&name) {
                     Some(worker) if !worker.hung && !cut => Ok(match &call {
-                        WorkerCall::Status => {
-                            quartzlever_wire::workers::WorkerReply::Report(worker.report())
-                        }
+                        WorkerCall::Status => WorkerReply::Report(worker.report()),
                         WorkerCall::Command(orders) => worker.command(orders, now),
                     }),
                     Some(_) => {
@@ -311,24 +492,54 @@
                 if self.cut.contains(&(n, name.clone())) {
                     return;
                 }
+                if self.deaf.contains(&name) {
+                    self.counts.deaf += 1;
+                    return;
+                }
                 if let Some(worker) = self.workers.get_mut(&name) {
                     worker.answered(&orders, sent, session, now);
                 }
             }
-            Message::LateState(call) => {
-                let _ = self.store.call(now, &call);
+            Message::LateState(call) => match self.store.call(now, &call) {
+                Ok(StateReply::Committed(_)) => self.counts.late_in_force += 1,
+                _ => self.counts.late_conflicts += 1,
+            },
+            Message::Copy(nodes, report) => {
+                for n in nodes {
+                    self.request += 1;
+                    let id = self.request;
+                    let command = Command::Report { id, report: (*report).clone() };
+                    if self.cores[n].is_some() && !self.frozen.contains(&n) {
+                        self.counts.copies += 1;
+                        batches.entry(n).or_default().push(command);
+                    }
+                }
             }
             Message::LateWorker(address, call) => {
                 let name = address.trim_end_matches(":9000").to_owned();
                 if let (Some(worker), WorkerCall::Command(orders)) =
                     (self.workers.get_mut(&name), &call)
                 {
-                    worker.command(orders, now);
+                    match worker.command(orders, now) {
+                        WorkerReply::Refused(_) => self.counts.held_refused += 1,
+                        WorkerReply::Report(_) => self.counts.held_executed += 1,
+                    }
                 }
             }
         }
     }
 
+    /// Tells the judge which tasks have run to their end.
+    fn note_ends(&mut self) {
+        for (name, worker) in &self.workers {
+            let seen = self.seen_ends.entry(name.clone()).or_default();
+            for task in &worker.completed[*seen..] {
+                self.judge.completes(task);
+            }
+            *seen = worker.completed.len();
+        }
+    }
+
     fn poll_watches(&mut self) {
         let watches = std::mem::take(&mut self.watches);
         for watch in watches {
@@ -359,8 +570,15 @@
             }
             Effect::State { token, call, .. } => {
                 let (lost, late) = self.fate();
-                let delay = self.short();
-                if late && matches!(call, StateCall::Txn(_)) {
+                let delay = self.short() + self.slow / 2;
+                let txn = matches!(call, StateCall::Txn(_));
+                let lagging = txn && self.rng.random_range(0..100) < self.luck.late_writes;
+                if lagging {
+                    let wait = self.rng.random_range(2 * SECOND..12 * SECOND);
+                    self.post(wait, Message::LateState(call));
+                    let command = Command::State { token, result: Err(CallError::Unknown) };
+                    self.post(1_500_000, Message::ToNode(n, life, Box::new(command)));
+                } else if late && txn {
                     // Soon after, or minutes later.
                     let most = if self.rng.random() { 2 * SECOND } else { 90 * SECOND };
                     let wait = self.rng.random_range(SECOND / 10..most);
@@ -384,7 +602,7 @@
                             let worker = Worker::new(rental, LEASE, self.run_time, self.now);
                             self.workers.insert(host.clone(), worker);
                             let first = self.rng.random_range(0..self.cores.len());
-                            let at = self.now + SECOND;
+                            let at = self.now + self.boot;
                             self.next_report.insert(host.clone(), (first, at));
                         }
                     }
@@ -437,6 +655,12 @@
             Effect::Answer { id, status, body, until, .. } => {
                 assert!(until.is_none_or(|u| u > self.now), "an answer without a sure hold");
                 let body = serde_json::to_value(body).expect("an answer is JSON");
+                self.counts.not_entitled += usize::from(body["error"] == "not entitled");
+                if let Some((asked, job, sent)) = self.asked.remove(&id) {
+                    let phase = body["phase"].as_str().unwrap_or("");
+                    self.counts.answers += usize::from(matches!(status, 200 | 201));
+                    self.judge.answer(self.now, sent, asked, &job, status, phase);
+                }
                 self.answers.insert(id, (status, body));
             }
             Effect::Note { .. } | Effect::Share(_) => {}
@@ -453,6 +677,19 @@
             }
             let Some(report) = self.workers.get_mut(&name).map(Worker::report) else { continue };
             let (sent, session) = (self.now, report.session);
+            if self.rng.random_range(0..100) < self.luck.copies {
+                let wait = self.rng.random_range(2 * SECOND..2 * LEASE);
+                self.post(wait, Message::Copy(vec![node], Box::new(report.clone())));
+            }
+            if self.rng.random_range(0..100) < self.luck.for_next {
+                self.kept_copies.push(report.clone());
+            }
+            if self.mute.contains(&name) {
+                self.counts.mute += 1;
+                let next = (node + 1) % self.cores.len();
+                self.next_report.insert(name, (next, self.now + SECOND));
+                continue;
+            }
             if self.cores[node].is_none() || self.cut.contains(&(node, name.clone())) {
                 let next = (node + 1) % self.cores.len();
                 self.next_report.insert(name, (next, self.now + SECOND));
@@ -503,46 +740,62 @@
 
     /// Looks for broken rules.
     fn check(&mut self) {
-        let mut on: BTreeMap<String, (String, u32)> = BTreeMap::new();
-        let mut tight = 0.0;
-        for (name, worker) in &self.workers {
-            for task in worker.running() {
-                let seen = on.entry(task.to_string()).or_insert((name.clone(), 0));
-                seen.1 += 1;
-                if seen.1 > 1 {
-                    let text = format!("{}: {task} on {} and {name}", self.now - START, seen.0);
-                    self.broken.push(text);
-                }
-                if let Some(spec) = self.specs.get(&task.job).filter(|s| s.team == "tight") {
-                    tight += spec.cpus;
-                }
-                let long_over =
-                    self.cancelled.get(&task.job).is_some_and(|at| self.now > at + 20 * SECOND);
-                if long_over {
-                    self.broken.push(format!("{}: {task} after its end", self.now - START));
-                }
-            }
-        }
+        let now = self.now;
+        let seen: Vec<Seen> = self
+            .workers
+            .values()
+            .map(|w| Seen {
+                host: w.rental.name.clone(),
+                kind: w.rental.kind.clone(),
+                zone: w.rental.zone.clone(),
+                spot: w.rental.spot,
+                tasks: w.running(),
+            })
+            .collect();
+        self.judge.machines(now, &seen);
         for key in self.store.keys("over/") {
             let id = &key["over/".len()..];
-            if !self.ended.contains_key(id) && self.over(id) == Some(JobPhase::Done) {
-                self.ended.insert(id.to_owned(), self.now);
+            if self.over(id) == Some(JobPhase::Done) {
+                self.judge.ends(now, id);
             }
         }
         for (name, worker) in &self.workers {
-            let seen = self.seen_starts.entry(name.clone()).or_default();
-            for (task, at) in &worker.started[*seen..] {
-                if self.ended.get(&task.job).is_some_and(|end| at > end) {
-                    self.broken.push(format!("{}: {task} starts after its end", at - START));
-                }
+            let told = self.seen_starts.entry(name.clone()).or_default();
+            for (task, at) in &worker.started[*told..] {
+                self.judge.starts(*at, task, name, &seen);
+            }
+            *told = worker.started.len();
+        }
+        self.watch_holders();
+    }
+
+    /// Counts new holders, and hands them what was kept for them.
+    fn watch_holders(&mut self) {
+        let mut new = 0;
+        for name in self.names.clone() {
+            let stamp = self.store.get(&format!("parts/{name}")).map(|(_, stamp)| stamp);
+            if let Some(stamp) = stamp
+                && self.part_stamps.insert(name.to_owned(), stamp) != Some(stamp)
+            {
+                new += 1;
             }
-            *seen = worker.started.len();
         }
-        if tight > 4.0 {
-            self.broken.push(format!("{}: tight team uses {tight}", self.now - START));
+        self.counts.holders += new;
+        if new > 0 {
+            let all: Vec<usize> = (0..self.names.len()).collect();
+            for report in std::mem::take(&mut self.kept_copies) {
+                self.counts.copies_for_next += 1;
+                let delay = self.short();
+                self.post(delay, Message::Copy(all.clone(), Box::new(report)));
+            }
         }
     }
 
+    /// Whether a machine that reports has room for one more task of the usual size.
+    pub fn has_room(&self) -> bool {
+        self.workers.values().any(|w| !w.hung && w.running().len() < 4)
+    }
+
     /// The final state of a job, if it has one.
     pub fn over(&self, id: &str) -> Option<JobPhase> {
         let (value, _) = self.store.get(&format!("over/{id}"))?;
@@ -574,14 +827,9 @@
     /// Cancels until that is answered for good, as users do.
     pub fn abort_surely(&mut self, mut n: usize, job: &str) -> Option<String> {
         for _ in 0..60 {
-            let name = job.to_owned();
-            let id = self.request(n, |id| Command::Abort { id, job: name });
+            let id = self.abort(n, job);
             if let Some((200, body)) = self.answer(id, 5 * SECOND) {
-                let phase = body["phase"].as_str().unwrap_or("").to_owned();
-                if phase == "aborted" {
-                    self.cancelled.insert(job.to_owned(), self.now);
-                }
-                return Some(phase);
+                return Some(body["phase"].as_str().unwrap_or("").to_owned());
             }
             self.run(SECOND);
             n = (n + 1) % self.names.len();
--- a/crates/quartzlever-standin/src/worker.rs
+++ b/crates/quartzlever-standin/src/worker.rs
@@ -33,6 +33,8 @@
     pub hung: bool,
     /// Tasks that were started here, in order.
     pub started: Vec<(TaskId, Micros)>,
+    /// Tasks that ran to their end here, in order.
+    pub completed: Vec<TaskId>,
 }
 
 impl Worker {
@@ -49,9 +51,14 @@
             faulty: false,
             hung: false,
             started: Vec::new(),
+            completed: Vec::new(),
         }
     }
 
+    pub fn session(&self) -> u64 {
+        self.session
+    }
+
     /// Tasks that are on the machine now.
     pub fn running(&self) -> Vec<TaskId> {
         let on = self.attempts.iter().filter(|(_, a)| a.exited.is_none());
@@ -68,11 +75,12 @@
         if self.hung {
             return;
         }
-        for attempt in self.attempts.values_mut().filter(|a| a.exited.is_none()) {
+        for ((task, _), attempt) in self.attempts.iter_mut().filter(|(_, a)| a.exited.is_none()) {
             if self.faulty && now >= attempt.started + SECOND / 2 {
                 attempt.exited = Some(Cause::Error);
             } else if now >= attempt.started + self.run_time {
                 attempt.exited = Some(Cause::Done);
+                self.completed.push(task.clone());
             }
         }
     }
--- a/crates/quartzlever-wire/src/peers.rs
+++ b/crates/quartzlever-wire/src/peers.rs
@@ -28,6 +28,8 @@
     Heard { part: String, machines: u32 },
     /// These machines were rented by `part` and will report soon.
     Rented { part: String, hosts: Vec<String> },
+    /// The cancellation of a job, with so many of its tasks done, has just been committed.
+    Cancelled { job: String, done: u32 },
 }
 
 /// What the thief could run, so that the victim does not move what would only wait there.
--- a/crates/quartzlever/src/settings.rs
+++ b/crates/quartzlever/src/settings.rs
@@ -86,6 +86,7 @@
 struct WorkersEntry {
     report_s: f64,
     lease_s: f64,
+    cancel_s: f64,
 }
 
 #[derive(Deserialize)]
@@ -287,6 +288,7 @@
     let workers = WorkerTimes {
         report: check.span("params.workers.report_s", params.workers.report_s, 0.1, 3600.0)?,
         lease: check.span("params.workers.lease_s", params.workers.lease_s, 1.0, 86_400.0)?,
+        cancel: check.span("params.workers.cancel_s", params.workers.cancel_s, 1.0, 86_400.0)?,
     };
     let state = &params.state;
     let at_ease = at_ease(&check, params.machine_limits.as_ref(), params.workers.report_s)?;
