--- a/crates/quartzlever-core/src/claims.rs
+++ b/crates/quartzlever-core/src/claims.rs
@@ -336,28 +336,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// What is reckoned record by record is never less than what is written.
-    #[test]
-    fn a_block_is_reckoned_as_long_as_it_is_written() {
-        for names in [&["n-1"][..], &["n-1", "n-22", "n-333"], &["a\"b", "n-\u{e9}"]] {
-            let mut hosts = Hosts::new();
-            let mut length = written_length(&hosts) + 16;
-            for (n, name) in names.iter().enumerate() {
-                let record = HostRecord {
-                    part: "one".into(),
-                    address: format!("10.1.0.{n}:9000"),
-                    kind: "\"big\"".into(),
-                    zone: String::new(),
-                    spot: n == 0,
-                };
-                length += name.len() + 4 + written_length(&record);
-                hosts.insert((*name).to_owned(), record);
-            }
-            let written = written_length(&HostBlock { m: hosts });
-            assert!(length >= written, "{names:?}: {length} for {written}");
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/quartzlever-core/src/claims/tests.rs
@@ -0,0 +1,84 @@
+//! Claims of machines.
+
+use super::*;
+use crate::testing::*;
+
+/// What is reckoned record by record is never less than what is written.
+#[test]
+fn a_block_is_reckoned_as_long_as_it_is_written() {
+    for names in [&["n-1"][..], &["n-1", "n-22", "n-333"], &["a\"b", "n-\u{e9}"]] {
+        let mut hosts = Hosts::new();
+        let mut length = written_length(&hosts) + 16;
+        for (n, name) in names.iter().enumerate() {
+            let record = HostRecord {
+                part: "one".into(),
+                address: format!("10.1.0.{n}:9000"),
+                kind: "\"big\"".into(),
+                zone: String::new(),
+                spot: n == 0,
+            };
+            length += name.len() + 4 + written_length(&record);
+            hosts.insert((*name).to_owned(), record);
+        }
+        let written = written_length(&HostBlock { m: hosts });
+        assert!(length >= written, "{names:?}: {length} for {written}");
+    }
+}
+
+#[test]
+fn a_block_write_of_unknown_outcome_claims_once() {
+    // (what the write brings, what the block is read as after that; machines in the end)
+    let block = |names: &[&str]| {
+        let record = |n: &&str| {
+            let mut host = core().parts["one"].machines["n-1"].record.clone();
+            host.address = format!("{n}:9000");
+            ((*n).to_owned(), host)
+        };
+        serde_json::json!(HostBlock { m: names.iter().map(record).collect() })
+    };
+    for (name, brings, found, machines) in [
+        ("in force", Ok(StateReply::Committed(20)), None, 2),
+        ("unknown, and it was carried out", Err(CallError::Unknown), Some(block(&["n-9"])), 2),
+        ("unknown, and it was not", Err(CallError::Unknown), Some(block(&["n-8"])), 3),
+    ] {
+        let mut core = core();
+        core.mirror.loaded = true;
+        core.hold.next = NOW + 900 * SECOND;
+        core.want_claim(1, report_from("n-9", 1, 1, 0, &[]), "one", 5);
+        let txn = |effects: &[Effect]| {
+            effects.iter().find_map(|e| match e {
+                Effect::State { token, call: StateCall::Txn(txn), .. }
+                    if txn.conditions.iter().any(|c| c.path.starts_with("hosts/")) =>
+                {
+                    Some(*token)
+                }
+                _ => None,
+            })
+        };
+        let Some(token) = txn(&core.step(NOW + SECOND, Vec::new())) else { panic!("{name}") };
+        let effects = core.step(NOW + SECOND, vec![Command::State { token, result: brings }]);
+        if let Some(v) = found {
+            let token = effects.iter().find_map(|e| match e {
+                Effect::State { token, call: StateCall::Get(_), .. } => Some(*token),
+                _ => None,
+            });
+            let Some(token) = token else { panic!("{name}: not read back") };
+            let path = block_key("n-9");
+            let row = quartzlever_wire::state::Row {
+                path,
+                v: quartzlever_wire::Json::of(&v),
+                stamp: 21,
+                charter: None,
+            };
+            let result = Ok(StateReply::Row(Some(row)));
+            core.step(NOW + 2 * SECOND, vec![Command::State { token, result }]);
+            if let Some(token) = txn(&core.step(NOW + 4 * SECOND, Vec::new())) {
+                let result = Ok(StateReply::Committed(22));
+                core.step(NOW + 4 * SECOND, vec![Command::State { token, result }]);
+            }
+        }
+        let part = &core.parts["one"];
+        assert!(part.machines.contains_key("n-9"), "{name}");
+        assert_eq!(part.machines.len(), machines, "{name}");
+    }
+}
--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -740,3 +740,6 @@
         self.parts.get_mut(name).filter(|p| p.term == term)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/quartzlever-core/src/engine/tests.rs
@@ -0,0 +1,85 @@
+//! Being ready, and being behind.
+
+use crate::testing::*;
+
+#[test]
+fn a_node_that_alone_is_out_of_touch_says_that_it_is_not_ready() {
+    use quartzlever_wire::peers::{PeerAnswer, PeerRequest};
+    // (seconds since the state service last answered, what a peer says of it; whether the peer is
+    // asked, and the answer of the health check)
+    for (name, quiet, says, asked, status) in [
+        ("all is well", 1, Some(true), false, 200),
+        ("cut off alone", 6, Some(true), true, 503),
+        ("an outage for all", 6, Some(false), true, 200),
+        ("peers out of reach as well", 6, None, true, 200),
+    ] {
+        let mut core = core();
+        core.mirror.loaded = true;
+        core.wall_offset = Some(0);
+        core.contact.heard = NOW;
+        let now = NOW + quiet * SECOND;
+        let effects = core.step(now, Vec::new());
+        let token = effects.iter().find_map(|e| match e {
+            Effect::Peer { token, request: PeerRequest::Contact, .. } => Some(*token),
+            _ => None,
+        });
+        assert_eq!(token.is_some(), asked, "{name}: asked");
+        if let Some(token) = token {
+            let result =
+                says.map(|reached| PeerAnswer::Contact { reached }).ok_or(CallError::Unknown);
+            core.step(now, vec![Command::Asked { token, result }]);
+        }
+        let check = core.step(now, vec![Command::Ready { id: 9 }]);
+        let answer = check.iter().find_map(|e| match e {
+            Effect::Answer { id: 9, status, .. } => Some(*status),
+            _ => None,
+        });
+        assert_eq!(answer, Some(status), "{name}");
+    }
+}
+
+#[test]
+fn a_controller_that_is_behind_keeps_its_hold_and_its_machines() {
+    // Seconds between two steps for 30 s, with the answer to each call only in the next step.
+    for step_ms in [200, 1_500, 3_000, 5_000] {
+        let mut core = with_holders(100);
+        core.hold.next = NOW + 1;
+        core.hold.sure_until = NOW + 13 * SECOND;
+        // Its one task runs all the time, so that the machine is not returned as idle.
+        core.absorb(record_of(1, 1, "one"), 10);
+        core.step(NOW, vec![Command::Report { id: 1_000, report: report_of_one(1, None) }]);
+        let located = core.parts["one"].jobs["req-1"].located.get(&0).map(|p| p.attempt);
+        assert!(located.is_some(), "{step_ms}: placed");
+        let (mut now, mut renewals, mut returns) = (NOW, 0, 0);
+        let (mut reported, mut reports, mut answers) = (NOW, 0, 0);
+        let mut waiting = Vec::new();
+        while now < NOW + 30 * SECOND {
+            now += step_ms * 1_000;
+            let mut batch = std::mem::take(&mut waiting);
+            batch.push(Command::Tick { wall: now, behind: step_ms > 1_000 });
+            if now - reported >= core.cfg.workers.report {
+                reported = now;
+                reports += 1;
+                batch.push(Command::Report {
+                    id: reports,
+                    report: report_of_one(1 + reports, located),
+                });
+            }
+            for effect in core.step(now, batch) {
+                match effect {
+                    Effect::State { token, call: StateCall::Renew { .. }, .. } => {
+                        renewals += 1;
+                        waiting.push(Command::State { token, result: Ok(StateReply::Renewed) });
+                    }
+                    Effect::Cloud { call: CloudCall::Return(_), .. } => returns += 1,
+                    Effect::Answer { status: 200, .. } => answers += 1,
+                    _ => {}
+                }
+            }
+            assert!(core.sure(), "{step_ms}: the hold after {} s", (now - NOW) / SECOND);
+        }
+        assert!(core.parts.contains_key("one"), "{step_ms}");
+        assert!((3..=15).contains(&renewals), "{step_ms}: {renewals} renewals");
+        assert_eq!((answers, returns), (reports, 0), "{step_ms}: reports answered, machines gone");
+    }
+}
--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -744,3 +744,6 @@
         best.filter(|(cost, _)| !cheap_only || *cost <= lowest * CHEAP).map(|(_, offer)| offer)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/quartzlever-core/src/fleet/tests.rs
@@ -0,0 +1,192 @@
+//! Which machines are returned, and what a restart knows of them.
+
+use crate::testing::*;
+
+#[test]
+fn a_restart_while_the_cloud_is_down_knows_the_types() {
+    use crate::messages::{Command, Effect};
+    use quartzlever_wire::state::{CATALOGUE, Row, StateCall};
+    // (whether an earlier process kept the catalogue, whether types are known in the end)
+    for (kept, known) in [(true, true), (false, false)] {
+        let mut core = core();
+        let types: Vec<MachineType> =
+            core.types.take().iter().flat_map(|t| t.values().cloned()).collect();
+        let asked = core.step(NOW, Vec::new());
+        let cloud = asked.iter().find_map(|e| match e {
+            Effect::Cloud { token, .. } => Some(*token),
+            _ => None,
+        });
+        let Some(token) = cloud else { panic!("the cloud is not asked") };
+        let down = Command::Cloud { token, result: Err(CallError::Refused) };
+        let read = core.step(NOW, vec![down]);
+        let token = read.iter().find_map(|e| match e {
+            Effect::State { token, call: StateCall::Get(key), .. } if key == CATALOGUE => {
+                Some(*token)
+            }
+            _ => None,
+        });
+        let Some(token) = token else { panic!("the kept catalogue is not read") };
+        let v = serde_json::json!({ "chassis": types });
+        let row = Row {
+            path: CATALOGUE.into(),
+            v: quartzlever_wire::Json::of(&v),
+            stamp: 3,
+            charter: None,
+        };
+        let result = Ok(StateReply::Row(kept.then_some(row)));
+        core.step(NOW, vec![Command::State { token, result }]);
+        assert_eq!(core.types.is_some(), known, "kept {kept}");
+    }
+}
+
+#[test]
+fn copies_do_not_put_off_the_return_of_a_silent_machine() {
+    // (seconds since the takeover, whether copies come all the time, whether it is returned)
+    for (after, copies, returned) in [(1, true, false), (30, true, true), (30, false, true)] {
+        let mut core = core();
+        if let Some(part) = core.parts.get_mut("one") {
+            part.acquired = NOW;
+            part.barrier_open = false;
+            if let Some(machine) = part.machines.get_mut("n-1") {
+                (machine.fenced, machine.proven) = (false, false);
+            }
+        }
+        let mut gone = false;
+        for step in 1..=after * 2 {
+            let mut commands = vec![Command::Tick { wall: NOW, behind: false }];
+            if copies {
+                let report = report_from("n-1", 1, step, 4, &[]);
+                commands.push(Command::Report { id: step, report });
+            }
+            let effects = core.step(NOW + step * SECOND / 2, commands);
+            gone |= effects.iter().any(|e| {
+                matches!(e, Effect::Cloud { call: quartzlever_wire::cloud::CloudCall::Return(h), .. }
+                    if h.contains(&"n-1".to_owned()))
+            });
+        }
+        assert_eq!(gone, returned, "{after} s, copies {copies}");
+    }
+}
+
+#[test]
+fn what_calls_cannot_reach_holds_up_a_recovery_for_less_time() {
+    // (calls that failed, seconds since the takeover, whether the machine is given up), with
+    // reports every 6 s and 10 s of silence allowed
+    for (failed, after, given_up) in
+        [(0, 7, false), (1, 7, false), (2, 7, true), (0, 13, true), (2, 4, false)]
+    {
+        let mut core = core();
+        (core.cfg.workers.report, core.cfg.workers.lease) = (6 * SECOND, 34 * SECOND);
+        if let Some(part) = core.parts.get_mut("one") {
+            part.barrier_open = false;
+            if let Some(machine) = part.machines.get_mut("n-1") {
+                (machine.fenced, machine.proven) = (false, false);
+                machine.failed_calls = failed;
+            }
+            // One that was heard, so that the zone does not count as cut off.
+            let record = part.machines["n-1"].record.clone();
+            part.add_machine("n-2", record, true, NOW + after * SECOND);
+        }
+        core.step(NOW + after * SECOND, Vec::new());
+        let wanted = core.parts["one"].machines.get("n-1").and_then(|m| m.return_wanted);
+        assert_eq!(wanted.is_some(), given_up, "{failed} calls, {after} s");
+    }
+}
+
+#[test]
+fn a_machine_that_heeds_nothing_gets_no_more_and_is_returned() {
+    // What each later report shows of the attempt that answers told it to run; whether it may
+    // get more after the first of them, and whether it is returned in the end.
+    for (name, shows, usable, returned) in [
+        ("it hears", [true, true, true], true, false),
+        ("an answer was lost", [false, true, true], false, false),
+        ("it hears nothing", [false, false, false], false, true),
+    ] {
+        let mut core = core();
+        absorb_job(&mut core, &spec(1), 10, NOW);
+        core.step(NOW, vec![Command::Report { id: 1, report: report_from("n-1", 1, 1, 5, &[]) }]);
+        let part = &core.parts["one"];
+        let attempt = part.jobs["req-1"].located.values().next().map(|p| p.attempt);
+        let Some(attempt) = attempt else { panic!("{name}: not started") };
+        let mut gone = false;
+        for (n, shown) in shows.into_iter().enumerate() {
+            let now = NOW + (n as u64 + 1) * SECOND;
+            let attempts: &[u64] = if shown { &[attempt] } else { &[] };
+            let next = report_from("n-1", 1, n as u64 + 2, 5, attempts);
+            core.step(now, vec![Command::Report { id: 2 + n as u64, report: next }]);
+            if n == 0 {
+                let machine = &core.parts["one"].machines["n-1"];
+                assert_eq!(machine.usable(), usable, "{name}");
+            }
+            gone |= core.parts["one"].machines["n-1"].return_wanted == Some("deaf");
+        }
+        let effects = core.step(NOW + 4 * SECOND, Vec::new());
+        gone |= effects.iter().any(|e| {
+            matches!(e, Effect::Cloud { call: quartzlever_wire::cloud::CloudCall::Return(_), .. })
+        });
+        assert_eq!(gone, returned, "{name}");
+        // Until it is proven empty its task stays where it may be.
+        let located = core.parts["one"].jobs["req-1"].located.len();
+        assert_eq!(located, 1, "{name}: not started elsewhere");
+    }
+}
+
+#[test]
+fn a_zone_that_fell_silent_holds_up_a_recovery_for_half_a_lease() {
+    // (proven before, seconds of silence, whether the machines are given up), leases of 34 s
+    for (proven, quiet, given_up) in
+        [(false, 16, false), (false, 18, true), (true, 18, false), (true, 36, true)]
+    {
+        let mut core = core();
+        (core.cfg.workers.report, core.cfg.workers.lease) = (6 * SECOND, 34 * SECOND);
+        if let Some(part) = core.parts.get_mut("one") {
+            let record = part.machines["n-1"].record.clone();
+            for name in ["n-2", "n-3"] {
+                part.add_machine(name, record.clone(), false, NOW);
+            }
+            for machine in part.machines.values_mut() {
+                (machine.fenced, machine.proven) = (proven, proven);
+                machine.idle_since = None;
+                machine.failed_calls = 9;
+            }
+            part.barrier_open = proven;
+        }
+        core.step(NOW + quiet * SECOND, Vec::new());
+        let machines = &core.parts["one"].machines;
+        let wanted = machines.values().filter(|m| m.return_wanted.is_some()).count();
+        assert_eq!(wanted, if given_up { 3 } else { 0 }, "{proven} {quiet}");
+    }
+}
+
+#[test]
+fn nobody_is_silent_to_a_node_that_did_not_listen() {
+    // (seconds since anything was heard; whether the process stood still or is behind; how many
+    // reports are in the first batch after that; machines returned)
+    for (name, quiet, behind, heard, gone) in [
+        ("all is silent, and the node listened", 13, false, 0, 10),
+        ("it stood still, and nothing is read yet", 13, true, 0, 0),
+        ("it stood still, and has read some", 13, true, 4, 0),
+        ("it listened, and some are there", 13, false, 4, 6),
+    ] {
+        let mut core = with_cache(&[("one", "one", 5)]);
+        ten_machines(&mut core, NOW);
+        let now = NOW + quiet * SECOND;
+        let mut commands = vec![Command::Tick { wall: NOW, behind }];
+        for n in 1..=heard {
+            let report = report_idle(&format!("n-{n}"), 9, 5);
+            commands.push(Command::Report { id: n, report });
+        }
+        assert_eq!(returned(&core.step(now, commands)), gone, "{name}");
+        // In the end the silent ones go all the same.
+        let mut late = 0;
+        for step in 1..=30 {
+            let now = now + step * SECOND / 2;
+            let reports = (1..=heard).map(|n| Command::Report {
+                id: 100 + n,
+                report: report_idle(&format!("n-{n}"), 10 + step, 5),
+            });
+            late += returned(&core.step(now, reports.collect()));
+        }
+        assert_eq!(late + gone, 10 - heard as usize, "{name}: later");
+    }
+}
--- a/crates/quartzlever-core/src/hearing.rs
+++ b/crates/quartzlever-core/src/hearing.rs
@@ -217,32 +217,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_part_goes_to_and_fro_ever_more_seldom() {
-        // (seconds at which parts are given up, with workers reached between them if they are more
-        // than 10 s apart; seconds of the last wait)
-        let cases: &[(&[Micros], Micros)] = &[
-            (&[100], 15),
-            (&[100, 101, 102], 15),
-            (&[100, 150], 30),
-            (&[100, 150, 250], 60),
-            (&[100, 150, 250, 350, 500, 700, 1_200, 2_000], 600),
-            (&[100, 150, 1_000], 15),
-        ];
-        for (times, wait) in cases {
-            let mut hearing = Hearing::new(0);
-            let mut last = 0;
-            for at in *times {
-                if at - last > 10 {
-                    hearing.lost = None;
-                }
-                last = *at;
-                hearing.lose(at * SECOND);
-            }
-            assert_eq!(hearing.wait, wait * SECOND, "{times:?}");
-        }
-    }
-}
+mod tests;
--- a/crates/quartzlever-core/src/holding.rs
+++ b/crates/quartzlever-core/src/holding.rs
@@ -558,3 +558,6 @@
 fn next_page(rows: &Rows) -> Option<String> {
     if rows.has_next { rows.rows.last().map(|r| r.path.clone()) } else { None }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/quartzlever-core/src/holding/tests.rs
@@ -0,0 +1,115 @@
+//! Parts that change hands, and what is read of the store.
+
+use crate::testing::*;
+
+#[test]
+fn a_part_is_given_back_once() {
+    // (what the release brings, how many more releases follow within a second)
+    for (name, brings, more) in [
+        ("given up", Ok(StateReply::Committed(20)), 0),
+        ("another's already", Ok(StateReply::Conflict(vec!["parts/two".into()])), 0),
+        ("not carried out", Err(CallError::Refused), 1),
+        ("unknown", Err(CallError::Unknown), 1),
+    ] {
+        let mut core = with_cache(&[("one", "one", 5), ("two", "one", 6)]);
+        core.home_asks.insert("two".into(), (NOW - 60 * SECOND, NOW));
+        let first = changes(&core.step(NOW, Vec::new()), "parts/two");
+        assert_eq!(first.len(), 1, "{name}: asked for long enough");
+        // The copy does not know of it yet; the home node still asks.
+        let result = Command::State { token: first[0], result: brings };
+        let mut again = changes(&core.step(NOW + SECOND / 20, vec![result]), "parts/two");
+        for step in 2..20 {
+            again.extend(changes(&core.step(NOW + step * SECOND / 20, Vec::new()), "parts/two"));
+        }
+        assert_eq!(again.len(), more, "{name}");
+    }
+}
+
+#[test]
+fn what_is_known_by_its_stamp_is_not_read() {
+    // An unreadable record shows whether it was read. (key, stamp, whether it is)
+    for (key, stamp, read) in [
+        ("live/req-1", 10, false),
+        ("live/req-1", 9, false),
+        ("live/req-1", 11, true),
+        ("live/req-2", 11, true),
+        ("live/req-3", 11, false),
+        ("over/req-3", 11, false),
+    ] {
+        let mut core = with_holders(100);
+        core.cfg.notes = crate::messages::Weight::Error;
+        core.absorb(record_of(1, 4, "one"), 10);
+        core.job_over("req-3", OverRecord { phase: JobPhase::Done, done: 4 });
+        core.mirror.epoch = 8;
+        core.mirror.watch = 1;
+        let v = Json::of(&"no record");
+        let log = vec![Event::Write { write: key.into(), v, stamp }];
+        core.watched(1, NOW, Ok(StateReply::Watched(WatchAnswer { epoch: 12, log })));
+        let noted = core.out.iter().any(|e| matches!(e, Effect::Note { .. }));
+        assert_eq!(noted, read, "{key} {stamp}");
+        assert_eq!(core.mirror.epoch, 12, "{key} {stamp}");
+        assert!(core.mirror.live.contains_key("req-1"), "a job stays known");
+    }
+}
+
+/// The sending of a read counts, once the copy has come as far; a lease that is surely alive is not
+/// enough, nor is a fresh view from before the lease was renewed after a time without.
+#[test]
+fn a_holder_acts_only_on_a_fresh_view() {
+    let watched = |epoch| Ok(StateReply::Watched(WatchAnswer { epoch, log: Vec::new() }));
+    let mut core = core();
+    core.mirror.loaded = true;
+    core.cfg.workers.cancel = 40 * SECOND;
+    // 40 s less a lease of 10 s and a margin of 3 s, with drift.
+    let bound = core.cfg.view_bound();
+    assert!(bound > 26 * SECOND && bound < 27 * SECOND, "{bound}");
+    let at = |core: &mut Core, after: Micros| {
+        core.now = NOW + after;
+        core.sure()
+    };
+    assert!(at(&mut core, bound - 1) && !at(&mut core, bound));
+    // The watch was sent 5 s after the view, and tells nothing new.
+    core.watched(1, NOW + 5 * SECOND, watched(12));
+    assert!(at(&mut core, 5 * SECOND + bound - 1) && !at(&mut core, 5 * SECOND + bound));
+    // A read of the revision counts from its sending, but only once the copy has come to it.
+    core.fenced(Vec::new(), NOW + 9 * SECOND, Ok(StateReply::Epoch(14)));
+    assert!(!at(&mut core, 5 * SECOND + bound));
+    core.watched(2, NOW + 6 * SECOND, watched(13));
+    assert!(!at(&mut core, 6 * SECOND + bound));
+    core.watched(3, NOW + 7 * SECOND, watched(14));
+    assert!(at(&mut core, 9 * SECOND + bound - 1));
+    // Renewed after a time without a sure lease: the view must be newer than that renewal.
+    core.hold.sure_until = NOW;
+    core.now = NOW + 20 * SECOND;
+    core.renewed(NOW + 19 * SECOND, 1, Ok(StateReply::Renewed));
+    assert!(core.holds() && !core.sure(), "the view is from before the renewal");
+    core.fenced(Vec::new(), NOW + 19 * SECOND, Ok(StateReply::Epoch(14)));
+    assert!(core.sure());
+}
+
+/// The bound holds for whatever the settings say; where it cannot, that is said.
+#[test]
+fn views_leases_and_cancellations_add_up() {
+    // (lease, cancel in seconds, whether leases alone do)
+    for (lease, cancel, meets) in [
+        (34, 64, true),
+        (36, 56, true),
+        (30, 37, false),
+        (30, 38, true),
+        (60, 30, false),
+        (1, 1, false),
+    ] {
+        let mut cfg = core().cfg;
+        (cfg.workers.lease, cfg.workers.cancel) = (lease * SECOND, cancel * SECOND);
+        assert_eq!(cfg.leases_meet_cancel(), meets, "{lease} {cancel}");
+        let latest = cfg.view_bound() + cfg.workers.lease;
+        assert!(!meets || latest + 2 * SECOND < cfg.workers.cancel, "{lease} {cancel}: {latest}");
+        assert!(cfg.watch_hold() < cfg.view_bound() / 2, "{lease} {cancel}");
+        let mut told = Core::new(cfg, 1, NOW);
+        let effects = told.step(NOW, Vec::new());
+        let named = effects
+            .iter()
+            .any(|e| matches!(e, Effect::Note { text, .. } if text.contains("workers.cancel_s")));
+        assert_eq!(named, !meets, "{lease} {cancel}");
+    }
+}
--- a/crates/quartzlever-core/src/jobs.rs
+++ b/crates/quartzlever-core/src/jobs.rs
@@ -575,3 +575,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/quartzlever-core/src/jobs/tests.rs
@@ -0,0 +1,70 @@
+//! Which part a new job enters.
+
+use crate::testing::*;
+
+#[test]
+fn a_node_without_a_part_accepts_into_anothers() {
+    // (whether this node holds its part, who holds parts by its copy; the condition of the
+    // acceptance beside the job's own keys, none if the job is not accepted at all)
+    type Case<'a> = (bool, &'a [(&'a str, &'a str, u64)], Option<(&'a str, u64)>);
+    let cases: &[Case] = &[
+        (true, &[("one", "one", 5), ("two", "two", 6)], Some(("parts/one", 5))),
+        (false, &[("one", "two", 8), ("two", "two", 8)], Some(("parts/", 8))),
+        (false, &[("two", "two", 6)], Some(("parts/two", 6))),
+        (false, &[], None),
+    ];
+    for (n, (holds, parts, condition)) in cases.iter().enumerate() {
+        let mut core = with_cache(parts);
+        if !holds {
+            core.parts.clear();
+        }
+        let submit = Command::Submit { id: 9, spec: Box::new(spec(2)) };
+        let effects = core.step(NOW, vec![submit]);
+        let found = effects.iter().find_map(|e| match e {
+            Effect::State { call: StateCall::Txn(txn), .. } if !txn.changes.is_empty() => {
+                let live = txn.conditions.iter().any(|c| c.path == "live/req-1");
+                let part = txn.conditions.iter().find(|c| c.path.starts_with("parts/"));
+                part.filter(|_| live).map(|c| (c.path.clone(), c.stamp))
+            }
+            _ => None,
+        });
+        assert_eq!(found.is_some(), condition.is_some(), "case {n}");
+        if let (Some(found), Some(wanted)) = (found, condition) {
+            assert!(found.0.starts_with(wanted.0) && found.1 == wanted.1, "case {n}: {found:?}");
+        }
+    }
+}
+
+#[test]
+fn a_job_enters_a_part_that_has_far_less_where_the_processor_is_short() {
+    // (machines at ease, tasks of the own part, of the other; the part that a job enters)
+    for (at_ease, own, other, enters) in [
+        (100, 0, 0, "one"),
+        (100, 90, 0, "one"),
+        (100, 150, 0, "two"),
+        (100, 150, 74, "two"),
+        (100, 150, 80, "one"),
+        (1_000, 150, 0, "one"),
+    ] {
+        let mut core = with_holders(at_ease);
+        for (number, tasks, part) in [(1, own, "one"), (2, other, "two")] {
+            if tasks > 0 {
+                core.absorb(record_of(number, tasks, part), 10);
+            }
+        }
+        let mut new = spec(4);
+        new.id = "req-9".into();
+        let submit = Command::Submit { id: 1, spec: Box::new(new) };
+        let effects = core.step(NOW, vec![submit]);
+        // Every job is written on condition of the term of the part that it enters.
+        let term = effects.iter().find_map(|e| match e {
+            Effect::State { call: StateCall::Txn(txn), .. } => {
+                let mut terms = txn.conditions.iter().filter(|c| c.path.starts_with("parts/"));
+                terms.next().map(|c| (c.path.clone(), c.stamp))
+            }
+            _ => None,
+        });
+        let stamp = if enters == "one" { 5 } else { 6 };
+        assert_eq!(term, Some((format!("parts/{enters}"), stamp)), "{at_ease} {own} {other}");
+    }
+}
--- /dev/null
+++ b/crates/quartzlever-core/src/ledger/tests.rs
@@ -0,0 +1,30 @@
+//! What may be written.
+
+use super::*;
+
+#[test]
+fn what_matters_more_finds_something_left() {
+    // (changes a second for one, already spent, kind, count, whether it is allowed)
+    for (rate, spent, kind, count, allowed) in [
+        (10.0, 7, Change::Tidy, 1, true),
+        (10.0, 7, Change::Progress, 1, false),
+        (10.0, 7, Change::Claim, 1, true),
+        (10.0, 9, Change::Claim, 1, false),
+        (10.0, 8, Change::Finish, 2, true),
+        (10.0, 9, Change::Finish, 2, false),
+        (10.0, 0, Change::Move, 24, true),
+        (10.0, 3, Change::Move, 24, false),
+    ] {
+        let mut ledger = Ledger::new(0);
+        ledger.pass(100 * SECOND, rate / SAFE, 1);
+        ledger.spend(spent);
+        assert_eq!(ledger.allows(kind, count), allowed, "{spent} {kind:?} {count}");
+    }
+    let mut ledger = Ledger::new(0);
+    ledger.pass(SECOND, 30.0, 3);
+    assert!(!ledger.exhausted());
+    ledger.spend(40);
+    assert!(ledger.exhausted());
+    ledger.pass(5 * SECOND, 30.0, 3);
+    assert!(!ledger.exhausted());
+}
--- a/crates/quartzlever-core/src/lib.rs
+++ b/crates/quartzlever-core/src/lib.rs
@@ -17,28 +17,20 @@
 mod config;
 mod engine;
 pub mod fleet;
-#[cfg(test)]
-mod gaps;
 mod hearing;
 mod holding;
 pub mod jobs;
-#[cfg(test)]
-mod joint;
-#[cfg(test)]
-mod lean;
 mod ledger;
 mod lookups;
 pub mod machine;
 mod messages;
 pub mod part;
 pub mod placement;
-#[cfg(test)]
-mod placement_tests;
-#[cfg(test)]
-mod regressions;
 mod reports;
 pub mod rooms;
 pub mod stealing;
+#[cfg(test)]
+mod testing;
 
 pub use config::{Config, Objective, Operator, Team, WorkerTimes};
 pub use engine::Core;
--- a/crates/quartzlever-core/src/lookups.rs
+++ b/crates/quartzlever-core/src/lookups.rs
@@ -137,3 +137,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/quartzlever-core/src/part.rs
+++ b/crates/quartzlever-core/src/part.rs
@@ -438,3 +438,6 @@
 pub fn live_key(id: &str) -> String {
     format!("{LIVE}{id}")
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/quartzlever-core/src/placement.rs
+++ b/crates/quartzlever-core/src/placement.rs
@@ -594,3 +594,6 @@
         fits.then(|| Stops { lost, gain, machine: host.to_owned(), attempts })
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/quartzlever-core/src/placement_tests.rs
+++ b/crates/quartzlever-core/src/placement/tests.rs
@@ -1,76 +1,36 @@
-//! Where tasks may go, as tables.
+//! Where tasks may go, and what gives way, as tables.
 
-use quartzlever_wire::Ranges;
-use quartzlever_wire::state::{HostRecord, LiveRecord, Share};
-use quartzlever_wire::users::{JobSpec, Rank};
-use quartzlever_wire::workers::Report;
+use crate::testing::*;
 
-use crate::engine::Core;
-use crate::placement::Paces;
-use crate::regressions::{NOW, core, spec};
-
-/// Adds open machines of 8 processors: name, type, zone, spot.
-fn machines(core: &mut Core, list: &[(&str, &str, &str, bool)]) {
-    // The only part there is, so that limited teams are at home in it too.
-    core.cfg.nodes = vec!["one".into()];
-    let cfg = core.cfg.clone();
-    if let Some(types) = core.types.as_mut().map(std::sync::Arc::make_mut) {
-        let mut other = types["m"].clone();
-        other.name = "x".into();
-        types.insert("x".into(), other);
-        types.values_mut().for_each(|t| t.zones = vec!["a".into(), "b".into()]);
-    }
-    let types = core.types.clone();
-    let Some(part) = core.parts.get_mut("one") else { return };
-    part.types = types;
-    part.remove_machine("n-1");
-    for (name, kind, zone, spot) in list {
-        let record = HostRecord {
-            part: "one".into(),
-            address: "n:1".into(),
-            kind: (*kind).into(),
-            zone: (*zone).into(),
-            spot: *spot,
-        };
-        part.add_machine(name, record, true, NOW);
-        let report = Report {
-            host: (*name).into(),
-            address: "n:1".into(),
-            kind: (*kind).into(),
-            zone: (*zone).into(),
-            spot: *spot,
-            session: 1,
-            tick: 1,
-            baton: 5,
-            warning_s: None,
-            tasks: Vec::new(),
-        };
-        part.take_report(&cfg, &mut Paces::default(), &report, true, NOW);
+#[test]
+fn nothing_waits_for_ever() {
+    // (seconds since a standard job came, whether it has begun, rank of a fresh one; who is first)
+    for (age, begun, rank, first) in [
+        (10, false, Rank::Urgent, "req-2"),
+        (10, false, Rank::Prod, "req-2"),
+        (160, false, Rank::Urgent, "req-1"),
+        (160, false, Rank::Prod, "req-1"),
+        (160, true, Rank::Urgent, "req-2"),
+        (250, true, Rank::Prod, "req-2"),
+    ] {
+        let mut core = core();
+        core.wall_offset = Some(0);
+        let mut old = spec(4);
+        old.due_s = Some(20.0);
+        absorb_job(&mut core, &old, 10, NOW - age * SECOND);
+        let mut fresh = spec(2);
+        (fresh.id, fresh.rank) = ("req-2".into(), rank);
+        absorb_job(&mut core, &fresh, 11, NOW);
+        let job = core.parts.get_mut("one").and_then(|p| p.jobs.get_mut("req-1"));
+        if let Some(job) = job.filter(|_| begun) {
+            job.finished.insert(0);
+            job.ready.remove(0);
+        }
+        let order = core.parts["one"].queue_order(&core.cfg, &core.paces, NOW);
+        assert_eq!(order.first().map(String::as_str), Some(first), "{age} {begun} {rank:?}");
     }
 }
 
-fn submit(core: &mut Core, spec: &JobSpec, stamp: u64) {
-    let share = Share { part: "one".into(), term: 5, tasks: Ranges::first(spec.tasks) };
-    let record = LiveRecord {
-        job: spec.clone(),
-        since: NOW,
-        started: false,
-        shares: vec![share],
-        finished: Ranges::default(),
-    };
-    core.absorb(record, stamp);
-    core.now += quartzlever_wire::SECOND / 20;
-    core.place("one");
-}
-
-/// How many of a job's tasks went to each machine, by the machines' names.
-fn placed(core: &Core, id: &str) -> Vec<(String, usize)> {
-    let on = |m: &crate::machine::Machine| m.slots.keys().filter(|(t, _)| t.job == id).count();
-    let part = &core.parts["one"];
-    let counts = part.machines.values().map(|m| (m.name.clone(), on(m)));
-    counts.filter(|(_, n)| *n > 0).collect()
-}
-
 #[test]
 fn tasks_go_only_where_their_job_allows() {
     type Change = fn(&mut JobSpec);
@@ -100,7 +60,7 @@
         let mut job = spec(4);
         job.cpus = 4.0;
         change(&mut job);
-        submit(&mut core, &job, 10);
+        queue_job(&mut core, &job, 10);
         let expected: Vec<(String, usize)> =
             expected.iter().map(|(m, n)| ((*m).to_owned(), *n)).collect();
         assert_eq!(placed(&core, &job.id), expected, "{name}");
@@ -121,11 +81,11 @@
         machines(&mut core, &[("n-1", "m", "a", false)]);
         let mut first = spec(2);
         (first.cpus, first.rank) = (4.0, runs);
-        submit(&mut core, &first, 10);
+        queue_job(&mut core, &first, 10);
         let mut second = spec(1);
         (second.id, second.cpus, second.rank) = ("req-2".into(), 4.0, comes);
         second.due_s = Some(4.0);
-        submit(&mut core, &second, 11);
+        queue_job(&mut core, &second, 11);
         let unwanted = |core: &Core| {
             core.parts["one"].machines["n-1"].slots.values().filter(|s| !s.wanted).count()
         };
@@ -159,28 +119,12 @@
         }
         let mut job = spec(8);
         job.team = "tight".into();
-        submit(&mut core, &job, 10);
+        queue_job(&mut core, &job, 10);
         let count: usize = placed(&core, &job.id).iter().map(|(_, n)| n).sum();
         assert_eq!(count, starts, "open {open} stranger {stranger}");
     }
 }
 
-#[test]
-fn a_failed_steal_doubles_the_wait_and_a_success_resets_it() {
-    use quartzlever_wire::SECOND;
-    // (steals that fail one after the other, seconds until the next)
-    for (failures, wait) in [(1, 1), (2, 2), (3, 4), (5, 16), (9, 16)] {
-        let mut core = core();
-        for _ in 0..failures {
-            core.steal_failed();
-        }
-        assert_eq!(core.steal_wait(), wait * SECOND, "{failures} failures");
-        core.steal_succeeded();
-        core.steal_failed();
-        assert_eq!(core.steal_wait(), SECOND, "after a success");
-    }
-}
-
 #[test]
 fn the_first_tasks_of_a_job_that_begins_late_are_left_alone() {
     use quartzlever_wire::SECOND;
@@ -193,7 +137,7 @@
         machines(&mut core, &[("n-1", "m", "a", false)]);
         let mut first = spec(tasks + u32::from(done));
         (first.cpus, first.rank) = (8.0 / f64::from(tasks), Rank::Standard);
-        submit(&mut core, &first, 10);
+        queue_job(&mut core, &first, 10);
         if let Some(job) = core.parts.get_mut("one").and_then(|p| p.jobs.get_mut("req-1")) {
             job.since = NOW - age * SECOND;
             if done {
@@ -204,7 +148,7 @@
         let mut second = spec(1);
         (second.id, second.cpus, second.rank) = ("req-2".into(), 1.0, Rank::Urgent);
         second.due_s = Some(4.0);
-        submit(&mut core, &second, 11);
+        queue_job(&mut core, &second, 11);
         core.now = NOW + SECOND;
         if let Some(part) = core.parts.get_mut("one") {
             part.place_wanted = true;
@@ -225,16 +169,16 @@
         machines(&mut core, &[("n-1", "m", "a", false)]);
         let mut running = spec(1);
         (running.id, running.cpus, running.rank) = ("req-7".into(), 4.0, Rank::Prod);
-        submit(&mut core, &running, 10);
+        queue_job(&mut core, &running, 10);
         let mut old = spec(2);
         old.cpus = 8.0;
-        submit(&mut core, &old, 11);
+        queue_job(&mut core, &old, 11);
         if let Some(job) = core.parts.get_mut("one").and_then(|p| p.jobs.get_mut("req-1")) {
             job.since = NOW - age * SECOND;
         }
         let mut fresh = spec(1);
         (fresh.id, fresh.cpus, fresh.rank) = ("req-2".into(), 4.0, Rank::Urgent);
-        submit(&mut core, &fresh, 12);
+        queue_job(&mut core, &fresh, 12);
         assert_eq!(placed(&core, "req-2").len(), small, "{age}: takes the room");
         // The first task ends.
         if let Some(part) = core.parts.get_mut("one") {
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -687,3 +687,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/quartzlever-core/src/reports/tests.rs
@@ -0,0 +1,360 @@
+//! Reports, answers and calls, as tables.
+
+use crate::testing::*;
+
+#[test]
+fn an_attempt_is_cleared_only_when_its_run_is_spent() {
+    // Whether the answer to a report carries the `run`, whether a direct call does that is given
+    // up, and whether a later report comes; what may be cleared.
+    for (answer, given_up, hello, clear) in [
+        (false, false, false, true),
+        (true, false, false, false),
+        (true, false, true, true),
+        (false, true, false, false),
+        (false, true, true, false),
+        (true, true, true, false),
+    ] {
+        let mut core = core();
+        core.absorb(record("0", "1-3"), 10);
+        let cfg = core.cfg.clone();
+        let Some(part) = core.parts.get_mut("one") else { unreachable!() };
+        let mut paces = Paces::default();
+        part.take_report(&cfg, &mut paces, &report_tasks(1, &[]), true, NOW);
+        part.start("req-1", 0, "n-1", NOW);
+        let attempt = part.jobs["req-1"].located[&0].attempt;
+        assert_eq!(part.orders_for("n-1", answer).len(), 1);
+        if given_up {
+            let Some(machine) = part.machines.get_mut("n-1") else { unreachable!() };
+            machine.slots.values_mut().for_each(|s| s.direct = crate::machine::Direct::Doubtful);
+        }
+        let ended = [(attempt, TaskPhase::Exited, Some(Cause::Halted))];
+        part.take_report(&cfg, &mut paces, &report_tasks(2, &ended), false, NOW);
+        if hello {
+            part.take_report(&cfg, &mut paces, &report_tasks(3, &ended), true, NOW);
+        }
+        let cleared =
+            part.orders_for("n-1", false).iter().any(|o| matches!(o, Order::Clear { .. }));
+        assert_eq!(cleared, clear, "answer {answer} given up {given_up} hello {hello}");
+    }
+}
+
+#[test]
+fn what_has_ended_is_cleared_along_with_other_orders() {
+    // (ended attempts, whether a task is to start, in the answer to a report; orders, clears)
+    for (ended, starts, answer, orders, clears) in [
+        (1, false, true, 0, 0),
+        (1, true, true, 2, 1),
+        (1, false, false, 1, 1),
+        (3, false, true, 0, 0),
+        (4, false, true, 4, 4),
+        (0, true, true, 1, 0),
+    ] {
+        let mut core = core();
+        core.absorb(record("0-9", ""), 10);
+        let cfg = core.cfg.clone();
+        let Some(part) = core.parts.get_mut("one") else { unreachable!() };
+        let mut paces = Paces::default();
+        part.take_report(&cfg, &mut paces, &report_tasks(1, &[]), true, NOW);
+        let mut list = Vec::new();
+        for index in 0..ended {
+            part.start("req-1", index, "n-1", NOW);
+            let attempt = part.jobs["req-1"].located[&index].attempt;
+            list.push((attempt, TaskPhase::Exited, Some(Cause::Halted)));
+        }
+        let mut told = report_tasks(2, &list);
+        for (index, task) in told.tasks.iter_mut().enumerate() {
+            task.task.index = index as u32;
+        }
+        part.take_report(&cfg, &mut paces, &told, true, NOW);
+        if starts {
+            part.start("req-1", 9, "n-1", NOW);
+        }
+        let found = part.orders_for("n-1", answer);
+        let cleared = found.iter().filter(|o| matches!(o, Order::Clear { .. })).count();
+        assert_eq!((found.len(), cleared), (orders, clears), "{ended} {starts} {answer}");
+    }
+}
+
+/// What a report that tells nothing new brings is what the long way would have brought.
+#[test]
+fn nothing_new_is_the_same_as_the_long_way() {
+    // (phases of two tasks in the last report but one and in the last; whether that is short)
+    let running = (TaskPhase::Running, None);
+    let ended = (TaskPhase::Exited, Some(Cause::Halted));
+    let pulling = (TaskPhase::Pulling, None);
+    for (before, after, short) in [
+        ([running, running], [running, running], true),
+        ([pulling, running], [pulling, running], true),
+        ([pulling, running], [running, running], false),
+        ([running, ended], [running, ended], true),
+        ([running, running], [running, ended], false),
+    ] {
+        let make = || {
+            let mut core = core();
+            core.absorb(record("0-9", ""), 10);
+            let cfg = core.cfg.clone();
+            let part = core.parts.get_mut("one").expect("held");
+            let mut paces = Paces::default();
+            part.take_report(&cfg, &mut paces, &report_tasks(1, &[]), true, NOW);
+            for index in 0..2 {
+                part.start("req-1", index, "n-1", NOW);
+            }
+            let attempts: Vec<u64> =
+                (0..2).map(|i| part.jobs["req-1"].located[&i].attempt).collect();
+            let told = |tick, phases: [(TaskPhase, Option<Cause>); 2]| {
+                let list: Vec<_> =
+                    attempts.iter().zip(phases).map(|(a, (p, c))| (*a, p, c)).collect();
+                let mut told = report_tasks(tick, &list);
+                for (index, task) in told.tasks.iter_mut().enumerate() {
+                    task.task.index = index as u32;
+                }
+                told
+            };
+            part.orders_for("n-1", true);
+            part.take_report(&cfg, &mut paces, &told(2, before), true, NOW);
+            part.urgent.clear();
+            part.place_wanted = false;
+            let last = told(3, after);
+            (core, cfg, paces, last)
+        };
+        let (mut one, cfg, mut paces, last) = make();
+        let part = one.parts.get_mut("one").expect("held");
+        assert_eq!(part.machines["n-1"].shows_nothing_new(&last), short, "{before:?} {after:?}");
+        part.take_report(&cfg, &mut paces, &last, true, NOW + 1);
+        let (mut two, cfg, mut paces, last) = make();
+        let other = two.parts.get_mut("one").expect("held");
+        if short {
+            if let Some(machine) = other.machines.get_mut("n-1") {
+                (machine.tick, machine.heard) = (last.tick, NOW + 1);
+            }
+            other.take_news(&cfg, &mut paces, &last, true, NOW + 1);
+            let part = one.parts.get("one").expect("held");
+            assert_eq!(format!("{part:?}"), format!("{other:?}"), "{before:?} {after:?}");
+        }
+    }
+}
+
+#[test]
+fn a_machine_is_empty_only_a_lease_after_all_that_was_heard_of_it() {
+    let gone = 11 * SECOND + 10_000;
+    // (seconds before now: acquired, last answered, last heard; whether its tasks are taken back)
+    for (acquired, answered, heard, empty) in [
+        (100, 100, 100, true),
+        (100, 5, 100, false),
+        (100, 100, 5, false),
+        (5, 100, 100, false),
+        (12, 12, 12, true),
+        (10, 10, 10, false),
+    ] {
+        let mut core = core();
+        core.absorb(record("0", "1-3"), 10);
+        assert_eq!(core.cfg.lease_gone_after(), gone);
+        if let Some(part) = core.parts.get_mut("one") {
+            part.start("req-1", 0, "n-1", NOW);
+            part.acquired = NOW - acquired * SECOND;
+            if let Some(machine) = part.machines.get_mut("n-1") {
+                machine.answered = NOW - answered * SECOND;
+                machine.heard = NOW - heard * SECOND;
+            }
+        }
+        core.expire_silent("one");
+        let taken_back = core.parts["one"].jobs["req-1"].ready.contains(0);
+        assert_eq!(taken_back, empty, "acquired {acquired} answered {answered} heard {heard}");
+    }
+}
+
+#[test]
+fn a_late_copy_of_a_report_proves_nothing() {
+    // What is known already: session and tick. What comes: of the worker's own accord or as an
+    // answer to a call, session, tick, baton. Whether it counts, and proves the machine.
+    type Told = (bool, u64, u64, u64);
+    type Case<'a> = (&'a str, Option<(u64, u64)>, Told, bool, bool);
+    let cases: &[Case] = &[
+        ("the original", Some((1, 5)), (true, 1, 6, 5), true, true),
+        ("a copy after it", Some((1, 6)), (true, 1, 6, 5), false, true),
+        ("an older one", Some((1, 6)), (true, 1, 2, 5), false, true),
+        ("one after a later session", Some((2, 1)), (true, 1, 90, 5), false, true),
+        ("from before the takeover, at the new holder", None, (true, 1, 80, 4), false, false),
+        ("so old that no baton was seen", None, (true, 1, 1, 0), false, false),
+        ("the present one, at the new holder", None, (true, 1, 81, 5), true, true),
+        ("an answer to our call, before the command", None, (false, 1, 82, 4), true, false),
+        ("an answer to our command", None, (false, 1, 83, 5), true, true),
+    ];
+    for (name, known, (hello, session, tick, baton), counts, proven) in cases {
+        let mut core = core();
+        absorb_job(&mut core, &spec(4), 10, NOW);
+        let cfg = core.cfg.clone();
+        let Some(part) = core.parts.get_mut("one") else { unreachable!() };
+        let Some(machine) = part.machines.get_mut("n-1") else { unreachable!() };
+        match known {
+            Some((session, tick)) => (machine.session, machine.tick) = (*session, *tick),
+            None => (machine.fenced, machine.proven) = (false, false),
+        }
+        part.barrier_open = known.is_some();
+        machine.heard = NOW - SECOND;
+        let told = report_from("n-1", *session, *tick, *baton, &[77]);
+        let newer = part.take_report(&cfg, &mut Paces::default(), &told, *hello, NOW);
+        part.try_open_barrier();
+        assert_eq!(newer, *counts, "{name}");
+        let machine = &part.machines["n-1"];
+        assert_eq!(machine.proven, *proven, "{name}: proven");
+        assert_eq!(part.barrier_open, known.is_some() || *proven, "{name}: barrier");
+        assert_eq!(machine.heard == NOW, *counts, "{name}: a sign of life");
+        assert_eq!(machine.slots.len(), usize::from(*counts), "{name}: its list is adopted");
+    }
+}
+
+#[test]
+fn a_machine_that_nobody_knows_is_asked_before_it_is_claimed() {
+    let alive = |host: &str| Ok(WorkerReply::Report(report_from(host, 1, 9, 0, &[])));
+    // (whether its first report is expected, what it says when it is asked, whether it is claimed)
+    for (name, expected, says, claimed) in [
+        ("rented and coming up", true, None, true),
+        ("there, though nobody knew", false, Some(alive("n-9")), true),
+        ("gone, and a copy came late", false, Some(Err(CallError::Unknown)), false),
+        ("another lives at its address", false, Some(alive("n-8")), false),
+    ] {
+        let mut core = core();
+        core.mirror.loaded = true;
+        core.hold.next = NOW + 900 * SECOND;
+        if let Some(part) = core.parts.get_mut("one").filter(|_| expected) {
+            let machine = Expected { kind: "m".into(), zone: "a".into(), spot: true, since: NOW };
+            part.fleet.expected.insert("n-9".into(), machine);
+        }
+        let first = Command::Report { id: 1, report: report_from("n-9", 1, 1, 0, &[]) };
+        let mut effects = core.step(NOW, vec![first]);
+        let asked = effects.iter().find_map(|e| match e {
+            Effect::Worker { token, call: WorkerCall::Status, address, .. }
+                if address == "n-9:9000" =>
+            {
+                Some(*token)
+            }
+            _ => None,
+        });
+        assert_eq!(asked.is_some(), says.is_some(), "{name}: asked");
+        if let (Some(token), Some(result)) = (asked, says) {
+            effects.extend(core.step(NOW, vec![Command::Worker { token, result }]));
+        }
+        effects.extend(core.step(NOW + SECOND, Vec::new()));
+        let key = block_key("n-9");
+        let written = effects.iter().any(|e| match e {
+            Effect::State { call: StateCall::Txn(txn), .. } => {
+                txn.conditions.iter().any(|c| c.path == key)
+            }
+            _ => false,
+        });
+        assert_eq!(written, claimed, "{name}: claimed");
+        let turned = effects.iter().any(|e| matches!(e, Effect::Answer { id: 1, status: 503, .. }));
+        assert_eq!(turned, !claimed, "{name}: turned away");
+    }
+}
+
+#[test]
+fn only_who_reaches_the_state_service_names_a_holder() {
+    // (seconds since the state service last answered, who holds part "two" by the copy; the
+    // status that a worker of that part gets)
+    for (quiet, holder, status) in
+        [(1, "two", 421), (3, "two", 421), (5, "two", 503), (1, "one", 503)]
+    {
+        let mut core = with_cache(&[("one", "one", 5), ("two", holder, 6)]);
+        core.block_seen(&block_key("n-7"), [("n-7".into(), host_record("n-7", "two"))].into(), 9);
+        core.contact.heard = NOW;
+        let come = Command::Report { id: 4, report: report_idle("n-7", 3, 6) };
+        let effects = core.step(NOW + quiet * SECOND, vec![come]);
+        let answer = effects.iter().find_map(|e| match e {
+            Effect::Answer { id: 4, status, .. } => Some(*status),
+            _ => None,
+        });
+        assert_eq!(answer, Some(status), "{quiet} s, {holder}");
+    }
+}
+
+#[test]
+fn a_call_is_made_for_what_cannot_wait_for_a_report() {
+    // (machines at ease, seconds within which a task should start; whether its start is called)
+    for (at_ease, within, called) in [(100, None, true), (1, None, false), (1, Some(2), true)] {
+        let mut core = with_holders(at_ease);
+        core.cfg.objectives = within
+            .map(|s| Objective::Wait { class: spec(1).class, share: 0.9, within: s * SECOND })
+            .into_iter()
+            .collect();
+        if let Some(part) = core.parts.get_mut("one") {
+            // A second machine, so that the part has more than half of what is at ease.
+            let host = HostRecord {
+                part: "one".into(),
+                address: "n-2:9000".into(),
+                kind: "m".into(),
+                zone: "a".into(),
+                spot: true,
+            };
+            part.add_machine("n-2", host, true, NOW);
+            for machine in part.machines.values_mut() {
+                (machine.session, machine.heard) = (1, NOW);
+            }
+            for host in ["n-1", "n-2"] {
+                part.refresh(host);
+            }
+        }
+        core.absorb(record_of(1, 1, "one"), 10);
+        let effects = core.step(NOW + SECOND, Vec::new());
+        let calls = effects.iter().filter(|e| matches!(e, Effect::Worker { .. })).count();
+        assert_eq!(calls > 0, called, "{at_ease} {within:?}");
+        assert_eq!(core.parts["one"].jobs["req-1"].located.len(), 1, "it is placed all the same");
+    }
+}
+
+/// The orders in the answer to a report.
+fn orders_to(core: &mut Core, report: Report) -> Vec<Order> {
+    let now = core.now + SECOND;
+    let effects = core.step(now, vec![Command::Report { id: 77, report }]);
+    let orders = effects.into_iter().find_map(|e| match e {
+        Effect::Answer { id: 77, status: 200, body: Answer::Orders(orders), .. } => Some(orders),
+        _ => None,
+    });
+    orders.expect("the report is answered").orders
+}
+
+/// A 200 renews the lease of whatever runs on the worker: without the kill in the answer to a new
+/// holder's first report, or to one that a direct call had overtaken, a cancelled task on a machine
+/// that could not be reached from then on lived for one more lease.
+#[test]
+fn every_answer_that_renews_a_lease_carries_its_kills() {
+    // (the report is from before the takeover, it is older than what is known, the job is live,
+    // whether the attempt that it lists is killed)
+    for (before, older, live, killed) in [
+        (true, false, false, true),
+        (true, false, true, false),
+        (false, true, false, true),
+        (false, true, true, false),
+        (false, false, false, true),
+    ] {
+        let mut core = core();
+        if live {
+            core.absorb(record("0-3", ""), 4);
+        }
+        let part = core.parts.get_mut("one").expect("it is held");
+        part.add_machine("n-2", host_record("n-2", "one"), !before, NOW);
+        if older {
+            orders_to(&mut core, report_from("n-2", 1, 9, 5, &[]));
+        }
+        let baton = if before { 4 } else { 5 };
+        let orders = orders_to(&mut core, report_from("n-2", 1, 3, baton, &[7]));
+        let kills = orders.iter().filter(|o| matches!(o, Order::Kill { attempt: 7, .. })).count();
+        assert_eq!(kills == 1, killed, "before {before}, older {older}, live {live}: {orders:?}");
+    }
+}
+
+/// What must not wait for a place among many orders goes first.
+#[test]
+fn kills_go_before_all_other_orders() {
+    let mut core = core();
+    let attempts: Vec<u64> = (1..=260).collect();
+    let mut report = report_from("n-1", 1, 1, 5, &attempts);
+    for task in &mut report.tasks[..250] {
+        (task.phase, task.cause) = (TaskPhase::Exited, Some(Cause::Halted));
+    }
+    let orders = orders_to(&mut core, report);
+    let kills = orders.iter().take_while(|o| matches!(o, Order::Kill { .. })).count();
+    assert_eq!(kills, 10);
+    assert!(orders.len() > 10 && orders.len() < 260, "{}", orders.len());
+}
--- a/crates/quartzlever-core/src/stealing.rs
+++ b/crates/quartzlever-core/src/stealing.rs
@@ -679,3 +679,6 @@
         self.jobs.values().filter(|j| movable(cfg, j, rank)).map(|j| j.ready.len()).sum()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/quartzlever-core/src/stealing/tests.rs
@@ -0,0 +1,171 @@
+//! Steals, as tables.
+
+use crate::testing::*;
+
+#[test]
+fn a_cut_of_unknown_outcome_is_settled_before_it_is_used() {
+    // (outcome of the move, of the write that settles it; ready tasks after each)
+    let committed = Ok(StateReply::Committed(20));
+    let conflict = Ok(StateReply::Conflict(vec!["live/req-1".into()]));
+    for (name, moved, settled, after_move, after) in [
+        ("refused", Err(CallError::Refused), None, "0-3", "0-3"),
+        ("conflict", conflict.clone(), None, "0-3", "0-3"),
+        (
+            "unknown, settled by a write",
+            Err(CallError::Unknown),
+            Some(committed.clone()),
+            "0-1",
+            "0-3",
+        ),
+        (
+            "unknown, unknown again",
+            Err(CallError::Unknown),
+            Some(Err(CallError::Unknown)),
+            "0-1",
+            "0-1",
+        ),
+        ("unknown, overtaken", Err(CallError::Unknown), Some(conflict), "0-1", "0-1"),
+        ("in force", committed, None, "0-1", "0-1"),
+    ] {
+        let mut core = core();
+        core.absorb(record("0-3", ""), 10);
+        let cut: Ranges = "2-3".parse().unwrap_or_default();
+        if let Some(job) = core.parts.get_mut("one").and_then(|p| p.jobs.get_mut("req-1")) {
+            job.ready.subtract(&cut);
+            job.cutting.add(&cut);
+            job.writing = true;
+        }
+        let the_move = Move { job: "req-1".into(), cut, record: record("0-1", "2-3") };
+        core.steal_written("one", 5, None, vec![the_move], moved);
+        let ready = |core: &Core| core.parts["one"].jobs["req-1"].ready.to_string();
+        assert_eq!(ready(&core), after_move, "{name}");
+        if let Some(settled) = settled {
+            core.job_written("one", 5, "req-1", Ranges::default(), false, settled);
+            assert_eq!(ready(&core), after, "{name}");
+        }
+    }
+}
+
+#[test]
+fn a_part_with_a_queue_takes_from_a_much_longer_one_only() {
+    // (tasks ready beside the four that run, the peer's movable tasks and its load; whether the
+    // part goes and takes)
+    for (name, tasks, ready, work, cpus, takes) in [
+        ("both last 12 s", 20, 16, 96.0, 8.0, false),
+        ("longer", 20, 16, 240.0, 8.0, false),
+        ("much longer", 20, 16, 320.0, 8.0, true),
+        ("no machines over there", 20, 1, 6.0, 0.0, true),
+        ("much longer, but bound to stay", 20, 0, 320.0, 8.0, false),
+    ] {
+        let mut core = with_cache(&[("one", "one", 5), ("two", "two", 6)]);
+        ready_machine(&mut core);
+        queue_tasks(&mut core, tasks, Rank::Standard, 2.0);
+        let mut effects = core.step(NOW, Vec::new());
+        effects.extend(core.step(NOW + SECOND, Vec::new()));
+        let asked = effects.iter().find_map(|e| match e {
+            Effect::Peer { token, request: PeerRequest::Counts { .. }, .. } => Some(*token),
+            _ => None,
+        });
+        let Some(token) = asked else { panic!("{name}: nobody is asked") };
+        let load = Load { work, cpus };
+        let result = Ok(PeerAnswer::Counts { ready, load });
+        let effects = core.step(NOW + SECOND, vec![Command::Asked { token, result }]);
+        let found = effects.iter().any(|e| {
+            matches!(e, Effect::Peer { request: PeerRequest::Steal { load: Some(_), .. }, .. })
+        });
+        assert_eq!(found, takes, "{name}");
+    }
+}
+
+#[test]
+fn what_evens_out_two_queues_moves_and_nothing_urgent() {
+    // (rank, processors a task, whether the victim has a machine of 8, the thief's work; tasks
+    // that move), of 20, of which 4 run where there is a machine
+    for (name, rank, cpus, machine, work, moves) in [
+        ("half of what is ready", Rank::Standard, 2.0, true, 0.0, 8),
+        ("the thief has a queue", Rank::Standard, 2.0, true, 48.0, 4),
+        ("both last equally long", Rank::Standard, 2.0, true, 96.0, 0),
+        ("urgent ones start here", Rank::Urgent, 2.0, true, 0.0, 0),
+        ("unless nothing is here", Rank::Urgent, 2.0, false, 0.0, 10),
+        ("too large for the thief", Rank::Standard, 9.0, false, 0.0, 0),
+    ] {
+        let mut core = with_cache(&[("one", "one", 5), ("two", "two", 6)]);
+        if machine {
+            ready_machine(&mut core);
+        }
+        queue_tasks(&mut core, 20, rank, cpus);
+        core.step(NOW, Vec::new());
+        core.step(NOW + 2 * SECOND, Vec::new());
+        let room = Room {
+            kind: "m".into(),
+            zone: "a".into(),
+            spot: true,
+            cpus: 8.0,
+            gpus: 0.0,
+            ram_gb: 64.0,
+        };
+        let request = PeerRequest::Steal {
+            part: "two".into(),
+            term: 6,
+            rank: Rank::BestEffort,
+            thief: ThiefRoom { free: vec![room] },
+            load: Some(Load { work, cpus: 8.0 }),
+        };
+        core.step(NOW + 2 * SECOND, vec![Command::Peer { id: 1, request }]);
+        let cut = core.parts["one"].jobs["req-1"].cutting.len();
+        assert_eq!(cut, moves, "{name}");
+    }
+}
+
+#[test]
+fn a_pressed_part_finds_the_other_parts_of_its_node() {
+    // (whether the part is pressed; whether the other one takes its urgent tasks)
+    for pressed in [false, true] {
+        let mut core = with_cache(&[("one", "one", 5), ("two", "one", 6)]);
+        queue_tasks(&mut core, 4, Rank::Urgent, 2.0);
+        // Part two has a machine, full of lower work, and a queue of that.
+        let mut two = Part::new("two", 6, core.types.clone(), NOW);
+        (two.loaded, two.barrier_open) = (true, true);
+        two.add_machine("n-2", host_record("n-2", "two"), true, NOW);
+        core.parts.insert("two".into(), two);
+        let cfg = core.cfg.clone();
+        if let Some(part) = core.parts.get_mut("two") {
+            part.take_report(&cfg, &mut Paces::default(), &report_idle("n-2", 1, 6), true, NOW);
+        }
+        let job = JobSpec { id: "req-2".into(), rank: Rank::Standard, ..spec(8) };
+        let share = Share { part: "two".into(), term: 6, tasks: Ranges::first(8) };
+        let finished = Ranges::default();
+        let shares = vec![share];
+        core.absorb(LiveRecord { job, since: NOW, started: false, shares, finished }, 11);
+        core.step(NOW, Vec::new());
+        core.step(NOW + 2 * SECOND, Vec::new());
+        core.stealing = crate::stealing::Stealing::new(&core.cfg);
+        if let Some(part) = core.parts.get_mut("one") {
+            part.pressed = pressed;
+            // Whatever the steps have moved is here again.
+            if let Some(job) = part.jobs.get_mut("req-1") {
+                (job.ready, job.cutting) = (Ranges::first(4), Ranges::default());
+                job.writing = false;
+            }
+        }
+        core.keep_stealing();
+        let cut = core.parts["one"].jobs["req-1"].cutting.len();
+        assert_eq!(cut > 0, pressed, "pressed {pressed}");
+    }
+}
+
+#[test]
+fn a_failed_steal_doubles_the_wait_and_a_success_resets_it() {
+    use quartzlever_wire::SECOND;
+    // (steals that fail one after the other, seconds until the next)
+    for (failures, wait) in [(1, 1), (2, 2), (3, 4), (5, 16), (9, 16)] {
+        let mut core = core();
+        for _ in 0..failures {
+            core.steal_failed();
+        }
+        assert_eq!(core.steal_wait(), wait * SECOND, "{failures} failures");
+        core.steal_succeeded();
+        core.steal_failed();
+        assert_eq!(core.steal_wait(), SECOND, "after a success");
+    }
+}
