--- a/crates/quartzlever-clients/src/state.rs
+++ b/crates/quartzlever-clients/src/state.rs
@@ -26,7 +26,7 @@
             base: format!("http://{address}"),
             quick: agent(CONNECT, WHOLE, 10),
             // A watch stays open for its time, and in an outage for longer. One whose connection
-            // is dead must not keep the copy of the records old for long.
+            // is dead must not keep the cache of the records old for long.
             patient: agent(CONNECT, Duration::from_secs(12), 2),
         }
     }
@@ -35,10 +35,10 @@
     pub fn call(&self, what: &StateCall) -> Result<StateReply, CallError> {
         let base = &self.base;
         match what {
-            StateCall::Epoch => {
+            StateCall::Revision => {
                 let reply = call(self.quick.get(&format!("{base}/keys/{NOBODY}")), None)?;
                 match reply.status {
-                    404 => Ok(StateReply::Epoch(reply.json::<TxnAnswer>()?.epoch)),
+                    404 => Ok(StateReply::Revision(reply.json::<TxnAnswer>()?.epoch)),
                     _ => Err(failure(&reply)),
                 }
             }
--- a/crates/quartzlever-core/src/claims.rs
+++ b/crates/quartzlever-core/src/claims.rs
@@ -45,8 +45,8 @@
 impl Core {
     /// The part that a machine belongs to, as far as is known here.
     pub(crate) fn part_of_host(&self, host: &str) -> Option<&HostRecord> {
-        let key = self.mirror.hosts.get(host)?;
-        self.mirror.blocks.get(key)?.0.get(host)
+        let key = self.cache.hosts.get(host)?;
+        self.cache.blocks.get(key)?.0.get(host)
     }
 
     /// A machine that nobody has claimed reports; it is to be claimed for a part held here.
@@ -71,7 +71,7 @@
 
     /// A returned machine's record is no longer wanted.
     pub(crate) fn want_drop(&mut self, host: &str, part: &str, term: u64) {
-        let key = self.mirror.hosts.get(host).cloned().unwrap_or_else(|| block_key(host));
+        let key = self.cache.hosts.get(host).cloned().unwrap_or_else(|| block_key(host));
         let work = self.blocks.entry(key).or_default();
         work.drops.insert(host.to_owned(), (part.to_owned(), term));
     }
@@ -112,7 +112,7 @@
             turned_away.extend(work.claims.remove(&host).into_iter().flat_map(|c| c.ids));
         }
         work.drops.retain(|_, (part, term)| held(part, *term));
-        let (mut hosts, stamp) = self.mirror.blocks.get(key).cloned().unwrap_or_default();
+        let (mut hosts, stamp) = self.cache.blocks.get(key).cloned().unwrap_or_default();
         let mut terms: BTreeMap<String, u64> = BTreeMap::new();
         for (host, (part, term)) in &work.drops {
             if hosts.get(host).is_some_and(|r| r.part == *part) {
@@ -260,24 +260,24 @@
 
     /// Notes a block's machines; `None` if a later state is known. Gives those that are new.
     fn block_known(&mut self, key: &str, hosts: Hosts, stamp: u64) -> Option<Hosts> {
-        let (before, known) = self.mirror.blocks.get(key).cloned().unwrap_or_default();
+        let (before, known) = self.cache.blocks.get(key).cloned().unwrap_or_default();
         if stamp != 0 && known >= stamp {
             return None;
         }
         for host in before.keys().filter(|h| !hosts.contains_key(*h)) {
-            self.mirror.hosts.remove(host);
+            self.cache.hosts.remove(host);
         }
         let mut new = Hosts::new();
         for (host, record) in &hosts {
             if before.get(host) != Some(record) {
-                self.mirror.hosts.insert(host.clone(), key.to_owned());
+                self.cache.hosts.insert(host.clone(), key.to_owned());
                 new.insert(host.clone(), record.clone());
             }
         }
         if hosts.is_empty() {
-            self.mirror.blocks.remove(key);
+            self.cache.blocks.remove(key);
         } else {
-            self.mirror.blocks.insert(key.to_owned(), (hosts, stamp));
+            self.cache.blocks.insert(key.to_owned(), (hosts, stamp));
         }
         Some(new)
     }
--- a/crates/quartzlever-core/src/claims/tests.rs
+++ b/crates/quartzlever-core/src/claims/tests.rs
@@ -42,8 +42,8 @@
         ("unknown, and it was not", Err(CallError::Unknown), Some(block(&["n-8"])), 3),
     ] {
         let mut core = core();
-        core.mirror.loaded = true;
-        core.hold.next = NOW + 900 * SECOND;
+        core.cache.loaded = true;
+        core.lease.next = NOW + 900 * SECOND;
         core.want_claim(1, report_from("n-9", 1, 1, 0, &[]), "one", 5);
         let txn = |effects: &[Effect]| {
             effects.iter().find_map(|e| match e {
--- a/crates/quartzlever-core/src/config.rs
+++ b/crates/quartzlever-core/src/config.rs
@@ -59,7 +59,7 @@
     /// Longest wait after failed steals.
     pub steal_cap: Micros,
     /// Life of the lease that a controller's parts hang on.
-    pub hold_life: Micros,
+    pub lease_life: Micros,
     /// How long a part must be absent before a peer takes it over.
     pub takeover_after: Micros,
     /// How long a home node must have stayed up before its part is handed back.
@@ -82,7 +82,7 @@
             steal_fraction: 0.5,
             steal_start: SECOND,
             steal_cap: 16 * SECOND,
-            hold_life: 15 * SECOND,
+            lease_life: 15 * SECOND,
             takeover_after: 2 * SECOND,
             handback_after: 5 * SECOND,
             idle_boots: 1.0,
--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -18,7 +18,7 @@
 use crate::ledger::Ledger;
 use crate::lookups::{Asked, Lookups};
 use crate::messages::{Answer, Command, Effect, Lane, RequestId, Token, Weight};
-use crate::part::{Part, Types};
+use crate::partition::{Partition, Types};
 use crate::placement::Paces;
 use crate::stealing::Stealing;
 
@@ -53,7 +53,7 @@
         sent: Micros,
     },
     /// The present revision, for the questions that wait for it, and for the age of the view.
-    Fence {
+    Revision {
         asked: Vec<Asked>,
         sent: Micros,
     },
@@ -122,10 +122,10 @@
     pub probe: bool,
 }
 
-/// The state lease that all parts of this process hang on.
+/// The state lease that all partitions of this process hang on.
 #[derive(Debug, Default)]
-pub(crate) struct Hold {
-    pub lease: Option<u64>,
+pub(crate) struct Lease {
+    pub id: Option<u64>,
     /// Until then the lease is surely alive.
     pub sure_until: Micros,
     /// When the renewal was sent that ended the latest time without a sure lease. The view must
@@ -136,9 +136,9 @@
 }
 
 /// The copy of the keys `parts/`, `hosts/` and `live/` that a watch keeps fresh: all changes up to
-/// the revision `epoch` are in it, and some later ones.
+/// the revision `revision` are in it, and some later ones.
 #[derive(Debug, Default)]
-pub(crate) struct Mirror {
+pub(crate) struct Cache {
     pub loaded: bool,
     pub loading: bool,
     pub retry_at: Micros,
@@ -146,11 +146,11 @@
     pub watch: u64,
     pub watching: Option<Micros>,
     pub watch_at: Micros,
-    pub epoch: u64,
+    pub revision: u64,
     /// Everything that was committed before this moment is in the copy: the sending of the latest
     /// read that it has caught up with.
     pub viewed: Micros,
-    /// Reads of the revision that the copy has not caught up with: the revision, and the sending.
+    /// Reads of the revision that the cache has not caught up with: the revision, and the sending.
     pub ahead: VecDeque<(u64, Micros)>,
     /// When the listing under way was begun.
     pub listed: Micros,
@@ -170,12 +170,12 @@
     pub unread: BTreeSet<String>,
 }
 
-impl Mirror {
+impl Cache {
     pub fn loaded(&self) -> bool {
         self.loaded
     }
 
-    /// Whether a job is neither done nor cancelled, as far as the copy has come.
+    /// Whether a job is neither done nor cancelled, as far as the cache has come.
     pub fn is_live(&self, job: &str) -> bool {
         self.live.contains_key(job) || self.unread.contains(job)
     }
@@ -187,12 +187,12 @@
         self.catch_up();
     }
 
-    /// Reckons the age of the view anew after the copy has come further.
+    /// Reckons the age of the view anew after the cache has come further.
     pub fn catch_up(&mut self) {
         if !self.loaded {
             return;
         }
-        let (epoch, mut viewed) = (self.epoch, self.viewed);
+        let (epoch, mut viewed) = (self.revision, self.viewed);
         self.ahead.retain(|(revision, sent)| {
             let reached = *revision <= epoch;
             if reached {
@@ -300,9 +300,9 @@
     pub(crate) worker_waits: HashMap<Token, WorkerWait>,
     pub(crate) cloud_waits: HashMap<Token, CloudWork>,
     pub(crate) peer_waits: HashMap<Token, crate::stealing::PeerWork>,
-    pub(crate) hold: Hold,
-    pub(crate) mirror: Mirror,
-    pub(crate) parts: BTreeMap<String, Part>,
+    pub(crate) lease: Lease,
+    pub(crate) cache: Cache,
+    pub(crate) parts: BTreeMap<String, Partition>,
     pub(crate) contact: Contact,
     pub(crate) hearing: Hearing,
     pub(crate) ledger: Ledger,
@@ -339,7 +339,7 @@
 const LOOK: Micros = SECOND;
 const WRITE_PAUSE: Micros = SECOND / 5;
 const BLOCKS_PAUSE: Micros = SECOND / 10;
-/// Why everybody is turned away until the copy is there.
+/// Why everybody is turned away until the cache is there.
 pub(crate) const STARTING: &str = "starting";
 /// How often the log says what was turned away.
 const TELL_EVERY: Micros = 10 * SECOND;
@@ -361,8 +361,8 @@
             worker_waits: HashMap::new(),
             cloud_waits: HashMap::new(),
             peer_waits: HashMap::new(),
-            hold: Hold::default(),
-            mirror: Mirror::default(),
+            lease: Lease::default(),
+            cache: Cache::default(),
             parts: BTreeMap::new(),
             contact: Contact { heard: now, ..Contact::default() },
             hearing: Hearing::new(now),
@@ -401,7 +401,7 @@
     pub fn step(&mut self, now: Micros, mut commands: Vec<Command>) -> Vec<Effect> {
         self.now = self.now.max(now);
         // A node without a part changes little, and those with parts share what there is.
-        let holders = self.mirror.holders();
+        let holders = self.cache.holders();
         let sharers = holders.max(if self.parts.is_empty() { self.cfg.nodes.len() } else { 1 });
         self.ledger.pass(self.now, self.cfg.state_write_rps, sharers);
         let share = self.cfg.share_of_limits(holders, !self.parts.is_empty());
@@ -424,9 +424,9 @@
         for command in commands {
             self.take(command);
         }
-        self.keep_hold();
+        self.keep_lease();
         self.keep_contact();
-        self.keep_mirror();
+        self.keep_cache();
         self.keep_hearing();
         if concerns_holders {
             self.keep_parts();
@@ -485,7 +485,7 @@
 
     /// Whether this process surely holds its lease.
     pub(crate) fn holds(&self) -> bool {
-        self.hold.lease.is_some() && self.now < self.hold.sure_until
+        self.lease.id.is_some() && self.now < self.lease.sure_until
     }
 
     /// Until when this process may act for its parts: as long as its lease is surely alive and its
@@ -493,11 +493,11 @@
     /// a holder alone and then everybody, its lease lived on, its watch told nothing, and another
     /// node had confirmed cancellations.
     pub(crate) fn acts_until(&self) -> Micros {
-        let caught_up = self.mirror.viewed >= self.hold.regained;
-        if self.hold.lease.is_none() || !caught_up {
+        let caught_up = self.cache.viewed >= self.lease.regained;
+        if self.lease.id.is_none() || !caught_up {
             return 0;
         }
-        self.hold.sure_until.min(self.mirror.viewed + self.cfg.view_bound())
+        self.lease.sure_until.min(self.cache.viewed + self.cfg.view_bound())
     }
 
     /// Whether this process may act for its parts.
@@ -524,7 +524,7 @@
     pub(crate) fn cloud_call(&mut self, call: CloudCall, work: CloudWork) {
         let token = self.token();
         self.cloud_waits.insert(token, work);
-        let until = self.hold.sure_until;
+        let until = self.lease.sure_until;
         self.out.push(Effect::Cloud { token, call, until });
     }
 
@@ -566,7 +566,7 @@
     /// Whether nothing of the service is known yet, so that every worker and every health check is
     /// turned away.
     pub fn starting(&self) -> bool {
-        !self.mirror.loaded() && self.parts.is_empty()
+        !self.cache.loaded() && self.parts.is_empty()
     }
 
     /// Whether something is to be placed at a certain time, or as soon as may be.
@@ -633,7 +633,7 @@
         // One that alone is refused by the state service can do nothing for users whom others
         // could serve; in an outage all go on, since nobody could do better.
         let alone = self.contact.alone.is_some_and(|t| self.now < t + 3 * CONTACT_ASK);
-        self.mirror.loaded() && self.wall_offset.is_some() && !alone
+        self.cache.loaded() && self.wall_offset.is_some() && !alone
     }
 
     fn state_answer(&mut self, waiting: Waiting, result: Result<StateReply, CallError>) {
@@ -647,7 +647,7 @@
             Waiting::ListHosts => self.hosts_listed(result),
             Waiting::ListJobs => self.jobs_listed(result),
             Waiting::Watch { number, sent } => self.watched(number, sent, result),
-            Waiting::Fence { asked, sent } => self.fenced(asked, sent, result),
+            Waiting::Revision { asked, sent } => self.fenced(asked, sent, result),
             Waiting::KeptCatalogue => self.catalogue_read(result),
             Waiting::ReadLive { purpose } => self.live_read(purpose, result),
             Waiting::ReadOver { purpose } => self.over_read(purpose, result),
@@ -736,7 +736,7 @@
         self.tell_turned_away();
     }
 
-    pub(crate) fn part_at(&mut self, name: &str, term: u64) -> Option<&mut Part> {
+    pub(crate) fn part_at(&mut self, name: &str, term: u64) -> Option<&mut Partition> {
         self.parts.get_mut(name).filter(|p| p.term == term)
     }
 }
--- a/crates/quartzlever-core/src/engine/tests.rs
+++ b/crates/quartzlever-core/src/engine/tests.rs
@@ -14,7 +14,7 @@
         ("peers out of reach as well", 6, None, true, 200),
     ] {
         let mut core = core();
-        core.mirror.loaded = true;
+        core.cache.loaded = true;
         core.wall_offset = Some(0);
         core.contact.heard = NOW;
         let now = NOW + quiet * SECOND;
@@ -43,8 +43,8 @@
     // Seconds between two steps for 30 s, with the answer to each call only in the next step.
     for step_ms in [200, 1_500, 3_000, 5_000] {
         let mut core = with_holders(100);
-        core.hold.next = NOW + 1;
-        core.hold.sure_until = NOW + 13 * SECOND;
+        core.lease.next = NOW + 1;
+        core.lease.sure_until = NOW + 13 * SECOND;
         // Its one task runs all the time, so that the machine is not returned as idle.
         core.absorb(record_of(1, 1, "one"), 10);
         core.step(NOW, vec![Command::Report { id: 1_000, report: report_of_one(1, None) }]);
--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -11,10 +11,10 @@
 use quartzlever_wire::{CallError, Json, Micros, SECOND, micros_from_secs};
 
 use crate::engine::{Core, Waiting};
-use crate::holding::parse;
+use crate::leases::parse;
 use crate::machine::Amounts;
 use crate::messages::{Lane, Weight};
-use crate::part::{Part, Types};
+use crate::partition::{Partition, Types};
 use crate::placement::{offer_allowed, urgency, zones_open};
 use crate::stealing::PeerWork;
 
@@ -308,7 +308,7 @@
 
     fn hired(&mut self, name: &str, term: u64, hire: Hire, result: Result<CloudReply, CallError>) {
         let now = self.now;
-        let known = &self.mirror.hosts;
+        let known = &self.cache.hosts;
         let Some(part) = self.parts.get_mut(name).filter(|p| p.term == term) else { return };
         match result {
             Ok(CloudReply::Rented(hosts)) => {
@@ -378,7 +378,7 @@
         for machine in part.machines.values_mut().filter(|m| !m.returning) {
             let before = machine.return_wanted;
             // Behind a cut machines go on working: they are given their whole lease. In a
-            // recovery they get half of it: a hold's life has passed unheard before, so that a cut
+            // recovery they get half of it: a lease's life has passed unheard before, so that a cut
             // short enough to spare them would be over, and the whole part waits for them.
             let silent_return = if cut.contains(&machine.record.zone) {
                 let patience = if machine.proven { patience } else { patience / 2 };
@@ -544,7 +544,7 @@
                 }
                 continue;
             }
-            let claimed = self.mirror.hosts.contains_key(&rental.name);
+            let claimed = self.cache.hosts.contains_key(&rental.name);
             let expected = self.parts.values().any(|p| p.fleet.expected.contains_key(&rental.name));
             let boot =
                 self.types.as_ref().and_then(|t| t.get(&rental.kind)).map_or(60.0, |t| t.ready_s);
@@ -569,7 +569,7 @@
     }
 }
 
-impl Part {
+impl Partition {
     /// Zones that seem to be cut off: all of several machines there fell silent together.
     fn zones_cut(&self, now: Micros, silent: Micros) -> BTreeSet<String> {
         let mut zones: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
@@ -705,7 +705,7 @@
         &self,
         cfg: &crate::config::Config,
         types: &BTreeMap<String, MachineType>,
-        job: &crate::part::PartJob,
+        job: &crate::partition::PartitionJob,
         left: u32,
         now: Micros,
         cheap_only: bool,
--- a/crates/quartzlever-core/src/hearing.rs
+++ b/crates/quartzlever-core/src/hearing.rs
@@ -20,7 +20,7 @@
 use rand::seq::IteratorRandom;
 
 use crate::engine::{Core, Waiting, WorkerWait};
-use crate::holding::parse;
+use crate::leases::parse;
 use crate::messages::{Lane, Weight};
 use crate::stealing::PeerWork;
 
@@ -139,7 +139,7 @@
 
     /// The holder was not reached: it is told by way of the state service.
     pub(crate) fn heard_untold(&mut self, part: &str, machines: u32) {
-        let Some(lease) = self.hold.lease.filter(|_| self.sure()) else { return };
+        let Some(lease) = self.lease.id.filter(|_| self.sure()) else { return };
         // As urgent as a part's own key, and no more often than it is told.
         self.ledger.spend(1);
         let key = format!("{HEARD}{part}/{}", self.cfg.node);
@@ -197,7 +197,7 @@
         }
         self.hearing.next_probe = now + PROBE_EVERY;
         let home = self.cfg.node.clone();
-        let blocks = self.mirror.blocks.values().flat_map(|(hosts, _)| hosts.iter());
+        let blocks = self.cache.blocks.values().flat_map(|(hosts, _)| hosts.iter());
         let one = blocks.filter(|(_, r)| r.part == home).choose(&mut self.rng);
         let Some((machine, address)) = one.map(|(h, r)| (h.clone(), r.address.clone())) else {
             // Nothing to try it on, and nothing to lose.
--- a/crates/quartzlever-core/src/hearing/tests.rs
+++ b/crates/quartzlever-core/src/hearing/tests.rs
@@ -164,10 +164,10 @@
         let (mut asked, mut taken) = (false, false);
         for step in 1..=after * 4 {
             let now = NOW + step * SECOND / 4;
-            core.hold.sure_until = now + 10 * SECOND;
+            core.lease.sure_until = now + 10 * SECOND;
             if step == 2 && held {
                 let record = PartRecord { node: "two".into(), process: 77 };
-                core.mirror.parts.insert("one".into(), (record, 21));
+                core.cache.parts.insert("one".into(), (record, 21));
             }
             for effect in core.step(now, std::mem::take(&mut told)) {
                 match effect {
--- a/crates/quartzlever-core/src/jobs.rs
+++ b/crates/quartzlever-core/src/jobs.rs
@@ -13,10 +13,10 @@
 
 use crate::config::Config;
 use crate::engine::{Core, Waiting};
-use crate::holding::parse;
+use crate::leases::parse;
 use crate::ledger::Change;
 use crate::messages::{Answer, Lane, RequestId, Weight};
-use crate::part::{Part, live_key};
+use crate::partition::{Partition, live_key};
 use crate::stealing::PeerWork;
 
 /// Users' requests under way beyond which new ones are shed at once.
@@ -163,7 +163,7 @@
     fn accept_target(&mut self, spec: &JobSpec) -> Option<(String, u64)> {
         if self.cfg.limited(&spec.team) {
             let part = self.cfg.part_of_team(&spec.team);
-            let term = self.mirror.parts.get(part).map_or(0, |(_, stamp)| *stamp);
+            let term = self.cache.parts.get(part).map_or(0, |(_, stamp)| *stamp);
             return Some((part.to_owned(), term));
         }
         if self.sure()
@@ -176,7 +176,7 @@
         // A node without a part, such as one that is back and waits for its own, accepts into
         // another's: the write has that part's term as its condition, and the watch tells the holder.
         let held: Vec<(&String, &u64)> =
-            self.mirror.parts.iter().map(|(name, (_, stamp))| (name, stamp)).collect();
+            self.cache.parts.iter().map(|(name, (_, stamp))| (name, stamp)).collect();
         held.choose(&mut self.rng).map(|(name, stamp)| ((*name).clone(), **stamp))
     }
 
@@ -186,13 +186,13 @@
     /// had two thirds of them and went under, with the others at a quarter of their share.
     fn lighter_part(&self, own: &str) -> Option<(String, u64)> {
         let others = || {
-            self.mirror.parts.iter().filter(|(name, (record, _))| {
+            self.cache.parts.iter().filter(|(name, (record, _))| {
                 *name != own && record.node == **name && !self.parts.contains_key(*name)
             })
         };
         others().next()?;
         let mut tasks: BTreeMap<&str, usize> = BTreeMap::new();
-        for (record, _) in self.mirror.live.values() {
+        for (record, _) in self.cache.live.values() {
             for share in &record.shares {
                 // What is finished counts until the job is over: nothing hangs on it.
                 *tasks.entry(share.part.as_str()).or_default() += share.tasks.len() as usize;
@@ -350,7 +350,7 @@
     /// Tells the holders of a job that was just cancelled, so that its tasks end sooner where the
     /// watch is late. Nothing rests on it.
     fn tell_cancelled(&mut self, job: &str, done: u32) {
-        let Some((record, _)) = self.mirror.live.get(job) else { return };
+        let Some((record, _)) = self.cache.live.get(job) else { return };
         let mut nodes: Vec<&str> =
             record.shares.iter().filter_map(|share| self.holder_of(&share.part)).collect();
         nodes.sort_unstable();
@@ -551,7 +551,7 @@
     }
 }
 
-impl Part {
+impl Partition {
     /// Notes that a task is done; it counts once the record says so.
     pub fn finish(&mut self, id: &str, index: u32, now: Micros) {
         let Some(job) = self.jobs.get_mut(id) else { return };
--- a/crates/quartzlever-core/src/holding.rs
+++ b/crates/quartzlever-core/src/leases.rs
@@ -1,4 +1,4 @@
-//! Holding parts: the lease, taking a part, losing it, handing it back, and the copy of the records
+//! Holding parts: the lease, taking a part, losing it, handing it back, and the cache of the records
 //! that a watch keeps fresh.
 
 use quartzlever_wire::peers::PeerRequest;
@@ -15,11 +15,11 @@
 use crate::engine::{Core, Waiting};
 use crate::hearing::LEFT_TO_OTHERS;
 use crate::messages::{Lane, Weight};
-use crate::part::Part;
+use crate::partition::Partition;
 use crate::stealing::PeerWork;
 
-/// Kept back from a hold's life for answers and calls that are on their way out.
-const HOLD_MARGIN: Micros = SECOND;
+/// Kept back from a lease's life for answers and calls that are on their way out.
+const LEASE_MARGIN: Micros = SECOND;
 const RETRY: Micros = SECOND / 2;
 /// Share of the requests to the state service that may open watches.
 const WATCH_SHARE: f64 = 0.15;
@@ -40,43 +40,43 @@
 
 impl Core {
     /// Keeps the process's lease alive.
-    pub(crate) fn keep_hold(&mut self) {
-        if self.hold.waiting || self.now < self.hold.next {
+    pub(crate) fn keep_lease(&mut self) {
+        if self.lease.waiting || self.now < self.lease.next {
             return;
         }
-        self.hold.waiting = true;
+        self.lease.waiting = true;
         let sent = self.now;
-        match self.hold.lease {
+        match self.lease.id {
             None => {
-                let life_ms = self.cfg.operator.hold_life / 1000;
-                self.state(Lane::Hold, StateCall::Grant { life_ms }, Waiting::Grant { sent });
+                let life_ms = self.cfg.operator.lease_life / 1000;
+                self.state(Lane::Lease, StateCall::Grant { life_ms }, Waiting::Grant { sent });
             }
             Some(lease) => {
-                self.state(Lane::Hold, StateCall::Renew { lease }, Waiting::Renew { sent, lease });
+                self.state(Lane::Lease, StateCall::Renew { lease }, Waiting::Renew { sent, lease });
             }
         }
     }
 
-    fn extend_hold(&mut self, sent: Micros) {
+    fn extend_lease(&mut self, sent: Micros) {
         if !self.holds() {
             // The store may have been away, and its leases with their full time again: nobody is
             // called silent for what was not answered meanwhile.
-            self.hold.regained = sent;
+            self.lease.regained = sent;
             self.hearing.attentive = self.now;
         }
-        let life = surely_within(self.cfg.operator.hold_life);
-        self.hold.sure_until = self.hold.sure_until.max(sent + life.saturating_sub(HOLD_MARGIN));
-        self.hold.next = sent + self.cfg.operator.hold_life / 6;
+        let life = surely_within(self.cfg.operator.lease_life);
+        self.lease.sure_until = self.lease.sure_until.max(sent + life.saturating_sub(LEASE_MARGIN));
+        self.lease.next = sent + self.cfg.operator.lease_life / 6;
     }
 
     pub(crate) fn granted(&mut self, sent: Micros, result: Result<StateReply, CallError>) {
-        self.hold.waiting = false;
+        self.lease.waiting = false;
         if let Ok(StateReply::Granted(lease)) = result {
-            self.hold.lease = Some(lease);
-            self.hold.sure_until = 0;
-            self.extend_hold(sent);
+            self.lease.id = Some(lease);
+            self.lease.sure_until = 0;
+            self.extend_lease(sent);
         } else {
-            self.hold.next = self.now + RETRY;
+            self.lease.next = self.now + RETRY;
         }
     }
 
@@ -86,22 +86,22 @@
         lease: u64,
         result: Result<StateReply, CallError>,
     ) {
-        self.hold.waiting = false;
-        if self.hold.lease != Some(lease) {
+        self.lease.waiting = false;
+        if self.lease.id != Some(lease) {
             return;
         }
         match result {
-            Ok(StateReply::Renewed) => self.extend_hold(sent),
+            Ok(StateReply::Renewed) => self.extend_lease(sent),
             Ok(StateReply::NoLease) => self.lose_all(),
-            _ => self.hold.next = self.now + RETRY,
+            _ => self.lease.next = self.now + RETRY,
         }
     }
 
     /// The lease is gone, and with it every part.
     fn lose_all(&mut self) {
-        self.hold.lease = None;
-        self.hold.sure_until = 0;
-        self.hold.next = self.now;
+        self.lease.id = None;
+        self.lease.sure_until = 0;
+        self.lease.next = self.now;
         self.note(Weight::Info, || "lease lost, and all parts with it".into());
         self.parts.clear();
     }
@@ -113,29 +113,29 @@
         }
     }
 
-    /// Keeps the copy of the records, and the watch that feeds it.
-    pub(crate) fn keep_mirror(&mut self) {
+    /// Keeps the cache of the records, and the watch that feeds it.
+    pub(crate) fn keep_cache(&mut self) {
         let now = self.now;
-        if !self.mirror.loaded {
-            if !self.mirror.loading && now >= self.mirror.retry_at {
-                self.mirror.loading = true;
-                self.mirror.listed = now;
+        if !self.cache.loaded {
+            if !self.cache.loading && now >= self.cache.retry_at {
+                self.cache.loading = true;
+                self.cache.listed = now;
                 let call = StateCall::List { prefix: PARTS.into(), from: None };
-                self.state(Lane::Hold, call, Waiting::ListParts { from_epoch: None });
+                self.state(Lane::Lease, call, Waiting::ListParts { from_epoch: None });
             }
             return;
         }
         // A watch that stays open although there is something to tell has a dead connection.
-        let dead = self.mirror.watching.is_some_and(|since| {
-            now.saturating_sub(since) > WATCH_DEAD && self.mirror.newest > self.mirror.epoch
+        let dead = self.cache.watching.is_some_and(|since| {
+            now.saturating_sub(since) > WATCH_DEAD && self.cache.newest > self.cache.revision
         });
-        if (self.mirror.watching.is_none() || dead) && now >= self.mirror.watch_at {
-            self.mirror.watching = Some(now);
-            self.mirror.watch += 1;
-            self.mirror.watch_at = now + self.pause_for(WATCH_SHARE).max(WATCH_PAUSE);
+        if (self.cache.watching.is_none() || dead) && now >= self.cache.watch_at {
+            self.cache.watching = Some(now);
+            self.cache.watch += 1;
+            self.cache.watch_at = now + self.pause_for(WATCH_SHARE).max(WATCH_PAUSE);
             let hold_ms = self.cfg.watch_hold() / 1000;
-            let call = StateCall::Watch { from: self.mirror.epoch, hold_ms };
-            let number = self.mirror.watch;
+            let call = StateCall::Watch { from: self.cache.revision, hold_ms };
+            let number = self.cache.watch;
             self.state(Lane::Watch, call, Waiting::Watch { number, sent: now });
         }
         self.keep_view();
@@ -145,20 +145,20 @@
     /// each time without a sure lease.
     fn keep_view(&mut self) {
         let now = self.now;
-        let aged = now.saturating_sub(self.mirror.viewed) > self.cfg.watch_hold() + VIEW_LATE;
-        let behind = self.mirror.viewed < self.hold.regained;
-        if !(aged || behind) || self.mirror.reading_view || now < self.mirror.view_read_at {
+        let aged = now.saturating_sub(self.cache.viewed) > self.cfg.watch_hold() + VIEW_LATE;
+        let behind = self.cache.viewed < self.lease.regained;
+        if !(aged || behind) || self.cache.reading_view || now < self.cache.view_read_at {
             return;
         }
-        self.mirror.reading_view = true;
-        self.mirror.view_read_at = now + RETRY;
-        let waiting = Waiting::Fence { asked: Vec::new(), sent: now };
-        self.state(Lane::Hold, StateCall::Epoch, waiting);
+        self.cache.reading_view = true;
+        self.cache.view_read_at = now + RETRY;
+        let waiting = Waiting::Revision { asked: Vec::new(), sent: now };
+        self.state(Lane::Lease, StateCall::Revision, waiting);
     }
 
-    fn mirror_failed(&mut self) {
-        self.mirror.loading = false;
-        self.mirror.retry_at = self.now + RETRY;
+    fn listing_failed(&mut self) {
+        self.cache.loading = false;
+        self.cache.retry_at = self.now + RETRY;
     }
 
     pub(crate) fn parts_listed(
@@ -166,76 +166,76 @@
         from_epoch: Option<u64>,
         result: Result<StateReply, CallError>,
     ) {
-        let Ok(StateReply::Rows(rows)) = result else { return self.mirror_failed() };
+        let Ok(StateReply::Rows(rows)) = result else { return self.listing_failed() };
         let epoch = from_epoch.unwrap_or(rows.epoch);
         if from_epoch.is_none() {
-            self.mirror.parts.clear();
-            self.mirror.blocks.clear();
-            self.mirror.hosts.clear();
-            self.mirror.live.clear();
-            self.mirror.unread.clear();
+            self.cache.parts.clear();
+            self.cache.blocks.clear();
+            self.cache.hosts.clear();
+            self.cache.live.clear();
+            self.cache.unread.clear();
         }
         for row in &rows.rows {
             self.part_seen(&row.path, parse(row), row.stamp);
         }
         if let Some(from) = next_page(&rows) {
             let call = StateCall::List { prefix: PARTS.into(), from: Some(from) };
-            return self.state(Lane::Hold, call, Waiting::ListParts { from_epoch: Some(epoch) });
+            return self.state(Lane::Lease, call, Waiting::ListParts { from_epoch: Some(epoch) });
         }
         // What the later pages tell is at least as new; the watch begins here.
-        self.mirror.epoch = epoch;
+        self.cache.revision = epoch;
         let call = StateCall::List { prefix: HOSTS.into(), from: None };
-        self.state(Lane::Hold, call, Waiting::ListHosts);
+        self.state(Lane::Lease, call, Waiting::ListHosts);
     }
 
     pub(crate) fn hosts_listed(&mut self, result: Result<StateReply, CallError>) {
-        let Ok(StateReply::Rows(rows)) = result else { return self.mirror_failed() };
+        let Ok(StateReply::Rows(rows)) = result else { return self.listing_failed() };
         for row in &rows.rows {
             self.block_row(row, false);
         }
         if let Some(from) = next_page(&rows) {
             let call = StateCall::List { prefix: HOSTS.into(), from: Some(from) };
-            return self.state(Lane::Hold, call, Waiting::ListHosts);
+            return self.state(Lane::Lease, call, Waiting::ListHosts);
         }
         let call = StateCall::List { prefix: LIVE.into(), from: None };
-        self.state(Lane::Hold, call, Waiting::ListJobs);
+        self.state(Lane::Lease, call, Waiting::ListJobs);
     }
 
     pub(crate) fn jobs_listed(&mut self, result: Result<StateReply, CallError>) {
-        let Ok(StateReply::Rows(rows)) = result else { return self.mirror_failed() };
+        let Ok(StateReply::Rows(rows)) = result else { return self.listing_failed() };
         for row in &rows.rows {
             self.live_row(row);
         }
         if let Some(from) = next_page(&rows) {
             let call = StateCall::List { prefix: LIVE.into(), from: Some(from) };
-            return self.state(Lane::Hold, call, Waiting::ListJobs);
+            return self.state(Lane::Lease, call, Waiting::ListJobs);
         }
-        self.mirror.loading = false;
-        self.mirror.loaded = true;
+        self.cache.loading = false;
+        self.cache.loaded = true;
         self.close_gap();
-        self.mirror.viewed = self.mirror.viewed.max(self.mirror.listed);
-        self.mirror.catch_up();
+        self.cache.viewed = self.cache.viewed.max(self.cache.listed);
+        self.cache.catch_up();
     }
 
-    /// The copy was made anew: parts that were held before may have missed changes.
+    /// the cache was made anew: parts that were held before may have missed changes.
     fn close_gap(&mut self) {
         let now = self.now;
         // What was there at the revision at which the listing began, and is not listed, is over:
         // its tasks end here and now, since the view counts as fresh from here on. Which end it
         // came to is read when somebody asks.
-        let epoch = self.mirror.epoch;
+        let epoch = self.cache.revision;
         for part in self.parts.values_mut().filter(|p| p.active()) {
             let over: Vec<String> = part
                 .jobs
                 .iter()
-                .filter(|(id, job)| job.stamp <= epoch && !self.mirror.is_live(id))
+                .filter(|(id, job)| job.stamp <= epoch && !self.cache.is_live(id))
                 .map(|(id, _)| id.clone())
                 .collect();
             for id in over {
                 part.drop_job(&id, now);
             }
             let name = part.name.clone();
-            for (hosts, _) in self.mirror.blocks.values() {
+            for (hosts, _) in self.cache.blocks.values() {
                 for (host, record) in hosts.iter().filter(|(_, r)| r.part == name) {
                     if !part.machines.contains_key(host) && !part.fleet.gone.contains(host) {
                         part.add_machine(host, record.clone(), false, now);
@@ -251,26 +251,26 @@
         sent: Micros,
         result: Result<StateReply, CallError>,
     ) {
-        if number == self.mirror.watch {
-            self.mirror.watching = None;
+        if number == self.cache.watch {
+            self.cache.watching = None;
         }
         match result {
-            Ok(StateReply::Watched(answer)) if self.mirror.loaded => {
+            Ok(StateReply::Watched(answer)) if self.cache.loaded => {
                 // An earlier watch may answer after a later one: what it tells is known then.
-                let known = self.mirror.epoch;
+                let known = self.cache.revision;
                 for event in answer.log {
                     self.event(event, known);
                 }
-                self.mirror.epoch = known.max(answer.epoch);
+                self.cache.revision = known.max(answer.epoch);
                 // It tells all that was committed before it was opened, at least.
-                self.mirror.read_revision(answer.epoch, sent);
+                self.cache.read_revision(answer.epoch, sent);
             }
             Ok(StateReply::Watched(_)) => {}
             Ok(StateReply::TooOld) => {
-                self.mirror.loaded = false;
-                self.mirror.loading = false;
+                self.cache.loaded = false;
+                self.cache.loading = false;
             }
-            _ => self.mirror.watch_at = self.now + RETRY,
+            _ => self.cache.watch_at = self.now + RETRY,
         }
     }
 
@@ -297,20 +297,20 @@
             }
             Event::Delete { delete, stamp } => {
                 if let Some(name) = delete.strip_prefix(PARTS) {
-                    if self.mirror.parts.get(name).is_some_and(|(_, s)| *s <= stamp) {
-                        self.mirror.parts.remove(name);
+                    if self.cache.parts.get(name).is_some_and(|(_, s)| *s <= stamp) {
+                        self.cache.parts.remove(name);
                     }
                     if self.parts.get(name).is_some_and(|p| p.term <= stamp) {
                         self.parts.remove(name);
                     }
                 } else if is_hosts(&delete) {
-                    if self.mirror.blocks.get(&delete).is_some_and(|(_, s)| *s <= stamp) {
+                    if self.cache.blocks.get(&delete).is_some_and(|(_, s)| *s <= stamp) {
                         self.block_seen(&delete, Hosts::new(), stamp + 1);
                     }
                 } else if let Some(id) = delete.strip_prefix(LIVE) {
-                    self.mirror.unread.remove(id);
-                    if self.mirror.live.get(id).is_some_and(|(_, s)| *s <= stamp) {
-                        self.mirror.live.remove(id);
+                    self.cache.unread.remove(id);
+                    if self.cache.live.get(id).is_some_and(|(_, s)| *s <= stamp) {
+                        self.cache.live.remove(id);
                     }
                 }
             }
@@ -321,23 +321,23 @@
     /// process, most of the time. Such records are not even read.
     fn known_already(&self, key: &str, stamp: u64) -> bool {
         if let Some(id) = key.strip_prefix(LIVE) {
-            let known = self.mirror.live.get(id).is_some_and(|(_, s)| *s >= stamp);
+            let known = self.cache.live.get(id).is_some_and(|(_, s)| *s >= stamp);
             known || self.finals.get(id).is_some()
         } else if let Some(id) = key.strip_prefix(OVER) {
             self.finals.get(id).is_some()
         } else {
-            is_hosts(key) && self.mirror.blocks.get(key).is_some_and(|(_, s)| *s >= stamp)
+            is_hosts(key) && self.cache.blocks.get(key).is_some_and(|(_, s)| *s >= stamp)
         }
     }
 
     /// A job's record as the state service has it. One that cannot be read is left alone: its
-    /// job stays known, since lookups read what the copy does not have.
+    /// job stays known, since lookups read what the cache does not have.
     fn live_row(&mut self, row: &Row) {
         match parse::<LiveRecord>(row) {
             Some(record) => self.absorb(record, row.stamp),
             None => {
                 if let Some(id) = row.path.strip_prefix(LIVE) {
-                    self.mirror.unread.insert(id.to_owned());
+                    self.cache.unread.insert(id.to_owned());
                 }
                 self.note(Weight::Error, || format!("unreadable record: {}", row.path));
             }
@@ -346,7 +346,7 @@
 
     fn part_seen(&mut self, path: &str, record: Option<PartRecord>, stamp: u64) {
         let (Some(name), Some(record)) = (path.strip_prefix(PARTS), record) else { return };
-        if self.mirror.parts.get(name).is_some_and(|(_, s)| *s > stamp) {
+        if self.cache.parts.get(name).is_some_and(|(_, s)| *s > stamp) {
             return;
         }
         let mine = record.process == self.process && record.node == self.cfg.node;
@@ -354,7 +354,7 @@
             // Somebody took the part over, or a later acquisition of ours came into force.
             self.parts.remove(name);
         }
-        self.mirror.parts.insert(name.to_owned(), (record, stamp));
+        self.cache.parts.insert(name.to_owned(), (record, stamp));
         if mine {
             let name = name.to_owned();
             self.begin_part(&name, stamp);
@@ -364,14 +364,14 @@
     /// Takes, asks for and hands back parts.
     pub(crate) fn keep_parts(&mut self) {
         self.load_parts();
-        if !self.mirror.loaded() || !self.holds() {
+        if !self.cache.loaded() || !self.holds() {
             return;
         }
         for name in self.cfg.nodes.clone() {
             // While it does not hear workers, this node is home to none.
             let deaf = self.hearing.lost();
             let home = name == self.cfg.node && !deaf;
-            let entry = self.mirror.parts.get(&name).cloned();
+            let entry = self.cache.parts.get(&name).cloned();
             match entry {
                 None => {
                     let grace = if home {
@@ -406,7 +406,7 @@
     }
 
     fn acquire(&mut self, name: &str, stamp: u64) {
-        let Some(lease) = self.hold.lease else { return };
+        let Some(lease) = self.lease.id else { return };
         if !self.busy_parts.insert(name.to_owned()) {
             return;
         }
@@ -415,7 +415,7 @@
         let key = format!("{PARTS}{name}");
         let txn = Txn::default().when(key.clone(), stamp).write_held(key, Json::of(&record), lease);
         self.ledger.spend(1);
-        self.state(Lane::Hold, StateCall::Txn(txn), Waiting::Acquire { part: name.to_owned() });
+        self.state(Lane::Lease, StateCall::Txn(txn), Waiting::Acquire { part: name.to_owned() });
     }
 
     pub(crate) fn acquired(&mut self, name: &str, result: Result<StateReply, CallError>) {
@@ -423,7 +423,7 @@
         match result {
             Ok(StateReply::Committed(epoch)) => {
                 let record = PartRecord { node: self.cfg.node.clone(), process: self.process };
-                self.mirror.newest = self.mirror.newest.max(epoch);
+                self.cache.newest = self.cache.newest.max(epoch);
                 self.part_seen(&format!("{PARTS}{name}"), Some(record), epoch);
             }
             Ok(StateReply::NoLease) => self.lose_all(),
@@ -440,22 +440,23 @@
             return;
         }
         self.note(Weight::Info, || format!("part {name}: held, term {term}"));
-        self.parts.insert(name.to_owned(), Part::new(name, term, self.types.clone(), self.now));
+        self.parts
+            .insert(name.to_owned(), Partition::new(name, term, self.types.clone(), self.now));
     }
 
-    /// Parts whose acquisition the copy has come to begin their work from it: what an earlier
+    /// Parts whose acquisition the cache has come to begin their work from it: what an earlier
     /// holder wrote is in it, and it can write no more.
     fn load_parts(&mut self) {
-        if !self.mirror.loaded {
+        if !self.cache.loaded {
             return;
         }
-        let (now, wall, epoch) = (self.now, self.wall(), self.mirror.epoch);
+        let (now, wall, epoch) = (self.now, self.wall(), self.cache.revision);
         for part in self.parts.values_mut().filter(|p| !p.loaded && p.term <= epoch) {
-            for (record, stamp) in self.mirror.live.values() {
+            for (record, stamp) in self.cache.live.values() {
                 part.absorb(&self.cfg, record.clone(), *stamp, now, wall);
             }
             let name = part.name.clone();
-            for (hosts, _) in self.mirror.blocks.values() {
+            for (hosts, _) in self.cache.blocks.values() {
                 for (host, record) in hosts.iter().filter(|(_, r)| r.part == name) {
                     part.add_machine(host, record.clone(), false, now);
                 }
@@ -477,18 +478,18 @@
                 part.absorb(&self.cfg, record.clone(), stamp, now, wall);
             }
         }
-        self.mirror.unread.remove(id);
-        if self.mirror.live.get(id).is_none_or(|(_, s)| *s <= stamp) {
-            self.mirror.live.insert(id.clone(), (record, stamp));
+        self.cache.unread.remove(id);
+        if self.cache.live.get(id).is_none_or(|(_, s)| *s <= stamp) {
+            self.cache.live.insert(id.clone(), (record, stamp));
         }
     }
 
     /// A job is done or cancelled for good.
     pub(crate) fn job_over(&mut self, id: &str, over: OverRecord) {
         self.finals.put(id, over);
-        self.mirror.live.remove(id);
+        self.cache.live.remove(id);
         // It ended after the view was read that this process had until now.
-        let since = self.mirror.viewed.min(self.now);
+        let since = self.cache.viewed.min(self.now);
         for part in self.parts.values_mut() {
             part.drop_job(id, since);
         }
@@ -535,10 +536,10 @@
         let txn = Txn::default().when(key.clone(), stamp).delete(key);
         self.ledger.spend(1);
         let waiting = Waiting::Release { part: name.to_owned(), stamp };
-        self.state(Lane::Hold, StateCall::Txn(txn), waiting);
+        self.state(Lane::Lease, StateCall::Txn(txn), waiting);
     }
 
-    /// A part's key was given up, or is another's already. The copy lags behind, and a part that
+    /// A part's key was given up, or is another's already. the cache lags behind, and a part that
     /// it still shows as ours was released again and again: 700 changes in a row, in which the
     /// limit of changes, and with it every submission, was lost.
     pub(crate) fn released(
@@ -549,8 +550,8 @@
     ) {
         self.busy_parts.remove(name);
         let settled = matches!(result, Ok(StateReply::Committed(_) | StateReply::Conflict(_)));
-        if settled && self.mirror.parts.get(name).is_some_and(|(_, s)| *s == stamp) {
-            self.mirror.parts.remove(name);
+        if settled && self.cache.parts.get(name).is_some_and(|(_, s)| *s == stamp) {
+            self.cache.parts.remove(name);
         }
     }
 }
--- a/crates/quartzlever-core/src/holding/tests.rs
+++ b/crates/quartzlever-core/src/leases/tests.rs
@@ -15,7 +15,7 @@
         core.home_asks.insert("two".into(), (NOW - 60 * SECOND, NOW));
         let first = changes(&core.step(NOW, Vec::new()), "parts/two");
         assert_eq!(first.len(), 1, "{name}: asked for long enough");
-        // The copy does not know of it yet; the home node still asks.
+        // the cache does not know of it yet; the home node still asks.
         let result = Command::State { token: first[0], result: brings };
         let mut again = changes(&core.step(NOW + SECOND / 20, vec![result]), "parts/two");
         for step in 2..20 {
@@ -40,25 +40,25 @@
         core.cfg.notes = crate::messages::Weight::Error;
         core.absorb(record_of(1, 4, "one"), 10);
         core.job_over("req-3", OverRecord { phase: JobPhase::Done, done: 4 });
-        core.mirror.epoch = 8;
-        core.mirror.watch = 1;
+        core.cache.revision = 8;
+        core.cache.watch = 1;
         let v = Json::of(&"no record");
         let log = vec![Event::Write { write: key.into(), v, stamp }];
         core.watched(1, NOW, Ok(StateReply::Watched(WatchAnswer { epoch: 12, log })));
         let noted = core.out.iter().any(|e| matches!(e, Effect::Note { .. }));
         assert_eq!(noted, read, "{key} {stamp}");
-        assert_eq!(core.mirror.epoch, 12, "{key} {stamp}");
-        assert!(core.mirror.live.contains_key("req-1"), "a job stays known");
+        assert_eq!(core.cache.revision, 12, "{key} {stamp}");
+        assert!(core.cache.live.contains_key("req-1"), "a job stays known");
     }
 }
 
-/// The sending of a read counts, once the copy has come as far; a lease that is surely alive is not
+/// The sending of a read counts, once the cache has come as far; a lease that is surely alive is not
 /// enough, nor is a fresh view from before the lease was renewed after a time without.
 #[test]
 fn a_holder_acts_only_on_a_fresh_view() {
     let watched = |epoch| Ok(StateReply::Watched(WatchAnswer { epoch, log: Vec::new() }));
     let mut core = core();
-    core.mirror.loaded = true;
+    core.cache.loaded = true;
     core.cfg.workers.cancel = 40 * SECOND;
     // 40 s less a lease of 10 s and a margin of 3 s, with drift.
     let bound = core.cfg.view_bound();
@@ -71,19 +71,19 @@
     // The watch was sent 5 s after the view, and tells nothing new.
     core.watched(1, NOW + 5 * SECOND, watched(12));
     assert!(at(&mut core, 5 * SECOND + bound - 1) && !at(&mut core, 5 * SECOND + bound));
-    // A read of the revision counts from its sending, but only once the copy has come to it.
-    core.fenced(Vec::new(), NOW + 9 * SECOND, Ok(StateReply::Epoch(14)));
+    // A read of the revision counts from its sending, but only once the cache has come to it.
+    core.fenced(Vec::new(), NOW + 9 * SECOND, Ok(StateReply::Revision(14)));
     assert!(!at(&mut core, 5 * SECOND + bound));
     core.watched(2, NOW + 6 * SECOND, watched(13));
     assert!(!at(&mut core, 6 * SECOND + bound));
     core.watched(3, NOW + 7 * SECOND, watched(14));
     assert!(at(&mut core, 9 * SECOND + bound - 1));
     // Renewed after a time without a sure lease: the view must be newer than that renewal.
-    core.hold.sure_until = NOW;
+    core.lease.sure_until = NOW;
     core.now = NOW + 20 * SECOND;
     core.renewed(NOW + 19 * SECOND, 1, Ok(StateReply::Renewed));
     assert!(core.holds() && !core.sure(), "the view is from before the renewal");
-    core.fenced(Vec::new(), NOW + 19 * SECOND, Ok(StateReply::Epoch(14)));
+    core.fenced(Vec::new(), NOW + 19 * SECOND, Ok(StateReply::Revision(14)));
     assert!(core.sure());
 }
 
--- a/crates/quartzlever-core/src/ledger.rs
+++ b/crates/quartzlever-core/src/ledger.rs
@@ -37,7 +37,7 @@
     at: Micros,
 }
 
-/// Part of the limit that is used at all: bursts of several controllers may meet.
+/// Partition of the limit that is used at all: bursts of several controllers may meet.
 const SAFE: f64 = 0.9;
 
 impl Ledger {
--- a/crates/quartzlever-core/src/lookups.rs
+++ b/crates/quartzlever-core/src/lookups.rs
@@ -1,6 +1,6 @@
 //! Lookups of jobs, many at a time: one cheap read brings the present revision, and once the
 //! watched copy has come as far, all that waited are answered from it. So no answer is older than
-//! any that was given before the question came. What the copy does not know is read.
+//! any that was given before the question came. What the cache does not know is read.
 
 use std::collections::VecDeque;
 
@@ -34,7 +34,7 @@
     /// A read of the revision is under way.
     reading: bool,
     next: Micros,
-    /// By the revision that the copy has to come to.
+    /// By the revision that the cache has to come to.
     fenced: VecDeque<(u64, Vec<Asked>)>,
 }
 
@@ -51,7 +51,7 @@
         self.lookups.waiting.push(Asked { id, job, since });
     }
 
-    /// Asks for the revision, and answers what the copy is new enough for.
+    /// Asks for the revision, and answers what the cache is new enough for.
     pub(crate) fn keep_lookups(&mut self) {
         let (now, pause) = (self.now, self.pause_for(SHARE));
         let lookups = &mut self.lookups;
@@ -59,20 +59,20 @@
             lookups.reading = true;
             lookups.next = now + pause;
             let asked = std::mem::take(&mut lookups.waiting);
-            let call = quartzlever_wire::state::StateCall::Epoch;
-            self.state(Lane::User, call, Waiting::Fence { asked, sent: now });
+            let call = quartzlever_wire::state::StateCall::Revision;
+            self.state(Lane::User, call, Waiting::Revision { asked, sent: now });
         }
-        let loaded = self.mirror.loaded();
+        let loaded = self.cache.loaded();
         while let Some((epoch, _)) = self.lookups.fenced.front()
             && loaded
-            && *epoch <= self.mirror.epoch
+            && *epoch <= self.cache.revision
             && let Some((_, asked)) = self.lookups.fenced.pop_front()
         {
             for one in asked {
                 self.answer_from_copy(one);
             }
         }
-        // The copy lags behind, or there is none: read one by one, the oldest first.
+        // the cache lags behind, or there is none: read one by one, the oldest first.
         while let Some((_, asked)) = self.lookups.fenced.front()
             && asked.first().is_none_or(|a| now.saturating_sub(a.since) > PATIENCE)
             && let Some((_, asked)) = self.lookups.fenced.pop_front()
@@ -90,13 +90,13 @@
         result: Result<StateReply, CallError>,
     ) {
         if asked.is_empty() {
-            self.mirror.reading_view = false;
+            self.cache.reading_view = false;
         } else {
             self.lookups.reading = false;
         }
         match result {
-            Ok(StateReply::Epoch(epoch)) => {
-                self.mirror.read_revision(epoch, sent);
+            Ok(StateReply::Revision(epoch)) => {
+                self.cache.read_revision(epoch, sent);
                 if !asked.is_empty() {
                     self.lookups.fenced.push_back((epoch, asked));
                 }
@@ -114,7 +114,7 @@
         if let Some(over) = self.finals.get(&job).cloned() {
             return self.view_over(id, &job, &over);
         }
-        match self.mirror.live.get(&job) {
+        match self.cache.live.get(&job) {
             Some((record, _)) => {
                 let view = self.view_live(record);
                 self.answer(id, 200, Answer::View(view));
--- a/crates/quartzlever-core/src/lookups/tests.rs
+++ b/crates/quartzlever-core/src/lookups/tests.rs
@@ -4,9 +4,9 @@
 
 #[test]
 fn questions_are_answered_from_a_copy_that_is_new_enough() {
-    // (what the read of the revision brings, how far the copy has come; status of the answer, or
+    // (what the read of the revision brings, how far the cache has come; status of the answer, or
     // what is read instead, as soon as nothing better is to be hoped for)
-    let read = |epoch| Ok(StateReply::Epoch(epoch));
+    let read = |epoch| Ok(StateReply::Revision(epoch));
     for (name, brings, copy, status, reads) in [
         ("as new as the revision", read(10), 10, Some(200), false),
         ("newer", read(10), 12, Some(200), false),
@@ -14,12 +14,12 @@
         ("no answer", Err(CallError::Refused), 12, Some(503), false),
     ] {
         let mut core = core();
-        core.mirror.loaded = true;
-        core.mirror.epoch = copy;
+        core.cache.loaded = true;
+        core.cache.revision = copy;
         absorb_job(&mut core, &spec(4), 10, NOW);
         let asked = core.step(NOW, vec![Command::Lookup { id: 7, job: "req-1".into() }]);
         let token = asked.iter().find_map(|e| match e {
-            Effect::State { token, call: StateCall::Epoch, .. } => Some(*token),
+            Effect::State { token, call: StateCall::Revision, .. } => Some(*token),
             _ => None,
         });
         let Some(token) = token else { panic!("{name}: the revision is not read") };
--- a/crates/quartzlever-core/src/messages.rs
+++ b/crates/quartzlever-core/src/messages.rs
@@ -85,7 +85,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Lane {
     /// Leases and parts.
-    Hold,
+    Lease,
     /// Open watches.
     Watch,
     /// Claims, progress, moves.
--- a/crates/quartzlever-core/src/part.rs
+++ b/crates/quartzlever-core/src/partition.rs
@@ -35,7 +35,7 @@
 
 /// A job with tasks in this part.
 #[derive(Clone, Debug)]
-pub struct PartJob {
+pub struct PartitionJob {
     pub record: LiveRecord,
     pub stamp: u64,
     /// May be placed at once.
@@ -70,7 +70,7 @@
     pub patient: bool,
 }
 
-impl PartJob {
+impl PartitionJob {
     pub fn spec(&self) -> &JobSpec {
         &self.record.job
     }
@@ -115,14 +115,14 @@
 
 /// A part that this process holds.
 #[derive(Debug)]
-pub struct Part {
+pub struct Partition {
     pub name: String,
     /// The stamp of the part's key: the term, and the baton of its commands.
     pub term: u64,
     pub acquired: Micros,
     /// Its jobs and machines are known as of the acquisition or later; nothing is decided before.
     pub loaded: bool,
-    pub jobs: Table<PartJob>,
+    pub jobs: Table<PartitionJob>,
     pub machines: Table<Machine>,
     /// Whether every machine is known to hold nothing that an earlier holder started unseen.
     pub barrier_open: bool,
@@ -156,9 +156,9 @@
     pub pressed: bool,
 }
 
-impl Part {
+impl Partition {
     pub fn new(name: &str, term: u64, types: Option<Types>, now: Micros) -> Self {
-        Part {
+        Partition {
             name: name.to_owned(),
             term,
             acquired: now,
@@ -223,7 +223,7 @@
             let age = wall.saturating_sub(record.since);
             let since = now.saturating_sub(age);
             let due = record.job.due_s.map(|s| since + quartzlever_wire::micros_from_secs(s));
-            Box::new(PartJob {
+            Box::new(PartitionJob {
                 record: record.clone(),
                 stamp: 0,
                 ready: Ranges::default(),
--- a/crates/quartzlever-core/src/placement.rs
+++ b/crates/quartzlever-core/src/placement.rs
@@ -12,7 +12,7 @@
 use crate::engine::Core;
 use crate::machine::{Amounts, Slot, SlotKey};
 use crate::messages::{Effect, Weight};
-use crate::part::{Part, PartJob, Place};
+use crate::partition::{Partition, PartitionJob, Place};
 
 /// A machine that was not heard of for so many report intervals gets no new tasks.
 const QUIET_REPORTS: u64 = 3;
@@ -90,7 +90,7 @@
 const NO_AIM: Micros = 60 * SECOND;
 
 /// What presses most for a job, of what can still be met.
-pub fn urgency(cfg: &Config, paces: &Paces, job: &PartJob, now: Micros) -> Urgency {
+pub fn urgency(cfg: &Config, paces: &Paces, job: &PartitionJob, now: Micros) -> Urgency {
     let spec = job.spec();
     let expect = paces.expect(spec);
     let by = |end: Micros| end.saturating_sub(expect);
@@ -127,7 +127,11 @@
 }
 
 /// Zones in which another task of the job may start now.
-pub(crate) fn zones_open(part: &Part, job: &PartJob, zones: &[String]) -> Option<Vec<String>> {
+pub(crate) fn zones_open(
+    part: &Partition,
+    job: &PartitionJob,
+    zones: &[String],
+) -> Option<Vec<String>> {
     let spec = job.spec();
     if !spec.one_zone && !spec.spread {
         return None;
@@ -294,7 +298,7 @@
     }
 }
 
-impl PartJob {
+impl PartitionJob {
     /// Whether the job has waited so long that higher ranks stop it no more.
     fn aged(&self, now: Micros) -> bool {
         now.saturating_sub(self.since) > AGED_AFTER
@@ -324,7 +328,7 @@
     }
 }
 
-impl Part {
+impl Partition {
     /// Jobs with ready tasks: by rank, guarantee and time.
     pub fn queue_order(&self, cfg: &Config, paces: &Paces, now: Micros) -> Vec<String> {
         let guaranteed = self.guarantees(cfg);
@@ -425,7 +429,7 @@
     /// time took each piece of room before two of them made room for a larger one.
     fn keep_room(&mut self, now: Micros) {
         let starved =
-            |j: &PartJob| !j.ready.is_empty() && j.no_start_before <= now && j.standing(now).0;
+            |j: &PartitionJob| !j.ready.is_empty() && j.no_start_before <= now && j.standing(now).0;
         if let Some((host, job)) = &self.kept_for
             && self.jobs.get(job).is_some_and(|j| starved(j))
             && self.machines.get(host).is_some_and(|m| m.usable())
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -10,7 +10,7 @@
 use crate::engine::{CONTACT_LOST, Core, STARTING, WorkerWait};
 use crate::machine::{Amounts, Direct, Machine, Slot, SlotKey};
 use crate::messages::{Answer, Effect, RequestId, Weight};
-use crate::part::{Part, Place};
+use crate::partition::{Partition, Place};
 use crate::placement::Paces;
 
 /// Wait after a direct call that brought nothing.
@@ -36,7 +36,7 @@
             let name = name.clone();
             return self.hello_own(id, &name, &report);
         }
-        if !self.mirror.loaded() {
+        if !self.cache.loaded() {
             return self.later(id, 503, STARTING);
         }
         if let Some(record) = self.part_of_host(&report.host) {
@@ -57,12 +57,12 @@
     }
 
     pub(crate) fn holder_of(&self, part: &str) -> Option<&str> {
-        let (record, _) = self.mirror.parts.get(part)?;
+        let (record, _) = self.cache.parts.get(part)?;
         (record.node != self.cfg.node).then_some(record.node.as_str())
     }
 
     fn redirect(&mut self, id: RequestId, part: &str) {
-        // Without the state service the copy tells of holders that may be none any more. Two such
+        // Without the state service the cache tells of holders that may be none any more. Two such
         // nodes sent workers to and fro between them, past the one that had taken over, until
         // 809 machines were given up; turned away without a name, a worker tries one after the other.
         let fresh = self.now < self.contact.heard + CONTACT_LOST;
@@ -145,8 +145,8 @@
         let orders = if newer {
             part.orders_for(&report.host, true)
         } else {
-            let mirror = &self.mirror;
-            part.kills_for(report, |job| !mirror.is_live(job))
+            let cache = &self.cache;
+            part.kills_for(report, |job| !cache.is_live(job))
         };
         let body = Answer::Orders(Orders { baton: part.term, session: None, orders });
         self.out.push(Effect::Answer {
@@ -319,7 +319,7 @@
     }
 }
 
-impl Part {
+impl Partition {
     /// The commands for a machine; notes which `run`s they carry if they are the answer to a
     /// report.
     pub fn orders_for(&mut self, name: &str, answer: bool) -> Vec<Order> {
@@ -610,7 +610,7 @@
         (slot.wanted, slot.sent) = (false, true);
         if !self.jobs.contains_key(&seen.task.job) {
             // Its job may have ended while no holder acted: then it has had that time already.
-            let absent = cfg.operator.hold_life + cfg.operator.takeover_after;
+            let absent = cfg.operator.lease_life + cfg.operator.takeover_after;
             slot.over_since = Some(now.saturating_sub(absent));
         }
         if let Some(job) = self.jobs.get_mut(&seen.task.job) {
--- a/crates/quartzlever-core/src/reports/tests.rs
+++ b/crates/quartzlever-core/src/reports/tests.rs
@@ -215,8 +215,8 @@
         ("another lives at its address", false, Some(alive("n-8")), false),
     ] {
         let mut core = core();
-        core.mirror.loaded = true;
-        core.hold.next = NOW + 900 * SECOND;
+        core.cache.loaded = true;
+        core.lease.next = NOW + 900 * SECOND;
         if let Some(part) = core.parts.get_mut("one").filter(|_| expected) {
             let machine = Expected { kind: "m".into(), zone: "a".into(), spot: true, since: NOW };
             part.fleet.expected.insert("n-9".into(), machine);
--- a/crates/quartzlever-core/src/stealing.rs
+++ b/crates/quartzlever-core/src/stealing.rs
@@ -12,7 +12,7 @@
 use crate::ledger::Change;
 use crate::machine::{Amounts, Slot};
 use crate::messages::{Effect, Lane, RequestId, Weight};
-use crate::part::{Part, live_key};
+use crate::partition::{Partition, live_key};
 use crate::placement::offer_allowed;
 
 /// What an answer from a peer belongs to.
@@ -103,7 +103,7 @@
 
 /// The kinds of machines that a part has, each with the room of an empty one: what does not fit
 /// there is not moved to its queue.
-fn kinds_of(core: &Core, part: &Part) -> ThiefRoom {
+fn kinds_of(core: &Core, part: &Partition) -> ThiefRoom {
     let mut free: Vec<Room> = Vec::new();
     for record in part.machines.values().filter(|m| m.usable()).map(|m| &m.record) {
         let known =
@@ -125,7 +125,7 @@
 
 /// Room on open machines, as the thief tells it; for tasks of a rank, what lower work could give
 /// way to counts as room.
-fn room_of(core: &Core, part: &Part, rank: Rank) -> ThiefRoom {
+fn room_of(core: &Core, part: &Partition, rank: Rank) -> ThiefRoom {
     let quiet = core.cfg.workers.report * 3;
     let free = part
         .machines
@@ -212,10 +212,10 @@
     /// way and has no ready task of that rank itself.
     fn thief(&self) -> Option<(String, Rank)> {
         let all = Rank::BestEffort;
-        let fits = |p: &Part, rank| {
+        let fits = |p: &Partition, rank| {
             p.active() && p.ready_count(rank) == 0 && !room_of(self, p, rank).free.is_empty()
         };
-        let named = |p: &Part, rank| Some((p.name.clone(), rank));
+        let named = |p: &Partition, rank| Some((p.name.clone(), rank));
         if let Some(part) = self.parts.values().find(|p| fits(p, all)) {
             return named(part, all);
         }
@@ -234,7 +234,7 @@
     }
 
     /// How long a part's queue is.
-    fn load_of(&self, part: &Part) -> Load {
+    fn load_of(&self, part: &Partition) -> Load {
         let jobs = part.jobs.values().filter(|j| !j.ready.is_empty());
         let work = jobs.map(|j| {
             let each = self.paces.expect(j.spec()) as f64 / 1e6 * j.spec().cpus;
@@ -633,7 +633,7 @@
 }
 
 /// Whether tasks of the job may go to another part.
-fn movable(cfg: &Config, job: &crate::part::PartJob, rank: Rank) -> bool {
+fn movable(cfg: &Config, job: &crate::partition::PartitionJob, rank: Rank) -> bool {
     let spec = job.spec();
     // A limited team stays in its part, and zones are counted within one part.
     !job.writing
@@ -646,7 +646,7 @@
 }
 
 /// How many of the job's ready tasks the thief has room for, taking that room.
-fn fit_count(free: &mut [Room], job: &crate::part::PartJob, most: u32) -> u32 {
+fn fit_count(free: &mut [Room], job: &crate::partition::PartitionJob, most: u32) -> u32 {
     let need = job.need();
     let mut count = 0;
     let most = most.min(job.ready.len());
@@ -665,7 +665,7 @@
 }
 
 /// Whether a task of the job could ever run on one of these machines.
-fn fits_somewhere(rooms: &[Room], job: &crate::part::PartJob) -> bool {
+fn fits_somewhere(rooms: &[Room], job: &crate::partition::PartitionJob) -> bool {
     let need = job.need();
     rooms.iter().any(|r| {
         let amounts = Amounts { cpus: r.cpus, gpus: r.gpus, ram_gb: r.ram_gb };
@@ -673,7 +673,7 @@
     })
 }
 
-impl Part {
+impl Partition {
     /// Ready tasks that a thief could take.
     pub fn movable_count(&self, cfg: &Config, rank: Rank) -> u32 {
         self.jobs.values().filter(|j| movable(cfg, j, rank)).map(|j| j.ready.len()).sum()
--- a/crates/quartzlever-core/src/stealing/tests.rs
+++ b/crates/quartzlever-core/src/stealing/tests.rs
@@ -123,8 +123,8 @@
     for pressed in [false, true] {
         let mut core = with_cache(&[("one", "one", 5), ("two", "one", 6)]);
         queue_tasks(&mut core, 4, Rank::Urgent, 2.0);
-        // Part two has a machine, full of lower work, and a queue of that.
-        let mut two = Part::new("two", 6, core.types.clone(), NOW);
+        // Partition two has a machine, full of lower work, and a queue of that.
+        let mut two = Partition::new("two", 6, core.types.clone(), NOW);
         (two.loaded, two.barrier_open) = (true, true);
         two.add_machine("n-2", host_record("n-2", "two"), true, NOW);
         core.parts.insert("two".into(), two);
--- a/crates/quartzlever-core/src/testing.rs
+++ b/crates/quartzlever-core/src/testing.rs
@@ -4,7 +4,7 @@
 pub(crate) use crate::engine::Core;
 pub(crate) use crate::fleet::Expected;
 pub(crate) use crate::messages::{Answer, Command, Effect, Token, Weight};
-pub(crate) use crate::part::Part;
+pub(crate) use crate::partition::Partition;
 pub(crate) use crate::placement::Paces;
 pub(crate) use crate::stealing::Move;
 pub(crate) use quartzlever_wire::cloud::{CloudCall, MachineType};
@@ -99,10 +99,10 @@
         zones: vec!["a".into()],
     };
     core.types = Some(Arc::new(BTreeMap::from([("m".into(), kind)])));
-    core.hold.lease = Some(1);
-    core.hold.sure_until = NOW + 1_000 * SECOND;
-    core.mirror.viewed = NOW;
-    let mut part = Part::new("one", 5, core.types.clone(), NOW);
+    core.lease.id = Some(1);
+    core.lease.sure_until = NOW + 1_000 * SECOND;
+    core.cache.viewed = NOW;
+    let mut part = Partition::new("one", 5, core.types.clone(), NOW);
     (part.loaded, part.barrier_open) = (true, true);
     let host = HostRecord {
         part: "one".into(),
@@ -195,13 +195,13 @@
 /// A core with a copy of the records, in which these nodes hold parts.
 pub(crate) fn with_cache(parts: &[(&str, &str, u64)]) -> Core {
     let mut core = core();
-    core.mirror.loaded = true;
+    core.cache.loaded = true;
     core.wall_offset = Some(0);
-    core.hold.next = NOW + 900 * SECOND;
+    core.lease.next = NOW + 900 * SECOND;
     for (part, node, stamp) in parts {
         let process = if *node == core.cfg.node { core.process } else { 77 };
         let record = PartRecord { node: (*node).into(), process };
-        core.mirror.parts.insert((*part).into(), (record, *stamp));
+        core.cache.parts.insert((*part).into(), (record, *stamp));
     }
     core
 }
@@ -299,11 +299,11 @@
 pub(crate) fn with_holders(at_ease: usize) -> Core {
     let mut core = core();
     core.cfg.at_ease = at_ease;
-    core.mirror.loaded = true;
+    core.cache.loaded = true;
     core.wall_offset = Some(0);
     for (part, stamp, process) in [("one", 5, core.process), ("two", 6, 77)] {
         let record = PartRecord { node: part.into(), process };
-        core.mirror.parts.insert(part.into(), (record, stamp));
+        core.cache.parts.insert(part.into(), (record, stamp));
     }
     core
 }
--- a/crates/quartzlever-core/tests/world/meetings.rs
+++ b/crates/quartzlever-core/tests/world/meetings.rs
@@ -25,7 +25,7 @@
 
 /// Leases in the state service that live longer than a cancelled task may.
 fn long_holds(cfg: &mut Config) {
-    cfg.operator.hold_life = 15 * SECOND;
+    cfg.operator.lease_life = 15 * SECOND;
 }
 
 fn submit(w: &mut World, from: u32, count: u32, change: impl Fn(u32, &mut JobSpec)) -> Vec<String> {
@@ -145,7 +145,7 @@
         name: "the store is back, and the old holder finds lost tasks of cancelled jobs",
         tune: |cfg| {
             // The view is within its bound when the store is back, the lease had run out.
-            cfg.operator.hold_life = 20 * SECOND;
+            cfg.operator.lease_life = 20 * SECOND;
             cfg.workers.cancel = 60 * SECOND;
         },
         bring_about: |w| {
--- a/crates/quartzlever-core/tests/world/sim.rs
+++ b/crates/quartzlever-core/tests/world/sim.rs
@@ -37,7 +37,7 @@
         txn_ops: 24,
         at_ease: 10_000,
         operator: Operator {
-            hold_life: 5 * SECOND,
+            lease_life: 5 * SECOND,
             takeover_after: SECOND,
             handback_after: 2 * SECOND,
             silent_return: 4 * SECOND,
--- a/crates/quartzlever-standin/src/http.rs
+++ b/crates/quartzlever-standin/src/http.rs
@@ -109,7 +109,7 @@
             let (status, value) = match result {
                 Ok(StateReply::Row(Some(row))) => (200, json!(row)),
                 Ok(StateReply::Row(None)) => (404, json!(guard.txn_answer(None))),
-                Ok(StateReply::Epoch(epoch)) => (404, json!({ "epoch": epoch })),
+                Ok(StateReply::Revision(epoch)) => (404, json!({ "epoch": epoch })),
                 Ok(StateReply::Rows(rows)) => (200, json!(rows)),
                 Ok(StateReply::Committed(_)) => (200, json!(guard.txn_answer(None))),
                 Ok(StateReply::Conflict(failed)) => (409, json!(guard.txn_answer(Some(failed)))),
--- a/crates/quartzlever-standin/src/store.rs
+++ b/crates/quartzlever-standin/src/store.rs
@@ -66,7 +66,7 @@
         }
         self.expire(now);
         Ok(match call {
-            StateCall::Epoch => StateReply::Epoch(self.epoch),
+            StateCall::Revision => StateReply::Revision(self.epoch),
             StateCall::Get(key) => {
                 StateReply::Row(self.keys.get(key).map(|(v, stamp, charter)| Row {
                     path: key.clone(),
--- a/crates/quartzlever-wire/src/state.rs
+++ b/crates/quartzlever-wire/src/state.rs
@@ -306,7 +306,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum StateCall {
     /// What is the present revision?
-    Epoch,
+    Revision,
     Get(String),
     List {
         prefix: String,
@@ -328,7 +328,7 @@
 /// What the state service answered.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StateReply {
-    Epoch(u64),
+    Revision(u64),
     Row(Option<Row>),
     Rows(Rows),
     /// The transaction is in force at this revision.
--- a/crates/quartzlever/src/main.rs
+++ b/crates/quartzlever/src/main.rs
@@ -1,11 +1,11 @@
 //! The quartzlever controller.
 
 mod clock;
-mod crew;
 mod inbox;
 mod node;
 mod server;
 mod settings;
+mod thread_pool;
 
 use std::collections::hash_map::RandomState;
 use std::hash::{BuildHasher, Hasher};
--- a/crates/quartzlever/src/node.rs
+++ b/crates/quartzlever/src/node.rs
@@ -18,10 +18,10 @@
 use quartzlever_wire::{CallError, Micros};
 
 use crate::clock::{Clock, wall};
-use crate::crew;
 use crate::inbox::{Inbox, Item, Outlet, Reply};
 use crate::server::{self, BUSY, BUSY_BODY, Exit, Port, Status};
 use crate::settings::Settings;
+use crate::thread_pool;
 
 const STACK: usize = 192 * 1024;
 const TICK: Duration = Duration::from_millis(200);
@@ -94,7 +94,7 @@
         let mut lanes = HashMap::new();
         // Lane, threads, share of the budget left to others, patience.
         for (lane, threads, keep, patience) in [
-            (Lane::Hold, 2, 0.0, 2000),
+            (Lane::Lease, 2, 0.0, 2000),
             (Lane::Watch, 2, 0.0, 2000),
             (Lane::Work, 4, 0.1, 1500),
             (Lane::User, 4, 0.25, 600),
@@ -175,7 +175,7 @@
 /// Serves peers: a thread for each connection, each asking one thing at a time.
 fn serve_peers(address: SocketAddr, inbox: Inbox) -> io::Result<()> {
     let listener = TcpListener::bind(address)?;
-    crew::accept_loop("peers", listener, PEER_CONNECTIONS, move |mut stream, new| {
+    thread_pool::accept_loop("peers", listener, PEER_CONNECTIONS, move |mut stream, new| {
         drop(new);
         let set = stream
             .set_read_timeout(Some(PEER_IDLE))
--- a/crates/quartzlever/src/server.rs
+++ b/crates/quartzlever/src/server.rs
@@ -20,8 +20,8 @@
 use socket2::{Domain, SockRef, Socket, Type};
 
 use crate::clock::Clock;
-use crate::crew::{New, STACK, accept_loop};
 use crate::inbox::{Inbox, Line};
+use crate::thread_pool::{New, STACK, accept_loop};
 
 /// An idle connection is closed after this time, and when connections run short after a slice of
 /// it, before others are refused.
--- a/crates/quartzlever/src/settings.rs
+++ b/crates/quartzlever/src/settings.rs
@@ -124,7 +124,9 @@
     steal_fraction: Option<f64>,
     steal_start_s: Option<f64>,
     steal_cap_s: Option<f64>,
-    hold_life_s: Option<f64>,
+    /// Operators may have the earlier name in their files.
+    #[serde(alias = "hold_life_s")]
+    lease_life_s: Option<f64>,
     takeover_after_s: Option<f64>,
     handback_after_s: Option<f64>,
     idle_boots: Option<f64>,
@@ -226,7 +228,7 @@
     let spans = [
         ("steal_start_s", entry.steal_start_s, &mut out.steal_start, 0.01, 60.0),
         ("steal_cap_s", entry.steal_cap_s, &mut out.steal_cap, 0.01, 600.0),
-        ("hold_life_s", entry.hold_life_s, &mut out.hold_life, 3.0, 300.0),
+        ("lease_life_s", entry.lease_life_s, &mut out.lease_life, 3.0, 300.0),
         ("takeover_after_s", entry.takeover_after_s, &mut out.takeover_after, 0.0, 600.0),
         ("handback_after_s", entry.handback_after_s, &mut out.handback_after, 0.0, 600.0),
         ("silent_return_s", entry.silent_return_s, &mut out.silent_return, 3.0, 86_400.0),
--- a/crates/quartzlever/src/crew.rs
+++ b/crates/quartzlever/src/thread_pool.rs
@@ -60,7 +60,7 @@
     stream: Mutex<Option<(TcpStream, New)>>,
 }
 
-struct Crew<H> {
+struct ThreadPool<H> {
     handle: H,
     /// Connections that are served.
     open: AtomicUsize,
@@ -79,7 +79,8 @@
     most: usize,
     handle: impl Fn(TcpStream, New) + Send + Sync + 'static,
 ) -> io::Result<()> {
-    let crew = Arc::new(Crew { handle, open: AtomicUsize::new(0), idle: Mutex::default() });
+    let thread_pool =
+        Arc::new(ThreadPool { handle, open: AtomicUsize::new(0), idle: Mutex::default() });
     let label = name.to_owned();
     thread::Builder::new().name(format!("{name}-accept")).stack_size(STACK).spawn(move || {
         let news = Arc::new(News { count: AtomicUsize::new(0), acceptor: thread::current() });
@@ -90,17 +91,17 @@
                 thread::sleep(NOT_ACCEPTED);
                 continue;
             };
-            if crew.open.fetch_add(1, Ordering::Relaxed) >= most
-                || !crew.clone().give(&label, (stream, new))
+            if thread_pool.open.fetch_add(1, Ordering::Relaxed) >= most
+                || !thread_pool.clone().give(&label, (stream, new))
             {
-                crew.open.fetch_sub(1, Ordering::Relaxed);
+                thread_pool.open.fetch_sub(1, Ordering::Relaxed);
             }
         }
     })?;
     Ok(())
 }
 
-impl<H: Fn(TcpStream, New) + Send + Sync + 'static> Crew<H> {
+impl<H: Fn(TcpStream, New) + Send + Sync + 'static> ThreadPool<H> {
     /// Has a connection served by a thread that is there, or else by a new one; `false` if there
     /// can be none.
     fn give(self: Arc<Self>, label: &str, stream: (TcpStream, New)) -> bool {
