--- a/crates/quartzlever-core/src/leases.rs
+++ b/crates/quartzlever-core/src/leases.rs
@@ -217,7 +217,7 @@
         self.cache.catch_up();
     }
 
-    /// the cache was made anew: parts that were held before may have missed changes.
+    /// The cache was made anew: parts that were held before may have missed changes.
     fn close_gap(&mut self) {
         let now = self.now;
         // What was there at the revision at which the listing began, and is not listed, is over:
--- a/crates/quartzlever-core/src/leases/tests.rs
+++ b/crates/quartzlever-core/src/leases/tests.rs
@@ -15,7 +15,7 @@
         core.home_asks.insert("two".into(), (NOW - 60 * SECOND, NOW));
         let first = changes(&core.step(NOW, Vec::new()), "parts/two");
         assert_eq!(first.len(), 1, "{name}: asked for long enough");
-        // the cache does not know of it yet; the home node still asks.
+        // The cache does not know of it yet; the home node still asks.
         let result = Command::State { token: first[0], result: brings };
         let mut again = changes(&core.step(NOW + SECOND / 20, vec![result]), "parts/two");
         for step in 2..20 {
--- a/crates/quartzlever-core/src/lookups.rs
+++ b/crates/quartzlever-core/src/lookups.rs
@@ -72,7 +72,7 @@
                 self.answer_from_copy(one);
             }
         }
-        // the cache lags behind, or there is none: read one by one, the oldest first.
+        // The cache lags behind, or there is none: read one by one, the oldest first.
         while let Some((_, asked)) = self.lookups.fenced.front()
             && asked.first().is_none_or(|a| now.saturating_sub(a.since) > PATIENCE)
             && let Some((_, asked)) = self.lookups.fenced.pop_front()
