--- a/crates/quartzlever-core/src/jobs/tests.rs
+++ b/crates/quartzlever-core/src/jobs/tests.rs
@@ -68,3 +68,65 @@
         assert_eq!(term, Some((format!("parts/{enters}"), stamp)), "{at_ease} {own} {other}");
     }
 }
+
+/// A record that cannot be read is logged by its key, and its job is neither unknown nor refused.
+#[test]
+fn a_job_whose_record_cannot_be_read_stays_known() {
+    type Ask = fn(RequestId) -> Command;
+    let job = || "req-1".to_owned();
+    let asks: [(&str, Ask); 3] = [
+        ("lookup", |id| Command::Lookup { id, job: "req-1".into() }),
+        ("repeated submission", |id| {
+            let mut spec = spec(2);
+            spec.team = "nobody".into();
+            Command::Submit { id, spec: Box::new(spec) }
+        }),
+        ("cancellation", |id| Command::Abort { id, job: "req-1".into() }),
+    ];
+    // (whether its end is what cannot be read, question, status)
+    for (over, ask, status) in [
+        (false, 0, 200),
+        (false, 1, 200),
+        (false, 2, 200),
+        (true, 0, 503),
+        (true, 1, 503),
+        (true, 2, 503),
+    ] {
+        let mut core = core();
+        core.cache.loaded = true;
+        let (what, make) = asks[ask];
+        let (mut batch, mut answer, mut logged) = (vec![make(9)], None, false);
+        for step in 0..12 {
+            let effects = core.step(NOW + step * SECOND / 10, std::mem::take(&mut batch));
+            for effect in effects {
+                match effect {
+                    Effect::State { token, call, .. } => {
+                        let row = |path: &str| Row {
+                            path: path.into(),
+                            v: Json::of(&"not a record"),
+                            stamp: 7,
+                            charter: None,
+                        };
+                        let reply = match &call {
+                            StateCall::Get(key) if *key == format!("live/{}", job()) && !over => {
+                                StateReply::Row(Some(row(key)))
+                            }
+                            StateCall::Get(key) if key.starts_with("over/") && over => {
+                                StateReply::Row(Some(row(key)))
+                            }
+                            StateCall::Get(_) => StateReply::Row(None),
+                            StateCall::Revision => StateReply::Revision(0),
+                            StateCall::Txn(_) => StateReply::Committed(8),
+                            _ => continue,
+                        };
+                        batch.push(Command::State { token, result: Ok(reply) });
+                    }
+                    Effect::Answer { id: 9, status, .. } => answer = Some(status),
+                    Effect::Note { text, .. } => logged |= text.contains("unreadable record"),
+                    _ => {}
+                }
+            }
+        }
+        assert_eq!((answer, logged), (Some(status), true), "{what}, over {over}");
+    }
+}
--- a/crates/quartzlever-core/src/testing.rs
+++ b/crates/quartzlever-core/src/testing.rs
@@ -3,14 +3,14 @@
 pub(crate) use crate::config::{Config, Objective, Operator, Team, WorkerTimes};
 pub(crate) use crate::engine::Core;
 pub(crate) use crate::fleet::Expected;
-pub(crate) use crate::messages::{Answer, Command, Effect, Token, Weight};
+pub(crate) use crate::messages::{Answer, Command, Effect, RequestId, Token, Weight};
 pub(crate) use crate::partition::Partition;
 pub(crate) use crate::placement::Paces;
 pub(crate) use crate::stealing::Move;
 pub(crate) use quartzlever_wire::cloud::{CloudCall, MachineType};
 pub(crate) use quartzlever_wire::peers::{Load, PeerAnswer, PeerRequest, Room, ThiefRoom};
 pub(crate) use quartzlever_wire::state::{
-    Change, Event, HostRecord, Hosts, LiveRecord, OverRecord, PartRecord, Share, StateCall,
+    Change, Event, HostRecord, Hosts, LiveRecord, OverRecord, PartRecord, Row, Share, StateCall,
     StateReply, WatchAnswer, block_key,
 };
 pub(crate) use quartzlever_wire::users::{JobPhase, JobSpec, Rank, Shape};
