--- a/crates/quartzlever-clients/src/state.rs
+++ b/crates/quartzlever-clients/src/state.rs
@@ -76,6 +76,7 @@
                     400 if reply.body.windows(13).any(|w| w == b"no such lease") => {
                         Ok(StateReply::NoLease)
                     }
+                    400 => Ok(StateReply::TooLarge),
                     _ => Err(failure(&reply)),
                 }
             }
@@ -117,6 +118,7 @@
 /// A status that says that the request was not carried out, or does not tell.
 fn failure(reply: &Reply) -> CallError {
     match reply.status {
+        429 => CallError::TooOften,
         400..=499 | 503 => CallError::Refused,
         _ => CallError::Unknown,
     }
--- a/crates/quartzlever-core/src/claims.rs
+++ b/crates/quartzlever-core/src/claims.rs
@@ -2,12 +2,18 @@
 //!
 //! A block is rewritten on condition of its stamp and of the terms of all parts whose machines
 //! the change concerns, one write at a time; what comes meanwhile goes with the next.
+//!
+//! Blocks of the first form hold 64 machines. Where a value's limit, or the one to come, is too low
+//! for that, machines go into smaller blocks as soon as the cluster version says that every
+//! controller looks for them there; blocks of the first form are split then, a few at a time. Each
+//! machine still has one key that decides who claims it: a claim in a small block has the block of
+//! the first form at its stamp as a condition.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use quartzlever_wire::state::{
-    HOSTS, HostBlock, HostRecord, Hosts, PARTS, Row, StateCall, StateReply, Txn, block_key,
-    hosts_in,
+    BLOCK, HOSTS, HostBlock, HostRecord, Hosts, PARTS, Row, StateCall, StateReply, Txn, block_key,
+    block_size, hosts_in, small_block_key,
 };
 use quartzlever_wire::workers::Report;
 use quartzlever_wire::{CallError, Json, Micros, SECOND};
@@ -22,6 +28,8 @@
 const PAUSE: Micros = SECOND / 2;
 /// As long for removals: nothing waits for them.
 const TIDY_PAUSE: Micros = 2 * SECOND;
+/// Shortest time between two looks for a block to split.
+const SPLIT_PAUSE: Micros = SECOND / 5;
 
 /// A machine that waits for its claim, with the reports that wait for an answer.
 #[derive(Clone, Debug)]
@@ -43,6 +51,118 @@
 }
 
 impl Core {
+    /// How many machines share a key that is written now.
+    fn block_size(&self) -> u64 {
+        if self.cluster.services() { block_size(self.cfg.value_bytes) } else { BLOCK }
+    }
+
+    /// The key that a machine is claimed under.
+    fn key_for(&self, host: &str) -> String {
+        small_block_key(host, self.block_size())
+    }
+
+    /// Sends what waits for a change of this block, but belongs to another one by now, there.
+    fn reroute(&mut self, key: &str) {
+        let Some(work) = self.blocks.get(key) else { return };
+        let claims: Vec<String> =
+            work.claims.keys().filter(|h| self.key_for(h) != key).cloned().collect();
+        let elsewhere = |h: &String| self.cache.hosts.get(h).is_some_and(|k| k != key);
+        let drops: Vec<String> = work.drops.keys().filter(|h| elsewhere(h)).cloned().collect();
+        for host in claims {
+            let right = self.key_for(&host);
+            if let Some(claim) = self.blocks.get_mut(key).and_then(|w| w.claims.remove(&host)) {
+                self.blocks.entry(right).or_default().claims.insert(host, claim);
+            }
+        }
+        for host in drops {
+            let Some(right) = self.cache.hosts.get(&host).cloned() else { continue };
+            if let Some(by) = self.blocks.get_mut(key).and_then(|w| w.drops.remove(&host)) {
+                self.blocks.entry(right).or_default().drops.insert(host, by);
+            }
+        }
+    }
+
+    /// Splits one block of the first form, once small ones are to be used: the small ones and the
+    /// end of the large one in one transaction if that takes no more changes than are allowed, else
+    /// the small ones first, and the end when all of them are there. Each step may be repeated.
+    pub(crate) fn split_blocks(&mut self) {
+        let size = self.block_size();
+        if size == BLOCK || self.splitting || self.now < self.split_at || !self.sure() {
+            return;
+        }
+        self.split_at = self.now + SPLIT_PAUSE;
+        let ours = |hosts: &Hosts| {
+            hosts.values().next().is_some_and(|record| self.parts.contains_key(&record.part))
+        };
+        let large = |key: &str, hosts: &Hosts| {
+            hosts
+                .keys()
+                .next()
+                .is_some_and(|h| block_key(h) == key && small_block_key(h, size) != key)
+        };
+        let mut found: Vec<&String> = self
+            .cache
+            .blocks
+            .iter()
+            .filter(|(key, (hosts, _))| large(key, hosts) && ours(hosts))
+            .map(|(key, _)| key)
+            .collect();
+        found.sort();
+        let busy = |key: &String| self.blocks.get(key).is_some_and(|w| w.writing);
+        let Some(key) = found.into_iter().find(|key| !busy(key)).cloned() else { return };
+        let Some((hosts, stamp)) = self.cache.blocks.get(&key) else { return };
+        let mut small: BTreeMap<String, Hosts> = BTreeMap::new();
+        for (host, record) in hosts {
+            let part = small.entry(small_block_key(host, size)).or_default();
+            part.insert(host.clone(), record.clone());
+        }
+        let mut txn = Txn::default().when(&key, *stamp);
+        let mut written = Vec::new();
+        let most = self.limits.txn_ops;
+        let known = |key: &String| self.cache.blocks.get(key);
+        // What an earlier step has copied need not be written again.
+        small.retain(|key, part| {
+            known(key).is_none_or(|(there, _)| !part.iter().all(|(h, r)| there.get(h) == Some(r)))
+        });
+        let whole = small.len() < most;
+        for (key, mut part) in small.into_iter().take(if whole { most } else { most.max(1) }) {
+            let (there, stamp) = known(&key).cloned().unwrap_or_default();
+            part.extend(there);
+            txn = txn.when(&key, stamp).write(&key, Json::of(&HostBlock { m: part.clone() }));
+            written.push((key, part));
+        }
+        if whole {
+            txn = txn.delete(&key);
+        }
+        if !self.ledger.allows(Change::Tidy, txn.changes.len()) {
+            return;
+        }
+        self.splitting = true;
+        let waiting = Waiting::SplitBlock { key, small: written, whole };
+        self.state(Lane::Work, StateCall::Txn(txn), waiting);
+    }
+
+    pub(crate) fn block_split(
+        &mut self,
+        key: &str,
+        small: Vec<(String, Hosts)>,
+        whole: bool,
+        result: &Result<StateReply, CallError>,
+    ) {
+        self.splitting = false;
+        // Any other outcome the watch tells of, and what the cache shows then is tried again.
+        if let Ok(StateReply::Committed(stamp)) = result {
+            for (key, hosts) in small {
+                self.block_known(&key, hosts, *stamp);
+            }
+            if whole {
+                self.block_known(key, Hosts::new(), *stamp + 1);
+            }
+        } else {
+            self.split_at = self.now + RETRY;
+        }
+    }
+
     /// The part that a machine belongs to, as far as is known here.
     pub(crate) fn part_of_host(&self, host: &str) -> Option<&HostRecord> {
         let key = self.cache.hosts.get(host)?;
@@ -52,7 +172,7 @@
     /// A machine that nobody has claimed reports; it is to be claimed for a part held here.
     pub(crate) fn want_claim(&mut self, id: RequestId, report: Report, part: &str, term: u64) {
         let soon = self.now + PAUSE;
-        let work = self.blocks.entry(block_key(&report.host)).or_default();
+        let work = self.blocks.entry(self.key_for(&report.host)).or_default();
         work.not_before = work.not_before.min(soon);
         match work.claims.get_mut(&report.host) {
             Some(claim) => {
@@ -71,7 +191,7 @@
 
     /// A returned machine's record is no longer wanted.
     pub(crate) fn want_drop(&mut self, host: &str, part: &str, term: u64) {
-        let key = self.cache.hosts.get(host).cloned().unwrap_or_else(|| block_key(host));
+        let key = self.cache.hosts.get(host).cloned().unwrap_or_else(|| self.key_for(host));
         let work = self.blocks.entry(key).or_default();
         work.drops.insert(host.to_owned(), (part.to_owned(), term));
     }
@@ -91,7 +211,12 @@
     }
 
     fn write_block(&mut self, key: &str) {
+        self.reroute(key);
         let (now, sure) = (self.now, self.sure());
+        let most =
+            if self.cluster.services() { self.limits.value_bytes } else { self.cfg.block_bytes };
+        let large_form = self.block_size() == BLOCK;
+        let cache = &self.cache;
         let Some(work) = self.blocks.get_mut(key) else { return };
         let kind = if work.claims.is_empty() { Change::Tidy } else { Change::Claim };
         if sure && !self.ledger.has(kind, 1) {
@@ -112,7 +237,7 @@
             turned_away.extend(work.claims.remove(&host).into_iter().flat_map(|c| c.ids));
         }
         work.drops.retain(|_, (part, term)| held(part, *term));
-        let (mut hosts, stamp) = self.cache.blocks.get(key).cloned().unwrap_or_default();
+        let (mut hosts, stamp) = cache.blocks.get(key).cloned().unwrap_or_default();
         let mut terms: BTreeMap<String, u64> = BTreeMap::new();
         for (host, (part, term)) in &work.drops {
             if hosts.get(host).is_some_and(|r| r.part == *part) {
@@ -125,13 +250,13 @@
         // anew for each was most of the work of a start.
         let mut length = if work.claims.is_empty() { 0 } else { written_length(&hosts) + 16 };
         for (host, claim) in &work.claims {
-            if hosts.contains_key(host) {
+            if hosts.contains_key(host) || cache.hosts.contains_key(host) {
                 continue;
             }
             let record = record_of(claim);
             // Quotes, a colon and a comma beside the name.
             let more = host.len() + 4 + written_length(&record);
-            if length + more > self.cfg.value_bytes {
+            if length + more > most {
                 continue;
             }
             length += more;
@@ -157,6 +282,12 @@
             for (part, term) in &terms {
                 txn = txn.when(format!("{PARTS}{part}"), *term);
             }
+            // A claim that an earlier version wrote for one of these machines is seen there.
+            let first_form = added.iter().next().map(|host| block_key(host));
+            if let Some(first) = first_form.filter(|first| !large_form && first != key) {
+                let stamp = cache.blocks.get(&first).map_or(0, |(_, stamp)| *stamp);
+                txn = txn.when(first, stamp);
+            }
             let txn = if hosts.is_empty() {
                 txn.delete(key)
             } else {
@@ -208,7 +339,7 @@
                 self.reread_block(key);
             }
             // Known not to be carried out: tried again.
-            Ok(_) | Err(CallError::Refused) => {
+            Ok(_) | Err(CallError::Refused | CallError::TooOften) => {
                 if let Some(work) = self.blocks.get_mut(key) {
                     work.not_before = now + RETRY;
                 }
@@ -264,12 +395,15 @@
         if stamp != 0 && known >= stamp {
             return None;
         }
+        // While a block is split its machines are in two.
         for host in before.keys().filter(|h| !hosts.contains_key(*h)) {
-            self.cache.hosts.remove(host);
+            if self.cache.hosts.get(host).is_some_and(|k| k == key) {
+                self.cache.hosts.remove(host);
+            }
         }
         let mut new = Hosts::new();
         for (host, record) in &hosts {
-            if before.get(host) != Some(record) {
+            if before.get(host) != Some(record) || !self.cache.hosts.contains_key(host) {
                 self.cache.hosts.insert(host.clone(), key.to_owned());
                 new.insert(host.clone(), record.clone());
             }
--- a/crates/quartzlever-core/src/config.rs
+++ b/crates/quartzlever-core/src/config.rs
@@ -107,8 +107,13 @@
     /// What all controllers together may ask of the state service and change in it, a second.
     pub state_rps: f64,
     pub state_write_rps: f64,
+    /// The lower of a value's present and coming limit; and the present one, to which blocks of
+    /// machines keep while a controller may be of the first version.
     pub value_bytes: usize,
+    pub block_bytes: usize,
     pub txn_ops: usize,
+    /// The version that this process tells the others; 1 tells nothing, as the first version did.
+    pub version: u32,
     /// How many machines a controller's processor serves at ease.
     pub at_ease: usize,
     pub operator: Operator,
--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -4,13 +4,16 @@
 
 use quartzlever_wire::cloud::{CloudCall, CloudReply};
 use quartzlever_wire::peers::{PeerAnswer, PeerRequest};
-use quartzlever_wire::state::{Hosts, LiveRecord, OverRecord, PartRecord, StateCall, StateReply};
+use quartzlever_wire::state::{
+    Change as StateChange, Hosts, LiveRecord, OverRecord, PartRecord, StateCall, StateReply,
+};
 use quartzlever_wire::workers::{Report, WorkerCall, WorkerReply};
 use quartzlever_wire::{CallError, Micros, Ranges, SECOND};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
 use crate::claims::BlockWork;
+use crate::cluster::Cluster;
 use crate::config::Config;
 use crate::fleet::CloudWork;
 use crate::hearing::Hearing;
@@ -48,6 +51,15 @@
     },
     ListHosts,
     ListJobs,
+    ListCluster,
+    /// A version was announced, or raised.
+    Cluster,
+    /// Machines move from a block of the first form to small ones.
+    SplitBlock {
+        key: String,
+        small: Vec<(String, Hosts)>,
+        whole: bool,
+    },
     Watch {
         number: u64,
         sent: Micros,
@@ -284,6 +296,24 @@
 pub(crate) const CONTACT_LOST: Micros = 4 * SECOND;
 const CONTACT_ASK: Micros = SECOND;
 
+/// What the state service takes in one transaction.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Limits {
+    pub value_bytes: usize,
+    pub txn_ops: usize,
+}
+
+/// How large a transaction was: its largest value, and its changes.
+#[derive(Clone, Copy, Debug)]
+struct TxnSize {
+    value: usize,
+    ops: usize,
+}
+
+/// Limits are never learned to be lower: the end of a job takes as much.
+const LEAST_VALUE: usize = 512;
+const LEAST_OPS: usize = 2;
+
 /// All state of a controller.
 pub struct Core {
     pub(crate) cfg: Config,
@@ -304,9 +334,16 @@
     pub(crate) cache: Cache,
     pub(crate) parts: BTreeMap<String, Partition>,
     pub(crate) contact: Contact,
+    pub(crate) cluster: Cluster,
+    /// What the state service takes, as far as is known.
+    pub(crate) limits: Limits,
+    txn_sizes: HashMap<Token, TxnSize>,
     pub(crate) hearing: Hearing,
     pub(crate) ledger: Ledger,
     pub(crate) blocks: BTreeMap<String, BlockWork>,
+    /// A block is being split; when the next one may be.
+    pub(crate) splitting: bool,
+    pub(crate) split_at: Micros,
     pub(crate) lookups: Lookups,
     /// Reports of machines that nobody knew, while the machines are asked.
     pub(crate) vouching: HashMap<String, (RequestId, Report)>,
@@ -349,7 +386,6 @@
     pub fn new(cfg: Config, seed: u64, now: Micros) -> Self {
         let mut core = Core {
             stealing: Stealing::new(&cfg),
-            cfg,
             rng: SmallRng::seed_from_u64(seed),
             process: seed,
             started: now,
@@ -365,9 +401,14 @@
             cache: Cache::default(),
             parts: BTreeMap::new(),
             contact: Contact { heard: now, ..Contact::default() },
+            cluster: Cluster::default(),
+            limits: Limits { value_bytes: cfg.value_bytes, txn_ops: cfg.txn_ops },
+            txn_sizes: HashMap::new(),
             hearing: Hearing::new(now),
             ledger: Ledger::new(now),
             blocks: BTreeMap::new(),
+            splitting: false,
+            split_at: 0,
             lookups: Lookups::default(),
             vouching: HashMap::new(),
             busy_parts: BTreeSet::new(),
@@ -386,6 +427,7 @@
             look_at: 0,
             write_at: 0,
             blocks_at: 0,
+            cfg,
         };
         if !core.cfg.leases_meet_cancel() {
             core.note(Weight::Error, || {
@@ -427,6 +469,7 @@
         self.keep_lease();
         self.keep_contact();
         self.keep_cache();
+        self.keep_cluster();
         self.keep_hearing();
         if concerns_holders {
             self.keep_parts();
@@ -449,6 +492,7 @@
                     self.contact.heard = self.now;
                     self.contact.alone = None;
                 }
+                self.learn_limits(token, &result);
                 if let Some(waiting) = self.state_waits.remove(&token) {
                     self.state_answer(waiting, result);
                 }
@@ -515,8 +559,42 @@
         self.next_token
     }
 
+    /// A transaction that is refused for its size, or for coming too often, shows a limit lower
+    /// than the settings say: from then on less is written at once, or less often.
+    fn learn_limits(&mut self, token: Token, result: &Result<StateReply, CallError>) {
+        let Some(size) = self.txn_sizes.remove(&token) else { return };
+        match result {
+            Ok(StateReply::TooLarge) => {
+                // Which of the two it was is not said.
+                let limits = &mut self.limits;
+                limits.value_bytes = limits.value_bytes.min(size.value * 3 / 4).max(LEAST_VALUE);
+                limits.txn_ops = limits.txn_ops.min(size.ops.saturating_sub(1)).max(LEAST_OPS);
+                let Limits { value_bytes, txn_ops } = *limits;
+                self.note(Weight::Error, || {
+                    let TxnSize { value, ops } = size;
+                    format!(
+                        "the state service takes no transaction of {ops} changes with a value of \
+                         {value} bytes: from now on {txn_ops} and {value_bytes}"
+                    )
+                });
+            }
+            Err(CallError::TooOften) if self.ledger.slow_down(self.now) => {
+                self.note(Weight::Error, || "the state service allows fewer changes".into());
+            }
+            _ => {}
+        }
+    }
+
     pub(crate) fn state(&mut self, lane: Lane, call: StateCall, waiting: Waiting) {
         let token = self.token();
+        if let StateCall::Txn(txn) = &call {
+            let value = |c: &StateChange| match c {
+                StateChange::Write { v, .. } => v.text().len(),
+                StateChange::Delete { .. } => 0,
+            };
+            let value = txn.changes.iter().map(value).max().unwrap_or(0);
+            self.txn_sizes.insert(token, TxnSize { value, ops: txn.changes.len() });
+        }
         self.state_waits.insert(token, waiting);
         self.out.push(Effect::State { token, lane, call });
     }
@@ -646,6 +724,11 @@
             Waiting::ListParts { from_epoch } => self.parts_listed(from_epoch, result),
             Waiting::ListHosts => self.hosts_listed(result),
             Waiting::ListJobs => self.jobs_listed(result),
+            Waiting::ListCluster => self.cluster_listed(result),
+            Waiting::Cluster => self.cluster_answered(&result),
+            Waiting::SplitBlock { key, small, whole } => {
+                self.block_split(&key, small, whole, &result);
+            }
             Waiting::Watch { number, sent } => self.watched(number, sent, result),
             Waiting::Revision { asked, sent } => self.fenced(asked, sent, result),
             Waiting::KeptCatalogue => self.catalogue_read(result),
@@ -729,6 +812,7 @@
         if self.now >= self.blocks_at {
             self.blocks_at = self.now + BLOCKS_PAUSE;
             self.write_blocks();
+            self.split_blocks();
         }
         self.keep_fleet();
         self.tell_pressed();
--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -217,10 +217,13 @@
                 self.cloud.catalogue_waiting = false;
                 if let Ok(CloudReply::Catalogue(catalogue)) = result {
                     self.cloud.catalogue_at = self.now + CATALOGUE_EVERY;
-                    let txn = Txn::default().write(CATALOGUE, Json::of(&catalogue));
+                    let kept = Json::of(&catalogue);
                     self.use_catalogue(catalogue);
-                    self.ledger.spend(1);
-                    self.state(Lane::Work, StateCall::Txn(txn), Waiting::KeptCatalogue);
+                    if kept.text().len() <= self.limits.value_bytes {
+                        let txn = Txn::default().write(CATALOGUE, kept);
+                        self.ledger.spend(1);
+                        self.state(Lane::Work, StateCall::Txn(txn), Waiting::KeptCatalogue);
+                    }
                 } else {
                     self.cloud.catalogue_at = self.now + RETRY;
                     if self.types.is_none() {
--- a/crates/quartzlever-core/src/jobs.rs
+++ b/crates/quartzlever-core/src/jobs.rs
@@ -82,7 +82,9 @@
 ) -> Verdict {
     let Some(team) = cfg.team(&spec.team) else { return Verdict::Never };
     let over = |want: f64, most: f64| most > 0.0 && want > most;
-    if over(spec.cpus, team.cpus_max) || over(spec.gpus, team.gpus_max) {
+    // All replicas of a service run at once.
+    let at_once = if spec.is_service() { f64::from(spec.tasks) } else { 1.0 };
+    if over(spec.cpus * at_once, team.cpus_max) || over(spec.gpus * at_once, team.gpus_max) {
         return Verdict::Never;
     }
     let Some(mut types) = types else { return Verdict::Unsure };
@@ -127,6 +129,8 @@
         }
         let types = self.types.as_ref().map(|t| t.values());
         let refuse = match verdict(&self.cfg, types, &spec) {
+            // An earlier version could not read its record.
+            Verdict::Fits if spec.is_service() && !self.cluster.services() => Some(false),
             Verdict::Fits => None,
             Verdict::Never => Some(true),
             Verdict::Unsure => Some(false),
@@ -145,7 +149,7 @@
             job: (*spec).clone(),
         };
         let value = Json::of(&record);
-        if value.text().len() > self.cfg.value_bytes {
+        if value.text().len() > self.limits.value_bytes {
             // Nothing could ever be kept of such a job; a known one is still answered as known.
             return self.read(Purpose::Submit { id, job: spec.id.clone(), refuse: true });
         }
@@ -403,12 +407,14 @@
     fn write_job(&mut self, name: &str, id: &str) {
         let now = self.now;
         let progress = self.cfg.operator.progress_write;
+        let most = self.limits.value_bytes;
         let Some(part) = self.parts.get_mut(name) else { return };
         let (term, base) = (part.term, part.txn());
         let Some(job) = part.jobs.get_mut(id) else { return };
         let all = job.all_finished();
         let mut record = job.record.clone();
-        record.finished.add(&job.finished);
+        let mut told = job.finished.clone();
+        record.finished.add(&told);
         record.started = record.started || !job.located.is_empty() || !record.finished.is_empty();
         let live = live_key(id);
         let txn = base.when(live.clone(), job.stamp);
@@ -416,12 +422,16 @@
             let over = OverRecord { phase: JobPhase::Done, done: record.job.tasks };
             txn.delete(live).write(format!("{OVER}{id}"), Json::of(&over))
         } else {
-            let value = Json::of(&record);
-            // Too many gaps to be kept: more tasks have to finish first. What is not
-            // recorded is not cleared on the machines either.
-            if value.text().len() > self.cfg.value_bytes {
-                job.write_after = now + 2 * progress;
-                return;
+            let mut value = Json::of(&record);
+            // Too many gaps to be kept: as much is recorded as fits, and more when other tasks have
+            // finished between. What is not recorded is not cleared on the machines either.
+            if value.text().len() > most {
+                told = fitting(&mut record, &job.record.finished, &told, most);
+                value = Json::of(&record);
+                if told.is_empty() && (value.text().len() > most || !job.doubtful) {
+                    job.write_after = now + 2 * progress;
+                    return;
+                }
             }
             txn.write(live, value)
         };
@@ -432,7 +442,7 @@
             part: name.to_owned(),
             term,
             job: id.to_owned(),
-            finished: job.finished.clone(),
+            finished: told,
             over: all,
         };
         self.state(Lane::Work, StateCall::Txn(txn), waiting);
@@ -551,6 +561,27 @@
     }
 }
 
+/// Puts as much of what has finished into a record as keeps it within a value's limit, the longest
+/// ranges first, and gives what that is.
+fn fitting(record: &mut LiveRecord, recorded: &Ranges, finished: &Ranges, most: usize) -> Ranges {
+    /// So many ranges are tried: they fill gaps or are long, and the rest can wait.
+    const TRIED: usize = 64;
+    record.finished = recorded.clone();
+    let room = most.saturating_sub(Json::of(&*record).text().len() - recorded.to_string().len());
+    let mut ranges: Vec<Ranges> = finished.ranges().map(Ranges::of).collect();
+    ranges.sort_by_key(|r| std::cmp::Reverse(r.len()));
+    let (mut kept, mut told) = (recorded.clone(), Ranges::default());
+    for range in ranges.into_iter().take(TRIED) {
+        let with = kept.union(&range);
+        if with.to_string().len() <= room {
+            kept = with;
+            told.add(&range);
+        }
+    }
+    record.finished = kept;
+    told
+}
+
 impl Partition {
     /// Notes that a task is done; it counts once the record says so.
     pub fn finish(&mut self, id: &str, index: u32, now: Micros) {
--- a/crates/quartzlever-core/src/jobs/tests.rs
+++ b/crates/quartzlever-core/src/jobs/tests.rs
@@ -130,3 +130,40 @@
         assert_eq!((answer, logged), (Some(status), true), "{what}, over {over}");
     }
 }
+
+/// A record with more gaps than a value holds keeps what fits, the longest ranges first; the rest
+/// stays on the machines until it fits.
+#[test]
+fn as_much_progress_is_recorded_as_a_value_holds() {
+    // (limit of a value, finished before, finished since, whether all, some or nothing is recorded)
+    let gaps: String = (0..400).map(|n| format!("{},", 2 * n)).collect();
+    let gaps = gaps.trim_end_matches(',');
+    let long = format!("{gaps},1000-1999");
+    for (n, (most, before, since, all, some)) in [
+        (16 * 1024, "", gaps, true, true),
+        (2 * 1024, "", "0-1999", true, true),
+        (1_200, "", gaps, false, true),
+        (1_200, "", long.as_str(), false, true),
+        (300, "", gaps, false, false),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let ranges = |text: &str| text.parse::<Ranges>().unwrap_or_default();
+        let mut record = record_of(1, 2_000, "one");
+        record.finished = ranges(before);
+        let (recorded, finished) = (record.finished.clone(), ranges(since));
+        record.finished.add(&finished);
+        let told = if Json::of(&record).text().len() > most {
+            super::fitting(&mut record, &recorded, &finished, most)
+        } else {
+            finished.clone()
+        };
+        assert_eq!((told == finished, !told.is_empty()), (all, some), "{n}: {told}");
+        assert!(Json::of(&record).text().len() <= most || !some, "{n}");
+        assert_eq!(record.finished, recorded.union(&told), "{n}");
+        if since == long && !all {
+            assert!(told.contains(1_500), "{n}: the long range goes first");
+        }
+    }
+}
--- a/crates/quartzlever-core/src/leases.rs
+++ b/crates/quartzlever-core/src/leases.rs
@@ -3,8 +3,8 @@
 
 use quartzlever_wire::peers::PeerRequest;
 use quartzlever_wire::state::{
-    Event, HEARD, HOSTS, Hosts, LIVE, LiveRecord, OVER, OverRecord, PARTS, PartRecord, Row, Rows,
-    StateCall, StateReply, Txn,
+    CLUSTER, Event, HEARD, HOSTS, Hosts, LIVE, LiveRecord, OVER, OverRecord, PARTS, PartRecord,
+    Row, Rows, StateCall, StateReply, Txn,
 };
 use quartzlever_wire::{CallError, Json, Micros, SECOND};
 use rand::Rng;
@@ -98,7 +98,7 @@
     }
 
     /// The lease is gone, and with it every part.
-    fn lose_all(&mut self) {
+    pub(crate) fn lose_all(&mut self) {
         self.lease.id = None;
         self.lease.sure_until = 0;
         self.lease.next = self.now;
@@ -210,6 +210,20 @@
             let call = StateCall::List { prefix: LIVE.into(), from: Some(from) };
             return self.state(Lane::Lease, call, Waiting::ListJobs);
         }
+        let call = StateCall::List { prefix: CLUSTER.into(), from: None };
+        self.state(Lane::Lease, call, Waiting::ListCluster);
+    }
+
+    pub(crate) fn cluster_listed(&mut self, result: Result<StateReply, CallError>) {
+        let Ok(StateReply::Rows(rows)) = result else { return self.listing_failed() };
+        self.cluster.forget_nodes();
+        for row in &rows.rows {
+            self.cluster_row(row);
+        }
+        if let Some(from) = next_page(&rows) {
+            let call = StateCall::List { prefix: CLUSTER.into(), from: Some(from) };
+            return self.state(Lane::Lease, call, Waiting::ListCluster);
+        }
         self.cache.loading = false;
         self.cache.loaded = true;
         self.close_gap();
@@ -286,6 +300,8 @@
                     self.block_row(&row, true);
                 } else if row.path.starts_with(LIVE) {
                     self.live_row(&row);
+                } else if row.path.starts_with(CLUSTER) {
+                    self.cluster_row(&row);
                 } else if row.path.starts_with(HEARD) {
                     self.heard_left(&row);
                 } else if let Some(id) = row.path.strip_prefix(OVER)
@@ -303,6 +319,8 @@
                     if self.parts.get(name).is_some_and(|p| p.term <= stamp) {
                         self.parts.remove(name);
                     }
+                } else if delete.starts_with(CLUSTER) {
+                    self.cluster_deleted(&delete, stamp);
                 } else if is_hosts(&delete) {
                     if self.cache.blocks.get(&delete).is_some_and(|(_, s)| *s <= stamp) {
                         self.block_seen(&delete, Hosts::new(), stamp + 1);
--- a/crates/quartzlever-core/src/ledger.rs
+++ b/crates/quartzlever-core/src/ledger.rs
@@ -35,24 +35,45 @@
     rate: f64,
     level: f64,
     at: Micros,
+    /// Share of the limit that the state service was seen to allow, and when that last sank.
+    seen: f64,
+    slowed: Micros,
 }
 
-/// Partition of the limit that is used at all: bursts of several controllers may meet.
+/// Once refused for coming too often, changes come so much slower, and come back to the limit at
+/// this share of it a second.
+const SLOWER: f64 = 0.8;
+const LEAST_SEEN: f64 = 0.1;
+const REGAINED: f64 = 0.005;
+/// Share of the limit that is used at all: bursts of several controllers may meet.
 const SAFE: f64 = 0.9;
 
 impl Ledger {
     pub fn new(now: Micros) -> Self {
-        Ledger { rate: 1.0, level: 1.0, at: now }
+        Ledger { rate: 1.0, level: 1.0, at: now, seen: 1.0, slowed: 0 }
     }
 
     /// Time passes; `limit` is for all who change anything, `sharers` so many.
     pub fn pass(&mut self, now: Micros, limit: f64, sharers: usize) {
         let passed = now.saturating_sub(self.at) as f64 / SECOND as f64;
         self.at = now;
-        self.rate = (limit * SAFE / sharers.max(1) as f64).max(0.5);
+        self.seen = (self.seen + passed * REGAINED).min(1.0);
+        self.rate = (limit * self.seen * SAFE / sharers.max(1) as f64).max(0.5);
         self.level = (self.level + passed * self.rate).min(self.rate.max(2.0));
     }
 
+    /// The state service has refused a change for coming too often; whether that is news. What is
+    /// refused together counts once.
+    pub fn slow_down(&mut self, now: Micros) -> bool {
+        if now.saturating_sub(self.slowed) < SECOND && self.slowed > 0 {
+            return false;
+        }
+        self.slowed = now;
+        self.seen = (self.seen * SLOWER).max(LEAST_SEEN);
+        self.level = self.level.min(0.0);
+        true
+    }
+
     /// Takes `count` changes, if enough is left for what matters more. One more than a full
     /// account ever holds is let through when the account is full.
     pub fn allows(&mut self, kind: Change, count: usize) -> bool {
--- a/crates/quartzlever-core/src/lib.rs
+++ b/crates/quartzlever-core/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`jobs`]: submissions, lookups, cancellations, and the record of each job.
 //! - `lookups`, `ledger`, `claims`: what is asked of and written to the state service, and how often.
 //! - [`part`]: a part's queue, its holder, its machines' reports, and recovery.
+//! - `cluster`: what all controllers understand, and how that is raised while serving.
 //! - `hearing`: whether this node hears its workers, and parts given up to a peer that does.
 //! - [`placement`]: which task goes where.
 //! - [`rooms`]: the free room of a part's machines, as an index.
@@ -14,6 +15,7 @@
 //! - [`fleet`]: renting, returning, and suspicion of machines.
 
 mod claims;
+mod cluster;
 mod config;
 mod engine;
 pub mod fleet;
@@ -32,6 +34,7 @@
 #[cfg(test)]
 mod testing;
 
+pub use cluster::VERSION;
 pub use config::{Config, Objective, Operator, Team, WorkerTimes};
 pub use engine::Core;
 pub use messages::{Answer, Command, Effect, Lane, RequestId, Token, Weight};
--- a/crates/quartzlever-core/src/messages.rs
+++ b/crates/quartzlever-core/src/messages.rs
@@ -165,6 +165,10 @@
         node: String,
         request: PeerRequest,
     },
+    /// The process cannot go on, for this reason.
+    End {
+        why: String,
+    },
     /// From now on this node may use so much of what the state service and the cloud allow.
     Share(f64),
 }
--- a/crates/quartzlever-core/src/partition.rs
+++ b/crates/quartzlever-core/src/partition.rs
@@ -79,6 +79,11 @@
         Amounts::of_job(&self.record.job)
     }
 
+    /// Whether its tasks run until it is cancelled.
+    pub fn service(&self) -> bool {
+        self.record.job.is_service()
+    }
+
     /// All tasks that this part answers for, as far as it knows.
     fn known(&self) -> Ranges {
         let mut all = self.ready.union(&self.held);
@@ -93,6 +98,13 @@
         self.record.finished.len() + self.finished.len() >= self.record.job.tasks
     }
 
+    /// A replica of the service has run for a while: it works, and earlier failures count no more.
+    pub fn settles(&mut self) {
+        self.good = self.good.max(1);
+        self.failures = 0;
+        self.failed_on.clear();
+    }
+
     /// Whether the job fails wherever it is tried.
     pub fn mistaken(&self) -> bool {
         self.good == 0 && self.failed_on.len() >= MISTAKEN_AFTER
--- a/crates/quartzlever-core/src/placement.rs
+++ b/crates/quartzlever-core/src/placement.rs
@@ -92,6 +92,10 @@
 /// What presses most for a job, of what can still be met.
 pub fn urgency(cfg: &Config, paces: &Paces, job: &PartitionJob, now: Micros) -> Urgency {
     let spec = job.spec();
+    if spec.is_service() {
+        // Each moment without a replica is lost.
+        return Urgency { missed: false, latest: job.since };
+    }
     let expect = paces.expect(spec);
     let by = |end: Micros| end.saturating_sub(expect);
     let span = job.due.map(|due| due.saturating_sub(job.since));
@@ -160,9 +164,9 @@
     )
 }
 
-/// How well a machine suits a job, best first: it has failed nothing lately, has the image or is
-/// fetching it, is cheap, and has little room left over.
-type Fit = (bool, u8, bool, f64);
+/// How well a machine suits a job, best first: it has failed nothing lately, runs no replica of the
+/// service yet, has the image or is fetching it, is cheap, and has little room left over.
+type Fit = (bool, usize, u8, bool, f64);
 
 /// What it takes to make room on one machine.
 struct Stops {
@@ -369,6 +373,12 @@
         let (spec, need) = (job.spec(), job.need());
         // Where it failed it is tried again only when it fails everywhere.
         let again = job.mistaken();
+        // Replicas of one service go to different machines, so that a loss takes one of them.
+        let service = job.service();
+        let mut beside: BTreeMap<&str, usize> = BTreeMap::new();
+        for place in job.located.values().filter(|_| service) {
+            *beside.entry(place.machine.as_str()).or_default() += 1;
+        }
         let kept = self.kept_for.as_ref().filter(|(_, job)| job != id).map(|(host, _)| host);
         let fit = |host: &str| -> Option<Fit> {
             let machine = self.machines.get(host).filter(|_| kept.is_none_or(|k| k != host))?;
@@ -383,7 +393,9 @@
                 } else {
                     2
                 };
-                (machine.errors > 0, image, !machine.record.spot, machine.room.cpus - need.cpus)
+                let beside = beside.get(host).copied().unwrap_or(0);
+                let left = machine.room.cpus - need.cpus;
+                (machine.errors > 0, beside, image, !machine.record.spot, left)
             })
         };
         let hosts: Vec<(Fit, String)> = match only {
@@ -404,21 +416,23 @@
         let bound = spec.one_zone || spec.spread;
         let allowance = self.team_allowance(cfg, spec, &need);
         let mut left = allowance.min(job.ready.len());
-        for (_, host) in hosts {
+        let rounds = if service { left } else { 1 };
+        for (_, host) in (0..rounds).flat_map(|_| &hosts) {
             if left == 0 {
                 break;
             }
-            let mut count = self.machines.get(&host).map_or(0, |m| m.room.count(&need)).min(left);
+            let most = if service { left.min(1) } else { left };
+            let mut count = self.machines.get(host).map_or(0, |m| m.room.count(&need)).min(most);
             while count > 0 {
-                if bound && !self.zone_open(cfg, id, &host) {
+                if bound && !self.zone_open(cfg, id, host) {
                     break;
                 }
                 let Some(index) = self.jobs.get(id).and_then(|j| j.ready.lowest()) else { break };
-                self.start(id, index, &host, now);
+                self.start(id, index, host, now);
                 count -= 1;
                 left -= 1;
             }
-            self.refresh(&host);
+            self.refresh(host);
         }
         // What only the team's limit keeps back asks for no room.
         allowance > 0 && left > 0
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -22,6 +22,14 @@
 /// As many, to fence machines, while most of them will still report by themselves.
 const FIRST_CALLS: usize = 24;
 
+/// A replica that has run for so long works, whatever ended it.
+const SETTLED_AFTER: Micros = 30 * SECOND;
+
+/// How long a job waits that has failed so often.
+fn pause_after(failures: u32) -> Micros {
+    (SECOND / 2) << failures.min(6)
+}
+
 /// So many ended attempts are cleared for themselves alone.
 const CLEARED_TOGETHER: usize = 4;
 
@@ -328,7 +336,9 @@
         let mut orders = machine.orders(|key, slot| {
             // The result of a finished task is kept on the machine until its end is recorded.
             slot.cause != Some(Cause::Done)
-                || jobs.get(&key.0.job).is_none_or(|job| job.record.finished.contains(key.0.index))
+                || jobs
+                    .get(&key.0.job)
+                    .is_none_or(|job| job.service() || job.record.finished.contains(key.0.index))
         });
         // Whatever an answer orders makes the worker report again at once. What has ended does no
         // harm where it is, so it goes with the next order that does something, or a few together.
@@ -461,7 +471,9 @@
             let Some(job) = jobs.get(&task.job).map(|j| &j.record.job) else { continue };
             // The notice may run half as long as it says.
             let saves = job.checkpoint_s > 0.0 && job.save_s <= left / 2.0;
-            if saves && slot.wanted && slot.phase == Some(TaskPhase::Running) {
+            // A replica runs again elsewhere the sooner.
+            if (saves || job.is_service()) && slot.wanted && slot.phase == Some(TaskPhase::Running)
+            {
                 slot.wanted = false;
                 slot.leeway_s = job.save_s;
                 self.urgent.insert(report.host.clone());
@@ -525,6 +537,15 @@
                 self.notes.push(text);
             }
         }
+        if seen.phase == TaskPhase::Running
+            && let Some(job) = self.jobs.get_mut(&seen.task.job).filter(|j| j.service())
+        {
+            // No progress is ever written of a service, so that others would call it queued.
+            job.wants_write |= !job.record.started;
+            if slot.running_since.is_some_and(|t| now.saturating_sub(t) > SETTLED_AFTER) {
+                job.settles();
+            }
+        }
         if seen.phase == TaskPhase::Running && !machine.images.contains(&slot.image) {
             machine.images.insert(slot.image.clone());
         }
@@ -538,7 +559,22 @@
         self.place_wanted |= slot.team.is_empty() || cfg.limited(&slot.team);
         let ran = slot.running_since.map(|s| now.saturating_sub(s));
         let (class, expect) = (slot.class.clone(), slot.expect);
+        let service = self.jobs.get(&seen.task.job).is_some_and(|j| j.service());
+        if service && ran.is_some_and(|ran| ran > SETTLED_AFTER) {
+            if let Some(job) = self.jobs.get_mut(&seen.task.job) {
+                job.settles();
+            }
+            return self.requeue(&seen.task, seen.attempt);
+        }
         match seen.cause {
+            Some(Cause::Done) if service => {
+                // It should not have ended, and says nothing of its machine.
+                if let Some(job) = self.jobs.get_mut(&seen.task.job) {
+                    job.failures += 1;
+                    job.no_start_before = now + pause_after(job.failures);
+                }
+                self.requeue(&seen.task, seen.attempt);
+            }
             Some(Cause::Done) => {
                 machine.errors = 0;
                 machine.failed_jobs.clear();
@@ -570,9 +606,8 @@
                         machine.failed_jobs.insert(seen.task.job.clone());
                     }
                     // A mistaken job fails everywhere: it must not hammer the machines.
-                    let wait = (SECOND / 2) << job.failures.min(6);
                     if elsewhere {
-                        job.no_start_before = now + wait;
+                        job.no_start_before = now + pause_after(job.failures);
                         // A job that fails on other machines too says nothing of the first.
                         let hosts = job.failed_on.clone();
                         self.acquit(&seen.task.job, &hosts);
--- a/crates/quartzlever-core/src/stealing.rs
+++ b/crates/quartzlever-core/src/stealing.rs
@@ -471,8 +471,8 @@
         load: Option<Load>,
     ) {
         let fraction = self.cfg.operator.steal_fraction;
-        let most_jobs = self.cfg.txn_ops.clamp(1, 8);
-        let value_bytes = self.cfg.value_bytes;
+        let most_jobs = self.limits.txn_ops.clamp(1, 8);
+        let value_bytes = self.limits.value_bytes;
         let order = match self.parts.get(victim) {
             Some(part) => part.queue_order(&self.cfg, &self.paces, self.now),
             None => return self.answer_nothing(request),
@@ -606,7 +606,7 @@
                 }
                 self.answer_nothing(request);
             }
-            Err(CallError::Refused) | Ok(_) => {
+            Err(CallError::Refused | CallError::TooOften) | Ok(_) => {
                 for Move { job: id, cut, .. } in moved {
                     let Some(job) = part.jobs.get_mut(&id) else { continue };
                     job.writing = false;
@@ -635,7 +635,7 @@
 /// Whether tasks of the job may go to another part.
 fn movable(cfg: &Config, job: &crate::partition::PartitionJob, rank: Rank) -> bool {
     let spec = job.spec();
-    // A limited team stays in its part, and zones are counted within one part.
+    // A limited team stays in its part, zones are counted within one part, and services stay put.
     !job.writing
         && spec.rank <= rank
         && !job.doubtful
@@ -643,6 +643,7 @@
         && !cfg.limited(&spec.team)
         && !spec.one_zone
         && !spec.spread
+        && !spec.is_service()
 }
 
 /// How many of the job's ready tasks the thief has room for, taking that room.
--- a/crates/quartzlever-core/tests/world/judge.rs
+++ b/crates/quartzlever-core/tests/world/judge.rs
@@ -120,7 +120,7 @@
                 if fresh_end && phase == "done" {
                     let tasks = self.specs.get(job).map_or(0, |s| s.tasks);
                     let done = self.completed.get(job).map_or(0, |c| c.len() as u32);
-                    if done < tasks {
+                    if done < tasks || self.specs.get(job).is_some_and(JobSpec::is_service) {
                         self.breaks("not_done", now, &format!("{job}: {done} of {tasks}"));
                     }
                 }
--- a/crates/quartzlever-core/tests/world/main.rs
+++ b/crates/quartzlever-core/tests/world/main.rs
@@ -5,4 +5,6 @@
 mod judging;
 mod meetings;
 mod safety;
+mod services;
 mod sim;
+mod upgrade;
--- a/crates/quartzlever-core/tests/world/meetings.rs
+++ b/crates/quartzlever-core/tests/world/meetings.rs
@@ -343,7 +343,7 @@
             submit(w, 90, 3, |_, _| {});
             w.run(6 * SECOND);
             w.held = 24 * SECOND;
-            for k in 0..6 {
+            for k in 0..14 {
                 submit(w, k, 1, |_, s| {
                     s.rank = Rank::Urgent;
                     s.due_s = Some(3.2);
@@ -352,7 +352,7 @@
             }
             w.run(26 * SECOND);
         },
-        came: |c, j| c.held_executed + c.held_refused > 10 && j.cancellations >= 24,
+        came: |c, j| c.held > 20 && c.held_executed > 4 && j.cancellations >= 50,
     },
     Meeting {
         name: "transactions without an answer are carried out after newer ones",
@@ -802,6 +802,7 @@
     sum.copies_for_next += one.copies_for_next;
     sum.mute += one.mute;
     sum.deaf += one.deaf;
+    sum.held += one.held;
     sum.held_executed += one.held_executed;
     sum.held_refused += one.held_refused;
     sum.leases_lost += one.leases_lost;
--- /dev/null
+++ b/crates/quartzlever-core/tests/world/services.rs
@@ -0,0 +1,176 @@
+//! Services: jobs whose replicas run until they are cancelled, under the judge's eyes.
+
+use quartzlever_wire::SECOND;
+use quartzlever_wire::users::{JobSpec, Shape};
+
+use crate::sim::{World, job};
+
+const NODES: &[&str] = &["one", "two", "three"];
+
+pub fn service(n: u32, replicas: u32) -> JobSpec {
+    JobSpec { shape: Shape::Daemon, expect_s: 0.0, due_s: None, cpus: 1.0, ..job(n, replicas) }
+}
+
+/// Replicas that are on machines now.
+fn replicas(w: &World, id: &str) -> usize {
+    let on = |t: &&quartzlever_wire::workers::TaskId| t.job == id;
+    w.workers.values().map(|m| m.running().iter().filter(on).count()).sum()
+}
+
+/// What befalls the machines, the holder, or the world of a service.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    None,
+    /// Replicas end by themselves, as done, after so many seconds.
+    EndAfter(u64),
+    /// The machine of the first replica hangs for so many seconds.
+    Hang(u64),
+    /// All its machines fall silent at once.
+    AllHang,
+    /// Every task fails on the first replica's machine.
+    Faulty,
+    /// The holder ends and is back after so many tenths of a second.
+    Restart(u64),
+    Outage(u64),
+}
+
+fn befall(w: &mut World, id: &str, trouble: Trouble) {
+    let machines = w.machines_of(id);
+    let first = machines.first().cloned().unwrap_or_default();
+    match trouble {
+        Trouble::None | Trouble::EndAfter(_) => {}
+        Trouble::Hang(secs) => {
+            w.workers.get_mut(&first).expect("it runs").hung = true;
+            w.run(secs * SECOND);
+            if let Some(worker) = w.workers.get_mut(&first) {
+                worker.hung = false;
+            }
+        }
+        Trouble::AllHang => {
+            for name in &machines {
+                w.workers.get_mut(name).expect("it runs").hung = true;
+            }
+        }
+        Trouble::Faulty => w.workers.get_mut(&first).expect("it runs").faulty = true,
+        Trouble::Restart(tenths) => {
+            let (_, holder) = w.busiest();
+            w.restart(holder, tenths * SECOND / 10);
+        }
+        Trouble::Outage(secs) => {
+            w.store.outage = true;
+            w.run(secs * SECOND);
+            let now = w.now;
+            w.store.end_outage(now);
+        }
+    }
+}
+
+#[test]
+fn replicas_run_until_their_service_is_cancelled() {
+    use Trouble::*;
+    type Change = fn(&mut JobSpec);
+    let plain: Change = |_| {};
+    let apart: Change = |s| s.spread = true;
+    let together: Change = |s| s.one_zone = true;
+    let limited: Change = |s| s.team = "tight".into();
+    let cases: &[(&str, Change, Trouble)] = &[
+        ("nothing happens", plain, None),
+        ("replicas end as if done", plain, EndAfter(5)),
+        ("replicas end at once, over and over", plain, EndAfter(0)),
+        ("a machine hangs for good", apart, Hang(40)),
+        ("a machine hangs for a moment", apart, Hang(3)),
+        ("all machines fall silent", apart, AllHang),
+        ("a machine fails all", plain, Faulty),
+        ("the holder is back at once", limited, Restart(2)),
+        ("the holder is away, a peer takes over", together, Restart(150)),
+        ("the store is away", plain, Outage(8)),
+        ("the store is away for longer than a lease", plain, Outage(25)),
+    ];
+    for (name, change, trouble) in cases {
+        for seed in 0..3 {
+            let mut w = World::new(seed, NODES);
+            w.run(6 * SECOND);
+            w.run_time = if let EndAfter(secs) = trouble { secs * SECOND } else { 10_000 * SECOND };
+            let mut spec = service(1, 4);
+            change(&mut spec);
+            assert_eq!(w.submit_surely(seed as usize % 3, &spec), 201, "{name}");
+            w.pass(15 * SECOND);
+            let short = matches!(trouble, EndAfter(_));
+            if !short {
+                assert_eq!(replicas(&w, &spec.id), 4, "{name} {seed}: up at first");
+                let spread = w.machines_of(&spec.id).len();
+                assert!(spread > 1 || !spec.spread, "{name} {seed}: all on one machine");
+            }
+            befall(&mut w, &spec.id, *trouble);
+            w.pass(45 * SECOND);
+            let up = replicas(&w, &spec.id);
+            assert!(up == 4 || short, "{name} {seed}: {up} replicas are up again");
+            for n in 0..3 {
+                let id = w.lookup(n, &spec.id);
+                let phase = w.answer(id, SECOND).map(|a| a.1["phase"].clone());
+                assert!(phase == Some("running".into()), "{name} {seed}: {phase:?} at {n}");
+            }
+            let starts: usize = w.workers.values().map(|m| m.started.len()).sum();
+            assert!(starts < 120, "{name} {seed}: {starts} starts are a hammering");
+            assert_eq!(w.abort_surely(1, &spec.id).as_deref(), Some("aborted"), "{name} {seed}");
+            w.pass(25 * SECOND);
+            assert_eq!(replicas(&w, &spec.id), 0, "{name} {seed}: gone");
+            assert!(w.judge.broken.is_empty(), "{name} {seed}: {:?}", &w.judge.broken[..1]);
+        }
+    }
+}
+
+#[test]
+fn services_and_arrays_share_the_machines() {
+    for seed in 0..4 {
+        let mut w = World::new(90 + seed, NODES);
+        w.run(3 * SECOND);
+        w.run_time = 4 * SECOND;
+        for k in 0..6 {
+            assert_ne!(w.submit_surely(k as usize % 3, &job(k, 12)), 0);
+        }
+        // The room is full of standard tasks, and services of the highest rank come.
+        w.run(2 * SECOND);
+        w.workers.values_mut().for_each(|m| m.run_time = 4 * SECOND);
+        for k in 10..14 {
+            let mut spec = service(k, 3);
+            spec.rank = quartzlever_wire::users::Rank::Prod;
+            assert_ne!(w.submit_surely(k as usize % 3, &spec), 0);
+        }
+        w.pass(10 * SECOND);
+        for k in 10..14 {
+            assert!(!w.judge.waiting().contains(&job(k, 1).id.as_str()), "{seed}: {k} waits");
+        }
+        w.pass(140 * SECOND);
+        for k in 0..6 {
+            let id = job(k, 1).id;
+            assert!(w.over(&id).is_some(), "{seed}: array {k} starves");
+        }
+        assert!(w.judge.broken.is_empty(), "{seed}: {:?}", &w.judge.broken[..1]);
+    }
+}
+
+#[test]
+fn submissions_of_services_get_the_right_answer() {
+    let mut w = World::new(7, NODES);
+    w.run(6 * SECOND);
+    type Change = fn(&mut JobSpec);
+    let cases: &[(&str, Change, u16)] = &[
+        ("fits", |_| {}, 201),
+        ("again", |s| s.id = "req-000000".into(), 200),
+        ("within the team's limit", |s| (s.team, s.tasks) = ("tight".into(), 4), 201),
+        ("all replicas over the team's limit", |s| (s.team, s.tasks) = ("tight".into(), 5), 422),
+        ("too large for any machine", |s| s.cpus = 9.0, 422),
+    ];
+    for (n, (name, change, status)) in cases.iter().enumerate() {
+        let mut spec = service(n as u32, 2);
+        change(&mut spec);
+        let id = w.submit(n % 3, spec);
+        assert_eq!(w.answer(id, SECOND).map(|a| a.0), Some(*status), "{name}");
+    }
+    // Known already: told as it is, whatever the repetition says.
+    let mut spec = service(0, 2);
+    (spec.team, spec.tasks) = ("tight".into(), 50);
+    let id = w.submit(1, spec);
+    assert_eq!(w.answer(id, SECOND).map(|a| a.0), Some(200));
+}
--- a/crates/quartzlever-core/tests/world/sim.rs
+++ b/crates/quartzlever-core/tests/world/sim.rs
@@ -34,7 +34,9 @@
         state_rps: 300.0,
         state_write_rps: 300.0,
         value_bytes: 16 * 1024,
+        block_bytes: 16 * 1024,
         txn_ops: 24,
+        version: quartzlever_core::VERSION,
         at_ease: 10_000,
         operator: Operator {
             lease_life: 5 * SECOND,
@@ -121,7 +123,9 @@
     /// Reports that never reached anybody, and answers that never reached a machine.
     pub mute: usize,
     pub deaf: usize,
-    /// Direct commands that were held up and executed afterwards, or refused by then.
+    /// Direct commands that were held up beyond their caller's patience; of these, the ones that
+    /// found their machine and were executed, or refused by then.
+    pub held: usize,
     pub held_executed: usize,
     pub held_refused: usize,
     /// Sessions that ended with tasks on the machine.
@@ -172,6 +176,10 @@
     /// How long a new machine takes to come up.
     pub boot: Micros,
     pub counts: Counts,
+    /// Nodes whose processes start as the first version.
+    pub old: BTreeSet<usize>,
+    /// Why a process could not go on.
+    pub ended: Option<String>,
     kept_copies: Vec<Report>,
     part_stamps: BTreeMap<String, u64>,
     seen_starts: BTreeMap<String, usize>,
@@ -221,6 +229,8 @@
             held: 0,
             boot: SECOND,
             counts: Counts::default(),
+            old: BTreeSet::new(),
+            ended: None,
             kept_copies: Vec::new(),
             part_stamps: BTreeMap::new(),
             seen_starts: BTreeMap::new(),
@@ -244,6 +254,9 @@
         self.lives[n] += 1;
         let mut cfg = config(self.names[n], &self.names);
         (self.tune)(&mut cfg);
+        if self.old.contains(&n) {
+            cfg.version = 1;
+        }
         let seed = self.lives[n] * 1000 + n as u64;
         self.cores[n] = Some(Core::new(cfg, seed, self.now));
     }
@@ -339,6 +352,11 @@
         (part, holder)
     }
 
+    /// Processes that start from now on have other settings.
+    pub fn retune(&mut self, tune: fn(&mut Config)) {
+        self.tune = tune;
+    }
+
     /// Ends all troubles.
     pub fn calm(&mut self) {
         self.luck = Luck::default();
@@ -625,6 +643,7 @@
                 let delay = self.short();
                 let held = self.held > 0 && matches!(call, WorkerCall::Command(_));
                 if late || held {
+                    self.counts.held += 1;
                     let any = self.rng.random_range(2..30) * SECOND;
                     let wait = if held { self.held } else { any };
                     self.post(wait, Message::LateWorker(address, call));
@@ -672,6 +691,7 @@
                 }
                 self.answers.insert(id, (status, body));
             }
+            Effect::End { why } => self.ended = Some(why),
             Effect::Note { .. } | Effect::Share(_) => {}
         }
     }
@@ -776,6 +796,23 @@
             *told = worker.started.len();
         }
         self.watch_holders();
+        if !self.old.is_empty() {
+            self.check_old_forms();
+        }
+    }
+
+    /// While a process of the first version may be up, everything is in forms that it reads.
+    fn check_old_forms(&mut self) {
+        let now = self.now;
+        let new_form = |key: &String| {
+            let text = self.store.get(key).map_or(String::new(), |(v, _)| v.text().to_owned());
+            key.as_str() == quartzlever_wire::state::CLUSTER_VERSION
+                || (key.starts_with("hosts/") && key.matches('~').count() > 1)
+                || (key.starts_with("live/") && text.contains("daemon"))
+        };
+        if let Some(key) = self.store.keys("").iter().find(|key| new_form(key)) {
+            self.judge.broken.push(format!("new_form at {} ms: {key}", now / 1000));
+        }
     }
 
     /// Counts new holders, and hands them what was kept for them.
--- a/crates/quartzlever-standin/src/http.rs
+++ b/crates/quartzlever-standin/src/http.rs
@@ -10,7 +10,7 @@
 use quartzlever_wire::cloud::{CloudCall, CloudReply, Hire, HostNames, Rental};
 use quartzlever_wire::state::{HoldAnswer, HoldRequest, StateCall, StateReply, Txn};
 use quartzlever_wire::workers::{Orders, WorkerReply};
-use quartzlever_wire::{Micros, SECOND};
+use quartzlever_wire::{CallError, Micros, SECOND};
 use serde_json::{Value, json};
 use tiny_http::{Header, Method, Request, Response, Server};
 
@@ -121,6 +121,8 @@
                 Ok(StateReply::Renewed) => (200, json!({})),
                 Ok(StateReply::Watched(answer)) => (200, json!(answer)),
                 Ok(StateReply::TooOld) => (410, json!({})),
+                Ok(StateReply::TooLarge) => (400, json!({ "error": "too large" })),
+                Err(CallError::TooOften) => (429, json!({ "error": "too often" })),
                 Err(_) => (503, json!({ "error": "trouble" })),
             };
             drop(guard);
--- a/crates/quartzlever-standin/src/store.rs
+++ b/crates/quartzlever-standin/src/store.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use quartzlever_wire::state::{
-    Change, Event, Row, Rows, StateCall, StateReply, TxnAnswer, WatchAnswer,
+    Change, Event, Row, Rows, StateCall, StateReply, Txn, TxnAnswer, WatchAnswer,
 };
 use quartzlever_wire::{CallError, Json, Micros};
 
@@ -16,6 +16,15 @@
     leases: BTreeMap<u64, (Micros, Micros)>,
     granted: u64,
     log: Vec<Event>,
+    /// The largest value, the most changes of a transaction, and the changes a second; none if 0.
+    pub value_limit: usize,
+    pub ops_limit: usize,
+    pub write_rate: f64,
+    changes_left: f64,
+    counted: Micros,
+    /// Transactions refused for their size, and for coming too often.
+    pub too_large: usize,
+    pub too_often: usize,
     /// During an outage every call is refused and no lease ends.
     pub outage: bool,
 }
@@ -59,6 +68,32 @@
         }
     }
 
+    fn takes_too_much(&self, txn: &Txn) -> bool {
+        let long = |c: &Change| match c {
+            Change::Write { v, .. } => v.text().len() > self.value_limit,
+            Change::Delete { .. } => false,
+        };
+        (self.ops_limit > 0 && txn.changes.len() > self.ops_limit)
+            || txn.conditions.len() > 4 * self.ops_limit.max(24)
+            || (self.value_limit > 0 && txn.changes.iter().any(long))
+    }
+
+    /// Counts changes against the rate, of which a second's worth may come at once.
+    fn in_rate(&mut self, now: Micros, changes: usize) -> bool {
+        if self.write_rate <= 0.0 {
+            return true;
+        }
+        let passed = now.saturating_sub(self.counted) as f64 / 1e6;
+        self.counted = now;
+        self.changes_left =
+            (self.changes_left + passed * self.write_rate).min(self.write_rate) - changes as f64;
+        let allowed = self.changes_left >= 0.0;
+        if !allowed {
+            self.changes_left += changes as f64;
+        }
+        allowed
+    }
+
     /// Carries out one call. A watch answers at once with what there is.
     pub fn call(&mut self, now: Micros, call: &StateCall) -> Result<StateReply, CallError> {
         if self.outage {
@@ -90,6 +125,14 @@
                 StateReply::Rows(Rows { rows, has_next: false, epoch: self.epoch })
             }
             StateCall::Txn(txn) => {
+                if self.takes_too_much(txn) {
+                    self.too_large += 1;
+                    return Ok(StateReply::TooLarge);
+                }
+                if !self.in_rate(now, txn.changes.len()) {
+                    self.too_often += 1;
+                    return Err(CallError::TooOften);
+                }
                 let unheld = txn.changes.iter().any(|c| {
                     matches!(c, Change::Write { charter: Some(l), .. } if !self.leases.contains_key(l))
                 });
--- a/crates/quartzlever-wire/src/lib.rs
+++ b/crates/quartzlever-wire/src/lib.rs
@@ -41,6 +41,9 @@
     /// The call was certainly not carried out and will not be.
     #[error("not carried out")]
     Refused,
+    /// Nor was this one, since more is asked than the state service allows in a second (429).
+    #[error("too often")]
+    TooOften,
     /// The call may have been carried out, or may still be.
     #[error("outcome unknown")]
     Unknown,
--- a/crates/quartzlever-wire/src/ranges.rs
+++ b/crates/quartzlever-wire/src/ranges.rs
@@ -85,6 +85,11 @@
         self.0.last().map_or(0, |r| r.end)
     }
 
+    /// The ranges themselves, in order.
+    pub fn ranges(&self) -> impl Iterator<Item = Range<u32>> + '_ {
+        self.0.iter().cloned()
+    }
+
     pub fn iter(&self) -> impl Iterator<Item = u32> + '_ {
         self.0.iter().flat_map(|r| r.clone())
     }
--- a/crates/quartzlever-wire/src/state.rs
+++ b/crates/quartzlever-wire/src/state.rs
@@ -14,6 +14,11 @@
 pub const LIVE: &str = "live/";
 pub const OVER: &str = "over/";
 pub const HOSTS: &str = "hosts/";
+/// What controllers understand: the lasting cluster version, and under `nodes/` the version of each
+/// process that is up, on its own lease.
+pub const CLUSTER: &str = "cluster/";
+pub const CLUSTER_VERSION: &str = "cluster/version";
+pub const CLUSTER_NODES: &str = "cluster/nodes/";
 /// A key that nobody writes: reading it brings the present revision at little cost.
 pub const NOBODY: &str = "nobody";
 /// Key of the catalogue as the cloud last gave it, for a restart while the cloud is down.
@@ -178,6 +183,19 @@
     pub process: u64,
 }
 
+/// Value of `cluster/version`: the version that every controller knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClusterRecord {
+    pub version: u32,
+}
+
+/// Value of `cluster/nodes/{name}`: the version of the node's present process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeRecord {
+    pub version: u32,
+    pub process: u64,
+}
+
 /// Tasks of a job that one part answers for since the given term of that part.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Share {
@@ -247,15 +265,36 @@
     pub m: Hosts,
 }
 
-/// How many numbered names make a block: their records stay well inside a value's limit.
-const BLOCK: u64 = 64;
+/// How many numbered names make a block of the first form: their records stay well inside 16 KiB.
+pub const BLOCK: u64 = 64;
+/// What a machine's record takes at the most of a value, with its name.
+const HOST_BYTES: usize = 128;
 
-/// The key of the block that a machine's name belongs to.
-pub fn block_key(host: &str) -> String {
+/// How many machines a key may hold so that a value stays inside its limit: a power of two, so
+/// that small blocks never cross the bounds of those of the first form.
+pub fn block_size(value_bytes: usize) -> u64 {
+    let most = (value_bytes / HOST_BYTES).clamp(1, BLOCK as usize) as u64;
+    if most.is_power_of_two() { most } else { most.next_power_of_two() / 2 }
+}
+
+fn numbered(host: &str) -> Option<(&str, u64)> {
     let stem = host.trim_end_matches(|c: char| c.is_ascii_digit());
-    match host[stem.len()..].parse::<u64>() {
-        Ok(number) => format!("{HOSTS}{stem}~{}", number / BLOCK),
-        Err(_) => format!("{HOSTS}{host}~"),
+    host[stem.len()..].parse().ok().map(|number| (stem, number))
+}
+
+/// The key of the block of the first form that a machine's name belongs to.
+pub fn block_key(host: &str) -> String {
+    match numbered(host) {
+        Some((stem, number)) => format!("{HOSTS}{stem}~{}", number / BLOCK),
+        None => format!("{HOSTS}{host}~"),
+    }
+}
+
+/// The key of the block of so many machines that a machine's name belongs to.
+pub fn small_block_key(host: &str, size: u64) -> String {
+    match numbered(host).filter(|_| size < BLOCK) {
+        Some((stem, number)) => format!("{HOSTS}{stem}~{size}~{}", number / size),
+        None => block_key(host),
     }
 }
 
@@ -337,6 +376,8 @@
     Conflict(Vec<String>),
     /// The lease that the call names has ended.
     NoLease,
+    /// The state service takes no transaction of that size (400): a value, or the whole.
+    TooLarge,
     Granted(u64),
     Renewed,
     Watched(WatchAnswer),
--- a/crates/quartzlever-wire/src/users.rs
+++ b/crates/quartzlever-wire/src/users.rs
@@ -17,11 +17,14 @@
     BestEffort,
 }
 
-/// How the tasks of a job hang together. The protocol has independent tasks only.
+/// How the tasks of a job hang together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Shape {
+    /// Independent tasks, each runs to completion.
     Batch,
+    /// A service: its tasks (replicas) run until the job is cancelled.
+    Daemon,
 }
 
 /// A submission, as users send it and as the state service keeps it.
@@ -94,7 +97,7 @@
         if body.iter().find(|b| !b.is_ascii_whitespace()) != Some(&b'{') {
             return Err(BadJob::Json("not an object".into()));
         }
-        let spec: JobSpec =
+        let mut spec: JobSpec =
             serde_json::from_slice(body).map_err(|e| BadJob::Json(e.to_string()))?;
         if !valid_id(&spec.id) {
             return Err(BadJob::Id);
@@ -116,8 +119,17 @@
                 return Err(BadJob::Amount(name));
             }
         }
+        if spec.is_service() {
+            // It has no end that could be expected or due.
+            (spec.expect_s, spec.due_s) = (0.0, None);
+        }
         Ok(spec)
     }
+
+    /// Whether the tasks run until the job is cancelled.
+    pub fn is_service(&self) -> bool {
+        self.shape == Shape::Daemon
+    }
 }
 
 /// What a user is told of a job's state.
--- a/crates/quartzlever/src/main.rs
+++ b/crates/quartzlever/src/main.rs
@@ -38,6 +38,8 @@
 }
 
 const BAD_SETTINGS: u8 = 2;
+/// Exit status of a program that is older than what all controllers have agreed on.
+pub(crate) const UNKNOWN_VERSION: u8 = 3;
 
 fn weight() -> Weight {
     match std::env::var("LOG_LEVEL").as_deref() {
--- a/crates/quartzlever/src/node.rs
+++ b/crates/quartzlever/src/node.rs
@@ -322,6 +322,10 @@
                 }
             }
         }
+        Effect::End { why } => {
+            tracing::error!("{why}");
+            std::process::exit(i32::from(crate::UNKNOWN_VERSION));
+        }
         Effect::AnswerPeer { id, answer } => {
             if let Some(Reply::Peer(sender)) = waiting.replies.remove(&id) {
                 let _ = sender.send(answer);
--- a/crates/quartzlever/src/settings.rs
+++ b/crates/quartzlever/src/settings.rs
@@ -95,6 +95,18 @@
     write_rps: f64,
     value_kb: f64,
     txn_ops: usize,
+    /// Limits to come, any of them, without notice.
+    #[serde(default)]
+    next: NextEntry,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct NextEntry {
+    rps: Option<f64>,
+    write_rps: Option<f64>,
+    value_kb: Option<f64>,
+    txn_ops: Option<usize>,
 }
 
 #[derive(Deserialize)]
@@ -293,6 +305,15 @@
         cancel: check.span("params.workers.cancel_s", params.workers.cancel_s, 1.0, 86_400.0)?,
     };
     let state = &params.state;
+    let next_ops = state.next.txn_ops.map(|ops| ops as f64);
+    // The lower of a limit and the one to come, which may be in force at any moment.
+    let lower = |field: &str, now: f64, next: Option<f64>, from: f64, to: f64| {
+        let now = check.amount(&format!("params.state.{field}"), now, from, to)?;
+        let Some(next) = next else { return Ok(now) };
+        check
+            .amount(&format!("params.state.next.{field}"), next, from, to)
+            .map(|next| next.min(now))
+    };
     let at_ease = at_ease(&check, params.machine_limits.as_ref(), params.workers.report_s)?;
     Ok(Settings {
         api: check.address("api_addr", &entry.api_addr)?,
@@ -310,11 +331,13 @@
             teams,
             objectives,
             workers,
-            state_rps: check.amount("params.state.rps", state.rps, 1.0, 1e9)?,
-            state_write_rps: check.amount("params.state.write_rps", state.write_rps, 1.0, 1e9)?,
-            value_bytes: (check.amount("params.state.value_kb", state.value_kb, 1.0, 1e6)? * 1024.0)
-                as usize,
-            txn_ops: check.amount("params.state.txn_ops", state.txn_ops as f64, 2.0, 1e6)? as usize,
+            state_rps: lower("rps", state.rps, state.next.rps, 1.0, 1e9)?,
+            state_write_rps: lower("write_rps", state.write_rps, state.next.write_rps, 1.0, 1e9)?,
+            value_bytes: (lower("value_kb", state.value_kb, state.next.value_kb, 1.0, 1e6)?
+                * 1024.0) as usize,
+            block_bytes: (state.value_kb * 1024.0) as usize,
+            txn_ops: lower("txn_ops", state.txn_ops as f64, next_ops, 2.0, 1e6)? as usize,
+            version: quartzlever_core::VERSION,
             at_ease,
             operator,
             notes,
--- a/crates/quartzlever/tests/end_to_end.rs
+++ b/crates/quartzlever/tests/end_to_end.rs
@@ -146,6 +146,7 @@
 fn bad_settings_end_the_start_with_one_line() {
     let good = settings("127.0.0.1:1", "127.0.0.1:2");
     let limits = |fields: &str| format!("{good}[params.machine_limits]\n{fields}\n");
+    let next = |fields: &str| format!("{good}[params.state.next]\n{fields}\n");
     let cases: &[(&str, String, &str, i32, &str)] = &[
         ("good", good.clone(), "steal_fraction: 0.5\n", 0, ""),
         ("empty operator file", good.clone(), "", 0, ""),
@@ -162,6 +163,8 @@
         ("nothing said of it", good.replace("cancel_s = 20.0", ""), "", 2, "cancel_s"),
         ("the earlier name", good.clone(), "hold_life_s: 20\n", 0, ""),
         ("no lease", good.clone(), "lease_life_s: 0\n", 2, "lease_life_s"),
+        ("a limit to come", next("value_kb = 2.0\ntxn_ops = 8"), "", 0, ""),
+        ("a senseless one", next("txn_ops = 1"), "", 2, "state.next.txn_ops"),
         ("wrong type", good.replace("rps = 500.0", "rps = \"many\""), "", 2, "string"),
         ("no processor", limits("cpu_share = 0.0"), "", 2, "machine_limits.cpu_share"),
         ("less than none", limits("cpu_share = -0.019"), "", 2, "machine_limits.cpu_share"),
