Blocks are split although the account of changes is low; no block larger than the limit is tried

A split asked for five changes at once, which an account under load never holds, so blocks of the first form were there when the limits sank, and the removal of returned machines rewrote them twice a second. A split now leaves the account in debt, as ends do; a block over the limit waits for its split.

--- a/crates/quartzlever-core/src/claims.rs
+++ b/crates/quartzlever-core/src/claims.rs
@@ -28,6 +28,8 @@
 const PAUSE: Micros = SECOND / 2;
 /// As long for removals: nothing waits for them.
 const TIDY_PAUSE: Micros = 2 * SECOND;
+/// After a block that the state service found too large.
+const TOO_LARGE_PAUSE: Micros = 5 * SECOND;
 /// Shortest time between two looks for a block to split.
 const SPLIT_PAUSE: Micros = SECOND / 5;
 
@@ -134,9 +136,12 @@
         if whole {
             txn = txn.delete(&key);
         }
-        if !self.ledger.allows(Change::Tidy, txn.changes.len()) {
+        // It may leave the account in debt: under load that never holds as much at once, and the
+        // lower limit may come at any moment.
+        if !self.ledger.has(Change::Claim, 1) {
             return;
         }
+        self.ledger.spend(txn.changes.len());
         self.splitting = true;
         let waiting = Waiting::SplitBlock { key, small: written, whole };
         self.state(Lane::Work, StateCall::Txn(txn), waiting);
@@ -275,7 +280,11 @@
             return;
         }
         let kind = if added.is_empty() { Change::Tidy } else { Change::Claim };
-        if self.ledger.allows(kind, 1) {
+        if !hosts.is_empty() && written_length(&hosts) + 16 > most {
+            // A block of the first form that is still to be split: nothing larger than the limit is
+            // tried, over and over, and what was returned is removed from the small ones.
+            work.not_before = now + TIDY_PAUSE;
+        } else if self.ledger.allows(kind, 1) {
             work.writing = true;
             work.not_before = now + if added.is_empty() { TIDY_PAUSE } else { PAUSE };
             let mut txn = Txn::default().when(key, stamp);
@@ -339,6 +348,11 @@
                 self.reread_block(key);
             }
             // Known not to be carried out: tried again.
+            Ok(StateReply::TooLarge) => {
+                if let Some(work) = self.blocks.get_mut(key) {
+                    work.not_before = now + TOO_LARGE_PAUSE;
+                }
+            }
             Ok(_) | Err(CallError::Refused | CallError::TooOften) => {
                 if let Some(work) = self.blocks.get_mut(key) {
                     work.not_before = now + RETRY;
--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -566,11 +566,19 @@
         match result {
             Ok(StateReply::TooLarge) => {
                 // Which of the two it was is not said.
+                let before = self.limits;
                 let limits = &mut self.limits;
-                limits.value_bytes = limits.value_bytes.min(size.value * 3 / 4).max(LEAST_VALUE);
-                limits.txn_ops = limits.txn_ops.min(size.ops.saturating_sub(1)).max(LEAST_OPS);
+                if size.value > LEAST_VALUE {
+                    let lower = (size.value * 3 / 4).max(LEAST_VALUE);
+                    limits.value_bytes = limits.value_bytes.min(lower);
+                }
+                if size.ops > LEAST_OPS {
+                    limits.txn_ops = limits.txn_ops.min(size.ops - 1);
+                }
                 let Limits { value_bytes, txn_ops } = *limits;
-                self.note(Weight::Error, || {
+                // Once for each limit that is learned.
+                let news = before.value_bytes > value_bytes || before.txn_ops > txn_ops;
+                self.note(if news { Weight::Error } else { Weight::Debug }, || {
                     let TxnSize { value, ops } = size;
                     format!(
                         "the state service takes no transaction of {ops} changes with a value of \
