Machines for services: the type that boots soonest, at once unless lower work gives way

Cause: on lapis replicas waited 38 s (loan-gateway) and 85 s (reader-shelf) in the median for a pocket-4, the cheapest type for one of them, which boots in 40 s; an octavo-16 boots in 15 s and holds 16. A service was also held back by the work ahead in the queue, which runs on machines it may not use.

--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -26,6 +26,8 @@
 const REFUSED_FOR: Micros = 10 * SECOND;
 /// A queue that is gone within this time brings no machines, not even cheap ones.
 const EAGER: Micros = 15 * SECOND;
+/// So long lower work has to give way to a service before a machine is asked for.
+const GIVEN_WAY: Micros = 2 * SECOND;
 /// An offer counts as cheap up to this many times the lowest price for the job.
 const CHEAP: f64 = 1.5;
 /// The most machines in one request for them.
@@ -667,11 +669,16 @@
                 continue;
             }
             let latest = urgency(cfg, paces, job, now).latest;
+            let service = spec.is_service();
+            if service && !self.pressed && now.saturating_sub(job.since) < GIVEN_WAY {
+                // What makes way for it is quicker than any machine.
+                continue;
+            }
             while left > 0 && wanted.values().sum::<u32>() < MOST_PER_ROUND {
                 // Cheap machines come for any queue that is not gone soon, others only for an
                 // aim, and only as many as it takes: one machine serves several waves.
                 let mut cheap_only = false;
-                if cpus > 0.0 && !nowhere {
+                if cpus > 0.0 && !nowhere && !service {
                     let drained = now + micros_from_secs(ahead / cpus * 1.2);
                     let last_start = drained.saturating_sub(expect);
                     if last_start <= latest.min(now + EAGER) {
@@ -738,6 +745,8 @@
                     // At the same price the holder's own zone: reports take the shorter way.
                     let far = if *zone == cfg.zone { 1.0 } else { 1.01 };
                     let cost = price(kind, spot) / f64::from(count) * far;
+                    // A moment without a replica is dearer than a machine.
+                    let cost = if spec.is_service() { kind.ready_s * 1e3 + cost } else { cost };
                     if cost.is_finite() && best.as_ref().is_none_or(|b| cost < b.0) {
                         best = Some((cost, offer));
                     }
