--- a/crates/quartzlever-core/src/config.rs
+++ b/crates/quartzlever-core/src/config.rs
@@ -210,6 +210,11 @@
         self.workers.cancel / 2
     }
 
+    /// So long after the last one a report is late: they come up to a quarter later than they should.
+    pub fn late_report(&self) -> Micros {
+        self.workers.report * 13 / 10
+    }
+
     /// How long a silent machine needs to lose its lease for certain.
     pub fn lease_gone_after(&self) -> Micros {
         surely_after(self.workers.lease) + SECOND
--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -802,6 +802,9 @@
         for name in &names {
             if look {
                 self.expire_silent(name);
+                if self.sure() {
+                    self.ask_late_servers(name);
+                }
             }
             self.open_barrier(name);
             let lines = self.parts.get_mut(name).map(|p| std::mem::take(&mut p.notes));
--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -41,6 +41,9 @@
 const CUT_MACHINES: usize = 3;
 /// A machine that so many calls could not reach need not be waited for until it would report.
 const FAILED_CALLS: u32 = 2;
+/// So many machines, or a tenth of them, may be late with their reports and are given up for it if
+/// they have replicas of services.
+const MOST_LATE: usize = 3;
 /// So many machines, or a tenth of them, may be deaf at once and are returned for it.
 const MOST_DEAF: usize = 2;
 /// Failures in a row that make a machine suspect.
@@ -377,6 +380,12 @@
         let deaf = part.machines.values().filter(|m| m.deaf(now, report)).count();
         let deaf_returned = deaf <= MOST_DEAF.max(part.machines.len() / 10);
         let (acquired, attentive) = (part.acquired, self.hearing.attentive);
+        // Replicas wait for nothing else, so their machine is given up once a call in vain has shown
+        // what a late report suggests; not where many are late, which is no machine's fault.
+        let late = self.cfg.late_report();
+        let late_ones =
+            part.machines.values().filter(|m| now.saturating_sub(m.heard) > late).count();
+        let few_late = late_ones <= MOST_LATE.max(part.machines.len() / 10);
         let gone_within = self.cfg.gone_within();
         let listened = now.saturating_sub(attentive) > report;
         let mut changed: Vec<String> = Vec::new();
@@ -388,6 +397,8 @@
             let silent_return = if cut.contains(&machine.record.zone) {
                 let patience = if machine.proven { patience } else { patience / 2 };
                 patience.max(operator.silent_return)
+            } else if machine.proven && machine.failed_calls > 0 && few_late && machine.serves() {
+                late
             } else if machine.proven {
                 operator.silent_return.max(report * 5 / 2)
             } else {
--- a/crates/quartzlever-core/src/fleet/tests.rs
+++ b/crates/quartzlever-core/src/fleet/tests.rs
@@ -190,3 +190,60 @@
         assert_eq!(late + gone, 10 - heard as usize, "{name}: later");
     }
 }
+
+/// A replica on a dead machine runs nowhere until that is returned: one call in vain after a late
+/// report is enough, unless so many are late that it is no machine's fault.
+#[test]
+fn a_late_machine_with_replicas_is_given_up_after_one_call_in_vain() {
+    // (a replica is on it, the call that asks it fails, other late machines, gone after a late
+    // report and a bit, and after the time of any silent machine)
+    for (n, (service, fails, others, soon, at_last)) in [
+        (true, true, 0, true, true),
+        (true, false, 0, false, true),
+        (false, true, 0, false, true),
+        (true, true, 8, false, true),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let mut core = core();
+        let mut record = record("0-3", "");
+        if service {
+            record.job.shape = Shape::Daemon;
+        }
+        core.absorb(record, 10);
+        core.step(NOW, vec![Command::Report { id: 1, report: report_from("n-1", 1, 1, 5, &[]) }]);
+        let part = core.parts.get_mut("one").expect("it is held");
+        assert!(part.machines["n-1"].serves() == service, "{n}");
+        for other in 0..others {
+            let name = format!("x-{other}");
+            part.add_machine(&name, host_record(&name, "one"), true, NOW);
+        }
+        let (mut asked, mut returned_at) = (None, None);
+        // All of a zone together get their whole lease, 10 s and a bit.
+        let (late, silent) = (core.cfg.late_report(), 12 * SECOND);
+        for step in 1..=30 {
+            let now = NOW + step * SECOND / 2;
+            let mut batch = vec![Command::Tick { wall: now, behind: false }];
+            if fails && let Some(token) = asked.take() {
+                batch.push(Command::Worker { token, result: Err(CallError::Unknown) });
+            }
+            for effect in core.step(now, batch) {
+                match effect {
+                    Effect::Worker { token, address, .. } if address.starts_with("n-1") => {
+                        asked = Some(token);
+                    }
+                    Effect::Cloud { call: CloudCall::Return(hosts), .. }
+                        if hosts.contains(&"n-1".to_owned()) =>
+                    {
+                        returned_at.get_or_insert(now - NOW);
+                    }
+                    _ => {}
+                }
+            }
+        }
+        let within = |span: Micros| returned_at.is_some_and(|at| at <= span);
+        assert_eq!(within(late + 4 * SECOND), soon, "{n}: {returned_at:?}");
+        assert_eq!(within(silent), at_last, "{n}: {returned_at:?}");
+    }
+}
--- a/crates/quartzlever-core/src/machine.rs
+++ b/crates/quartzlever-core/src/machine.rs
@@ -97,6 +97,8 @@
     pub settled: bool,
     /// The command was handed to the worker's address at least once.
     pub sent: bool,
+    /// It is a replica of a service.
+    pub service: bool,
     /// Since when its job may have been over, at the earliest.
     pub over_since: Option<Micros>,
     /// Its start need not be told by a call: the answer to the next report is soon enough.
@@ -197,6 +199,11 @@
             && self.unheeded == 0
     }
 
+    /// Whether replicas of services are to run here.
+    pub fn serves(&self) -> bool {
+        self.slots.values().any(|s| s.service && s.wanted && !s.exited())
+    }
+
     /// Whether an attempt that must not be here is not proven gone although it has had that long:
     /// its job is over, or its `run` may still arrive and nothing will ever tell.
     pub fn holds_on(&self, now: Micros, within: Micros) -> bool {
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -166,6 +166,24 @@
         });
     }
 
+    /// Asks machines with replicas of services that are late with their report whether they are
+    /// there: a replica on a dead machine runs nowhere, and silence alone shows it late.
+    pub(crate) fn ask_late_servers(&mut self, name: &str) {
+        let (now, late) = (self.now, self.cfg.late_report());
+        let Some(part) = self.parts.get_mut(name).filter(|p| p.active()) else { return };
+        let free = |m: &Machine| m.call.is_none() && !m.returning && now >= m.no_call_before;
+        let asked: Vec<String> = part
+            .machines
+            .values()
+            .filter(|m| m.proven && now.saturating_sub(m.heard) > late && free(m) && m.serves())
+            .map(|m| m.name.clone())
+            .take(MOST_CALLS.saturating_sub(self.worker_waits.len()))
+            .collect();
+        for machine in asked {
+            self.call_worker(name, &machine);
+        }
+    }
+
     /// Calls workers that have something urgent to be told, or have to be fenced.
     pub(crate) fn call_workers(&mut self, name: &str) {
         let now = self.now;
@@ -674,6 +692,7 @@
     pub fn describe(&mut self, job: &quartzlever_wire::users::JobSpec) {
         self.need = Amounts::of_job(job);
         self.rank = job.rank;
+        self.service = job.is_service();
         self.team.clone_from(&job.team);
         self.class.clone_from(&job.class);
         self.image.clone_from(&job.image);
@@ -699,6 +718,7 @@
             in_answer: false,
             settled: false,
             sent: false,
+            service: false,
             over_since: None,
             patient: false,
             kill_sent: None,
