--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -26,6 +26,9 @@
 const REFUSED_FOR: Micros = 10 * SECOND;
 /// A queue that is gone within this time brings no machines, not even cheap ones.
 const EAGER: Micros = 15 * SECOND;
+/// Zones in which room is kept at hand for services, and how much of a machine counts as that.
+const STANDBY_ZONES: usize = 2;
+const STANDBY_ROOM: f64 = 0.25;
 /// So long lower work has to give way to a service before a machine is asked for.
 const GIVEN_WAY: Micros = 2 * SECOND;
 /// An offer counts as cheap up to this many times the lowest price for the job.
@@ -267,8 +270,27 @@
         }
     }
 
+    /// Where each part keeps room at hand for services, once there are any: an ordinary machine of
+    /// the type that boots soonest in each of two zones, since most services are apart. Arrays run
+    /// there meanwhile and give way. Without it a service waited out a boot in whichever part and
+    /// zone had no such machine.
+    fn standby(&self) -> Vec<Offer> {
+        let services = self.cluster.services()
+            && self.cache.live.values().any(|(record, _)| record.job.is_service());
+        let Some(types) = self.types.as_ref().filter(|_| services) else { return Vec::new() };
+        let soonest = types
+            .values()
+            .min_by(|a, b| a.ready_s.total_cmp(&b.ready_s).then(a.hourly.total_cmp(&b.hourly)));
+        let offers = |t: &MachineType| {
+            let zones = t.zones.iter().take(STANDBY_ZONES);
+            zones.map(|zone| (t.name.clone(), zone.clone(), false)).collect()
+        };
+        soonest.map(offers).unwrap_or_default()
+    }
+
     fn rent(&mut self, name: &str) {
         let now = self.now;
+        let standby = self.standby();
         let Some(types) = &self.types else { return };
         let Some(part) = self.parts.get_mut(name) else { return };
         let mut calls: Vec<Hire> = Vec::new();
@@ -281,6 +303,11 @@
         part.fleet.refused.retain(|_, until| *until > now);
         let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
         part.shortage(&self.cfg, &self.paces, types, now, &mut wanted);
+        for offer in standby {
+            if !part.has_standby(types, &offer) && !part.fleet.refused.contains_key(&offer) {
+                wanted.entry(offer).or_insert(1);
+            }
+        }
         let mut asks = Vec::new();
         for (offer, mut count) in wanted {
             while count > 0 {
@@ -365,6 +392,7 @@
     fn return_machines(&mut self, name: &str) {
         let now = self.now;
         let operator = self.cfg.operator.clone();
+        let standby = self.standby();
         let Some(types) = &self.types else { return };
         let Some(part) = self.parts.get_mut(name) else { return };
         if now < part.fleet.return_at {
@@ -386,6 +414,8 @@
         let late_ones =
             part.machines.values().filter(|m| now.saturating_sub(m.heard) > late).count();
         let few_late = late_ones <= MOST_LATE.max(part.machines.len() / 10);
+        let kept: BTreeSet<String> =
+            standby.iter().filter_map(|offer| part.standby_at(types, offer)).collect();
         let gone_within = self.cfg.gone_within();
         let listened = now.saturating_sub(attentive) > report;
         let mut changed: Vec<String> = Vec::new();
@@ -434,6 +464,7 @@
                 } else if machine.idle_since.is_some_and(|t| {
                     now.saturating_sub(t) > idle_life(types, &machine.record, operator.idle_boots)
                 }) && machine.session > 0
+                    && !kept.contains(&machine.name)
                 {
                     Some("idle")
                 } else {
@@ -586,6 +617,30 @@
 }
 
 impl Partition {
+    /// A machine at hand that keeps room for services as this offer would: room that is free, or
+    /// that arrays give up.
+    fn standby_at(&self, types: &BTreeMap<String, MachineType>, offer: &Offer) -> Option<String> {
+        let stands = |m: &&Box<crate::machine::Machine>| {
+            let record = &m.record;
+            let kind = types.get(&record.kind);
+            let lower = m.slots.values().filter(|s| s.wanted && !s.exited() && !s.service);
+            let room = m.room.cpus + lower.map(|s| s.need.cpus).sum::<f64>();
+            record.zone == offer.1
+                && !record.spot
+                && m.usable()
+                && kind.is_some_and(|k| room >= k.cpus * STANDBY_ROOM)
+        };
+        self.machines.values().find(stands).map(|m| m.name.clone())
+    }
+
+    /// Whether such a machine is at hand or on its way.
+    fn has_standby(&self, types: &BTreeMap<String, MachineType>, offer: &Offer) -> bool {
+        let coming = |zone: &str, spot: bool| zone == offer.1 && !spot;
+        self.standby_at(types, offer).is_some()
+            || self.fleet.expected.values().any(|e| coming(&e.zone, e.spot))
+            || self.fleet.hires.values().any(|h| coming(&h.hire.zone, h.hire.spot))
+    }
+
     /// Zones that seem to be cut off: all of several machines there fell silent together.
     fn zones_cut(&self, now: Micros, silent: Micros) -> BTreeSet<String> {
         let mut zones: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
