--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -150,6 +150,8 @@
     hires: BTreeMap<String, OpenHire>,
     hired: u64,
     refused: BTreeMap<Offer, Micros>,
+    /// Zones that are cut off, or were until a moment ago.
+    cut_until: BTreeMap<String, Micros>,
     return_at: Micros,
 }
 
@@ -401,7 +403,13 @@
         // Jobs that were done elsewhere, so that their failures are a machine's.
         let cleared: BTreeSet<String> =
             part.jobs.iter().filter(|(_, j)| j.good > 0).map(|(id, _)| id.clone()).collect();
-        let cut = part.zones_cut(now, operator.silent_return);
+        // When a cut ends, the first machine that is heard must not make all the others silent ones:
+        // they report within the next interval.
+        for zone in part.zones_cut(now, operator.silent_return) {
+            part.fleet.cut_until.insert(zone, now + 2 * self.cfg.workers.report);
+        }
+        part.fleet.cut_until.retain(|_, until| *until > now);
+        let cut: BTreeSet<String> = part.fleet.cut_until.keys().cloned().collect();
         let patience = self.cfg.lease_gone_after();
         let report = self.cfg.workers.report;
         // Where many seem deaf at once it is this node that is not heard.
@@ -620,7 +628,7 @@
     /// A machine at hand that keeps room for services as this offer would: room that is free, or
     /// that arrays give up.
     fn standby_at(&self, types: &BTreeMap<String, MachineType>, offer: &Offer) -> Option<String> {
-        let stands = |m: &&Box<crate::machine::Machine>| {
+        let stands = |m: &crate::machine::Machine| {
             let record = &m.record;
             let kind = types.get(&record.kind);
             let lower = m.slots.values().filter(|s| s.wanted && !s.exited() && !s.service);
@@ -630,7 +638,7 @@
                 && m.usable()
                 && kind.is_some_and(|k| room >= k.cpus * STANDBY_ROOM)
         };
-        self.machines.values().find(stands).map(|m| m.name.clone())
+        self.machines.values().find(|m| stands(m)).map(|m| m.name.clone())
     }
 
     /// Whether such a machine is at hand or on its way.
--- a/crates/quartzlever-core/src/fleet/tests.rs
+++ b/crates/quartzlever-core/src/fleet/tests.rs
@@ -247,3 +247,51 @@
         assert_eq!(within(silent), at_last, "{n}: {returned_at:?}");
     }
 }
+
+/// When a cut between zones ends, the first machine that is heard shows that it is over. All others
+/// had been silent for longer than any machine may be, and 168 were returned in that second, with
+/// all that they ran.
+#[test]
+fn the_end_of_a_cut_returns_nobody() {
+    // (seconds that the zone was cut off, seconds after its end, machines returned)
+    for (cut_s, after, returned) in [(8, 1, 0), (8, 6, 9)] {
+        let mut core = core();
+        let part = core.parts.get_mut("one").expect("it is held");
+        for n in 0..10 {
+            let name = format!("x-{n}");
+            let mut host = host_record(&name, "one");
+            (host.zone, host.spot) = ("b".into(), false);
+            part.add_machine(&name, host, true, NOW);
+        }
+        for n in 0..10 {
+            core.step(
+                NOW,
+                vec![Command::Report {
+                    id: n,
+                    report: report_from(&format!("x-{n}"), 1, 1, 5, &[]),
+                }],
+            );
+        }
+        core.cfg.operator.silent_return = 4 * SECOND;
+        core.cfg.operator.idle_boots = 1_000.0;
+        let mut gone = 0;
+        let end = cut_s + after;
+        for step in 1..=2 * end {
+            let now = NOW + step * SECOND / 2;
+            let mut batch = vec![Command::Tick { wall: now, behind: false }];
+            let own = report_from("n-1", 1, step + 1, 5, &[]);
+            batch.push(Command::Report { id: 100, report: own });
+            if step >= 2 * cut_s {
+                // One machine of the zone is heard again; the others come in their time, or never.
+                let first = report_from("x-0", 1, step + 1, 5, &[]);
+                batch.push(Command::Report { id: 101, report: first });
+            }
+            for effect in core.step(now, batch) {
+                if let Effect::Cloud { call: CloudCall::Return(hosts), .. } = effect {
+                    gone += hosts.iter().filter(|h| h.starts_with("x-")).count();
+                }
+            }
+        }
+        assert_eq!(gone, returned, "cut for {cut_s} s, {after} s after its end");
+    }
+}
