--- a/crates/quartzlever-core/tests/world/meetings.rs
+++ b/crates/quartzlever-core/tests/world/meetings.rs
@@ -6,6 +6,7 @@
 use quartzlever_wire::{Micros, SECOND};
 
 use crate::judge::Judge;
+use crate::services::service;
 use crate::sim::{Counts, Luck, World, job};
 
 const NODES: &[&str] = &["one", "two", "three"];
@@ -47,6 +48,28 @@
     ids
 }
 
+/// Services with two replicas each, all up, once every controller takes them.
+fn services(w: &mut World, team: &str) -> Vec<String> {
+    w.run_time = 10_000 * SECOND;
+    w.run(3 * SECOND);
+    let mut ids = Vec::new();
+    for k in 0..4 {
+        let spec = JobSpec { team: team.into(), ..service(k, 2) };
+        assert_ne!(w.submit_surely(k as usize % NODES.len(), &spec), 0, "no answer");
+        ids.push(spec.id);
+    }
+    w.run(7 * SECOND);
+    ids
+}
+
+/// The services that are left are cancelled, so that a world comes to its end.
+fn retire(w: &mut World, ids: &[String]) {
+    w.calm();
+    for id in ids {
+        w.abort_surely(0, id);
+    }
+}
+
 fn other(n: usize) -> usize {
     (n + 1) % NODES.len()
 }
@@ -73,6 +96,15 @@
 /// The state service refuses the busiest holder alone; `troubles` follow, then it is away for all.
 fn refused_alone_then_all(w: &mut World, pause: Micros, troubles: impl Fn(&mut World, &[String])) {
     let ids = long_tasks(w);
+    cancelled_in_refusal(w, &ids, pause, troubles);
+}
+
+fn cancelled_in_refusal(
+    w: &mut World,
+    ids: &[String],
+    pause: Micros,
+    troubles: impl Fn(&mut World, &[String]),
+) {
     let (_, holder) = w.busiest();
     w.lonely.insert(holder);
     w.run(pause);
@@ -641,6 +673,79 @@
         },
         came: |c, j| c.holders > 40 && c.refused_all > 20 && j.cancellations >= 10,
     },
+    Meeting {
+        name: "services are cancelled as their holder is refused alone, then the store goes",
+        tune: long_holds,
+        bring_about: |w| {
+            let ids = services(w, "free");
+            w.apart.extend(0..NODES.len());
+            cancelled_in_refusal(w, &ids, SECOND, |w, ids| {
+                let machines = w.machines_of(&ids[0]);
+                hang(w, &machines, true);
+                w.run(9 * SECOND);
+                hang(w, &machines, false);
+            });
+            retire(w, &ids);
+        },
+        came: |c, j| c.refused_alone > 4 && c.not_entitled > 20 && j.cancellations >= 12,
+    },
+    Meeting {
+        name: "services are cancelled while their work changes hands and old reports come back",
+        tune: usual,
+        bring_about: |w| {
+            let ids = services(w, "free");
+            w.luck = Luck { for_next: 30, copies: 15, ..Luck::default() };
+            for (k, id) in ids.iter().enumerate().take(3) {
+                w.run(2 * SECOND);
+                let (_, holder) = w.busiest();
+                w.kill(holder);
+                w.abort_surely(other(holder), id);
+                w.run(if k == 1 { 8 * SECOND } else { SECOND / 5 });
+                w.start(holder);
+                w.run(3 * SECOND);
+            }
+            retire(w, &ids);
+        },
+        came: |c, j| c.copies_for_next > 20 && c.holders > 16 && j.cancellations >= 12,
+    },
+    Meeting {
+        name: "services fill a team's limit, are cancelled on machines that hang, and the holder ends",
+        tune: usual,
+        bring_about: |w| {
+            let ids = services(w, "tight");
+            for round in 0..2_usize {
+                let running: Vec<String> =
+                    ids.iter().filter(|id| !w.machines_of(id).is_empty()).cloned().collect();
+                let Some(id) = running.first() else { continue };
+                let machines = w.machines_of(id);
+                hang(w, &machines, true);
+                w.abort_surely(round, id);
+                let (_, holder) = w.busiest();
+                w.restart(holder, if round == 1 { SECOND / 5 } else { 8 * SECOND });
+                w.run(6 * SECOND);
+                hang(w, &machines, false);
+                w.run(10 * SECOND);
+            }
+            retire(w, &ids);
+        },
+        came: |c, j| c.holders > 16 && j.cancellations >= 12,
+    },
+    Meeting {
+        name: "services are cancelled on machines that hear nothing, or reach nobody",
+        tune: usual,
+        bring_about: |w| {
+            let ids = services(w, "free");
+            w.deaf.extend(w.machines_of(&ids[0]));
+            w.abort_surely(0, &ids[0]);
+            w.run(15 * SECOND);
+            w.deaf.clear();
+            w.mute.extend(w.machines_of(&ids[1]));
+            w.abort_surely(1, &ids[1]);
+            w.run(15 * SECOND);
+            retire(w, &ids);
+        },
+        came: |c, j| c.deaf > 10 && c.mute > 10 && j.cancellations >= 12,
+    },
     Meeting {
         name: "users ask at all nodes at once after each acceptance, end and cancellation",
         tune: usual,
