--- a/crates/quartzlever-core/src/claims.rs
+++ b/crates/quartzlever-core/src/claims.rs
@@ -417,7 +417,13 @@
         }
         let mut new = Hosts::new();
         for (host, record) in &hosts {
-            if before.get(host) != Some(record) || !self.cache.hosts.contains_key(host) {
+            // One in a small block too belongs there: that claim had this block, as it was then, as
+            // a condition, so what stands here for the machine is a write that came late.
+            let mapped = self.cache.hosts.get(host);
+            if mapped.is_some_and(|k| k != key) && key == block_key(host) {
+                continue;
+            }
+            if before.get(host) != Some(record) || mapped.is_none() {
                 self.cache.hosts.insert(host.clone(), key.to_owned());
                 new.insert(host.clone(), record.clone());
             }
--- a/crates/quartzlever-core/src/claims/tests.rs
+++ b/crates/quartzlever-core/src/claims/tests.rs
@@ -82,3 +82,38 @@
         assert_eq!(part.machines.len(), machines, "{name}");
     }
 }
+
+/// A claim in the large block that an earlier write brings late, after the machine was claimed for
+/// another partition in its small block, counts for nothing, whichever is seen first.
+#[test]
+fn a_machine_in_two_blocks_belongs_to_the_small_one() {
+    let (large, small) = ("hosts/n-~3", "hosts/n-~16~14");
+    let block = |part: &str| {
+        Json::of(&HostBlock {
+            m: Hosts::from([("n-000231".to_owned(), host_record("n-000231", part))]),
+        })
+    };
+    let row = |path: &str, part: &str, stamp| Row {
+        path: path.into(),
+        v: block(part),
+        stamp,
+        charter: None,
+    };
+    for order in [[0, 1], [1, 0]] {
+        for news in [true, false] {
+            let mut core = core();
+            let rows = [row(small, "two", 20), row(large, "one", 21)];
+            for n in order {
+                core.block_row(&rows[n], news && order == [0, 1]);
+            }
+            let owner = core.part_of_host("n-000231").map(|r| r.part.clone());
+            assert_eq!(owner.as_deref(), Some("two"), "{order:?}");
+            assert!(!core.parts["one"].machines.contains_key("n-000231"), "{order:?} {news}");
+            assert_eq!(core.cache.machines_of("one").count(), 0, "{order:?}");
+            assert_eq!(core.cache.machines_of("two").count(), 1, "{order:?}");
+            // The end of the large block leaves the small one's machine where it is.
+            core.block_seen(large, Hosts::new(), 22);
+            assert_eq!(core.cache.machines_of("two").count(), 1, "{order:?}");
+        }
+    }
+}
--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -5,7 +5,8 @@
 use quartzlever_wire::cloud::{CloudCall, CloudReply};
 use quartzlever_wire::peers::{PeerAnswer, PeerRequest};
 use quartzlever_wire::state::{
-    Change as StateChange, Hosts, LiveRecord, OverRecord, PartRecord, StateCall, StateReply,
+    Change as StateChange, HostRecord, Hosts, LiveRecord, OverRecord, PartRecord, StateCall,
+    StateReply,
 };
 use quartzlever_wire::workers::{Report, WorkerCall, WorkerReply};
 use quartzlever_wire::{CallError, Micros, Ranges, SECOND};
@@ -187,6 +188,14 @@
         self.loaded
     }
 
+    /// The machines of a partition, each where it is claimed: while a block is split some are in two.
+    pub fn machines_of(&self, part: &str) -> impl Iterator<Item = (&String, &HostRecord)> {
+        let blocks = self.blocks.iter().flat_map(move |(key, (hosts, _))| {
+            hosts.iter().filter(move |(host, _)| self.hosts.get(*host) == Some(key))
+        });
+        blocks.filter(move |(_, record)| record.part == part)
+    }
+
     /// Whether a job is neither done nor cancelled, as far as the cache has come.
     pub fn is_live(&self, job: &str) -> bool {
         self.live.contains_key(job) || self.unread.contains(job)
--- a/crates/quartzlever-core/src/leases.rs
+++ b/crates/quartzlever-core/src/leases.rs
@@ -249,11 +249,9 @@
                 part.drop_job(&id, now);
             }
             let name = part.name.clone();
-            for (hosts, _) in self.cache.blocks.values() {
-                for (host, record) in hosts.iter().filter(|(_, r)| r.part == name) {
-                    if !part.machines.contains_key(host) && !part.fleet.gone.contains(host) {
-                        part.add_machine(host, record.clone(), false, now);
-                    }
+            for (host, record) in self.cache.machines_of(&name) {
+                if !part.machines.contains_key(host) && !part.fleet.gone.contains(host) {
+                    part.add_machine(host, record.clone(), false, now);
                 }
             }
         }
@@ -474,10 +472,8 @@
                 part.absorb(&self.cfg, record.clone(), *stamp, now, wall);
             }
             let name = part.name.clone();
-            for (hosts, _) in self.cache.blocks.values() {
-                for (host, record) in hosts.iter().filter(|(_, r)| r.part == name) {
-                    part.add_machine(host, record.clone(), false, now);
-                }
+            for (host, record) in self.cache.machines_of(&name) {
+                part.add_machine(host, record.clone(), false, now);
             }
             part.loaded = true;
         }
