--- a/crates/quartzlever-core/src/cluster.rs
+++ b/crates/quartzlever-core/src/cluster.rs
@@ -1,13 +1,14 @@
 //! The cluster version: what all controllers understand. Each process tells its own version on a
 //! key that hangs on its lease; when all have told, and every partition is held by one of these
 //! processes, one lasting key raises the cluster version. It never goes back. Before that nothing
-//! is written or said that an earlier version could not read.
+//! is written or said that an earlier version could not read. After it a process of an earlier version
+//! that comes back all the same holds no partition: the others take over what it acquires.
 
 use std::collections::BTreeMap;
 
 use quartzlever_wire::state::{
-    CLUSTER_NODES, CLUSTER_VERSION, ClusterRecord, NodeRecord, PARTS, Row, StateCall, StateReply,
-    Txn,
+    CLUSTER_NODES, CLUSTER_VERSION, ClusterRecord, NodeRecord, PARTS, PartRecord, Row, StateCall,
+    StateReply, Txn,
 };
 use quartzlever_wire::{CallError, Json, Micros, SECOND};
 
@@ -20,7 +21,16 @@
 /// From this version on there are jobs that run until they are cancelled, and small blocks.
 const SERVICES: u32 = 2;
 /// After an announcement or a raising that was not answered, or came too early.
-const RETRY: Micros = SECOND;
+const RETRY: Micros = SECOND / 2;
+
+/// What was asked of the state service for the cluster version.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum ClusterWrite {
+    /// This process's version was announced.
+    Announce,
+    /// The cluster version was raised.
+    Raise,
+}
 
 /// What is known of the versions of all controllers.
 #[derive(Debug)]
@@ -47,6 +57,37 @@
     pub fn forget_nodes(&mut self) {
         self.nodes.clear();
     }
+
+    /// This node's announcement has gone with its lease.
+    pub fn forget_node(&mut self, node: &str) {
+        self.nodes.remove(node);
+    }
+
+    fn has_announced(&self, node: &str, process: u64) -> bool {
+        self.nodes.get(node).is_some_and(|(record, _)| record.process == process)
+    }
+
+    fn insert_node(&mut self, node: &str, record: NodeRecord, stamp: u64) {
+        if self.nodes.get(node).is_none_or(|(_, known)| *known <= stamp) {
+            self.nodes.insert(node.to_owned(), (record, stamp));
+        }
+    }
+
+    /// Whether a partition is held by a process of the first version although the cluster version
+    /// is raised. Every later process announces itself before it acquires a partition, by a key on
+    /// the same lease, so the announcement is older than the partition's key and is there as long.
+    pub fn is_outdated_holder(&self, holder: &PartRecord, stamp: u64) -> bool {
+        self.services()
+            && self.nodes.get(&holder.node).is_none_or(|(record, announced)| {
+                record.process != holder.process && *announced < stamp
+            })
+    }
+
+    /// Whether a node may ask for its partition: not one that runs the first version after the
+    /// cluster version is raised.
+    pub fn may_hold(&self, node: &str) -> bool {
+        !self.services() || self.nodes.contains_key(node)
+    }
 }
 
 impl Core {
@@ -59,21 +100,28 @@
         if self.cfg.version < VERSION || self.cluster.waiting || now < self.cluster.next {
             return;
         }
-        let told = self.cluster.nodes.get(&self.cfg.node);
-        let txn = if told.is_none_or(|(r, _)| r.process != self.process) {
-            let record = NodeRecord { version: VERSION, process: self.process };
-            let key = format!("{CLUSTER_NODES}{}", self.cfg.node);
-            Txn::default().write_held(key, Json::of(&record), lease)
+        let (txn, write) = if self.has_announced() {
+            let Some(txn) = self.raising() else { return };
+            (txn, ClusterWrite::Raise)
         } else {
-            match self.raising() {
-                Some(txn) => txn,
-                None => return,
-            }
+            let key = format!("{CLUSTER_NODES}{}", self.cfg.node);
+            let txn = Txn::default().write_held(key, Json::of(&self.own_record()), lease);
+            (txn, ClusterWrite::Announce)
         };
         self.cluster.waiting = true;
         self.cluster.next = now + RETRY;
         self.ledger.spend(1);
-        self.state(Lane::Lease, StateCall::Txn(txn), Waiting::Cluster);
+        self.state(Lane::Lease, StateCall::Txn(txn), Waiting::Cluster(write));
+    }
+
+    fn own_record(&self) -> NodeRecord {
+        NodeRecord { version: VERSION, process: self.process }
+    }
+
+    /// Whether this process may acquire partitions: it has announced itself, unless it is of a
+    /// version that does not.
+    pub(crate) fn has_announced(&self) -> bool {
+        self.cfg.version < VERSION || self.cluster.has_announced(&self.cfg.node, self.process)
     }
 
     /// The transaction that raises the cluster version, if that may be tried: on condition of
@@ -102,12 +150,20 @@
         Some(txn.write(CLUSTER_VERSION, Json::of(&ClusterRecord { version: VERSION })))
     }
 
-    pub(crate) fn cluster_answered(&mut self, result: &Result<StateReply, CallError>) {
+    pub(crate) fn cluster_answered(
+        &mut self,
+        write: ClusterWrite,
+        result: &Result<StateReply, CallError>,
+    ) {
         self.cluster.waiting = false;
-        match result {
+        match (write, result) {
+            (ClusterWrite::Announce, Ok(StateReply::Committed(stamp))) if self.holds() => {
+                let (node, record) = (self.cfg.node.clone(), self.own_record());
+                self.cluster.insert_node(&node, record, *stamp);
+            }
             // The watch tells of what was written.
-            Ok(StateReply::Committed(_)) => {}
-            Ok(StateReply::NoLease) => self.lose_all(),
+            (_, Ok(StateReply::Committed(_))) => {}
+            (_, Ok(StateReply::NoLease)) => self.lose_all(),
             _ => self.cluster.next = self.now + RETRY,
         }
     }
@@ -123,9 +179,7 @@
             }
         } else if let Some(node) = row.path.strip_prefix(CLUSTER_NODES) {
             match parse::<NodeRecord>(row) {
-                Some(record) => {
-                    self.cluster.nodes.insert(node.to_owned(), (record, row.stamp));
-                }
+                Some(record) => self.cluster.insert_node(node, record, row.stamp),
                 None => self.note(Weight::Error, || format!("unreadable record: {}", row.path)),
             }
         }
--- a/crates/quartzlever-core/src/cluster/tests.rs
+++ b/crates/quartzlever-core/src/cluster/tests.rs
@@ -1,6 +1,6 @@
 //! Announcing, raising, and what waits for it.
 
-use super::VERSION;
+use super::{ClusterWrite, VERSION};
 use crate::testing::*;
 use quartzlever_wire::state::{CLUSTER_VERSION, ClusterRecord, NodeRecord};
 
@@ -52,7 +52,7 @@
         let first = transactions(&mut core, NOW);
         assert!(first.iter().all(|t| format!("{t:?}").contains("cluster/nodes/one")), "{n}");
         assert_eq!(first.len(), 1, "{n}");
-        core.cluster_answered(&Ok(StateReply::Committed(8)));
+        core.cluster_answered(ClusterWrite::Announce, &Ok(StateReply::Committed(8)));
         announce(&mut core, "one", VERSION, process.0, 8);
         if let Some(version) = version {
             announce(&mut core, "two", version, process.1, 9);
@@ -78,7 +78,7 @@
         let v = Json::of(&ClusterRecord { version: VERSION });
         core.cluster_row(&Row { path: CLUSTER_VERSION.into(), v, stamp: 10, charter: None });
         assert!(core.cluster.services(), "{n}");
-        core.cluster_answered(&Ok(StateReply::Committed(10)));
+        core.cluster_answered(ClusterWrite::Raise, &Ok(StateReply::Committed(10)));
         assert!(transactions(&mut core, NOW + 5 * SECOND).is_empty(), "{n}");
         // A lower one does not bring it back.
         let v = Json::of(&ClusterRecord { version: 1 });
@@ -100,3 +100,71 @@
     let ends = core.step(NOW + SECOND, Vec::new());
     assert!(ends.iter().any(|e| matches!(e, Effect::End { why } if why.contains("version 3"))));
 }
+
+fn raise(core: &mut Core, stamp: u64) {
+    let v = Json::of(&ClusterRecord { version: VERSION });
+    core.cluster_row(&Row { path: CLUSTER_VERSION.into(), v, stamp, charter: None });
+}
+
+/// A process that has not announced itself acquires nothing, or the others would take it for one of
+/// the first version and take its partitions over.
+#[test]
+fn a_process_announces_itself_before_it_acquires_a_partition() {
+    let mut core = core();
+    core.cache.loaded = true;
+    core.parts.clear();
+    let acquires = |effects: &[Effect]| format!("{effects:?}").contains("parts/one");
+    let first = core.step(NOW, Vec::new());
+    let announces = |e: &&Effect| format!("{e:?}").contains("cluster/nodes/one");
+    assert!(first.iter().any(|e| announces(&e)) && !acquires(&first), "{first:?}");
+    let Some(Effect::State { token, .. }) = first.iter().find(announces) else { panic!() };
+    let committed = Command::State { token: *token, result: Ok(StateReply::Committed(8)) };
+    assert!(acquires(&core.step(NOW + SECOND / 100, vec![committed])));
+    // With the lease the announcement is gone too.
+    core.lose_all();
+    assert!(!core.has_announced());
+}
+
+/// After the raise the others take over what a process of the first version has acquired, once; it
+/// is never handed back to one. A process that is about to follow its own former one is left alone.
+#[test]
+fn after_the_raise_an_old_process_holds_nothing() {
+    // (raised, who announced at node two and when, who holds its partition since when, taken over)
+    for (n, (raised, announced, holder, taken)) in [
+        (true, None, (22, 20), true),
+        // Its predecessor, of this version, had announced itself before the old one came.
+        (true, Some((21, 15)), (22, 20), true),
+        (true, Some((22, 15)), (22, 20), false),
+        // The partition is still that of the former process; the next has announced itself.
+        (true, Some((23, 25)), (22, 20), false),
+        (false, None, (22, 20), false),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let mut core = core();
+        core.cache.loaded = true;
+        let own = core.process;
+        held(&mut core, "one", "one", own, 5);
+        announce(&mut core, "one", VERSION, own, 4);
+        held(&mut core, "two", "two", holder.0, holder.1);
+        if let Some((process, stamp)) = announced {
+            announce(&mut core, "two", VERSION, process, stamp);
+        }
+        if raised {
+            raise(&mut core, 10);
+        }
+        let takes = |core: &mut Core, now: Micros| {
+            let effects = core.step(now, Vec::new());
+            effects.iter().filter(|e| format!("{e:?}").contains("write: \"parts/two\"")).count()
+        };
+        assert_eq!(takes(&mut core, NOW), usize::from(taken), "{n}");
+        assert_eq!(takes(&mut core, NOW + SECOND / 10), 0, "{n}: once");
+        core.acquired("two", Ok(StateReply::Committed(30)));
+        let alone_from = core.parts["two"].alone_from;
+        let later = if taken { core.cfg.operator.lease_life } else { 0 };
+        assert_eq!(alone_from, core.now + later, "{n}: the old one may still answer workers");
+        core.home_asks("two");
+        assert_eq!(core.home_asks.contains_key("two"), !raised || announced.is_some(), "{n}");
+    }
+}
--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -14,7 +14,7 @@
 use rand::rngs::SmallRng;
 
 use crate::claims::BlockWork;
-use crate::cluster::Cluster;
+use crate::cluster::{Cluster, ClusterWrite};
 use crate::config::Config;
 use crate::fleet::CloudWork;
 use crate::hearing::Hearing;
@@ -54,7 +54,7 @@
     ListJobs,
     ListCluster,
     /// A version was announced, or raised.
-    Cluster,
+    Cluster(ClusterWrite),
     /// Machines move from a block of the first form to small ones.
     SplitBlock {
         key: String,
@@ -358,6 +358,10 @@
     pub(crate) vouching: HashMap<String, (RequestId, Report)>,
     pub(crate) busy_parts: BTreeSet<String>,
     pub(crate) releasing: BTreeSet<String>,
+    /// Partitions that are being taken from a process that has not given them up.
+    pub(crate) evicting: BTreeSet<String>,
+    /// The next one is taken this way no sooner.
+    pub(crate) evict_after: Micros,
     /// Since when each absent part has been missing.
     pub(crate) absent_since: BTreeMap<String, Micros>,
     /// Home nodes that ask for their part: since when, and last asked.
@@ -422,6 +426,8 @@
             vouching: HashMap::new(),
             busy_parts: BTreeSet::new(),
             releasing: BTreeSet::new(),
+            evicting: BTreeSet::new(),
+            evict_after: 0,
             absent_since: BTreeMap::new(),
             home_asks: BTreeMap::new(),
             types: None,
@@ -742,7 +748,7 @@
             Waiting::ListHosts => self.hosts_listed(result),
             Waiting::ListJobs => self.jobs_listed(result),
             Waiting::ListCluster => self.cluster_listed(result),
-            Waiting::Cluster => self.cluster_answered(&result),
+            Waiting::Cluster(write) => self.cluster_answered(write, &result),
             Waiting::SplitBlock { key, small, whole } => {
                 self.block_split(&key, small, whole, &result);
             }
--- a/crates/quartzlever-core/src/hearing/tests.rs
+++ b/crates/quartzlever-core/src/hearing/tests.rs
@@ -161,6 +161,7 @@
         assert_eq!(tokens.len(), 1, "{name}: given up");
         let mut told =
             vec![Command::State { token: tokens[0], result: Ok(StateReply::Committed(20)) }];
+        told.extend(commit_announcement(&effects));
         let (mut asked, mut taken) = (false, false);
         for step in 1..=after * 4 {
             let now = NOW + step * SECOND / 4;
@@ -169,7 +170,9 @@
                 let record = PartRecord { node: "two".into(), process: 77 };
                 core.cache.parts.insert("one".into(), (record, 21));
             }
-            for effect in core.step(now, std::mem::take(&mut told)) {
+            let effects = core.step(now, std::mem::take(&mut told));
+            told.extend(commit_announcement(&effects));
+            for effect in effects {
                 match effect {
                     Effect::Worker { token, call: WorkerCall::Status, .. } => {
                         let report = WorkerReply::Report(report_idle("n-1", 30 + step, 21));
--- a/crates/quartzlever-core/src/leases.rs
+++ b/crates/quartzlever-core/src/leases.rs
@@ -102,6 +102,7 @@
         self.lease.id = None;
         self.lease.sure_until = 0;
         self.lease.next = self.now;
+        self.cluster.forget_node(&self.cfg.node);
         self.note(Weight::Info, || "lease lost, and all parts with it".into());
         self.parts.clear();
     }
@@ -409,6 +410,8 @@
                     if record.node == self.cfg.node && record.process != self.process {
                         // Our own former process held it; that process is dead.
                         self.acquire(&name, stamp);
+                    } else if self.cluster.is_outdated_holder(&record, stamp) {
+                        self.evict(&name, stamp);
                     } else if record.node == self.cfg.node {
                         if self.releasing.contains(&name) || self.wanted_back(&name) {
                             self.release(&name, stamp);
@@ -421,8 +424,20 @@
         }
     }
 
+    /// Takes a partition from a live process of a version that must not hold it any more. Its key
+    /// fences it off; until it has noticed, it may still answer workers.
+    fn evict(&mut self, name: &str, stamp: u64) {
+        if self.now < self.evict_after {
+            // Whether the last attempt was a success shows with the watch.
+            return;
+        }
+        self.evict_after = self.now + RETRY;
+        self.evicting.insert(name.to_owned());
+        self.acquire(name, stamp);
+    }
+
     fn acquire(&mut self, name: &str, stamp: u64) {
-        let Some(lease) = self.lease.id else { return };
+        let Some(lease) = self.lease.id.filter(|_| self.has_announced()) else { return };
         if !self.busy_parts.insert(name.to_owned()) {
             return;
         }
@@ -444,7 +459,10 @@
             }
             Ok(StateReply::NoLease) => self.lose_all(),
             // The watch shows who was quicker, or that an unknown outcome was a success.
-            _ => {
+            other => {
+                if matches!(other, Ok(StateReply::Conflict(_))) {
+                    self.evicting.remove(name);
+                }
                 self.absent_since.insert(name.to_owned(), self.now);
             }
         }
@@ -456,8 +474,11 @@
             return;
         }
         self.note(Weight::Info, || format!("part {name}: held, term {term}"));
-        self.parts
-            .insert(name.to_owned(), Partition::new(name, term, self.types.clone(), self.now));
+        let mut part = Partition::new(name, term, self.types.clone(), self.now);
+        if self.evicting.remove(name) {
+            part.alone_from = self.now + self.cfg.operator.lease_life;
+        }
+        self.parts.insert(name.to_owned(), part);
     }
 
     /// Parts whose acquisition the cache has come to begin their work from it: what an earlier
@@ -521,6 +542,9 @@
 
     /// A home node asks for its part.
     pub(crate) fn home_asks(&mut self, part: &str) {
+        if !self.cluster.may_hold(part) {
+            return;
+        }
         let now = self.now;
         let entry = self.home_asks.entry(part.to_owned()).or_insert((now, now));
         if now.saturating_sub(entry.1) > HOME_GONE {
--- a/crates/quartzlever-core/src/partition.rs
+++ b/crates/quartzlever-core/src/partition.rs
@@ -132,6 +132,9 @@
     /// The stamp of the part's key: the term, and the baton of its commands.
     pub term: u64,
     pub acquired: Micros,
+    /// From then on no earlier holder answers workers: at once where the partition was given up or
+    /// its holder's lease had ended, later where it was taken from a live process.
+    pub alone_from: Micros,
     /// Its jobs and machines are known as of the acquisition or later; nothing is decided before.
     pub loaded: bool,
     pub jobs: Table<PartitionJob>,
@@ -174,6 +177,7 @@
             name: name.to_owned(),
             term,
             acquired: now,
+            alone_from: now,
             loaded: false,
             jobs: Table::default(),
             machines: Table::default(),
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -323,7 +323,7 @@
         let now = self.now;
         let gone_after = self.cfg.lease_gone_after();
         let Some(part) = self.parts.get_mut(name).filter(|p| p.active()) else { return };
-        let acquired = part.acquired;
+        let alone_from = part.acquired.max(part.alone_from);
         let silent: Vec<String> = part
             .machines
             .values()
@@ -331,7 +331,7 @@
                 // A session that was only heard of by a direct call runs out a lease after it
                 // began, and it began before it was heard of. Without `heard`, tasks given to a
                 // machine that had just come back were taken for gone and started elsewhere.
-                now.saturating_sub(m.answered.max(m.heard).max(acquired)) > gone_after
+                now.saturating_sub(m.answered.max(m.heard).max(alone_from)) > gone_after
                     && (!m.proven || !m.slots.is_empty())
             })
             .map(|m| m.name.clone())
--- a/crates/quartzlever-core/src/reports/tests.rs
+++ b/crates/quartzlever-core/src/reports/tests.rs
@@ -137,14 +137,18 @@
 #[test]
 fn a_machine_is_empty_only_a_lease_after_all_that_was_heard_of_it() {
     let gone = 11 * SECOND + 10_000;
-    // (seconds before now: acquired, last answered, last heard; whether its tasks are taken back)
-    for (acquired, answered, heard, empty) in [
-        (100, 100, 100, true),
-        (100, 5, 100, false),
-        (100, 100, 5, false),
-        (5, 100, 100, false),
-        (12, 12, 12, true),
-        (10, 10, 10, false),
+    // (seconds before now: acquired, alone since, last answered, last heard; whether its tasks are
+    // taken back)
+    for (acquired, alone, answered, heard, empty) in [
+        (100, 100, 100, 100, true),
+        (100, 100, 5, 100, false),
+        (100, 100, 100, 5, false),
+        (5, 5, 100, 100, false),
+        (12, 12, 12, 12, true),
+        (10, 10, 10, 10, false),
+        // Taken from a live process, which answered workers a while longer.
+        (100, 10, 100, 100, false),
+        (100, 12, 100, 100, true),
     ] {
         let mut core = core();
         core.absorb(record("0", "1-3"), 10);
@@ -152,6 +156,7 @@
         if let Some(part) = core.parts.get_mut("one") {
             part.start("req-1", 0, "n-1", NOW);
             part.acquired = NOW - acquired * SECOND;
+            part.alone_from = NOW - alone * SECOND;
             if let Some(machine) = part.machines.get_mut("n-1") {
                 machine.answered = NOW - answered * SECOND;
                 machine.heard = NOW - heard * SECOND;
@@ -159,7 +164,7 @@
         }
         core.expire_silent("one");
         let taken_back = core.parts["one"].jobs["req-1"].ready.contains(0);
-        assert_eq!(taken_back, empty, "acquired {acquired} answered {answered} heard {heard}");
+        assert_eq!(taken_back, empty, "{acquired} {alone} {answered} {heard}");
     }
 }
 
--- a/crates/quartzlever-core/src/testing.rs
+++ b/crates/quartzlever-core/src/testing.rs
@@ -194,6 +194,18 @@
     effects.iter().filter_map(of).collect()
 }
 
+/// The state service's answer to the announcement of node one among the effects, without which it
+/// acquires nothing.
+pub(crate) fn commit_announcement(effects: &[Effect]) -> Option<Command> {
+    let token = effects.iter().find_map(|effect| match effect {
+        Effect::State { token, call: StateCall::Txn(txn), .. } => {
+            format!("{txn:?}").contains("cluster/nodes/one").then_some(*token)
+        }
+        _ => None,
+    })?;
+    Some(Command::State { token, result: Ok(StateReply::Committed(19)) })
+}
+
 /// A core with a copy of the records, in which these nodes hold parts.
 pub(crate) fn with_cache(parts: &[(&str, &str, u64)]) -> Core {
     let mut core = core();
--- a/crates/quartzlever-core/tests/world/main.rs
+++ b/crates/quartzlever-core/tests/world/main.rs
@@ -1,8 +1,6 @@
 //! Whole controllers, several at once, in a simulated world: its state service, cloud, network,
-//! workers and users go wrong as those of the protocol may, and a judge looks for broken rules.
+//! workers and users go wrong as those of the protocol may, and a checker looks for broken rules.
 
-mod judge;
-mod judging;
 mod meetings;
 mod safety;
 mod services;
--- a/crates/quartzlever-core/tests/world/meetings.rs
+++ b/crates/quartzlever-core/tests/world/meetings.rs
@@ -5,9 +5,9 @@
 use quartzlever_wire::users::{JobPhase, JobSpec, Rank};
 use quartzlever_wire::{Micros, SECOND};
 
-use crate::judge::Judge;
 use crate::services::service;
 use crate::sim::{Counts, Luck, World, job};
+use quartzlever_standin::rules::RuleChecker;
 
 const NODES: &[&str] = &["one", "two", "three"];
 const SEEDS: u64 = 4;
@@ -19,7 +19,7 @@
     tune: fn(&mut Config),
     bring_about: fn(&mut World),
     /// What must be seen over all seeds: that it came about, and nothing that must not.
-    came: fn(&Counts, &Judge) -> bool,
+    came: fn(&Counts, &RuleChecker) -> bool,
 }
 
 fn usual(_: &mut Config) {}
@@ -780,20 +780,20 @@
     w.workers.values_mut().for_each(|worker| worker.run_time = 3 * SECOND);
     w.pass(90 * SECOND);
     if w.has_room() {
-        assert!(w.judge.waiting().is_empty(), "{name}: {:?} wait", w.judge.waiting());
+        assert!(w.rules.waiting().is_empty(), "{name}: {:?} wait", w.rules.waiting());
     }
     w.pass(60 * SECOND);
     let now = w.now;
-    w.judge.unanswered(now, calm + 75 * SECOND);
-    assert!(w.judge.broken.is_empty(), "{name}: {:?}", &w.judge.broken[..1]);
-    for id in w.judge.accepted() {
-        let told = w.judge.cancelled(&id).is_some();
+    w.rules.unanswered(now, calm + 75 * SECOND);
+    assert!(w.rules.broken.is_empty(), "{name}: {:?}", &w.rules.broken[..1]);
+    for id in w.rules.accepted() {
+        let told = w.rules.cancelled(&id).is_some();
         let expected = if told { JobPhase::Aborted } else { JobPhase::Done };
         let over = w.over(&id);
         // A cancellation that was asked for may have come into force without its answer.
         assert!(
             over == Some(expected)
-                || (over == Some(JobPhase::Aborted) && w.judge.asked_to_cancel(&id)),
+                || (over == Some(JobPhase::Aborted) && w.rules.asked_to_cancel(&id)),
             "{name}: {id} is {over:?}"
         );
     }
@@ -862,7 +862,7 @@
             for _ in 0..2 + w.pick(4) {
                 any_trouble(&mut w);
                 w.run(2 * SECOND);
-                let accepted = w.judge.accepted();
+                let accepted = w.rules.accepted();
                 if !accepted.is_empty() && w.chance(60) {
                     let job = accepted[w.pick(accepted.len())].clone();
                     for n in 0..NODES.len() {
@@ -920,7 +920,7 @@
     for meeting in MEETINGS {
         let outcome = std::panic::catch_unwind(|| {
             let mut sum = Counts::default();
-            let mut judged = Judge::new(0, Vec::new());
+            let mut total = RuleChecker::new(0, Vec::new());
             // The same for a row wherever it stands in the table.
             let first = meeting.name.bytes().fold(7, |h: u64, b| h.wrapping_mul(31) + u64::from(b));
             for seed in 0..SEEDS {
@@ -929,12 +929,12 @@
                 (meeting.bring_about)(&mut world);
                 settles(&mut world, &format!("{} (seed {seed})", meeting.name));
                 add(&mut sum, world.counts);
-                judged.cancellations += world.judge.cancellations;
-                judged.starts_after_cancel += world.judge.starts_after_cancel;
+                total.cancellations += world.rules.cancellations;
+                total.starts_after_cancel += world.rules.starts_after_cancel;
             }
-            let (told, late) = (judged.cancellations, judged.starts_after_cancel);
+            let (told, late) = (total.cancellations, total.starts_after_cancel);
             assert!(
-                (meeting.came)(&sum, &judged),
+                (meeting.came)(&sum, &total),
                 "{} did not come about: {sum:?}, {told} cancellations",
                 meeting.name
             );
--- a/crates/quartzlever-core/tests/world/services.rs
+++ b/crates/quartzlever-core/tests/world/services.rs
@@ -1,4 +1,4 @@
-//! Services: jobs whose replicas run until they are cancelled, under the judge's eyes.
+//! Services: jobs whose replicas run until they are cancelled, under the eyes of the rule checker.
 
 use quartzlever_wire::SECOND;
 use quartzlever_wire::users::{JobSpec, Shape};
@@ -115,7 +115,7 @@
             assert_eq!(w.abort_surely(1, &spec.id).as_deref(), Some("aborted"), "{name} {seed}");
             w.pass(25 * SECOND);
             assert_eq!(replicas(&w, &spec.id), 0, "{name} {seed}: gone");
-            assert!(w.judge.broken.is_empty(), "{name} {seed}: {:?}", &w.judge.broken[..1]);
+            assert!(w.rules.broken.is_empty(), "{name} {seed}: {:?}", &w.rules.broken[..1]);
         }
     }
 }
@@ -139,14 +139,14 @@
         }
         w.pass(10 * SECOND);
         for k in 10..14 {
-            assert!(!w.judge.waiting().contains(&job(k, 1).id.as_str()), "{seed}: {k} waits");
+            assert!(!w.rules.waiting().contains(&job(k, 1).id.as_str()), "{seed}: {k} waits");
         }
         w.pass(140 * SECOND);
         for k in 0..6 {
             let id = job(k, 1).id;
             assert!(w.over(&id).is_some(), "{seed}: array {k} starves");
         }
-        assert!(w.judge.broken.is_empty(), "{seed}: {:?}", &w.judge.broken[..1]);
+        assert!(w.rules.broken.is_empty(), "{seed}: {:?}", &w.rules.broken[..1]);
     }
 }
 
--- a/crates/quartzlever-core/tests/world/sim.rs
+++ b/crates/quartzlever-core/tests/world/sim.rs
@@ -3,8 +3,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::judge::{Asked, Judge, Seen};
 use quartzlever_core::{Command, Config, Core, Effect, Operator, Team, Weight, WorkerTimes};
+use quartzlever_standin::rules::{Asked, MachineTasks, RuleChecker, TeamLimit};
 use quartzlever_standin::{Cloud, Store, Worker};
 use quartzlever_wire::cloud::CloudReply;
 use quartzlever_wire::state::{OverRecord, StateCall, StateReply};
@@ -49,6 +49,11 @@
     }
 }
 
+fn team_limits(teams: Vec<Team>) -> Vec<TeamLimit> {
+    let limit = |t: Team| TeamLimit { team: t.name, cpus: t.cpus_max, gpus: t.gpus_max };
+    teams.into_iter().map(limit).collect()
+}
+
 pub fn job(n: u32, tasks: u32) -> JobSpec {
     JobSpec {
         id: format!("req-{n:06}"),
@@ -189,7 +194,7 @@
     request: u64,
     pub answers: BTreeMap<u64, (u16, serde_json::Value)>,
     asked: BTreeMap<u64, (Asked, String, Micros)>,
-    pub judge: Judge,
+    pub rules: RuleChecker,
     tune: fn(&mut Config),
     pub run_time: Micros,
 }
@@ -240,7 +245,7 @@
             request: 1 << 32,
             answers: BTreeMap::new(),
             asked: BTreeMap::new(),
-            judge: Judge::new(cfg.workers.cancel, cfg.teams),
+            rules: RuleChecker::new(cfg.workers.cancel, team_limits(cfg.teams)),
             tune,
             run_time: 3 * SECOND,
         };
@@ -302,7 +307,7 @@
 
     pub fn submit(&mut self, n: usize, spec: JobSpec) -> u64 {
         let job = spec.id.clone();
-        self.judge.asks(Asked::Submit, &job, Some(&spec));
+        self.rules.asked(Asked::Submit, &job, Some(&spec));
         self.ask(n, Asked::Submit, &job, |id| Command::Submit { id, spec: Box::new(spec) })
     }
 
@@ -312,7 +317,7 @@
     }
 
     pub fn abort(&mut self, n: usize, job: &str) -> u64 {
-        self.judge.asks(Asked::Cancel, job, None);
+        self.rules.asked(Asked::Cancel, job, None);
         let name = job.to_owned();
         self.ask(n, Asked::Cancel, job, |id| Command::Abort { id, job: name })
     }
@@ -321,7 +326,7 @@
     pub fn look_closely(&mut self, job: &str) {
         for n in 0..self.names.len() {
             self.lookup(n, job);
-            if let Some(spec) = self.judge.specs.get(job).cloned() {
+            if let Some(spec) = self.rules.specs.get(job).cloned() {
                 self.submit(n, spec);
             }
         }
@@ -382,7 +387,7 @@
     pub fn pass(&mut self, span: Micros) {
         let end = self.now + span;
         while self.now < end {
-            for job in self.judge.accepted() {
+            for job in self.rules.accepted() {
                 let n = self.rng.random_range(0..self.names.len());
                 if self.cores[n].is_some() {
                     self.lookup(n, &job);
@@ -553,12 +558,12 @@
         }
     }
 
-    /// Tells the judge which tasks have run to their end.
+    /// Tells the checker which tasks have run to their end.
     fn note_ends(&mut self) {
         for (name, worker) in &self.workers {
             let seen = self.seen_ends.entry(name.clone()).or_default();
             for task in &worker.completed[*seen..] {
-                self.judge.completes(task);
+                self.rules.task_completed(task);
             }
             *seen = worker.completed.len();
         }
@@ -687,7 +692,7 @@
                 if let Some((asked, job, sent)) = self.asked.remove(&id) {
                     let phase = body["phase"].as_str().unwrap_or("");
                     self.counts.answers += usize::from(matches!(status, 200 | 201));
-                    self.judge.answer(self.now, sent, asked, &job, status, phase);
+                    self.rules.answered(self.now, sent, asked, &job, status, phase);
                 }
                 self.answers.insert(id, (status, body));
             }
@@ -770,10 +775,10 @@
     /// Looks for broken rules.
     fn check(&mut self) {
         let now = self.now;
-        let seen: Vec<Seen> = self
+        let seen: Vec<MachineTasks> = self
             .workers
             .values()
-            .map(|w| Seen {
+            .map(|w| MachineTasks {
                 host: w.rental.name.clone(),
                 kind: w.rental.kind.clone(),
                 zone: w.rental.zone.clone(),
@@ -781,17 +786,17 @@
                 tasks: w.running(),
             })
             .collect();
-        self.judge.machines(now, &seen);
+        self.rules.machines(now, &seen);
         for key in self.store.keys("over/") {
             let id = &key["over/".len()..];
             if self.over(id) == Some(JobPhase::Done) {
-                self.judge.ends(now, id);
+                self.rules.job_done(now, id);
             }
         }
         for (name, worker) in &self.workers {
             let told = self.seen_starts.entry(name.clone()).or_default();
             for (task, at) in &worker.started[*told..] {
-                self.judge.starts(*at, task, name, &seen);
+                self.rules.task_started(*at, task, name, &seen);
             }
             *told = worker.started.len();
         }
@@ -804,14 +809,8 @@
     /// While a process of the first version may be up, everything is in forms that it reads.
     fn check_old_forms(&mut self) {
         let now = self.now;
-        let new_form = |key: &String| {
-            let text = self.store.get(key).map_or(String::new(), |(v, _)| v.text().to_owned());
-            key.as_str() == quartzlever_wire::state::CLUSTER_VERSION
-                || (key.starts_with("hosts/") && key.matches('~').count() > 1)
-                || (key.starts_with("live/") && text.contains("daemon"))
-        };
-        if let Some(key) = self.store.keys("").iter().find(|key| new_form(key)) {
-            self.judge.broken.push(format!("new_form at {} ms: {key}", now / 1000));
+        if let Some(key) = self.store.key_unknown_to_first_version() {
+            self.rules.broken.push(format!("new_form at {} ms: {key}", now / 1000));
         }
     }
 
--- a/crates/quartzlever-core/tests/world/upgrade.rs
+++ b/crates/quartzlever-core/tests/world/upgrade.rs
@@ -116,11 +116,11 @@
                 keys.iter().filter(|k| w.store.get(k).is_some_and(|(v, _)| v.text().len() > VALUE));
             assert_eq!(long.count(), 0, "{name}: blocks too large, {before} keys before");
             assert!(w.store.too_large < 5, "{name}: {} too large", w.store.too_large);
-            assert!(w.judge.broken.is_empty(), "{name}: {:?}", &w.judge.broken[..1]);
+            assert!(w.rules.broken.is_empty(), "{name}: {:?}", &w.rules.broken[..1]);
             for k in (0..10).chain(20..26).filter(|k| *k != 21) {
                 assert_eq!(w.over(&job(k, 1).id), Some(JobPhase::Done), "{name}: {k}");
             }
-            assert!(!w.judge.waiting().contains(&"req-000050"), "{name}: the service waits");
+            assert!(!w.rules.waiting().contains(&"req-000050"), "{name}: the service waits");
         }
     }
 }
@@ -152,7 +152,7 @@
         lower_limits(&mut w, VALUE, ops);
         w.pass(120 * SECOND);
         assert!(length(&w) <= Some(VALUE), "{seed}: {:?} after", length(&w));
-        assert!(w.judge.broken.is_empty(), "{seed}: {:?}", &w.judge.broken[..1]);
+        assert!(w.rules.broken.is_empty(), "{seed}: {:?}", &w.rules.broken[..1]);
         for k in 0..20 {
             assert_eq!(w.over(&job(k, 1).id), Some(JobPhase::Done), "{seed}: {k}");
         }
@@ -171,7 +171,7 @@
         assert_ne!(w.submit_surely(k as usize % 3, &job(k, 40)), 0);
     }
     w.pass(200 * SECOND);
-    assert!(w.judge.broken.is_empty(), "{:?}", &w.judge.broken[..1]);
+    assert!(w.rules.broken.is_empty(), "{:?}", &w.rules.broken[..1]);
     for k in 0..8 {
         assert_eq!(w.over(&job(k, 1).id), Some(JobPhase::Done), "{k}");
     }
--- /dev/null
+++ b/crates/quartzlever-standin/src/fleet.rs
@@ -0,0 +1,255 @@
+//! A few workers on loopback ports, all under one lock, with a [`RuleChecker`] that is shown the
+//! whole fleet after each change. For thousands of workers see [`crate::crowd`].
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use quartzlever_wire::Micros;
+use quartzlever_wire::cloud::Rental;
+use quartzlever_wire::users::JobSpec;
+use quartzlever_wire::workers::{Orders, Report, TaskId, WorkerReply};
+use serde_json::{Value, json};
+use tiny_http::Request;
+
+use crate::http::{body_of, listen, micros, respond, serve_rentals};
+use crate::rules::{MachineTasks, RuleChecker};
+use crate::{Cloud, Worker};
+
+/// A worker gives up on a report after this time.
+const REPORT_PATIENCE: Duration = Duration::from_secs(4);
+const WORKER_THREADS: usize = 2;
+
+/// How the workers of a fleet behave.
+#[derive(Clone, Copy, Debug)]
+pub struct Behaviour {
+    pub report: Duration,
+    pub lease: Micros,
+    pub run_time: Micros,
+}
+
+/// Controllers by name, where workers report.
+pub type Controllers = Arc<Mutex<Vec<(String, SocketAddr)>>>;
+
+struct State {
+    workers: BTreeMap<String, Worker>,
+    rules: RuleChecker,
+    endless: BTreeSet<String>,
+    /// Machines that were returned, some of them before they were up.
+    returned: BTreeSet<String>,
+    /// How many starts and ends of each worker the checker has been shown.
+    starts_shown: BTreeMap<String, usize>,
+    ends_shown: BTreeMap<String, usize>,
+}
+
+/// The workers of a test and what they did.
+pub struct Fleet {
+    state: Mutex<State>,
+    controllers: Controllers,
+    behaviour: Behaviour,
+    begin: Instant,
+}
+
+impl Fleet {
+    /// A fleet without workers.
+    pub fn new(
+        rules: RuleChecker,
+        controllers: Controllers,
+        behaviour: Behaviour,
+        begin: Instant,
+    ) -> Arc<Fleet> {
+        let state = State {
+            workers: BTreeMap::new(),
+            rules,
+            endless: BTreeSet::new(),
+            returned: BTreeSet::new(),
+            starts_shown: BTreeMap::new(),
+            ends_shown: BTreeMap::new(),
+        };
+        Arc::new(Fleet { state: Mutex::new(state), controllers, behaviour, begin })
+    }
+
+    /// Serves a cloud whose machines are the workers of this fleet.
+    pub fn serve_cloud(self: &Arc<Self>, cloud: Cloud) -> io::Result<SocketAddr> {
+        let (leaving, joining) = (self.clone(), self.clone());
+        serve_rentals(
+            Arc::new(Mutex::new(cloud)),
+            move |host| leaving.leave(host),
+            move |rental| joining.clone().join(rental),
+        )
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        // A panic elsewhere is reported by the test that it ended.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Makes a change at one moment, after what time alone has changed, and shows the checker all
+    /// that came of it.
+    fn change<T>(&self, change: impl FnOnce(&mut State, Micros) -> T) -> T {
+        let mut state = self.lock();
+        let now = micros(self.begin);
+        for worker in state.workers.values_mut() {
+            worker.pass(now);
+        }
+        state.show_ends();
+        let result = change(&mut state, now);
+        state.show_starts(now);
+        result
+    }
+
+    /// Lets time pass, and the checker look.
+    pub fn observe(&self) {
+        self.change(|_, _| ());
+    }
+
+    /// Tells or asks the checker something.
+    pub fn rules<T>(&self, work: impl FnOnce(&mut RuleChecker, Micros) -> T) -> T {
+        self.change(|state, now| work(&mut state.rules, now))
+    }
+
+    /// The tasks of this job run until they are stopped.
+    pub fn never_ends(&self, spec: &JobSpec) {
+        self.change(|state, _| {
+            state.endless.insert(spec.id.clone());
+            for worker in state.workers.values_mut() {
+                worker.endless.insert(spec.id.clone());
+            }
+        });
+    }
+
+    /// How many tasks of a job are on machines.
+    pub fn running(&self, job: &str) -> usize {
+        let state = self.lock();
+        let of_job = |task: &&TaskId| task.job == job;
+        state.workers.values().map(|w| w.running().iter().filter(of_job).count()).sum()
+    }
+
+    fn leave(&self, host: &str) {
+        self.change(|state, _| {
+            state.workers.remove(host);
+            state.returned.insert(host.to_owned());
+        });
+    }
+
+    fn join(self: Arc<Self>, rental: Rental) {
+        thread::spawn(move || {
+            // A worker that cannot serve its port is a machine that never comes up.
+            let _ = self.serve_worker(rental);
+        });
+    }
+
+    fn serve_worker(self: Arc<Self>, mut rental: Rental) -> io::Result<()> {
+        let host = rental.name.clone();
+        let (fleet, name) = (self.clone(), host.clone());
+        let address = listen(WORKER_THREADS, move |request| fleet.command(&name, request))?;
+        rental.address = address.to_string();
+        self.change(|state, now| {
+            let mut worker =
+                Worker::new(rental, self.behaviour.lease, self.behaviour.run_time, now);
+            worker.endless = state.endless.clone();
+            if !state.returned.contains(&host) {
+                state.workers.insert(host.clone(), worker);
+            }
+        });
+        self.report_until_returned(&host);
+        Ok(())
+    }
+
+    /// A call to the worker's own address.
+    fn command(&self, host: &str, mut request: Request) {
+        let body = body_of(&mut request);
+        let is_status = request.url() == "/status";
+        let reply = self.change(|state, now| {
+            let worker = state.workers.get_mut(host)?;
+            if is_status {
+                return Some(Ok(WorkerReply::Report(worker.report())));
+            }
+            Some(serde_json::from_slice::<Orders>(&body).map(|orders| worker.command(&orders, now)))
+        });
+        match reply {
+            Some(Ok(WorkerReply::Report(report))) => respond(request, 200, &json!(report)),
+            Some(Ok(WorkerReply::Refused(report))) => respond(request, 409, &json!(report)),
+            Some(Err(_)) => respond(request, 400, &json!({})),
+            // The machine is gone: the connection closes without an answer.
+            None => drop(request),
+        }
+    }
+
+    fn report_until_returned(&self, host: &str) {
+        let agent = ureq::AgentBuilder::new().timeout(REPORT_PATIENCE).build();
+        let mut target = 0;
+        loop {
+            let report = self.change(|state, now| {
+                let worker = state.workers.get_mut(host)?;
+                Some((worker.report(), now))
+            });
+            let Some((report, sent)) = report else { return };
+            self.send_report(&agent, &mut target, &report, sent);
+            thread::sleep(self.behaviour.report);
+        }
+    }
+
+    fn send_report(&self, agent: &ureq::Agent, target: &mut usize, report: &Report, sent: Micros) {
+        let controllers = self.controllers.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let Some((_, address)) = controllers.get(*target % controllers.len()) else {
+            return;
+        };
+        match agent.post(&format!("http://{address}/hello")).send_string(&json!(report).to_string())
+        {
+            Ok(response) => {
+                let text = response.into_string().unwrap_or_default();
+                let Ok(orders) = serde_json::from_str::<Orders>(&text) else { return };
+                self.change(|state, now| {
+                    if let Some(worker) = state.workers.get_mut(&report.host) {
+                        worker.answered(&orders, sent, report.session, now);
+                    }
+                });
+            }
+            Err(ureq::Error::Status(421, response)) => {
+                let text = response.into_string().unwrap_or_default();
+                let body: Value = serde_json::from_str(&text).unwrap_or_default();
+                let named = controllers.iter().position(|(name, _)| body["steward"] == **name);
+                *target = named.unwrap_or(*target + 1);
+            }
+            Err(_) => *target += 1,
+        }
+    }
+}
+
+impl State {
+    fn show_ends(&mut self) {
+        for (host, worker) in &self.workers {
+            let shown = self.ends_shown.entry(host.clone()).or_default();
+            for task in &worker.completed[*shown..] {
+                self.rules.task_completed(task);
+            }
+            *shown = worker.completed.len();
+        }
+    }
+
+    fn show_starts(&mut self, now: Micros) {
+        let machines: Vec<MachineTasks> = self.workers.values().map(machine_tasks).collect();
+        self.rules.machines(now, &machines);
+        for (host, worker) in &self.workers {
+            let shown = self.starts_shown.entry(host.clone()).or_default();
+            for (task, at) in &worker.started[*shown..] {
+                self.rules.task_started(*at, task, host, &machines);
+            }
+            *shown = worker.started.len();
+        }
+    }
+}
+
+fn machine_tasks(worker: &Worker) -> MachineTasks {
+    MachineTasks {
+        host: worker.rental.name.clone(),
+        kind: worker.rental.kind.clone(),
+        zone: worker.rental.zone.clone(),
+        spot: worker.rental.spot,
+        tasks: worker.running(),
+    }
+}
--- a/crates/quartzlever-standin/src/http.rs
+++ b/crates/quartzlever-standin/src/http.rs
@@ -9,18 +9,17 @@
 
 use quartzlever_wire::cloud::{CloudCall, CloudReply, Hire, HostNames, Rental};
 use quartzlever_wire::state::{HoldAnswer, HoldRequest, StateCall, StateReply, Txn};
-use quartzlever_wire::workers::{Orders, WorkerReply};
 use quartzlever_wire::{CallError, Micros, SECOND};
 use serde_json::{Value, json};
 use tiny_http::{Header, Method, Request, Response, Server};
 
-use crate::{Cloud, Store, Worker};
+use crate::{Cloud, Store};
 
-fn micros(start: Instant) -> Micros {
+pub(crate) fn micros(start: Instant) -> Micros {
     SECOND + start.elapsed().as_micros() as Micros
 }
 
-fn respond(request: Request, status: u16, body: &Value) {
+pub(crate) fn respond(request: Request, status: u16, body: &Value) {
     let mut response = Response::from_string(body.to_string()).with_status_code(status);
     if let Ok(header) = Header::from_bytes("Content-Type", "application/json") {
         response.add_header(header);
@@ -29,7 +28,7 @@
     let _ = request.respond(response);
 }
 
-fn body_of(request: &mut Request) -> Vec<u8> {
+pub(crate) fn body_of(request: &mut Request) -> Vec<u8> {
     let mut body = Vec::new();
     if request.as_reader().read_to_end(&mut body).is_err() {
         body.clear();
@@ -46,11 +45,15 @@
     })
 }
 
-fn listen(handle: impl Fn(Request) + Send + Sync + 'static) -> io::Result<SocketAddr> {
+/// Serves requests at a new loopback port, so many at a time.
+pub(crate) fn listen(
+    threads: usize,
+    handle: impl Fn(Request) + Send + Sync + 'static,
+) -> io::Result<SocketAddr> {
     let server = Arc::new(Server::http("127.0.0.1:0").map_err(io::Error::other)?);
     let address = server.server_addr().to_ip().ok_or_else(|| io::Error::other("no address"))?;
     let handle = Arc::new(handle);
-    for _ in 0..8 {
+    for _ in 0..threads {
         let (server, handle) = (server.clone(), handle.clone());
         thread::spawn(move || {
             while let Ok(request) = server.recv() {
@@ -61,9 +64,13 @@
     Ok(address)
 }
 
+/// Open watches take a thread each: two of each controller, and a few for everything else.
+const STORE_THREADS: usize = 24;
+const CLOUD_THREADS: usize = 4;
+
 /// Serves a store.
 pub fn serve_store(store: Arc<Mutex<Store>>, start: Instant) -> io::Result<SocketAddr> {
-    listen(move |mut request| {
+    listen(STORE_THREADS, move |mut request| {
         let body = body_of(&mut request);
         let url = request.url().to_owned();
         let path = url.split('?').next().unwrap_or("").to_owned();
@@ -131,37 +138,13 @@
     })
 }
 
-/// Serves a cloud whose machines report to the given controllers, which may change. Each machine
-/// has threads and a port of its own, so this is for a few of them.
-pub fn serve_cloud(
-    cloud: Cloud,
-    controllers: Arc<Mutex<Vec<SocketAddr>>>,
-    lease: Micros,
-    run_time: Micros,
-    start: Instant,
-) -> io::Result<SocketAddr> {
-    let cloud = Arc::new(Mutex::new(cloud));
-    let rented = cloud.clone();
-    serve_rentals(
-        cloud,
-        |_| {},
-        move |rental| {
-            let worker = Worker::new(rental, lease, run_time, micros(start));
-            let (controllers, cloud) = (controllers.clone(), rented.clone());
-            thread::spawn(move || {
-                let _ = live(worker, &controllers, &cloud, start);
-            });
-        },
-    )
-}
-
 /// Serves a cloud; `gone` is told of each returned machine, `rented` of each new one.
 pub fn serve_rentals(
     cloud: Arc<Mutex<Cloud>>,
     gone: impl Fn(&str) + Send + Sync + 'static,
     rented: impl Fn(Rental) + Send + Sync + 'static,
 ) -> io::Result<SocketAddr> {
-    listen(move |mut request| {
+    listen(CLOUD_THREADS, move |mut request| {
         let body = body_of(&mut request);
         let url = request.url().to_owned();
         let path = url.split('?').next().unwrap_or("").to_owned();
@@ -201,66 +184,3 @@
         respond(request, status, &value);
     })
 }
-
-/// The life of a worker: a port for direct commands, and a report every so often.
-fn live(
-    mut worker: Worker,
-    controllers: &Mutex<Vec<SocketAddr>>,
-    cloud: &Mutex<Cloud>,
-    start: Instant,
-) -> io::Result<()> {
-    let name = worker.rental.name.clone();
-    let shared: Arc<Mutex<Option<Worker>>> = Arc::new(Mutex::new(None));
-    let inner = shared.clone();
-    let address = listen(move |mut request| {
-        let body = body_of(&mut request);
-        let Ok(mut guard) = inner.lock() else { return };
-        let Some(worker) = guard.as_mut() else { return };
-        let now = micros(start);
-        worker.pass(now);
-        if request.url() == "/status" {
-            let report = worker.report();
-            drop(guard);
-            return respond(request, 200, &json!(report));
-        }
-        let reply = serde_json::from_slice::<Orders>(&body).map(|o| worker.command(&o, now));
-        drop(guard);
-        match reply {
-            Ok(WorkerReply::Report(report)) => respond(request, 200, &json!(report)),
-            Ok(WorkerReply::Refused(report)) => respond(request, 409, &json!(report)),
-            Err(_) => respond(request, 400, &json!({})),
-        }
-    })?;
-    worker.rental.address = address.to_string();
-    *shared.lock().map_err(|_| io::Error::other("lock"))? = Some(worker);
-    let agent = ureq::AgentBuilder::new().timeout(Duration::from_secs(4)).build();
-    let mut node = 0;
-    while cloud.lock().is_ok_and(|c| c.machines.contains_key(&name)) {
-        let (report, sent) = {
-            let mut guard = shared.lock().map_err(|_| io::Error::other("lock"))?;
-            let Some(worker) = guard.as_mut() else { return Ok(()) };
-            let now = micros(start);
-            worker.pass(now);
-            (worker.report(), now)
-        };
-        let target = {
-            let known = controllers.lock().map_err(|_| io::Error::other("lock"))?;
-            known[node % known.len()]
-        };
-        let url = format!("http://{target}/hello");
-        match agent.post(&url).send_string(&json!(report).to_string()) {
-            Ok(response) => {
-                let text = response.into_string()?;
-                if let Ok(orders) = serde_json::from_str::<Orders>(&text)
-                    && let Ok(mut guard) = shared.lock()
-                    && let Some(worker) = guard.as_mut()
-                {
-                    worker.answered(&orders, sent, report.session, micros(start));
-                }
-            }
-            Err(_) => node += 1,
-        }
-        thread::sleep(Duration::from_millis(100));
-    }
-    Ok(())
-}
--- a/crates/quartzlever-standin/src/lib.rs
+++ b/crates/quartzlever-standin/src/lib.rs
@@ -1,13 +1,17 @@
 //! Stand-ins for what surrounds a controller, for tests only.
 //!
 //! [`Store`], [`Cloud`] and [`Worker`] are pure: the caller says what time it is. [`http`] puts
-//! them on loopback ports for tests of the real program, [`crowd`] a
-//! fleet of thousands of workers, and [`program`] starts the program itself.
+//! them on loopback ports for tests of the real program, [`fleet`] runs the workers and shows the
+//! [`rules`] checker what they do, [`crowd`] is a fleet of thousands of workers, and [`program`]
+//! starts the program itself, or the version in [`production`].
 
 mod cloud;
 pub mod crowd;
+pub mod fleet;
 pub mod http;
+pub mod production;
 pub mod program;
+pub mod rules;
 mod store;
 mod worker;
 
--- a/crates/quartzlever-standin/src/program.rs
+++ b/crates/quartzlever-standin/src/program.rs
@@ -16,8 +16,17 @@
 impl Node {
     /// Starts the program with a settings file and waits until it names its port.
     pub fn start(program: &str, config: &Path) -> io::Result<Node> {
-        let mut child =
-            Command::new(program).arg("--config").arg(config).stderr(Stdio::piped()).spawn()?;
+        Node::start_with(Path::new(program), config, None)
+    }
+
+    /// The same, with an operator's file.
+    pub fn start_with(program: &Path, config: &Path, operator: Option<&Path>) -> io::Result<Node> {
+        let mut command = Command::new(program);
+        command.arg("--config").arg(config);
+        if let Some(operator) = operator {
+            command.arg("--operator").arg(operator);
+        }
+        let mut child = command.stderr(Stdio::piped()).spawn()?;
         let log = child.stderr.take().ok_or(io::ErrorKind::BrokenPipe)?;
         let mut lines = BufReader::new(log).lines();
         let address = loop {
--- a/crates/quartzlever-core/tests/world/judge.rs
+++ b/crates/quartzlever-standin/src/rules.rs
@@ -1,9 +1,9 @@
-//! Judges every rule of the protocol from what the world saw: tasks on machines, their starts and
-//! ends, and what users were told. It knows nothing of what controllers believe.
+//! Checks every rule of the protocol from what happened outside the controllers: tasks on machines,
+//! their starts and ends, and the answers that users got. It knows nothing of what controllers
+//! believe.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use quartzlever_core::Team;
 use quartzlever_wire::Micros;
 use quartzlever_wire::users::JobSpec;
 use quartzlever_wire::workers::TaskId;
@@ -16,9 +16,17 @@
     Cancel,
 }
 
+/// The most that all tasks of a team may use at once; 0 means no limit.
+#[derive(Clone, Debug, Default)]
+pub struct TeamLimit {
+    pub team: String,
+    pub cpus: f64,
+    pub gpus: f64,
+}
+
 /// A machine with the tasks that are on it.
 #[derive(Clone, Debug)]
-pub struct Seen {
+pub struct MachineTasks {
     pub host: String,
     pub kind: String,
     pub zone: String,
@@ -36,10 +44,11 @@
     answered: Micros,
 }
 
+/// The checker, fed by whoever runs the workers and asks as a user.
 #[derive(Debug)]
-pub struct Judge {
+pub struct RuleChecker {
     cancel: Micros,
-    teams: Vec<Team>,
+    limits: Vec<TeamLimit>,
     pub specs: BTreeMap<String, JobSpec>,
     told: BTreeMap<String, Told>,
     completed: BTreeMap<String, BTreeSet<u32>>,
@@ -53,11 +62,11 @@
     pub cancellations: usize,
 }
 
-impl Judge {
-    pub fn new(cancel: Micros, teams: Vec<Team>) -> Self {
-        Judge {
+impl RuleChecker {
+    pub fn new(cancel: Micros, limits: Vec<TeamLimit>) -> Self {
+        RuleChecker {
             cancel,
-            teams,
+            limits,
             specs: BTreeMap::new(),
             told: BTreeMap::new(),
             completed: BTreeMap::new(),
@@ -74,7 +83,7 @@
     }
 
     /// A user sends a question.
-    pub fn asks(&mut self, asked: Asked, job: &str, spec: Option<&JobSpec>) {
+    pub fn asked(&mut self, asked: Asked, job: &str, spec: Option<&JobSpec>) {
         let told = self.told.entry(job.to_owned()).or_default();
         told.cancel_asked |= asked == Asked::Cancel;
         if let Some(spec) = spec {
@@ -83,7 +92,7 @@
     }
 
     /// A user gets an answer to a question sent at `sent`.
-    pub fn answer(
+    pub fn answered(
         &mut self,
         now: Micros,
         sent: Micros,
@@ -140,7 +149,7 @@
     }
 
     /// Each machine as it is now.
-    pub fn machines(&mut self, now: Micros, machines: &[Seen]) {
+    pub fn machines(&mut self, now: Micros, machines: &[MachineTasks]) {
         let mut on: BTreeMap<&TaskId, &str> = BTreeMap::new();
         let mut used: BTreeMap<String, (f64, f64)> = BTreeMap::new();
         let mut broken = Vec::new();
@@ -158,12 +167,12 @@
                 }
             }
         }
-        for team in &self.teams {
-            let (cpus, gpus) = used.get(&team.name).copied().unwrap_or_default();
-            if (team.cpus_max > 0.0 && cpus > team.cpus_max + 1e-6)
-                || (team.gpus_max > 0.0 && gpus > team.gpus_max + 1e-6)
+        for limit in &self.limits {
+            let (cpus, gpus) = used.get(&limit.team).copied().unwrap_or_default();
+            if (limit.cpus > 0.0 && cpus > limit.cpus + 1e-6)
+                || (limit.gpus > 0.0 && gpus > limit.gpus + 1e-6)
             {
-                broken.push(("quota", format!("{} uses {cpus} and {gpus}", team.name)));
+                broken.push(("quota", format!("{} uses {cpus} and {gpus}", limit.team)));
             }
         }
         for (rule, what) in broken {
@@ -178,7 +187,13 @@
     }
 
     /// A task starts on a machine, while `machines` are as they are with it.
-    pub fn starts(&mut self, now: Micros, task: &TaskId, host: &str, machines: &[Seen]) {
+    pub fn task_started(
+        &mut self,
+        now: Micros,
+        task: &TaskId,
+        host: &str,
+        machines: &[MachineTasks],
+    ) {
         self.begun.insert(task.job.clone());
         if let Some(at) = self.cancelled(&task.job).filter(|at| now > *at) {
             self.starts_after_cancel += 1;
@@ -196,7 +211,7 @@
         let kind = spec.types.as_ref().is_none_or(|t| t.contains(&place.kind));
         let zone = spec.zone.as_ref().is_none_or(|z| *z == place.zone);
         let spot = spec.spot || !place.spot;
-        let of_job = |m: &&Seen| m.tasks.iter().any(|t| t.job == task.job);
+        let of_job = |m: &&MachineTasks| m.tasks.iter().any(|t| t.job == task.job);
         let together =
             !spec.one_zone || machines.iter().filter(of_job).all(|m| m.zone == place.zone);
         let here = machines
@@ -212,12 +227,12 @@
     }
 
     /// A task has run to its end.
-    pub fn completes(&mut self, task: &TaskId) {
+    pub fn task_completed(&mut self, task: &TaskId) {
         self.completed.entry(task.job.clone()).or_default().insert(task.index);
     }
 
     /// A job is done in the state service.
-    pub fn ends(&mut self, now: Micros, job: &str) {
+    pub fn job_done(&mut self, now: Micros, job: &str) {
         self.ended.entry(job.to_owned()).or_insert(now);
     }
 
--- a/crates/quartzlever-standin/src/store.rs
+++ b/crates/quartzlever-standin/src/store.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 
 use quartzlever_wire::state::{
-    Change, Event, Row, Rows, StateCall, StateReply, Txn, TxnAnswer, WatchAnswer,
+    CLUSTER_VERSION, Change, Event, HOSTS, LIVE, Row, Rows, StateCall, StateReply, Txn, TxnAnswer,
+    WatchAnswer,
 };
 use quartzlever_wire::{CallError, Json, Micros};
 
@@ -38,6 +39,21 @@
         self.keys.keys().filter(|k| k.starts_with(prefix)).cloned().collect()
     }
 
+    /// The count of all changes.
+    pub fn revision(&self) -> u64 {
+        self.epoch
+    }
+
+    /// A key, or a value, in a form that controllers of the first version do not know.
+    pub fn key_unknown_to_first_version(&self) -> Option<&str> {
+        let unknown = |(key, (value, _, _)): &(&String, &(Json, u64, Option<u64>))| {
+            key.as_str() == CLUSTER_VERSION
+                || (key.starts_with(HOSTS) && key.matches('~').count() > 1)
+                || (key.starts_with(LIVE) && value.text().contains("daemon"))
+        };
+        self.keys.iter().find(unknown).map(|(key, _)| key.as_str())
+    }
+
     /// Ends an outage: all leases get their full time again.
     pub fn end_outage(&mut self, now: Micros) {
         self.outage = false;
--- a/crates/quartzlever-standin/src/worker.rs
+++ b/crates/quartzlever-standin/src/worker.rs
@@ -1,6 +1,6 @@
 //! A worker: sessions, tokens, its lease, and tasks that take a fixed time.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use quartzlever_wire::cloud::Rental;
 use quartzlever_wire::workers::{
@@ -27,6 +27,8 @@
     renewed: Micros,
     attempts: BTreeMap<(TaskId, u64), Attempt>,
     pub run_time: Micros,
+    /// Jobs whose tasks run until they are stopped.
+    pub endless: BTreeSet<String>,
     /// Every task fails here.
     pub faulty: bool,
     /// Executes nothing and says nothing.
@@ -48,6 +50,7 @@
             renewed: now,
             attempts: BTreeMap::new(),
             run_time,
+            endless: BTreeSet::new(),
             faulty: false,
             hung: false,
             started: Vec::new(),
@@ -78,7 +81,7 @@
         for ((task, _), attempt) in self.attempts.iter_mut().filter(|(_, a)| a.exited.is_none()) {
             if self.faulty && now >= attempt.started + SECOND / 2 {
                 attempt.exited = Some(Cause::Error);
-            } else if now >= attempt.started + self.run_time {
+            } else if now >= attempt.started + self.run_time && !self.endless.contains(&task.job) {
                 attempt.exited = Some(Cause::Done);
                 self.completed.push(task.clone());
             }
--- /dev/null
+++ b/crates/quartzlever-standin/tests/rules.rs
@@ -0,0 +1,161 @@
+//! The checker finds a violation of each rule, and nothing in what is right.
+
+use quartzlever_standin::rules::{Asked, MachineTasks, RuleChecker, TeamLimit};
+use quartzlever_wire::users::{JobSpec, Rank, Shape};
+use quartzlever_wire::workers::TaskId;
+use quartzlever_wire::{Micros, SECOND};
+
+const START: Micros = 1_000 * SECOND;
+
+fn job(n: u32, tasks: u32) -> JobSpec {
+    JobSpec {
+        id: format!("req-{n:06}"),
+        class: "c".into(),
+        team: "free".into(),
+        shape: Shape::Batch,
+        rank: Rank::Standard,
+        tasks,
+        cpus: 2.0,
+        gpus: 0.0,
+        ram_gb: 1.0,
+        image: "img".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        expect_s: 3.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        due_s: Some(60.0),
+    }
+}
+
+fn task(n: u32, index: u32) -> TaskId {
+    TaskId { job: job(n, 1).id, index }
+}
+
+fn on(host: &str, zone: &str, tasks: &[TaskId]) -> MachineTasks {
+    MachineTasks {
+        host: host.into(),
+        kind: "m".into(),
+        zone: zone.into(),
+        spot: true,
+        tasks: tasks.to_vec(),
+    }
+}
+
+/// A checker that knows of a job of two tasks, accepted at the start.
+fn checker(change: impl FnOnce(&mut JobSpec)) -> RuleChecker {
+    let tight = TeamLimit { team: "tight".into(), cpus: 3.0, ..TeamLimit::default() };
+    let mut checker = RuleChecker::new(20 * SECOND, vec![tight]);
+    let mut spec = job(1, 2);
+    change(&mut spec);
+    checker.asked(Asked::Submit, &spec.id, Some(&spec));
+    checker.answered(START, START - 1, Asked::Submit, &spec.id, 201, "queued");
+    checker
+}
+
+type Script = fn(&mut RuleChecker);
+
+#[test]
+fn each_broken_rule_is_found_and_nothing_else() {
+    let id = "req-000001";
+    assert_eq!(job(1, 2).id, id);
+    // (rule, what happens)
+    let cases: &[(&str, Script)] = &[
+        ("", |j| {
+            // All is well: one task ends, both have run, and the job is done.
+            let both = [on("n1", "a", &[task(1, 0)]), on("n2", "b", &[task(1, 1)])];
+            j.task_started(START + 1, &task(1, 0), "n1", &both);
+            j.machines(START + 1, &both);
+            j.task_completed(&task(1, 0));
+            j.task_completed(&task(1, 1));
+            j.answered(START + 9, START + 8, Asked::Lookup, "req-000001", 200, "done");
+        }),
+        ("", |j| {
+            // A question sent before the end was told may get an older answer.
+            j.asked(Asked::Cancel, "req-000001", None);
+            j.answered(START + 9, START + 5, Asked::Cancel, "req-000001", 200, "aborted");
+            j.answered(START + 10, START + 8, Asked::Lookup, "req-000001", 200, "running");
+            let still = [on("n1", "a", &[task(1, 0)])];
+            j.machines(START + 9 + 20 * SECOND, &still);
+        }),
+        ("ran_twice", |j| {
+            j.machines(START, &[on("n1", "a", &[task(1, 0)]), on("n2", "a", &[task(1, 0)])]);
+        }),
+        ("ran_cancelled", |j| {
+            j.asked(Asked::Cancel, "req-000001", None);
+            j.answered(START, START - 1, Asked::Cancel, "req-000001", 200, "aborted");
+            j.machines(START + 20 * SECOND + 1, &[on("n1", "a", &[task(1, 0)])]);
+        }),
+        ("ran_cancelled", |j| {
+            j.asked(Asked::Cancel, "req-000001", None);
+            j.answered(START, START - 1, Asked::Cancel, "req-000001", 200, "aborted");
+            j.task_started(START + 20 * SECOND + 1, &task(1, 0), "n1", &[]);
+        }),
+        ("forgotten", |j| j.answered(START + 9, START + 8, Asked::Lookup, "req-000001", 404, "")),
+        ("forgotten", |j| j.answered(START + 9, START + 8, Asked::Submit, "req-000001", 422, "")),
+        ("forgotten", |j| j.answered(START + 9, START + 8, Asked::Submit, "req-000001", 400, "")),
+        ("forgotten", |j| j.unanswered(START + 90 * SECOND, START + SECOND)),
+        ("invented", |j| j.answered(START, START - 1, Asked::Lookup, "req-000002", 200, "queued")),
+        ("invented", |j| j.task_started(START, &task(2, 0), "n1", &[])),
+        ("not_done", |j| {
+            j.task_completed(&task(1, 0));
+            j.answered(START + 9, START + 8, Asked::Lookup, "req-000001", 200, "done");
+        }),
+        ("went_back", |j| {
+            j.asked(Asked::Cancel, "req-000001", None);
+            j.answered(START + 9, START + 8, Asked::Cancel, "req-000001", 200, "aborted");
+            j.answered(START + 12, START + 10, Asked::Submit, "req-000001", 200, "queued");
+        }),
+        ("went_back", |j| {
+            j.asked(Asked::Cancel, "req-000001", None);
+            j.task_completed(&task(1, 0));
+            j.task_completed(&task(1, 1));
+            j.answered(START + 9, START + 8, Asked::Lookup, "req-000001", 200, "done");
+            j.answered(START + 9, START + 8, Asked::Cancel, "req-000001", 200, "aborted");
+        }),
+        ("went_back", |j| {
+            j.answered(START + 9, START + 8, Asked::Lookup, "req-000001", 200, "aborted");
+        }),
+        ("ran_after_end", |j| {
+            j.job_done(START, "req-000001");
+            j.task_started(START + 1, &task(1, 0), "n1", &[]);
+        }),
+    ];
+    for (n, (rule, script)) in cases.iter().enumerate() {
+        let mut checker = checker(|_| {});
+        script(&mut checker);
+        let found: Vec<&str> = checker.broken.iter().filter_map(|b| b.split(' ').next()).collect();
+        let expected: Vec<&str> = if rule.is_empty() { vec![] } else { vec![rule] };
+        assert_eq!(found, expected, "case {n}");
+    }
+}
+
+#[test]
+fn places_and_limits_are_checked() {
+    type Change = fn(&mut JobSpec);
+    let both = [on("n1", "a", &[task(1, 0)]), on("n2", "b", &[task(1, 1)])];
+    let same = [on("n1", "a", &[task(1, 0)]), on("n2", "a", &[task(1, 1)])];
+    // (rule, the job, the machines when its second task starts on n2)
+    let cases: &[(&str, Change, &[MachineTasks])] = &[
+        ("", |_| {}, &both),
+        ("wrong_place", |s| s.types = Some(vec!["x".into()]), &both),
+        ("wrong_place", |s| s.zone = Some("a".into()), &both),
+        ("wrong_place", |s| s.spot = false, &both),
+        ("wrong_place", |s| s.one_zone = true, &both),
+        ("", |s| s.one_zone = true, &same),
+        ("wrong_place", |s| s.spread = true, &same),
+        ("", |s| s.spread = true, &both),
+        ("quota", |s| s.team = "tight".into(), &both),
+    ];
+    for (n, (rule, change, machines)) in cases.iter().enumerate() {
+        let mut checker = checker(*change);
+        checker.task_started(START + 1, &task(1, 1), "n2", machines);
+        checker.machines(START + 1, machines);
+        let found = checker.broken.first().and_then(|b| b.split(' ').next()).unwrap_or("");
+        assert_eq!(found, *rule, "case {n}");
+    }
+}
--- a/crates/quartzlever/tests/end_to_end.rs
+++ b/crates/quartzlever/tests/end_to_end.rs
@@ -6,7 +6,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use quartzlever_standin::fleet::{Behaviour, Fleet};
 use quartzlever_standin::program::Node;
+use quartzlever_standin::rules::RuleChecker;
 use quartzlever_standin::{Cloud, Store, http};
 use quartzlever_wire::SECOND;
 use serde_json::{Value, json};
@@ -97,13 +99,16 @@
 fn jobs_survive_a_kill() {
     let begin = Instant::now();
     let store = http::serve_store(Arc::new(Mutex::new(Store::default())), begin).expect("store");
-    let controllers = Arc::new(Mutex::new(vec!["127.0.0.1:1".parse().expect("address")]));
-    let cloud = Cloud::new(8.0, &["a"], 3);
-    let cloud = http::serve_cloud(cloud, controllers.clone(), 10 * SECOND, SECOND, begin);
-    let cloud = cloud.expect("cloud");
+    let nowhere = ("one".to_owned(), "127.0.0.1:1".parse().expect("address"));
+    let controllers = Arc::new(Mutex::new(vec![nowhere]));
+    let report = Duration::from_millis(100);
+    let behaviour = Behaviour { report, lease: 10 * SECOND, run_time: SECOND };
+    let rules = RuleChecker::new(20 * SECOND, Vec::new());
+    let fleet = Fleet::new(rules, controllers.clone(), behaviour, begin);
+    let cloud = fleet.serve_cloud(Cloud::new(8.0, &["a"], 3)).expect("cloud");
     let config = scratch("one.toml", &settings(&store.to_string(), &cloud.to_string()));
     let node = start(&config);
-    *controllers.lock().expect("lock") = vec![node.address];
+    *controllers.lock().expect("lock") = vec![("one".to_owned(), node.address)];
     let base = format!("http://{}", node.address);
     until("ready", || call("GET", &format!("{base}/ready"), None), |a| a.0 == 200);
 
@@ -132,7 +137,7 @@
     until("accept", || call("POST", &runs, Some(&job("req-2", 12))), |a| a.0 == 201);
     drop(node);
     let node = start(&config);
-    *controllers.lock().expect("lock") = vec![node.address];
+    *controllers.lock().expect("lock") = vec![("one".to_owned(), node.address)];
     let runs = format!("http://{}/v2/runs", node.address);
     let (first, second) = (format!("{runs}/req-1"), format!("{runs}/req-2"));
     until("lookup", || call("GET", &first, None), |a| a.0 == 200);
--- /dev/null
+++ b/crates/quartzlever/tests/rolling_upgrade/users.rs
@@ -0,0 +1,138 @@
+//! Users of a test: they submit, look up and cancel at a controller of their choice, repeat as the
+//! protocol says, and tell the checker what they asked and what they were told.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use quartzlever_standin::fleet::Fleet;
+use quartzlever_standin::rules::Asked;
+use quartzlever_wire::users::{JobSpec, Rank, Shape};
+use serde_json::Value;
+
+const PATIENCE: Duration = Duration::from_secs(2);
+const RETRY: Duration = Duration::from_millis(500);
+/// Far longer than any takeover; a test that waits for so long has found a fault.
+pub const DEADLINE: Duration = Duration::from_secs(120);
+
+/// An array of tasks.
+pub fn array(number: u32, tasks: u32) -> JobSpec {
+    JobSpec {
+        id: format!("req-{number:06}"),
+        class: "array".into(),
+        team: "free".into(),
+        shape: Shape::Batch,
+        rank: Rank::Standard,
+        tasks,
+        cpus: 2.0,
+        gpus: 0.0,
+        ram_gb: 1.0,
+        image: "image".into(),
+        image_gb: 0.5,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        expect_s: 1.5,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        due_s: None,
+    }
+}
+
+/// A service.
+pub fn service(number: u32, replicas: u32) -> JobSpec {
+    JobSpec { shape: Shape::Daemon, expect_s: 0.0, cpus: 1.0, ..array(number, replicas) }
+}
+
+/// What a user was told.
+#[derive(Clone, Debug)]
+pub struct Told {
+    pub status: u16,
+    pub phase: String,
+}
+
+/// Asks controllers as users do.
+#[derive(Clone)]
+pub struct Users {
+    fleet: Arc<Fleet>,
+}
+
+impl Users {
+    pub fn new(fleet: Arc<Fleet>) -> Users {
+        Users { fleet }
+    }
+
+    pub fn submit(&self, controller: SocketAddr, spec: &JobSpec) -> Told {
+        let body = serde_json::to_string(spec).expect("a job is JSON");
+        self.ask(controller, Asked::Submit, &spec.id, Some(spec), Some(&body))
+    }
+
+    pub fn look_up(&self, controller: SocketAddr, job: &str) -> Told {
+        self.ask(controller, Asked::Lookup, job, None, None)
+    }
+
+    pub fn cancel(&self, controller: SocketAddr, job: &str) -> Told {
+        self.ask(controller, Asked::Cancel, job, None, Some(""))
+    }
+
+    fn ask(
+        &self,
+        controller: SocketAddr,
+        asked: Asked,
+        job: &str,
+        spec: Option<&JobSpec>,
+        body: Option<&str>,
+    ) -> Told {
+        let sent = self.fleet.rules(|rules, now| {
+            rules.asked(asked, job, spec);
+            now
+        });
+        let base = format!("http://{controller}/v2/runs");
+        let request = match asked {
+            Asked::Submit => ureq::post(&base),
+            Asked::Lookup => ureq::get(&format!("{base}/{job}")),
+            Asked::Cancel => ureq::post(&format!("{base}/{job}/abort")),
+        };
+        let told = send(request, body);
+        self.fleet.rules(|rules, now| {
+            rules.answered(now, sent, asked, job, told.status, &told.phase);
+        });
+        told
+    }
+}
+
+fn send(request: ureq::Request, body: Option<&str>) -> Told {
+    let request = request.timeout(PATIENCE);
+    let result = match body {
+        Some(body) => request.send_string(body),
+        None => request.call(),
+    };
+    let (status, text) = match result {
+        Ok(response) | Err(ureq::Error::Status(_, response)) => {
+            (response.status(), response.into_string().unwrap_or_default())
+        }
+        Err(ureq::Error::Transport(_)) => (0, String::new()),
+    };
+    let body: Value = serde_json::from_str(&text).unwrap_or_default();
+    Told { status, phase: body["phase"].as_str().unwrap_or_default().to_owned() }
+}
+
+/// Repeats something until its outcome is as wanted; far too late, the test fails.
+pub fn until<T: std::fmt::Debug>(
+    what: &str,
+    mut attempt: impl FnMut() -> T,
+    wanted: impl Fn(&T) -> bool,
+) -> T {
+    let begin = Instant::now();
+    loop {
+        let outcome = attempt();
+        if wanted(&outcome) {
+            return outcome;
+        }
+        assert!(begin.elapsed() < DEADLINE, "{what}: last {outcome:?}");
+        thread::sleep(RETRY);
+    }
+}
