--- a/crates/quartzlever-core/src/cluster.rs
+++ b/crates/quartzlever-core/src/cluster.rs
@@ -20,6 +20,8 @@
 pub const VERSION: u32 = 2;
 /// From this version on there are jobs that run until they are cancelled, and small blocks.
 const SERVICES: u32 = 2;
+/// From this version on finished tasks of large jobs are recorded in pages.
+const PAGES: u32 = 2;
 /// After an announcement or a raising that was not answered, or came too early.
 const RETRY: Micros = SECOND / 2;
 
@@ -53,6 +55,11 @@
         self.version >= SERVICES
     }
 
+    /// Whether every controller knows pages of finished tasks.
+    pub fn pages(&self) -> bool {
+        self.version >= PAGES
+    }
+
     /// The announcements are read anew.
     pub fn forget_nodes(&mut self) {
         self.nodes.clear();
@@ -94,9 +101,7 @@
     /// Tells this process's version, and raises the cluster version when all have told theirs.
     pub(crate) fn keep_cluster(&mut self) {
         let now = self.now;
-        let Some(lease) = self.lease.id.filter(|_| self.cache.loaded() && self.holds()) else {
-            return;
-        };
+        let Some(lease) = self.lease.id.filter(|_| self.holds()) else { return };
         if self.cfg.version < VERSION || self.cluster.waiting || now < self.cluster.next {
             return;
         }
@@ -104,6 +109,7 @@
             let Some(txn) = self.raising() else { return };
             (txn, ClusterWrite::Raise)
         } else {
+            // At once, while the records are still being read: nothing is acquired before it.
             let key = format!("{CLUSTER_NODES}{}", self.cfg.node);
             let txn = Txn::default().write_held(key, Json::of(&self.own_record()), lease);
             (txn, ClusterWrite::Announce)
@@ -128,7 +134,7 @@
     /// every announcement and of every partition being held by a process that has announced
     /// itself, so that no write of an earlier version can come into force any more.
     fn raising(&self) -> Option<Txn> {
-        if self.cluster.version >= VERSION {
+        if self.cluster.version >= VERSION || !self.cache.loaded() {
             return None;
         }
         let mut txn = Txn::default().when(CLUSTER_VERSION, 0);
--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -9,7 +9,7 @@
     StateReply,
 };
 use quartzlever_wire::workers::{Report, WorkerCall, WorkerReply};
-use quartzlever_wire::{CallError, Micros, Ranges, SECOND};
+use quartzlever_wire::{CallError, Micros, SECOND};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -18,10 +18,11 @@
 use crate::config::Config;
 use crate::fleet::CloudWork;
 use crate::hearing::Hearing;
-use crate::jobs::Purpose;
+use crate::jobs::{JobWrite, Purpose};
 use crate::ledger::Ledger;
 use crate::lookups::{Asked, Lookups};
 use crate::messages::{Answer, Command, Effect, Lane, RequestId, Token, Weight};
+use crate::pages::Pages;
 use crate::partition::{Partition, Types};
 use crate::placement::Paces;
 use crate::stealing::Stealing;
@@ -52,6 +53,7 @@
     },
     ListHosts,
     ListJobs,
+    ListPages,
     ListCluster,
     /// A version was announced, or raised.
     Cluster(ClusterWrite),
@@ -86,13 +88,7 @@
         done: u32,
         tries: u32,
     },
-    JobWrite {
-        part: String,
-        term: u64,
-        job: String,
-        finished: Ranges,
-        over: bool,
-    },
+    JobWrite(Box<JobWrite>),
     Reread {
         part: String,
         term: u64,
@@ -344,6 +340,7 @@
     pub(crate) parts: BTreeMap<String, Partition>,
     pub(crate) contact: Contact,
     pub(crate) cluster: Cluster,
+    pub(crate) pages: Pages,
     /// What the state service takes, as far as is known.
     pub(crate) limits: Limits,
     txn_sizes: HashMap<Token, TxnSize>,
@@ -415,6 +412,7 @@
             parts: BTreeMap::new(),
             contact: Contact { heard: now, ..Contact::default() },
             cluster: Cluster::default(),
+            pages: Pages::default(),
             limits: Limits { value_bytes: cfg.value_bytes, txn_ops: cfg.txn_ops },
             txn_sizes: HashMap::new(),
             hearing: Hearing::new(now),
@@ -747,6 +745,7 @@
             Waiting::ListParts { from_epoch } => self.parts_listed(from_epoch, result),
             Waiting::ListHosts => self.hosts_listed(result),
             Waiting::ListJobs => self.jobs_listed(result),
+            Waiting::ListPages => self.pages_listed(result),
             Waiting::ListCluster => self.cluster_listed(result),
             Waiting::Cluster(write) => self.cluster_answered(write, &result),
             Waiting::SplitBlock { key, small, whole } => {
@@ -761,9 +760,7 @@
             Waiting::Cancel { id, job, done, tries } => {
                 self.cancel_answered(id, job, done, tries, result);
             }
-            Waiting::JobWrite { part, term, job, finished, over } => {
-                self.job_written(&part, term, &job, finished, over, result);
-            }
+            Waiting::JobWrite(write) => self.job_written(*write, result),
             Waiting::Reread { part, term, job } => self.reread(&part, term, &job, result),
             Waiting::RereadOver { part, term, job } => self.reread_over(&part, term, &job, result),
             Waiting::StealWrite { part, term, request, moved } => {
@@ -834,6 +831,7 @@
         if self.now >= self.write_at {
             self.write_at = self.now + WRITE_PAUSE;
             self.write_jobs();
+            self.remove_leftover_pages();
         }
         if self.now >= self.blocks_at {
             self.blocks_at = self.now + BLOCKS_PAUSE;
--- a/crates/quartzlever-core/src/jobs.rs
+++ b/crates/quartzlever-core/src/jobs.rs
@@ -16,7 +16,8 @@
 use crate::leases::parse;
 use crate::ledger::Change;
 use crate::messages::{Answer, Lane, RequestId, Weight};
-use crate::partition::{Partition, live_key};
+use crate::pages::{Pages, ProgressWrite, WriteRoom};
+use crate::partition::{Partition, PartitionJob, live_key};
 use crate::stealing::PeerWork;
 
 /// Users' requests under way beyond which new ones are shed at once.
@@ -26,6 +27,30 @@
 const CANCEL_TRIES: u32 = 6;
 const WRITE_RETRY: Micros = SECOND / 2;
 
+/// A transaction that changes the record of a job.
+#[derive(Debug)]
+pub(crate) struct JobWrite {
+    pub part: String,
+    pub term: u64,
+    pub job: String,
+    pub kind: JobWriteKind,
+    /// The newly finished tasks that it records.
+    pub recorded: Ranges,
+    /// The pages that it writes, with all that is finished of each.
+    pub pages: Vec<(u32, Ranges)>,
+}
+
+/// What a transaction does with the record of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum JobWriteKind {
+    /// Writes it anew.
+    Record,
+    /// Writes pages only, on condition of the record as it is.
+    PagesOnly,
+    /// Ends the job.
+    End,
+}
+
 /// Why a job is read from the state service.
 #[derive(Debug)]
 pub(crate) enum Purpose {
@@ -140,14 +165,8 @@
             let refuse = refuse.unwrap_or(false);
             return self.read(Purpose::Submit { id, job: spec.id.clone(), refuse });
         };
-        let since = self.wall();
-        let record = LiveRecord {
-            since,
-            started: false,
-            shares: vec![Share { part: part.clone(), term, tasks: Ranges::first(spec.tasks) }],
-            finished: Ranges::default(),
-            job: (*spec).clone(),
-        };
+        let share = Share { part: part.clone(), term, tasks: Ranges::first(spec.tasks) };
+        let record = LiveRecord::new((*spec).clone(), self.wall(), vec![share]);
         let value = Json::of(&record);
         if value.text().len() > self.limits.value_bytes {
             // Nothing could ever be kept of such a job; a known one is still answered as known.
@@ -378,7 +397,11 @@
                     continue;
                 }
                 if job.idle() && !job.wants_write {
-                    if job.record.owned_by(name).is_empty() {
+                    if job.may_end_here(name) {
+                        if job.all_finished() {
+                            due.push((Change::Finish, job.write_after, name.clone(), id.clone()));
+                        }
+                    } else if job.record.owned_by(name).is_empty() {
                         done_with.push(id.clone());
                     }
                 } else if job.doubtful || job.wants_write || !job.finished.is_empty() {
@@ -406,96 +429,69 @@
 
     fn write_job(&mut self, name: &str, id: &str) {
         let now = self.now;
-        let progress = self.cfg.operator.progress_write;
-        let most = self.limits.value_bytes;
+        let pause = self.cfg.operator.progress_write;
+        let room = WriteRoom { value_bytes: self.limits.value_bytes, pages: self.page_room() };
+        let paging = self.cluster.pages();
         let Some(part) = self.parts.get_mut(name) else { return };
         let (term, base) = (part.term, part.txn());
         let Some(job) = part.jobs.get_mut(id) else { return };
-        let all = job.all_finished();
-        let mut record = job.record.clone();
-        let mut told = job.finished.clone();
-        record.finished.add(&told);
-        record.started = record.started || !job.located.is_empty() || !record.finished.is_empty();
-        let live = live_key(id);
-        let txn = base.when(live.clone(), job.stamp);
-        let txn = if all {
-            let over = OverRecord { phase: JobPhase::Done, done: record.job.tasks };
-            txn.delete(live).write(format!("{OVER}{id}"), Json::of(&over))
+        let base = base.when(live_key(id), job.stamp);
+        let planned = if job.all_finished() {
+            Some(end_of_job(base, job))
         } else {
-            let mut value = Json::of(&record);
-            // Too many gaps to be kept: as much is recorded as fits, and more when other tasks have
-            // finished between. What is not recorded is not cleared on the machines either.
-            if value.text().len() > most {
-                told = fitting(&mut record, &job.record.finished, &told, most);
-                value = Json::of(&record);
-                if told.is_empty() && (value.text().len() > most || !job.doubtful) {
-                    job.write_after = now + 2 * progress;
-                    return;
-                }
-            }
-            txn.write(live, value)
+            let progress = if paging {
+                self.pages.plan(&job.begun_record(), &job.finished, room)
+            } else {
+                progress_without_pages(job, room.value_bytes)
+            };
+            progress.map(|progress| progress_of_job(base, id, progress, &self.pages))
+        };
+        let Some((txn, planned)) = planned else {
+            job.write_after = now + 2 * pause;
+            return;
         };
         job.writing = true;
         job.wants_write = false;
-        job.write_after = now + progress;
-        let waiting = Waiting::JobWrite {
-            part: name.to_owned(),
-            term,
-            job: id.to_owned(),
-            finished: told,
-            over: all,
-        };
-        self.state(Lane::Work, StateCall::Txn(txn), waiting);
+        job.write_after = now + pause;
+        let PlannedWrite { kind, recorded, pages } = planned;
+        self.ledger.spend(pages.len());
+        let write =
+            JobWrite { part: name.to_owned(), term, job: id.to_owned(), kind, recorded, pages };
+        self.state(Lane::Work, StateCall::Txn(txn), Waiting::JobWrite(Box::new(write)));
     }
 
-    pub(crate) fn job_written(
-        &mut self,
-        name: &str,
-        term: u64,
-        id: &str,
-        finished: Ranges,
-        over: bool,
-        result: Result<StateReply, CallError>,
-    ) {
-        let now = self.now;
-        let key = format!("{PARTS}{name}");
+    pub(crate) fn job_written(&mut self, write: JobWrite, result: Result<StateReply, CallError>) {
+        let JobWrite { part: name, term, job: id, kind, recorded, pages } = write;
         if let Ok(StateReply::Committed(stamp)) = result {
-            self.stamps.saw(id, stamp);
+            if kind != JobWriteKind::PagesOnly {
+                self.stamps.saw(&id, stamp);
+            }
+            for (number, finished) in pages {
+                self.page_known(&id, number, finished, stamp);
+            }
         }
-        let Some(part) = self.part_at(name, term) else { return };
-        let Some(job) = part.jobs.get_mut(id) else { return };
+        let now = self.now;
+        let Some(part) = self.part_at(&name, term) else { return };
+        let Some(job) = part.jobs.get_mut(&id) else { return };
         job.writing = false;
         match result {
-            Ok(StateReply::Committed(stamp)) => {
-                if over {
+            Ok(StateReply::Committed(stamp)) => match kind {
+                JobWriteKind::End => {
                     let done = job.record.job.tasks;
-                    return self.job_over(id, OverRecord { phase: JobPhase::Done, done });
-                }
-                job.finished.subtract(&finished);
-                if stamp > job.stamp {
-                    job.stamp = stamp;
-                    job.record.finished.add(&finished);
-                    job.record.started = true;
-                }
-                let record = (job.stamp == stamp).then(|| job.record.clone());
-                if job.doubtful {
-                    // Ours came into force at that stamp, so the doubtful one never will.
-                    job.doubtful = false;
-                    let cut = std::mem::take(&mut job.cutting);
-                    job.ready.add(&cut);
-                    part.place_wanted = true;
+                    self.job_over(&id, OverRecord { phase: JobPhase::Done, done });
                 }
-                if let Some(record) = record {
-                    // So the watch, which tells of it too, brings nothing new.
-                    self.absorb(record, stamp);
+                JobWriteKind::PagesOnly => {
+                    job.wants_write = true;
+                    job.write_after = now + WRITE_RETRY;
                 }
-            }
+                JobWriteKind::Record => self.progress_written(&name, &id, &recorded, stamp),
+            },
             Ok(StateReply::Conflict(failed)) => {
-                if failed.contains(&key) {
-                    return self.lose_part(name, term);
+                if failed.contains(&format!("{PARTS}{name}")) {
+                    return self.lose_part(&name, term);
                 }
                 job.writing = true;
-                self.reread_job(name, term, id);
+                self.reread_job(&name, term, &id);
             }
             Ok(_) | Err(_) => {
                 job.wants_write = true;
@@ -504,6 +500,30 @@
         }
     }
 
+    /// The record of a job is in force with newly finished tasks.
+    fn progress_written(&mut self, name: &str, id: &str, recorded: &Ranges, stamp: u64) {
+        let Some(part) = self.parts.get_mut(name) else { return };
+        let Some(job) = part.jobs.get_mut(id) else { return };
+        job.finished.subtract(recorded);
+        if stamp > job.stamp {
+            job.stamp = stamp;
+            job.record.finished.add(recorded);
+            job.record.started = true;
+        }
+        let record = (job.stamp == stamp).then(|| job.record.clone());
+        if job.doubtful {
+            // Ours came into force at that stamp, so the doubtful one never will.
+            job.doubtful = false;
+            let cut = std::mem::take(&mut job.cutting);
+            job.ready.add(&cut);
+            part.place_wanted = true;
+        }
+        if let Some(record) = record {
+            // So the watch, which tells of it too, brings nothing new.
+            self.absorb(record, stamp);
+        }
+    }
+
     pub(crate) fn reread_job(&mut self, part: &str, term: u64, job: &str) {
         let waiting = Waiting::Reread { part: part.into(), term, job: job.into() };
         self.state(Lane::Work, StateCall::Get(live_key(job)), waiting);
@@ -561,6 +581,56 @@
     }
 }
 
+/// What a planned transaction will have done.
+pub(crate) struct PlannedWrite {
+    pub kind: JobWriteKind,
+    pub recorded: Ranges,
+    pub pages: Vec<(u32, Ranges)>,
+}
+
+fn end_of_job(txn: Txn, job: &PartitionJob) -> (Txn, PlannedWrite) {
+    let spec = job.spec();
+    let over = OverRecord { phase: JobPhase::Done, done: spec.tasks };
+    let txn = txn.delete(live_key(&spec.id)).write(format!("{OVER}{}", spec.id), Json::of(&over));
+    let recorded = job.finished.clone();
+    (txn, PlannedWrite { kind: JobWriteKind::End, recorded, pages: Vec::new() })
+}
+
+/// Makes a transaction record the progress of a job.
+pub(crate) fn progress_of_job(
+    txn: Txn,
+    id: &str,
+    progress: ProgressWrite,
+    known: &Pages,
+) -> (Txn, PlannedWrite) {
+    let ProgressWrite { record, pages, recorded } = progress;
+    let txn = known.add_to(txn, id, &pages);
+    let (txn, kind) = match record {
+        Some(record) => (txn.write(live_key(id), Json::of(&record)), JobWriteKind::Record),
+        None => (txn, JobWriteKind::PagesOnly),
+    };
+    (txn, PlannedWrite { kind, recorded, pages })
+}
+
+/// While a controller may be of the first version, a record keeps what fits: too many gaps are not
+/// recorded until other tasks have finished between. What is not recorded is not cleared on the
+/// machines either.
+fn progress_without_pages(job: &PartitionJob, value_bytes: usize) -> Option<ProgressWrite> {
+    let mut record = job.begun_record();
+    let recorded = record.finished.clone();
+    record.finished.add(&job.finished);
+    let mut told = job.finished.clone();
+    let mut length = Json::of(&record).text().len();
+    if length > value_bytes {
+        told = fitting(&mut record, &recorded, &told, value_bytes);
+        length = Json::of(&record).text().len();
+        if told.is_empty() && (length > value_bytes || !job.doubtful) {
+            return None;
+        }
+    }
+    Some(ProgressWrite { record: Some(record), pages: Vec::new(), recorded: told })
+}
+
 /// Puts as much of what has finished into a record as keeps it within a value's limit, the longest
 /// ranges first, and gives what that is.
 fn fitting(record: &mut LiveRecord, recorded: &Ranges, finished: &Ranges, most: usize) -> Ranges {
--- a/crates/quartzlever-core/src/leases.rs
+++ b/crates/quartzlever-core/src/leases.rs
@@ -1,6 +1,7 @@
 //! Holding parts: the lease, taking a part, losing it, handing it back, and the cache of the records
 //! that a watch keeps fresh.
 
+use quartzlever_wire::pages::PAGES;
 use quartzlever_wire::peers::PeerRequest;
 use quartzlever_wire::state::{
     CLUSTER, Event, HEARD, HOSTS, Hosts, LIVE, LiveRecord, OVER, OverRecord, PARTS, PartRecord,
@@ -175,6 +176,7 @@
             self.cache.hosts.clear();
             self.cache.live.clear();
             self.cache.unread.clear();
+            self.pages.clear();
         }
         for row in &rows.rows {
             self.part_seen(&row.path, parse(row), row.stamp);
@@ -211,6 +213,21 @@
             let call = StateCall::List { prefix: LIVE.into(), from: Some(from) };
             return self.state(Lane::Lease, call, Waiting::ListJobs);
         }
+        let call = StateCall::List { prefix: PAGES.into(), from: None };
+        self.state(Lane::Lease, call, Waiting::ListPages);
+    }
+
+    /// Pages are listed after the jobs: what has moved from a job's record to a page is in one of
+    /// the two listings at least.
+    pub(crate) fn pages_listed(&mut self, result: Result<StateReply, CallError>) {
+        let Ok(StateReply::Rows(rows)) = result else { return self.listing_failed() };
+        for row in &rows.rows {
+            self.page_row(row);
+        }
+        if let Some(from) = next_page(&rows) {
+            let call = StateCall::List { prefix: PAGES.into(), from: Some(from) };
+            return self.state(Lane::Lease, call, Waiting::ListPages);
+        }
         let call = StateCall::List { prefix: CLUSTER.into(), from: None };
         self.state(Lane::Lease, call, Waiting::ListCluster);
     }
@@ -299,6 +316,8 @@
                     self.block_row(&row, true);
                 } else if row.path.starts_with(LIVE) {
                     self.live_row(&row);
+                } else if row.path.starts_with(PAGES) {
+                    self.page_row(&row);
                 } else if row.path.starts_with(CLUSTER) {
                     self.cluster_row(&row);
                 } else if row.path.starts_with(HEARD) {
@@ -318,6 +337,8 @@
                     if self.parts.get(name).is_some_and(|p| p.term <= stamp) {
                         self.parts.remove(name);
                     }
+                } else if delete.starts_with(PAGES) {
+                    self.page_deleted(&delete, stamp);
                 } else if delete.starts_with(CLUSTER) {
                     self.cluster_deleted(&delete, stamp);
                 } else if is_hosts(&delete) {
@@ -501,12 +522,13 @@
     }
 
     /// Takes a job's record into every part held here.
-    pub(crate) fn absorb(&mut self, record: LiveRecord, stamp: u64) {
+    pub(crate) fn absorb(&mut self, mut record: LiveRecord, stamp: u64) {
         // A watch may tell of earlier writes after this process has ended the job itself.
-        let id = &record.job.id;
-        if self.finals.get(id).is_some() || !self.stamps.saw(id, stamp) {
+        if self.finals.get(&record.job.id).is_some() || !self.stamps.saw(&record.job.id, stamp) {
             return;
         }
+        self.join_finished(&mut record);
+        let id = &record.job.id;
         let (now, wall) = (self.now, self.wall());
         for part in self.parts.values_mut().filter(|p| p.loaded) {
             if part.jobs.contains_key(id) || record.shares.iter().any(|s| s.part == part.name) {
--- /dev/null
+++ b/crates/quartzlever-core/src/pages.rs
@@ -0,0 +1,306 @@
+//! Finished tasks of large jobs, recorded in pages of fixed task ranges.
+//!
+//! A job's record under `live/` lists its finished tasks as ranges, which outgrow a value where
+//! tasks end in a bad order. Then the worst of them move to pages, each a key of its own. That a
+//! task has finished stays true for good, so pages only grow while the job lives, and whatever has
+//! been seen of them may be joined with any view of the record: a late view knows less, never
+//! anything wrong. Every page is written on condition of the record's stamp, so none can appear
+//! after the job is done or cancelled; what is left of such jobs is removed later.
+
+use std::collections::BTreeMap;
+
+use quartzlever_wire::pages::{PageRecord, page_key, page_of_key, page_of_task, tasks_of_page};
+use quartzlever_wire::state::{LiveRecord, Row, StateCall, Txn};
+use quartzlever_wire::{Json, Micros, Ranges, SECOND};
+
+use crate::engine::{Core, Waiting};
+use crate::leases::parse;
+use crate::ledger::Change;
+use crate::messages::{Lane, Weight};
+use crate::partition::{Partition, live_key};
+
+/// Leftover pages are removed no more often, so that the watch can tell of the last removal.
+const REMOVE_PAUSE: Micros = 2 * SECOND;
+
+/// A page as the state service has it.
+#[derive(Clone, Debug)]
+struct Page {
+    finished: Ranges,
+    stamp: u64,
+}
+
+/// The pages of all jobs, as far as they are known.
+#[derive(Debug, Default)]
+pub(crate) struct Pages {
+    jobs: BTreeMap<String, BTreeMap<u32, Page>>,
+    remove_after: Micros,
+}
+
+/// What one transaction may take of a job's progress.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WriteRoom {
+    /// The largest value.
+    pub value_bytes: usize,
+    /// How many pages may be written beside the record.
+    pub pages: usize,
+}
+
+/// How a job's progress is written next.
+#[derive(Debug, PartialEq)]
+pub(crate) struct ProgressWrite {
+    /// The record as it will be stored; none if only pages are written since it does not fit yet.
+    pub record: Option<LiveRecord>,
+    /// Pages that are written, with all finished tasks of each.
+    pub pages: Vec<(u32, Ranges)>,
+    /// The newly finished tasks that are recorded by this.
+    pub recorded: Ranges,
+}
+
+impl Pages {
+    /// Takes in a page as it is at a revision; a later one may be known already.
+    pub fn insert(&mut self, job: &str, number: u32, finished: Ranges, stamp: u64) {
+        let pages = self.jobs.entry(job.to_owned()).or_default();
+        if pages.get(&number).is_none_or(|known| known.stamp < stamp) {
+            pages.insert(number, Page { finished, stamp });
+        }
+    }
+
+    /// A page was removed at a revision.
+    pub fn remove(&mut self, job: &str, number: u32, stamp: u64) {
+        let Some(pages) = self.jobs.get_mut(job) else { return };
+        if pages.get(&number).is_some_and(|known| known.stamp <= stamp) {
+            pages.remove(&number);
+        }
+        if pages.is_empty() {
+            self.jobs.remove(job);
+        }
+    }
+
+    /// All pages are read anew.
+    pub fn clear(&mut self) {
+        self.jobs.clear();
+    }
+
+    /// The finished tasks of a job that are recorded in pages.
+    pub fn finished_of(&self, job: &str) -> Ranges {
+        let mut finished = Ranges::default();
+        for page in self.jobs.get(job).into_iter().flat_map(BTreeMap::values) {
+            finished.add(&page.finished);
+        }
+        finished
+    }
+
+    fn has(&self, job: &str) -> bool {
+        self.jobs.contains_key(job)
+    }
+
+    /// The stamp of a page, 0 if it does not exist.
+    fn stamp(&self, job: &str, number: u32) -> u64 {
+        self.jobs.get(job).and_then(|pages| pages.get(&number)).map_or(0, |page| page.stamp)
+    }
+
+    /// A record as it is stored: without the finished tasks that pages hold.
+    pub fn stored_form(&self, record: &LiveRecord) -> LiveRecord {
+        let mut stored = record.clone();
+        if self.has(&record.job.id) {
+            stored.finished.subtract(&self.finished_of(&record.job.id));
+            stored.paged = true;
+        }
+        stored
+    }
+
+    /// Decides how newly finished tasks of a job are recorded, `record` being what is recorded
+    /// already. None if nothing can be written that fits.
+    pub fn plan(
+        &self,
+        record: &LiveRecord,
+        new: &Ranges,
+        room: WriteRoom,
+    ) -> Option<ProgressWrite> {
+        let stored = self.stored_form(record);
+        let unpaged = stored.finished.clone();
+        let mut bare = LiveRecord { finished: Ranges::default(), ..stored };
+        let text_room =
+            |bare: &LiveRecord| room.value_bytes.checked_sub(Json::of(bare).text().len());
+        let all = unpaged.union(new);
+        if text_length(&all) <= text_room(&bare)? {
+            let record = Some(LiveRecord { finished: all, ..bare });
+            return Some(ProgressWrite { record, pages: Vec::new(), recorded: new.clone() });
+        }
+        bare.paged = true;
+        let most = text_room(&bare)?;
+        let chosen = longest_pages(&all, most / 2, room.pages);
+        let (rest, recorded) = if text_length(&without(&all, &chosen)) <= most {
+            (without(&all, &chosen), new.clone())
+        } else {
+            (without(&unpaged, &chosen), new.minus(&without(new, &chosen)))
+        };
+        if !chosen.is_empty() && text_length(&rest) <= most {
+            let pages = self.with_content(&bare.job.id, &chosen, &all);
+            return Some(ProgressWrite {
+                record: Some(LiveRecord { finished: rest, ..bare }),
+                pages,
+                recorded,
+            });
+        }
+        // The stored record itself has outgrown the limit. What it lists goes to pages first; only
+        // that, so that no task counts as recorded without a new stamp of the record.
+        let chosen = longest_pages(&unpaged, most / 2, room.pages + 1);
+        let pages = self.with_content(&bare.job.id, &chosen, &unpaged);
+        let write = ProgressWrite { record: None, pages, recorded: Ranges::default() };
+        (room.pages > 0 && !chosen.is_empty()).then_some(write)
+    }
+
+    /// Pages with what they hold already and what comes to it.
+    fn with_content(&self, job: &str, numbers: &[u32], more: &Ranges) -> Vec<(u32, Ranges)> {
+        let known = self.jobs.get(job);
+        let content = |number: &u32| {
+            let mut finished = tasks_of_page(more, *number);
+            if let Some(page) = known.and_then(|pages| pages.get(number)) {
+                finished.add(&page.finished);
+            }
+            (*number, finished)
+        };
+        numbers.iter().map(content).collect()
+    }
+
+    /// Adds the writes of pages to a transaction, on condition of what is known of them.
+    pub fn add_to(&self, mut txn: Txn, job: &str, pages: &[(u32, Ranges)]) -> Txn {
+        for (number, finished) in pages {
+            let key = page_key(job, *number);
+            let value = Json::of(&PageRecord::new(*number, finished));
+            txn = txn.when(key.clone(), self.stamp(job, *number)).write(key, value);
+        }
+        txn
+    }
+}
+
+/// How long a set is as text.
+fn text_length(tasks: &Ranges) -> usize {
+    tasks.to_string().len()
+}
+
+/// A set without the tasks of these pages.
+fn without(tasks: &Ranges, pages: &[u32]) -> Ranges {
+    let mut rest = tasks.clone();
+    for page in pages {
+        rest.subtract(&tasks_of_page(tasks, *page));
+    }
+    rest
+}
+
+/// The pages whose tasks take the most text, as many as bring the rest within `wanted` bytes, if
+/// that many may be chosen.
+fn longest_pages(tasks: &Ranges, wanted: usize, most: usize) -> Vec<u32> {
+    let mut lengths: BTreeMap<u32, usize> = BTreeMap::new();
+    for range in tasks.ranges() {
+        for page in page_of_task(range.start)..=page_of_task(range.end - 1) {
+            lengths.entry(page).or_insert_with(|| text_length(&tasks_of_page(tasks, page)) + 1);
+        }
+    }
+    let mut total: usize = lengths.values().sum();
+    let mut by_length: Vec<(u32, usize)> = lengths.into_iter().collect();
+    by_length.sort_by_key(|(page, length)| (std::cmp::Reverse(*length), *page));
+    let mut chosen = Vec::new();
+    for (page, length) in by_length.into_iter().take(most) {
+        if total <= wanted {
+            break;
+        }
+        total -= length;
+        chosen.push(page);
+    }
+    chosen
+}
+
+impl Core {
+    /// How many pages may be written beside a record now.
+    pub(crate) fn page_room(&self) -> usize {
+        let affordable = |pages: &usize| self.ledger.has(Change::Progress, *pages);
+        (1..self.limits.txn_ops).rev().find(affordable).unwrap_or(0)
+    }
+
+    /// A page as the state service has it.
+    pub(crate) fn page_row(&mut self, row: &Row) {
+        let Some((job, number)) = page_of_key(&row.path) else { return };
+        let Some(finished) = parse::<PageRecord>(row).and_then(|record| record.tasks(number))
+        else {
+            return self.note(Weight::Error, || format!("unreadable record: {}", row.path));
+        };
+        self.page_known(job, number, finished, row.stamp);
+    }
+
+    /// A page is in force at a stamp.
+    pub(crate) fn page_known(&mut self, job: &str, number: u32, finished: Ranges, stamp: u64) {
+        if let Some((record, _)) = self.cache.live.get_mut(job) {
+            record.finished.add(&finished);
+        }
+        for part in self.parts.values_mut().filter(|part| part.loaded) {
+            part.page_recorded(job, number, &finished);
+        }
+        self.pages.insert(job, number, finished, stamp);
+    }
+
+    pub(crate) fn page_deleted(&mut self, path: &str, stamp: u64) {
+        if let Some((job, number)) = page_of_key(path) {
+            self.pages.remove(job, number, stamp);
+        }
+    }
+
+    /// Joins a record with all that is known to have finished of its job.
+    pub(crate) fn join_finished(&self, record: &mut LiveRecord) {
+        let job = &record.job.id;
+        if !record.paged && !self.pages.has(job) {
+            return;
+        }
+        record.paged = true;
+        record.finished.add(&self.pages.finished_of(job));
+        if let Some((known, _)) = self.cache.live.get(job) {
+            record.finished.add(&known.finished);
+        }
+    }
+
+    /// Removes pages of jobs that are over, as far as the account of changes allows. One node does
+    /// so: the holder of the first partition.
+    pub(crate) fn remove_leftover_pages(&mut self) {
+        if self.now < self.pages.remove_after || self.pages.jobs.is_empty() || !self.sure() {
+            return;
+        }
+        let Some((first, _)) = self.cache.parts.first_key_value() else { return };
+        let Some(part) = self.parts.get(first).filter(|part| part.active()) else { return };
+        let is_over = |job: &&String| !self.cache.is_live(job);
+        let Some(job) = self.pages.jobs.keys().find(is_over).cloned() else { return };
+        let pages: Vec<(u32, u64)> = self.pages.jobs[&job]
+            .iter()
+            .map(|(number, page)| (*number, page.stamp))
+            .take(self.limits.txn_ops)
+            .collect();
+        let mut txn = part.txn().when(live_key(&job), 0);
+        for (number, stamp) in &pages {
+            let key = page_key(&job, *number);
+            txn = txn.when(key.clone(), *stamp).delete(key);
+        }
+        if !self.ledger.allows(Change::Tidy, pages.len()) {
+            return;
+        }
+        self.pages.remove_after = self.now + REMOVE_PAUSE;
+        self.state(Lane::Work, StateCall::Txn(txn), Waiting::Left);
+    }
+}
+
+impl Partition {
+    /// A page of a job, which another holder may have written, records these tasks as finished.
+    fn page_recorded(&mut self, id: &str, number: u32, finished: &Ranges) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.record.paged = true;
+        // Most pages are of this holder's own writing: a look at the page's tasks alone is cheap.
+        let new = finished.minus(&tasks_of_page(&job.record.finished, number));
+        job.record.finished.add(&new);
+        job.ready.subtract(&new);
+        job.held.subtract(&new);
+        job.cutting.subtract(&new);
+        job.finished.subtract(&new);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/quartzlever-core/src/partition.rs
+++ b/crates/quartzlever-core/src/partition.rs
@@ -93,6 +93,20 @@
         all
     }
 
+    /// The record, with whether the job has begun.
+    pub fn begun_record(&self) -> LiveRecord {
+        let mut record = self.record.clone();
+        record.started |= !self.located.is_empty();
+        record.started |= !record.finished.is_empty() || !self.finished.is_empty();
+        record
+    }
+
+    /// Whether this part may have to end the job although it has no task of it any more: others
+    /// may have recorded the last tasks in pages without knowing of each other.
+    pub fn may_end_here(&self, part: &str) -> bool {
+        self.record.paged && self.record.is_shared_by(part)
+    }
+
     /// Whether the last tasks have finished, recorded or not.
     pub fn all_finished(&self) -> bool {
         self.record.finished.len() + self.finished.len() >= self.record.job.tasks
@@ -232,7 +246,8 @@
         let id = record.job.id.clone();
         let owned = record.owned_by(&self.name);
         let known_job = self.jobs.contains_key(&id);
-        if !known_job && owned.is_empty() {
+        let ends_here = record.paged && record.is_shared_by(&self.name);
+        if !known_job && owned.is_empty() && !ends_here {
             return;
         }
         let job = self.jobs.entry(id).or_insert_with(|| {
@@ -290,7 +305,7 @@
         job.cutting = job.cutting.intersect(&owned);
         job.finished = job.finished.intersect(&owned);
         self.place_wanted |= !job.ready.is_empty() && !at_once.is_empty();
-        if job.idle() && owned.is_empty() {
+        if job.idle() && owned.is_empty() && !ends_here {
             let id = job.record.job.id.clone();
             self.jobs.swap_remove(&id);
         }
--- a/crates/quartzlever-core/src/stealing.rs
+++ b/crates/quartzlever-core/src/stealing.rs
@@ -482,7 +482,7 @@
         let own = self.parts.get(victim).map_or(Load::default(), |p| self.load_of(p));
         let mut excess = load.map(|thief| own.excess_over(&thief));
         let least = if load.is_some() && own.cpus > 0.0 { Rank::Standard } else { Rank::Prod };
-        let paces = &self.paces;
+        let (paces, pages) = (&self.paces, &self.pages);
         let Some(part) = self.parts.get_mut(victim) else { return };
         let mut left = (f64::from(part.movable_count(&self.cfg, rank)) * fraction).ceil() as u32;
         let mut txn = part.txn().when(format!("{PARTS}{thief}"), term);
@@ -514,7 +514,7 @@
             let cut = job.ready.cut_last(count);
             let mut record = job.record.clone();
             record.move_tasks(&cut, victim, thief, term);
-            let value = Json::of(&record);
+            let value = Json::of(&pages.stored_form(&record));
             let size = value.text().len();
             if size > value_bytes || bytes + size > 48 * 1024 {
                 job.ready.add(&cut);
@@ -560,12 +560,14 @@
         match result {
             Ok(StateReply::Committed(stamp)) => {
                 let mut jobs = Vec::new();
-                for Move { job: id, cut, record } in moved {
-                    let text = Json::of(&record).text().to_owned();
+                for Move { job: id, cut, mut record } in moved {
+                    let text = Json::of(&self.pages.stored_form(&record)).text().to_owned();
                     if let Some(job) = self.parts.get_mut(name).and_then(|p| p.jobs.get_mut(&id)) {
                         job.writing = false;
                         job.cutting.subtract(&cut);
                         if stamp > job.stamp {
+                            // A page may have told of finished tasks meanwhile.
+                            record.finished.add(&job.record.finished);
                             job.stamp = stamp;
                             job.record = record.clone();
                         }
--- a/crates/quartzlever-core/src/stealing/tests.rs
+++ b/crates/quartzlever-core/src/stealing/tests.rs
@@ -1,5 +1,6 @@
 //! Steals, as tables.
 
+use crate::jobs::{JobWrite, JobWriteKind};
 use crate::testing::*;
 
 #[test]
@@ -40,7 +41,17 @@
         let ready = |core: &Core| core.parts["one"].jobs["req-1"].ready.to_string();
         assert_eq!(ready(&core), after_move, "{name}");
         if let Some(settled) = settled {
-            core.job_written("one", 5, "req-1", Ranges::default(), false, settled);
+            core.job_written(
+                JobWrite {
+                    part: "one".into(),
+                    term: 5,
+                    job: "req-1".into(),
+                    kind: JobWriteKind::Record,
+                    recorded: Ranges::default(),
+                    pages: Vec::new(),
+                },
+                settled,
+            );
             assert_eq!(ready(&core), after, "{name}");
         }
     }
@@ -136,7 +147,7 @@
         let share = Share { part: "two".into(), term: 6, tasks: Ranges::first(8) };
         let finished = Ranges::default();
         let shares = vec![share];
-        core.absorb(LiveRecord { job, since: NOW, started: false, shares, finished }, 11);
+        core.absorb(LiveRecord { finished, ..LiveRecord::new(job, NOW, shares) }, 11);
         core.step(NOW, Vec::new());
         core.step(NOW + 2 * SECOND, Vec::new());
         core.stealing = crate::stealing::Stealing::new(&core.cfg);
--- a/crates/quartzlever-core/src/testing.rs
+++ b/crates/quartzlever-core/src/testing.rs
@@ -55,13 +55,7 @@
         term,
         tasks: tasks.parse().unwrap_or_default(),
     };
-    LiveRecord {
-        job: spec(4),
-        since: NOW,
-        started: false,
-        shares: vec![share("one", 5, mine), share("two", 6, other)],
-        finished: Ranges::default(),
-    }
+    LiveRecord::new(spec(4), NOW, vec![share("one", 5, mine), share("two", 6, other)])
 }
 
 /// A controller that holds part "one" under term 5, with one open machine.
@@ -173,13 +167,7 @@
 
 pub(crate) fn absorb_job(core: &mut Core, spec: &JobSpec, stamp: u64, since: u64) {
     let share = Share { part: "one".into(), term: 5, tasks: Ranges::first(spec.tasks) };
-    let record = LiveRecord {
-        job: spec.clone(),
-        since,
-        started: false,
-        shares: vec![share],
-        finished: Ranges::default(),
-    };
+    let record = LiveRecord::new(spec.clone(), since, vec![share]);
     core.absorb(record, stamp);
 }
 
@@ -268,7 +256,7 @@
     let share = Share { part: "one".into(), term: 5, tasks: Ranges::first(tasks) };
     let shares = vec![share];
     let finished = Ranges::default();
-    core.absorb(LiveRecord { job, since: NOW, started: false, shares, finished }, 10);
+    core.absorb(LiveRecord { finished, ..LiveRecord::new(job, NOW, shares) }, 10);
 }
 
 /// Makes the machine of part "one" usable.
@@ -284,7 +272,7 @@
     let mut job = spec(tasks);
     job.id = format!("req-{number}");
     let shares = vec![Share { part: part.into(), term: 5, tasks: Ranges::first(tasks) }];
-    LiveRecord { job, since: NOW, started: false, shares, finished: Ranges::default() }
+    LiveRecord::new(job, NOW, shares)
 }
 
 /// A report of the machine of part "one" that is there from the beginning, and runs an attempt.
@@ -364,13 +352,7 @@
 
 pub(crate) fn queue_job(core: &mut Core, spec: &JobSpec, stamp: u64) {
     let share = Share { part: "one".into(), term: 5, tasks: Ranges::first(spec.tasks) };
-    let record = LiveRecord {
-        job: spec.clone(),
-        since: NOW,
-        started: false,
-        shares: vec![share],
-        finished: Ranges::default(),
-    };
+    let record = LiveRecord::new(spec.clone(), NOW, vec![share]);
     core.absorb(record, stamp);
     core.now += quartzlever_wire::SECOND / 20;
     core.place("one");
--- /dev/null
+++ b/crates/quartzlever-core/tests/world/large_jobs.rs
@@ -0,0 +1,119 @@
+//! A job whose tasks end in the worst order, every second one first, under low limits of the state
+//! service: what was recorded survives crashes and changes of holder, and nothing of it runs again.
+
+use std::collections::BTreeMap;
+
+use quartzlever_core::Config;
+use quartzlever_wire::pages::{PAGES, PageRecord, page_of_key};
+use quartzlever_wire::state::LiveRecord;
+use quartzlever_wire::users::JobPhase;
+use quartzlever_wire::{Ranges, SECOND};
+
+use crate::sim::{World, job};
+
+const NODES: &[&str] = &["one", "two", "three"];
+const TASKS: u32 = 1500;
+const VALUE_BYTES: usize = 1024;
+const CHANGES: usize = 6;
+
+fn low_limits(cfg: &mut Config) {
+    (cfg.value_bytes, cfg.txn_ops) = (VALUE_BYTES, CHANGES);
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Trouble {
+    None,
+    HolderRestarts,
+    /// The holder stays away, and a peer takes its partition over.
+    HolderChanges,
+    AllKilled,
+    /// The limits sink below what the settings say.
+    LimitsSink,
+    Outage,
+    Cancelled,
+}
+
+fn bring_about(w: &mut World, trouble: Trouble) {
+    match trouble {
+        Trouble::None | Trouble::Cancelled => {}
+        Trouble::HolderRestarts => {
+            let (_, holder) = w.busiest();
+            w.restart(holder, SECOND / 2);
+        }
+        Trouble::HolderChanges => {
+            let (_, holder) = w.busiest();
+            w.restart(holder, 20 * SECOND);
+        }
+        Trouble::AllKilled => {
+            for n in 0..NODES.len() {
+                w.restart(n, SECOND);
+            }
+        }
+        Trouble::LimitsSink => (w.store.value_limit, w.store.ops_limit) = (700, 3),
+        Trouble::Outage => {
+            w.store.outage = true;
+            w.run(5 * SECOND);
+            let now = w.now;
+            w.store.end_outage(now);
+        }
+    }
+}
+
+/// The tasks that the store knows to have finished.
+fn recorded(w: &World, id: &str) -> Ranges {
+    let live = w.store.get(&format!("live/{id}")).and_then(|(v, _)| v.parse::<LiveRecord>());
+    let mut finished = live.expect("a live job").finished;
+    for key in w.store.keys(PAGES) {
+        let (_, number) = page_of_key(&key).expect("the key of a page");
+        let page = w.store.get(&key).and_then(|(v, _)| v.parse::<PageRecord>());
+        finished.add(&page.and_then(|page| page.tasks(number)).expect("a page"));
+    }
+    finished
+}
+
+fn starts(w: &World) -> BTreeMap<String, usize> {
+    w.workers.iter().map(|(name, worker)| (name.clone(), worker.started.len())).collect()
+}
+
+#[test]
+fn what_is_recorded_of_a_large_job_never_runs_again() {
+    use Trouble::*;
+    for (seed, trouble) in
+        [None, HolderRestarts, HolderChanges, AllKilled, LimitsSink, Outage, Cancelled]
+            .into_iter()
+            .enumerate()
+    {
+        let mut w = World::with(500 + seed as u64, NODES, low_limits);
+        w.cloud.most = 90;
+        (w.run_time, w.odd_tasks_wait) = (SECOND, true);
+        w.run(5 * SECOND);
+        (w.store.value_limit, w.store.ops_limit) = (VALUE_BYTES, CHANGES);
+        let id = job(1, TASKS).id;
+        assert_eq!(w.submit_surely(0, &job(1, TASKS)), 201, "{trouble:?}");
+        w.run(40 * SECOND);
+        assert!(!w.store.keys(PAGES).is_empty(), "{trouble:?}: the record has outgrown its value");
+        let (before, started) = (recorded(&w, &id), starts(&w));
+        assert!(before.count_ranges() > 200, "{trouble:?}: {} gaps", before.count_ranges());
+        bring_about(&mut w, trouble);
+        w.run(30 * SECOND);
+        for (name, worker) in &w.workers {
+            let seen = started.get(name).copied().unwrap_or(0);
+            for (task, _) in &worker.started[seen..] {
+                assert!(!before.contains(task.index), "{trouble:?}: {task} runs again");
+            }
+        }
+        if trouble == Cancelled {
+            assert_eq!(w.abort_surely(1, &id).as_deref(), Some("aborted"));
+        } else {
+            assert!(before.minus(&recorded(&w, &id)).is_empty(), "{trouble:?}: lost some");
+            w.odd_tasks_wait = false;
+            w.workers.values_mut().for_each(|worker| worker.odd_tasks_wait = false);
+        }
+        w.pass(90 * SECOND);
+        let end = if trouble == Cancelled { JobPhase::Aborted } else { JobPhase::Done };
+        assert_eq!(w.over(&id), Some(end), "{trouble:?}");
+        assert!(w.store.keys(PAGES).is_empty(), "{trouble:?}: pages are left over");
+        assert!(w.store.too_large < 8, "{trouble:?}: {} too large", w.store.too_large);
+        assert!(w.rules.broken.is_empty(), "{trouble:?}: {:?}", &w.rules.broken[..1]);
+    }
+}
--- a/crates/quartzlever-core/tests/world/main.rs
+++ b/crates/quartzlever-core/tests/world/main.rs
@@ -1,6 +1,7 @@
 //! Whole controllers, several at once, in a simulated world: its state service, cloud, network,
 //! workers and users go wrong as those of the protocol may, and a checker looks for broken rules.
 
+mod large_jobs;
 mod meetings;
 mod safety;
 mod services;
--- a/crates/quartzlever-core/tests/world/sim.rs
+++ b/crates/quartzlever-core/tests/world/sim.rs
@@ -197,6 +197,8 @@
     pub rules: RuleChecker,
     tune: fn(&mut Config),
     pub run_time: Micros,
+    /// Tasks with odd numbers do not end on workers that join from now on.
+    pub odd_tasks_wait: bool,
 }
 
 impl World {
@@ -248,6 +250,7 @@
             rules: RuleChecker::new(cfg.workers.cancel, team_limits(cfg.teams)),
             tune,
             run_time: 3 * SECOND,
+            odd_tasks_wait: false,
         };
         for n in 0..names.len() {
             world.start(n);
@@ -629,7 +632,8 @@
                     for host in hosts {
                         let rental = self.cloud.machines.get(host).cloned();
                         if let Some(rental) = rental.filter(|_| !self.workers.contains_key(host)) {
-                            let worker = Worker::new(rental, LEASE, self.run_time, self.now);
+                            let mut worker = Worker::new(rental, LEASE, self.run_time, self.now);
+                            worker.odd_tasks_wait = self.odd_tasks_wait;
                             self.workers.insert(host.clone(), worker);
                             let first = self.rng.random_range(0..self.cores.len());
                             let at = self.now + self.boot;
--- a/crates/quartzlever-standin/src/fleet.rs
+++ b/crates/quartzlever-standin/src/fleet.rs
@@ -27,6 +27,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Behaviour {
     pub report: Duration,
+    /// Every second machine carries out calls to its own address only after this time.
+    pub slow_calls: Duration,
     pub lease: Micros,
     pub run_time: Micros,
 }
@@ -162,6 +164,9 @@
     /// A call to the worker's own address.
     fn command(&self, host: &str, mut request: Request) {
         let body = body_of(&mut request);
+        if host.ends_with(['1', '3', '5', '7', '9']) {
+            thread::sleep(self.behaviour.slow_calls);
+        }
         let is_status = request.url() == "/status";
         let reply = self.change(|state, now| {
             let worker = state.workers.get_mut(host)?;
--- a/crates/quartzlever-standin/src/store.rs
+++ b/crates/quartzlever-standin/src/store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use quartzlever_wire::pages::PAGES;
 use quartzlever_wire::state::{
     CLUSTER_VERSION, Change, Event, HOSTS, LIVE, Row, Rows, StateCall, StateReply, Txn, TxnAnswer,
     WatchAnswer,
@@ -46,10 +47,12 @@
 
     /// A key, or a value, in a form that controllers of the first version do not know.
     pub fn key_unknown_to_first_version(&self) -> Option<&str> {
+        let has = |value: &Json, word: &str| value.text().contains(word);
         let unknown = |(key, (value, _, _)): &(&String, &(Json, u64, Option<u64>))| {
             key.as_str() == CLUSTER_VERSION
                 || (key.starts_with(HOSTS) && key.matches('~').count() > 1)
-                || (key.starts_with(LIVE) && value.text().contains("daemon"))
+                || key.starts_with(PAGES)
+                || (key.starts_with(LIVE) && ["daemon", "paged"].iter().any(|f| has(value, f)))
         };
         self.keys.iter().find(unknown).map(|(key, _)| key.as_str())
     }
--- a/crates/quartzlever-standin/src/worker.rs
+++ b/crates/quartzlever-standin/src/worker.rs
@@ -29,6 +29,8 @@
     pub run_time: Micros,
     /// Jobs whose tasks run until they are stopped.
     pub endless: BTreeSet<String>,
+    /// Tasks with odd numbers run until this is unset.
+    pub odd_tasks_wait: bool,
     /// Every task fails here.
     pub faulty: bool,
     /// Executes nothing and says nothing.
@@ -51,6 +53,7 @@
             attempts: BTreeMap::new(),
             run_time,
             endless: BTreeSet::new(),
+            odd_tasks_wait: false,
             faulty: false,
             hung: false,
             started: Vec::new(),
@@ -78,10 +81,13 @@
         if self.hung {
             return;
         }
+        let (endless, odd_tasks_wait) = (&self.endless, self.odd_tasks_wait);
+        let waits =
+            |task: &TaskId| endless.contains(&task.job) || (odd_tasks_wait && task.index % 2 == 1);
         for ((task, _), attempt) in self.attempts.iter_mut().filter(|(_, a)| a.exited.is_none()) {
             if self.faulty && now >= attempt.started + SECOND / 2 {
                 attempt.exited = Some(Cause::Error);
-            } else if now >= attempt.started + self.run_time && !self.endless.contains(&task.job) {
+            } else if now >= attempt.started + self.run_time && !waits(task) {
                 attempt.exited = Some(Cause::Done);
                 self.completed.push(task.clone());
             }
--- a/crates/quartzlever-wire/src/lib.rs
+++ b/crates/quartzlever-wire/src/lib.rs
@@ -1,12 +1,13 @@
 //! The wire formats of quartzlever, in one package that clients can use too.
 //!
 //! Each module holds the serde types of one conversation: [`users`], [`workers`],
-//! [`cloud`], [`state`] and [`peers`]. Names inside the code follow the usual terms
+//! [`cloud`], [`state`] (with [`pages`]) and [`peers`]. Names inside the code follow the usual terms
 //! (task, attempt, session, term, lease); the names that travel are given by serde
 //! attributes and appear nowhere else.
 
 pub mod cloud;
 pub mod json;
+pub mod pages;
 pub mod peers;
 pub mod ranges;
 pub mod state;
--- /dev/null
+++ b/crates/quartzlever-wire/src/pages.rs
@@ -0,0 +1,75 @@
+//! Finished tasks of large jobs in the state service: pages of fixed task ranges, each under a key
+//! of its own. A page's value takes the same few bytes in whatever order tasks finish, so that it
+//! stays far below any limit of a value.
+
+use serde::{Deserialize, Serialize};
+
+use crate::Ranges;
+
+/// Prefix of the keys of pages.
+pub const PAGES: &str = "pages/";
+/// How many tasks a page stands for: as hexadecimal digits they take 256 bytes.
+pub const PAGE_TASKS: u32 = 1024;
+const BITS_PER_DIGIT: u32 = 4;
+
+/// Value of `pages/{ref}/{number}`: which tasks of the page have finished, as hexadecimal digits,
+/// the lowest task in the highest bit of the first digit. Digits that are left out are zero.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PageRecord {
+    finished: String,
+}
+
+/// The key of a page of a job.
+pub fn page_key(job: &str, page: u32) -> String {
+    format!("{PAGES}{job}/{page}")
+}
+
+/// The job and the page that a key belongs to.
+pub fn page_of_key(key: &str) -> Option<(&str, u32)> {
+    let (job, page) = key.strip_prefix(PAGES)?.rsplit_once('/')?;
+    Some((job, page.parse().ok()?))
+}
+
+/// The page that a task belongs to.
+pub fn page_of_task(task: u32) -> u32 {
+    task / PAGE_TASKS
+}
+
+/// The tasks of a set that belong to a page.
+pub fn tasks_of_page(tasks: &Ranges, page: u32) -> Ranges {
+    let first = page.saturating_mul(PAGE_TASKS);
+    tasks.within(first..first.saturating_add(PAGE_TASKS))
+}
+
+impl PageRecord {
+    /// The record of a page, for those tasks of a set that belong to it.
+    pub fn new(page: u32, finished: &Ranges) -> PageRecord {
+        let first = page.saturating_mul(PAGE_TASKS);
+        let mut digits = vec![0_u8; (PAGE_TASKS / BITS_PER_DIGIT) as usize];
+        for task in tasks_of_page(finished, page).iter() {
+            let bit = task - first;
+            digits[(bit / BITS_PER_DIGIT) as usize] |= 8 >> (bit % BITS_PER_DIGIT);
+        }
+        let text: String = digits.iter().map(|digit| format!("{digit:x}")).collect();
+        PageRecord { finished: text.trim_end_matches('0').to_owned() }
+    }
+
+    /// The finished tasks, if this is the record of that page.
+    pub fn tasks(&self, page: u32) -> Option<Ranges> {
+        if self.finished.len() > (PAGE_TASKS / BITS_PER_DIGIT) as usize {
+            return None;
+        }
+        let mut tasks = Ranges::default();
+        let mut next = page.checked_mul(PAGE_TASKS)?;
+        for digit in self.finished.chars() {
+            let bits = digit.to_digit(16)?;
+            for bit in 0..BITS_PER_DIGIT {
+                if bits & (8 >> bit) != 0 {
+                    tasks.insert(next + bit);
+                }
+            }
+            next = next.checked_add(BITS_PER_DIGIT)?;
+        }
+        Some(tasks)
+    }
+}
--- a/crates/quartzlever-wire/src/ranges.rs
+++ b/crates/quartzlever-wire/src/ranges.rs
@@ -76,6 +76,20 @@
         self.minus(&self.minus(other))
     }
 
+    /// The numbers of the set that lie within a range.
+    pub fn within(&self, range: Range<u32>) -> Ranges {
+        let mut out = RangeSet::new();
+        for found in self.0.overlapping(&range) {
+            out.insert(found.start.max(range.start)..found.end.min(range.end));
+        }
+        Ranges(out)
+    }
+
+    /// How many separate ranges the set has.
+    pub fn count_ranges(&self) -> usize {
+        self.0.len()
+    }
+
     pub fn lowest(&self) -> Option<u32> {
         self.0.first().map(|r| r.start)
     }
--- a/crates/quartzlever-wire/src/state.rs
+++ b/crates/quartzlever-wire/src/state.rs
@@ -213,9 +213,23 @@
     pub started: bool,
     pub shares: Vec<Share>,
     pub finished: Ranges,
+    /// More finished tasks are recorded in [pages](crate::pages); from the second version on.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub paged: bool,
 }
 
 impl LiveRecord {
+    /// The record of a job that was just accepted.
+    pub fn new(job: JobSpec, since: u64, shares: Vec<Share>) -> LiveRecord {
+        let finished = Ranges::default();
+        LiveRecord { job, since, started: false, shares, finished, paged: false }
+    }
+
+    /// Whether the part answers for tasks of the job, finished ones among them.
+    pub fn is_shared_by(&self, part: &str) -> bool {
+        self.shares.iter().any(|share| share.part == part)
+    }
+
     /// The tasks of `part` that are not recorded as finished.
     pub fn owned_by(&self, part: &str) -> Ranges {
         let mut owned = Ranges::default();
--- a/crates/quartzlever-wire/tests/formats.rs
+++ b/crates/quartzlever-wire/tests/formats.rs
@@ -1,5 +1,6 @@
 //! What is read, what is refused, and what our records look like.
 
+use quartzlever_wire::pages::{PAGE_TASKS, PageRecord, page_key, page_of_key};
 use quartzlever_wire::peers::{self, PeerRequest};
 use quartzlever_wire::state::{LiveRecord, Share};
 use quartzlever_wire::users::{BadJob, JobSpec};
@@ -147,13 +148,8 @@
         term,
         tasks: tasks.parse().expect("ranges"),
     };
-    let mut record = LiveRecord {
-        job: spec,
-        since: 0,
-        started: false,
-        shares: vec![share("one", 5, "0-15")],
-        finished: "0-1".parse().expect("ranges"),
-    };
+    let mut record = LiveRecord::new(spec, 0, vec![share("one", 5, "0-15")]);
+    record.finished = "0-1".parse().expect("ranges");
     // (moved, from, to, its term, shares after)
     let steps = [
         ("8-15", "one", "two", 7, vec![share("one", 5, "0-7"), share("two", 7, "8-15")]),
@@ -217,3 +213,41 @@
         }
     }
 }
+
+/// A page takes a bounded number of bytes in whatever order its tasks finish.
+#[test]
+fn pages_hold_their_tasks_in_few_bytes() {
+    let alternating = |first: u32| (0..PAGE_TASKS).filter(|n| n % 2 == first).collect::<Ranges>();
+    for (name, page, finished, within) in [
+        ("none", 0, Ranges::default(), 20),
+        ("the first", 0, Ranges::of(0..1), 20),
+        ("all", 0, Ranges::of(0..PAGE_TASKS), 280),
+        ("every second", 0, alternating(0), 280),
+        ("the others", 0, alternating(1), 280),
+        ("a later page", 3, Ranges::of(3 * PAGE_TASKS + 5..4 * PAGE_TASKS), 280),
+    ] {
+        let record = PageRecord::new(page, &finished);
+        let text = serde_json::to_string(&record).expect("JSON");
+        assert!(text.len() <= within, "{name}: {} bytes", text.len());
+        let read: PageRecord = serde_json::from_str(&text).expect("a page");
+        assert_eq!(read.tasks(page), Some(finished), "{name}");
+    }
+    // Of a larger set only the page's own tasks are taken.
+    let tasks = PageRecord::new(1, &Ranges::of(0..5 * PAGE_TASKS)).tasks(1);
+    assert_eq!(tasks, Some(Ranges::of(PAGE_TASKS..2 * PAGE_TASKS)));
+    for text in
+        [r#"{"finished":"xyz"}"#.to_owned(), format!("{{\"finished\":\"{}\"}}", "f".repeat(257))]
+    {
+        let record: PageRecord = serde_json::from_str(&text).expect("a text");
+        assert_eq!(record.tasks(0), None, "{text:.40}");
+    }
+    for (key, page) in [
+        ("pages/req-1/7", Some(("req-1", 7))),
+        ("pages/req-1/x", None),
+        ("pages/req-1", None),
+        ("live/req-1/7", None),
+    ] {
+        assert_eq!(page_of_key(key), page, "{key}");
+    }
+    assert_eq!(page_of_key(&page_key("req-1", 7)), Some(("req-1", 7)));
+}
--- a/crates/quartzlever/tests/end_to_end.rs
+++ b/crates/quartzlever/tests/end_to_end.rs
@@ -102,7 +102,8 @@
     let nowhere = ("one".to_owned(), "127.0.0.1:1".parse().expect("address"));
     let controllers = Arc::new(Mutex::new(vec![nowhere]));
     let report = Duration::from_millis(100);
-    let behaviour = Behaviour { report, lease: 10 * SECOND, run_time: SECOND };
+    let slow_calls = Duration::ZERO;
+    let behaviour = Behaviour { report, slow_calls, lease: 10 * SECOND, run_time: SECOND };
     let rules = RuleChecker::new(20 * SECOND, Vec::new());
     let fleet = Fleet::new(rules, controllers.clone(), behaviour, begin);
     let cloud = fleet.serve_cloud(Cloud::new(8.0, &["a"], 3)).expect("cloud");
--- a/crates/quartzlever/tests/rolling_upgrade/testbed.rs
+++ b/crates/quartzlever/tests/rolling_upgrade/testbed.rs
@@ -100,8 +100,10 @@
         let addresses: Vec<(String, SocketAddr)> = addresses.collect();
         let behaviour = Behaviour {
             report: Duration::from_millis(500),
+            // A new holder reaches some machines long before others.
+            slow_calls: Duration::from_millis(800),
             lease: 10 * SECOND,
-            run_time: 3 * SECOND / 2,
+            run_time: 4 * SECOND,
         };
         let rules = RuleChecker::new(20 * SECOND, Vec::new());
         let directory = Arc::new(Mutex::new(addresses.clone()));
