Blocks of machines shrink with limits lower than the settings say, by agreement of all controllers

Now the first controller that learns of it lowers the size under one lasting key, on whose stamp every claim and split depends.

Ruled out: each controller choosing by what it has learned itself (two sizes at once give a machine two owners).

--- a/crates/quartzlever-core/src/claims.rs
+++ b/crates/quartzlever-core/src/claims.rs
@@ -7,13 +7,15 @@
 //! for that, machines go into smaller blocks as soon as the cluster version says that every
 //! controller looks for them there; blocks of the first form are split then, a few at a time. Each
 //! machine still has one key that decides who claims it: a claim in a small block has the block of
-//! the first form at its stamp as a condition.
+//! the first form at its stamp as a condition. Where the state service takes even less than the
+//! settings say, the controllers agree on smaller blocks under one key, and each claim has that key
+//! at its stamp as a condition.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use quartzlever_wire::state::{
-    BLOCK, HOSTS, HostBlock, HostRecord, Hosts, PARTS, Row, StateCall, StateReply, Txn, block_key,
-    block_size, hosts_in, small_block_key,
+    BLOCK, CLUSTER_BLOCKS, HOSTS, HostBlock, HostRecord, Hosts, PARTS, Row, StateCall, StateReply,
+    Txn, block_key, block_size, hosts_in, small_block_key, span_of_block,
 };
 use quartzlever_wire::workers::Report;
 use quartzlever_wire::{CallError, Json, Micros, SECOND};
@@ -54,8 +56,18 @@
 
 impl Core {
     /// How many machines share a key that is written now.
-    fn block_size(&self) -> u64 {
-        if self.cluster.services() { block_size(self.cfg.value_bytes) } else { BLOCK }
+    pub(crate) fn block_size(&self) -> u64 {
+        if !self.cluster.services() {
+            return BLOCK;
+        }
+        let size = block_size(self.cfg.value_bytes);
+        self.cluster.agreed_block_size().map_or(size, |agreed| agreed.min(size))
+    }
+
+    /// Whether all claims in larger blocks are known, as they are once the cache has come to the
+    /// agreement on the present size.
+    fn knows_block_size(&self) -> bool {
+        self.cluster.blocks_stamp() <= self.cache.revision
     }
 
     /// The key that a machine is claimed under.
@@ -84,7 +96,7 @@
         }
     }
 
-    /// Splits one block of the first form, once small ones are to be used: the small ones and the
+    /// Splits one block that is larger than they are to be by now: the small ones and the
     /// end of the large one in one transaction if that takes no more changes than are allowed, else
     /// the small ones first, and the end when all of them are there. Each step may be repeated.
     pub(crate) fn split_blocks(&mut self) {
@@ -92,15 +104,16 @@
         if size == BLOCK || self.splitting || self.now < self.split_at || !self.sure() {
             return;
         }
+        if !self.knows_block_size() {
+            return;
+        }
         self.split_at = self.now + SPLIT_PAUSE;
         let ours = |hosts: &Hosts| {
             hosts.values().next().is_some_and(|record| self.parts.contains_key(&record.part))
         };
         let large = |key: &str, hosts: &Hosts| {
-            hosts
-                .keys()
-                .next()
-                .is_some_and(|h| block_key(h) == key && small_block_key(h, size) != key)
+            let span = span_of_block(key).filter(|span| *span > size);
+            span.is_some() && hosts.keys().next().is_some_and(|h| small_block_key(h, size) != key)
         };
         let mut found: Vec<&String> = self
             .cache
@@ -118,7 +131,8 @@
             let part = small.entry(small_block_key(host, size)).or_default();
             part.insert(host.clone(), record.clone());
         }
-        let mut txn = Txn::default().when(&key, *stamp);
+        let mut txn =
+            Txn::default().when(&key, *stamp).when(CLUSTER_BLOCKS, self.cluster.blocks_stamp());
         let mut written = Vec::new();
         let most = self.limits.txn_ops;
         let known = |key: &String| self.cache.blocks.get(key);
@@ -215,12 +229,21 @@
         }
     }
 
+    /// The largest value that a block may take now.
+    fn block_value_limit(&self) -> usize {
+        if self.cluster.services() {
+            self.limits.value_bytes
+        } else {
+            self.cfg.block_bytes.min(self.limits.learned_bytes)
+        }
+    }
+
     fn write_block(&mut self, key: &str) {
         self.reroute(key);
         let (now, sure) = (self.now, self.sure());
-        let most =
-            if self.cluster.services() { self.limits.value_bytes } else { self.cfg.block_bytes };
+        let most = self.block_value_limit();
         let large_form = self.block_size() == BLOCK;
+        let (agreed_stamp, may_claim) = (self.cluster.blocks_stamp(), self.knows_block_size());
         let cache = &self.cache;
         let Some(work) = self.blocks.get_mut(key) else { return };
         let kind = if work.claims.is_empty() { Change::Tidy } else { Change::Claim };
@@ -254,7 +277,7 @@
         // The whole block is measured once, then each record that comes to it: writing it out
         // anew for each was most of the work of a start.
         let mut length = if work.claims.is_empty() { 0 } else { written_length(&hosts) + 16 };
-        for (host, claim) in &work.claims {
+        for (host, claim) in work.claims.iter().filter(|_| may_claim) {
             if hosts.contains_key(host) || cache.hosts.contains_key(host) {
                 continue;
             }
@@ -291,6 +314,9 @@
             for (part, term) in &terms {
                 txn = txn.when(format!("{PARTS}{part}"), *term);
             }
+            if !added.is_empty() && !large_form {
+                txn = txn.when(CLUSTER_BLOCKS, agreed_stamp);
+            }
             // A claim that an earlier version wrote for one of these machines is seen there.
             let first_form = added.iter().next().map(|host| block_key(host));
             if let Some(first) = first_form.filter(|first| !large_form && first != key) {
@@ -417,10 +443,10 @@
         }
         let mut new = Hosts::new();
         for (host, record) in &hosts {
-            // One in a small block too belongs there: that claim had this block, as it was then, as
-            // a condition, so what stands here for the machine is a write that came late.
+            // One in a smaller block too belongs there: that claim had this block, as it was then, or
+            // the size of blocks as a condition, so what stands here is a write that came late.
             let mapped = self.cache.hosts.get(host);
-            if mapped.is_some_and(|k| k != key) && key == block_key(host) {
+            if mapped.is_some_and(|smaller| span_of_block(smaller) < span_of_block(key)) {
                 continue;
             }
             if before.get(host) != Some(record) || mapped.is_none() {
--- a/crates/quartzlever-core/src/claims/tests.rs
+++ b/crates/quartzlever-core/src/claims/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::testing::*;
+use quartzlever_wire::state::{BlocksRecord, Change as StateChange};
 
 /// What is reckoned record by record is never less than what is written.
 #[test]
@@ -87,7 +88,12 @@
 /// another partition in its small block, counts for nothing, whichever is seen first.
 #[test]
 fn a_machine_in_two_blocks_belongs_to_the_small_one() {
-    let (large, small) = ("hosts/n-~3", "hosts/n-~16~14");
+    for (large, small) in [("hosts/n-~3", "hosts/n-~16~14"), ("hosts/n-~16~14", "hosts/n-~4~57")] {
+        in_two_blocks(large, small);
+    }
+}
+
+fn in_two_blocks(large: &str, small: &str) {
     let block = |part: &str| {
         Json::of(&HostBlock {
             m: Hosts::from([("n-000231".to_owned(), host_record("n-000231", part))]),
@@ -117,3 +123,45 @@
         }
     }
 }
+
+/// While controllers might use different sizes of blocks a machine could get two owners. So a claim
+/// has the agreement on the size as a condition, and waits until all earlier claims are known.
+#[test]
+fn a_claim_depends_on_the_agreed_size_of_blocks() {
+    // (agreed size and its stamp, how far the cache has come, the key that is written)
+    for (agreed, revision, key) in [
+        (None, 30, Some("hosts/n-~16~14")),
+        (Some((4, 20)), 30, Some("hosts/n-~4~57")),
+        (Some((4, 31)), 30, None),
+        // It only ever sinks: the settings' own size is smaller.
+        (Some((32, 20)), 30, Some("hosts/n-~16~14")),
+    ] {
+        let mut core = core();
+        core.cache.loaded = true;
+        core.cache.revision = revision;
+        (core.cfg.value_bytes, core.lease.next) = (2048, NOW + 900 * SECOND);
+        core.cluster_row(&raised_version(10));
+        if let Some((size, stamp)) = agreed {
+            let v = Json::of(&BlocksRecord { size });
+            let path = CLUSTER_BLOCKS.into();
+            core.cluster_row(&Row { path, v, stamp, charter: None });
+        }
+        core.want_claim(1, report_idle("n-000231", 1, 0), "one", 5);
+        let effects = core.step(NOW + SECOND, Vec::new());
+        let written = effects.iter().find_map(|effect| match effect {
+            Effect::State { call: StateCall::Txn(txn), .. } => {
+                let writes = |c: &&StateChange| matches!(c, StateChange::Write { write, .. } if write.starts_with("hosts/"));
+                txn.changes.iter().find(writes).map(|change| (change, txn))
+            }
+            _ => None,
+        });
+        assert_eq!(written.is_some(), key.is_some(), "{agreed:?}: {effects:?}");
+        let (Some((StateChange::Write { write, .. }, txn)), Some(key)) = (written, key) else {
+            continue;
+        };
+        assert_eq!(write, key, "{agreed:?}");
+        let stamp = agreed.map_or(0, |(_, stamp)| stamp);
+        let condition = txn.conditions.iter().find(|c| c.path == CLUSTER_BLOCKS);
+        assert_eq!(condition.map(|c| c.stamp), Some(stamp), "{agreed:?}");
+    }
+}
--- a/crates/quartzlever-core/src/cluster.rs
+++ b/crates/quartzlever-core/src/cluster.rs
@@ -7,8 +7,8 @@
 use std::collections::BTreeMap;
 
 use quartzlever_wire::state::{
-    CLUSTER_NODES, CLUSTER_VERSION, ClusterRecord, NodeRecord, PARTS, PartRecord, Row, StateCall,
-    StateReply, Txn,
+    BlocksRecord, CLUSTER_BLOCKS, CLUSTER_NODES, CLUSTER_VERSION, ClusterRecord, NodeRecord, PARTS,
+    PartRecord, Row, StateCall, StateReply, Txn, block_size,
 };
 use quartzlever_wire::{CallError, Json, Micros, SECOND};
 
@@ -30,6 +30,8 @@
 pub(crate) enum ClusterWrite {
     /// This process's version was announced.
     Announce,
+    /// Smaller blocks of machines were agreed on.
+    Blocks,
     /// The cluster version was raised.
     Raise,
 }
@@ -39,13 +41,15 @@
 pub(crate) struct Cluster {
     version: u32,
     nodes: BTreeMap<String, (NodeRecord, u64)>,
+    /// The size of the blocks of machines that was agreed on, with its stamp.
+    blocks: Option<(u64, u64)>,
     waiting: bool,
     next: Micros,
 }
 
 impl Default for Cluster {
     fn default() -> Self {
-        Cluster { version: 1, nodes: BTreeMap::new(), waiting: false, next: 0 }
+        Cluster { version: 1, nodes: BTreeMap::new(), blocks: None, waiting: false, next: 0 }
     }
 }
 
@@ -55,6 +59,17 @@
         self.version >= SERVICES
     }
 
+    /// The largest block of machines that was agreed on, if any was.
+    pub fn agreed_block_size(&self) -> Option<u64> {
+        self.blocks.map(|(size, _)| size)
+    }
+
+    /// The stamp of that agreement, 0 if there is none. Each claim depends on it: two sizes in use at
+    /// once could give a machine two owners.
+    pub fn blocks_stamp(&self) -> u64 {
+        self.blocks.map_or(0, |(_, stamp)| stamp)
+    }
+
     /// Whether every controller knows pages of finished tasks.
     pub fn pages(&self) -> bool {
         self.version >= PAGES
@@ -106,8 +121,10 @@
             return;
         }
         let (txn, write) = if self.has_announced() {
-            let Some(txn) = self.raising() else { return };
-            (txn, ClusterWrite::Raise)
+            let next = self.raising().map(|txn| (txn, ClusterWrite::Raise));
+            let next = next.or_else(|| self.smaller_blocks().map(|t| (t, ClusterWrite::Blocks)));
+            let Some(next) = next else { return };
+            next
         } else {
             // At once, while the records are still being read: nothing is acquired before it.
             let key = format!("{CLUSTER_NODES}{}", self.cfg.node);
@@ -156,6 +173,17 @@
         Some(txn.write(CLUSTER_VERSION, Json::of(&ClusterRecord { version: VERSION })))
     }
 
+    /// The transaction that makes blocks of machines smaller, if the state service has turned out to
+    /// take less than the settings say.
+    fn smaller_blocks(&self) -> Option<Txn> {
+        let size = block_size(self.limits.value_bytes);
+        if !self.cluster.services() || size >= self.block_size() {
+            return None;
+        }
+        let txn = Txn::default().when(CLUSTER_BLOCKS, self.cluster.blocks_stamp());
+        Some(txn.write(CLUSTER_BLOCKS, Json::of(&BlocksRecord { size })))
+    }
+
     pub(crate) fn cluster_answered(
         &mut self,
         write: ClusterWrite,
@@ -183,6 +211,13 @@
                     self.note(Weight::Error, || format!("unreadable record: {CLUSTER_VERSION}"))
                 }
             }
+        } else if row.path == CLUSTER_BLOCKS {
+            match parse::<BlocksRecord>(row) {
+                Some(record) if record.size > 0 => {
+                    self.cluster.blocks = Some((record.size, row.stamp));
+                }
+                _ => self.note(Weight::Error, || format!("unreadable record: {CLUSTER_BLOCKS}")),
+            }
         } else if let Some(node) = row.path.strip_prefix(CLUSTER_NODES) {
             match parse::<NodeRecord>(row) {
                 Some(record) => self.cluster.insert_node(node, record, row.stamp),
--- a/crates/quartzlever-core/src/cluster/tests.rs
+++ b/crates/quartzlever-core/src/cluster/tests.rs
@@ -2,7 +2,7 @@
 
 use super::{ClusterWrite, VERSION};
 use crate::testing::*;
-use quartzlever_wire::state::{CLUSTER_VERSION, ClusterRecord, NodeRecord};
+use quartzlever_wire::state::NodeRecord;
 
 fn announce(core: &mut Core, node: &str, version: u32, process: u64, stamp: u64) {
     let v = Json::of(&NodeRecord { version, process });
@@ -75,8 +75,7 @@
         }
         // Until the key is seen nothing new is done, and after that it is not raised again.
         assert!(!core.cluster.services(), "{n}");
-        let v = Json::of(&ClusterRecord { version: VERSION });
-        core.cluster_row(&Row { path: CLUSTER_VERSION.into(), v, stamp: 10, charter: None });
+        core.cluster_row(&raised_version(10));
         assert!(core.cluster.services(), "{n}");
         core.cluster_answered(ClusterWrite::Raise, &Ok(StateReply::Committed(10)));
         assert!(transactions(&mut core, NOW + 5 * SECOND).is_empty(), "{n}");
@@ -101,11 +100,6 @@
     assert!(ends.iter().any(|e| matches!(e, Effect::End { why } if why.contains("version 3"))));
 }
 
-fn raise(core: &mut Core, stamp: u64) {
-    let v = Json::of(&ClusterRecord { version: VERSION });
-    core.cluster_row(&Row { path: CLUSTER_VERSION.into(), v, stamp, charter: None });
-}
-
 /// A process that has not announced itself acquires nothing, or the others would take it for one of
 /// the first version and take its partitions over.
 #[test]
@@ -152,7 +146,7 @@
             announce(&mut core, "two", VERSION, process, stamp);
         }
         if raised {
-            raise(&mut core, 10);
+            core.cluster_row(&raised_version(10));
         }
         let takes = |core: &mut Core, now: Micros| {
             let effects = core.step(now, Vec::new());
--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -306,6 +306,8 @@
 pub(crate) struct Limits {
     pub value_bytes: usize,
     pub txn_ops: usize,
+    /// The largest value by its own answers alone, whatever the settings say of limits to come.
+    pub learned_bytes: usize,
 }
 
 /// How large a transaction was: its largest value, and its changes.
@@ -413,7 +415,11 @@
             contact: Contact { heard: now, ..Contact::default() },
             cluster: Cluster::default(),
             pages: Pages::default(),
-            limits: Limits { value_bytes: cfg.value_bytes, txn_ops: cfg.txn_ops },
+            limits: Limits {
+                value_bytes: cfg.value_bytes,
+                txn_ops: cfg.txn_ops,
+                learned_bytes: usize::MAX,
+            },
             txn_sizes: HashMap::new(),
             hearing: Hearing::new(now),
             ledger: Ledger::new(now),
@@ -584,11 +590,12 @@
                 if size.value > LEAST_VALUE {
                     let lower = (size.value * 3 / 4).max(LEAST_VALUE);
                     limits.value_bytes = limits.value_bytes.min(lower);
+                    limits.learned_bytes = limits.learned_bytes.min(lower);
                 }
                 if size.ops > LEAST_OPS {
                     limits.txn_ops = limits.txn_ops.min(size.ops - 1);
                 }
-                let Limits { value_bytes, txn_ops } = *limits;
+                let Limits { value_bytes, txn_ops, .. } = *limits;
                 // Once for each limit that is learned.
                 let news = before.value_bytes > value_bytes || before.txn_ops > txn_ops;
                 self.note(if news { Weight::Error } else { Weight::Debug }, || {
--- a/crates/quartzlever-core/tests/world/upgrade.rs
+++ b/crates/quartzlever-core/tests/world/upgrade.rs
@@ -27,7 +27,7 @@
 
 /// What happens between two replacements.
 #[derive(Clone, Copy, Debug)]
-enum Between {
+pub(crate) enum Between {
     Nothing,
     /// A node whose turn has not come dies and comes back as it was.
     OldDies,
@@ -38,7 +38,7 @@
     NewAlone,
 }
 
-fn world(seed: u64, tune: fn(&mut Config)) -> World {
+pub(crate) fn world(seed: u64, tune: fn(&mut Config)) -> World {
     let mut w = World::with(seed, NODES, tune);
     w.cloud.most = 90;
     w.old.extend(0..NODES.len());
@@ -51,7 +51,7 @@
     w
 }
 
-fn replace(w: &mut World, order: [usize; 3], between: Between) {
+pub(crate) fn replace(w: &mut World, order: [usize; 3], between: Between) {
     for (turn, n) in order.into_iter().enumerate() {
         w.old.remove(&n);
         w.restart(n, SECOND);
--- a/crates/quartzlever-wire/src/state.rs
+++ b/crates/quartzlever-wire/src/state.rs
@@ -18,6 +18,8 @@
 /// process that is up, on its own lease.
 pub const CLUSTER: &str = "cluster/";
 pub const CLUSTER_VERSION: &str = "cluster/version";
+/// How many machines share a key at most, once a value takes less than the settings say.
+pub const CLUSTER_BLOCKS: &str = "cluster/blocks";
 pub const CLUSTER_NODES: &str = "cluster/nodes/";
 /// A key that nobody writes: reading it brings the present revision at little cost.
 pub const NOBODY: &str = "nobody";
@@ -189,6 +191,12 @@
     pub version: u32,
 }
 
+/// Value of `cluster/blocks`: the size of the blocks of machines, which only ever sinks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BlocksRecord {
+    pub size: u64,
+}
+
 /// Value of `cluster/nodes/{name}`: the version of the node's present process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeRecord {
@@ -312,6 +320,16 @@
     }
 }
 
+/// How many machines the block under a key may hold; none for the key of a single machine.
+pub fn span_of_block(key: &str) -> Option<u64> {
+    let mut parts = key.strip_prefix(HOSTS)?.rsplit('~');
+    let (_number, before) = (parts.next()?, parts.next()?);
+    match parts.next() {
+        Some(_stem) => before.parse().ok(),
+        None => Some(BLOCK),
+    }
+}
+
 /// The machines under a key: a block, or one machine as an earlier version kept it.
 pub fn hosts_in(path: &str, value: &Json) -> Option<Hosts> {
     #[derive(Deserialize)]
