Services: room in each zone at once, early in an upgrade; retried where all machines had failed

Now room is reckoned by zone, kept for three minutes in an upgrade, and a machine that is overdue by 1.2 boots is not waited for.

Cause 2 (new row in world/services.rs, red before the mend): a service whose machines had all failed for a while stayed away for good when fewer than three were to be had, since a machine that it failed on was never tried again. Now it is after 20 s in which nothing of the job runs. Six more troubles of services, and a cancellation in the middle of eleven.

--- a/crates/quartzlever-core/src/cluster.rs
+++ b/crates/quartzlever-core/src/cluster.rs
@@ -22,6 +22,9 @@
 const SERVICES: u32 = 2;
 /// From this version on finished tasks of large jobs are recorded in pages.
 const PAGES: u32 = 2;
+/// The first services are expected so long after an upgrade: after the cluster version was raised, or
+/// after a process has found controllers of the first version.
+const SERVICES_EXPECTED: Micros = 180 * SECOND;
 /// After an announcement or a raising that was not answered, or came too early.
 const RETRY: Micros = SECOND / 2;
 
@@ -45,11 +48,22 @@
     blocks: Option<(u64, u64)>,
     waiting: bool,
     next: Micros,
+    /// Controllers of the first version were up when the records were read.
+    upgrading: bool,
+    services_expected_until: Micros,
 }
 
 impl Default for Cluster {
     fn default() -> Self {
-        Cluster { version: 1, nodes: BTreeMap::new(), blocks: None, waiting: false, next: 0 }
+        Cluster {
+            version: 1,
+            nodes: BTreeMap::new(),
+            blocks: None,
+            waiting: false,
+            next: 0,
+            upgrading: false,
+            services_expected_until: 0,
+        }
     }
 }
 
@@ -70,6 +84,21 @@
         self.blocks.map_or(0, |(_, stamp)| stamp)
     }
 
+    /// Whether the first services may come soon: their machines are to be up by then, since a boot
+    /// takes longer than a service should wait.
+    pub fn expects_services(&self, now: Micros) -> bool {
+        now < self.services_expected_until
+    }
+
+    /// The records were read, and with them the cluster version and who holds partitions.
+    fn records_read<'a>(&mut self, now: Micros, mut holders: impl Iterator<Item = &'a PartRecord>) {
+        let announced = |holder: &PartRecord| self.has_announced(&holder.node, holder.process);
+        self.upgrading = !self.services() && holders.any(|holder| !announced(holder));
+        if self.upgrading {
+            self.services_expected_until = now + SERVICES_EXPECTED;
+        }
+    }
+
     /// Whether every controller knows pages of finished tasks.
     pub fn pages(&self) -> bool {
         self.version >= PAGES
@@ -202,6 +231,12 @@
         }
     }
 
+    /// The records were read, and with them the cluster version and who holds partitions.
+    pub(crate) fn look_for_upgrade(&mut self) {
+        let holders = self.cache.parts.values().map(|(holder, _)| holder);
+        self.cluster.records_read(self.now, holders);
+    }
+
     /// A record of versions, as the state service has it.
     pub(crate) fn cluster_row(&mut self, row: &Row) {
         if row.path == CLUSTER_VERSION {
@@ -243,6 +278,9 @@
             self.out.push(Effect::End { why });
         } else if version > self.cluster.version {
             self.cluster.version = version;
+            if self.cluster.upgrading {
+                self.cluster.services_expected_until = self.now + SERVICES_EXPECTED;
+            }
             self.note(Weight::Info, || {
                 format!("cluster version {version}: all controllers know it")
             });
--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -15,7 +15,7 @@
 use crate::machine::Amounts;
 use crate::messages::{Lane, Weight};
 use crate::partition::{Partition, Types};
-use crate::placement::{offer_allowed, urgency, zones_open};
+use crate::placement::{ZoneRoom, offer_allowed, urgency, zone_room};
 use crate::stealing::PeerWork;
 
 const TICK: Micros = SECOND / 2;
@@ -33,6 +33,8 @@
 const GIVEN_WAY: Micros = 2 * SECOND;
 /// An offer counts as cheap up to this many times the lowest price for the job.
 const CHEAP: f64 = 1.5;
+/// A machine for services that has not come up after so many usual boots is not waited for.
+const OVERDUE_BOOTS: f64 = 1.2;
 /// The most machines in one request for them.
 const MOST_PER_HIRE: u32 = 50;
 /// Requests for machines of one part without an answer, at the most.
@@ -103,6 +105,15 @@
     pub since: Micros,
 }
 
+impl Expected {
+    /// Whether it should have come up by now. Some machines take several times as long as others, or
+    /// never come up: for a service another one is asked for meanwhile.
+    fn is_overdue(&self, types: &BTreeMap<String, MachineType>, now: Micros) -> bool {
+        let boot = types.get(&self.kind).map_or(0.0, |kind| kind.ready_s);
+        now.saturating_sub(self.since) > micros_from_secs(OVERDUE_BOOTS * boot)
+    }
+}
+
 /// A kind of machine that can be asked for: type, zone, spot.
 type Offer = (String, String, bool);
 
@@ -168,6 +179,26 @@
     free: Amounts,
 }
 
+/// Tasks of a job that have no room yet. A job that is spread over zones needs room in each of them:
+/// with one machine for all of it half of a service waited out a second boot.
+struct Unplaced {
+    tasks: u32,
+    zones: ZoneRoom,
+}
+
+impl Unplaced {
+    /// Puts as many of the tasks as possible on a machine that is coming.
+    fn fill(&mut self, bin: &mut Bin, need: &Amounts) {
+        let zone = &bin.offer.1;
+        let count = bin.free.count(need).min(self.tasks).min(self.zones.left(zone));
+        for _ in 0..count {
+            bin.free.take(need);
+        }
+        self.zones.take(zone, count);
+        self.tasks -= count;
+    }
+}
+
 /// Whether a job may run on such machines, which are to be had where they are offered.
 fn may_rent(spec: &quartzlever_wire::users::JobSpec, offer: &Offer) -> bool {
     offer_allowed(spec, &offer.0, &offer.1, offer.2)
@@ -277,8 +308,9 @@
     /// there meanwhile and give way. Without it a service waited out a boot in whichever part and
     /// zone had no such machine.
     fn standby(&self) -> Vec<Offer> {
-        let services = self.cluster.services()
-            && self.cache.live.values().any(|(record, _)| record.job.is_service());
+        let has_service = || self.cache.live.values().any(|(record, _)| record.job.is_service());
+        let services =
+            self.cluster.expects_services(self.now) || (self.cluster.services() && has_service());
         let Some(types) = self.types.as_ref().filter(|_| services) else { return Vec::new() };
         let soonest = types
             .values()
@@ -306,7 +338,7 @@
         let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
         part.shortage(&self.cfg, &self.paces, types, now, &mut wanted);
         for offer in standby {
-            if !part.has_standby(types, &offer) && !part.fleet.refused.contains_key(&offer) {
+            if !part.has_standby(types, &offer, now) && !part.fleet.refused.contains_key(&offer) {
                 wanted.entry(offer).or_insert(1);
             }
         }
@@ -642,10 +674,19 @@
     }
 
     /// Whether such a machine is at hand or on its way.
-    fn has_standby(&self, types: &BTreeMap<String, MachineType>, offer: &Offer) -> bool {
+    fn has_standby(
+        &self,
+        types: &BTreeMap<String, MachineType>,
+        offer: &Offer,
+        now: Micros,
+    ) -> bool {
         let coming = |zone: &str, spot: bool| zone == offer.1 && !spot;
         self.standby_at(types, offer).is_some()
-            || self.fleet.expected.values().any(|e| coming(&e.zone, e.spot))
+            || self
+                .fleet
+                .expected
+                .values()
+                .any(|e| coming(&e.zone, e.spot) && !e.is_overdue(types, now))
             || self.fleet.hires.values().any(|h| coming(&h.hire.zone, h.hire.spot))
     }
 
@@ -724,22 +765,19 @@
             let spec = job.spec();
             let need = job.need();
             let expect = paces.expect(spec).max(SECOND);
-            let mut left = job.ready.len();
+            let mut unplaced =
+                Unplaced { tasks: job.ready.len(), zones: zone_room(self, job, &cfg.zones) };
             for bin in &mut bins {
-                if left == 0 {
+                if unplaced.tasks == 0 {
                     break;
                 }
-                let count = bin.free.count(&need).min(left);
-                if count > 0 && may_rent(spec, &bin.offer) {
-                    for _ in 0..count {
-                        bin.free.take(&need);
-                    }
-                    left -= count;
+                if may_rent(spec, &bin.offer) {
+                    unplaced.fill(bin, &need);
                 }
             }
             let work = f64::from(job.ready.len()) * need.cpus * expect as f64 / 1e6;
             ahead += work;
-            if left == 0 {
+            if unplaced.tasks == 0 {
                 continue;
             }
             let latest = urgency(cfg, paces, job, now).latest;
@@ -748,7 +786,7 @@
                 // What makes way for it is quicker than any machine.
                 continue;
             }
-            while left > 0 && wanted.values().sum::<u32>() < MOST_PER_ROUND {
+            while unplaced.tasks > 0 && wanted.values().sum::<u32>() < MOST_PER_ROUND {
                 // Cheap machines come for any queue that is not gone soon, others only for an
                 // aim, and only as many as it takes: one machine serves several waves.
                 let mut cheap_only = false;
@@ -760,7 +798,7 @@
                     }
                     cheap_only = last_start <= latest;
                 }
-                let Some(offer) = self.cheapest(cfg, types, job, left, now, cheap_only) else {
+                let Some(offer) = self.cheapest(cfg, types, job, &unplaced, now, cheap_only) else {
                     break;
                 };
                 let Some(kind) = types.get(&offer.0) else { break };
@@ -771,45 +809,39 @@
                 }
                 paid += more;
                 lowest += least;
-                let mut free = Amounts::of_type(kind);
-                let count = free.count(&need).min(left).max(1);
-                for _ in 0..count {
-                    free.take(&need);
-                }
-                left -= count;
                 cpus += kind.cpus;
                 *wanted.entry(offer.clone()).or_default() += 1;
-                bins.push(Bin { offer, free });
+                let mut bin = Bin { offer, free: Amounts::of_type(kind) };
+                unplaced.fill(&mut bin, &need);
+                bins.push(bin);
             }
         }
     }
 
-    /// The cheapest offer for `left` tasks of a job.
+    /// The cheapest offer for the tasks of a job that have no room yet.
     fn cheapest(
         &self,
         cfg: &crate::config::Config,
         types: &BTreeMap<String, MachineType>,
         job: &crate::partition::PartitionJob,
-        left: u32,
+        unplaced: &Unplaced,
         now: Micros,
         cheap_only: bool,
     ) -> Option<Offer> {
         let spec = job.spec();
         let need = job.need();
-        // A job whose tasks must be together has no use for machines in another zone.
-        let zones = zones_open(self, job, &cfg.zones);
         let mut best: Option<(f64, Offer)> = None;
         let mut lowest = f64::INFINITY;
         for kind in types.values() {
-            let count = Amounts::of_type(kind).count(&need).min(left);
+            let count = Amounts::of_type(kind).count(&need).min(unplaced.tasks);
             if count == 0 {
                 continue;
             }
             for zone in &kind.zones {
                 for spot in [true, false] {
                     let offer = (kind.name.clone(), zone.clone(), spot);
-                    let open = zones.as_ref().is_none_or(|z| z.contains(zone));
-                    if !open || !may_rent(spec, &offer) {
+                    // A job whose tasks must be together has no use for machines in another zone.
+                    if unplaced.zones.left(zone) == 0 || !may_rent(spec, &offer) {
                         continue;
                     }
                     lowest = lowest.min(price(kind, spot) / f64::from(count));
--- a/crates/quartzlever-core/src/fleet/tests.rs
+++ b/crates/quartzlever-core/src/fleet/tests.rs
@@ -295,3 +295,118 @@
         assert_eq!(gone, returned, "cut for {cut_s} s, {after} s after its end");
     }
 }
+
+/// Machines that are asked for: zone, spot, how many.
+type Hires = Vec<(String, bool, u32)>;
+
+/// The machines that a step asks for.
+fn rented(effects: Vec<Effect>) -> Hires {
+    let hire = |effect| match effect {
+        Effect::Cloud { call: CloudCall::Rent(hire), .. } => {
+            Some((hire.zone, hire.spot, hire.count))
+        }
+        _ => None,
+    };
+    let mut hires: Hires = effects.into_iter().filter_map(hire).collect();
+    hires.sort();
+    hires
+}
+
+/// Half of a service that is spread over zones waited out a second boot, since one machine had room
+/// for all of it.
+#[test]
+fn a_spread_service_gets_machines_in_each_zone_at_once() {
+    let in_zone = |zone: &str| (zone.to_owned(), false, 1);
+    // (spread, ordinary machines that are there, replicas; what is asked for)
+    type Case<'a> = (bool, &'a [&'a str], u32, Hires);
+    let cases: &[Case] = &[
+        (true, &[], 4, vec![in_zone("a"), in_zone("b")]),
+        (true, &["a"], 4, vec![in_zone("b")]),
+        (true, &["a", "b"], 4, vec![]),
+        (true, &[], 1, vec![in_zone("a")]),
+        (false, &[], 4, vec![in_zone("a")]),
+    ];
+    for (n, (spread, there, replicas, asked)) in cases.iter().enumerate() {
+        let mut core = core();
+        let list: Vec<(String, &str)> =
+            there.iter().enumerate().map(|(k, zone)| (format!("x-{k}"), *zone)).collect();
+        let list: Vec<_> =
+            list.iter().map(|(name, zone)| (name.as_str(), "m", *zone, false)).collect();
+        machines(&mut core, &list);
+        let service = JobSpec {
+            shape: Shape::Daemon,
+            rank: Rank::Prod,
+            cpus: 1.0,
+            spot: false,
+            spread: *spread,
+            ..spec(*replicas)
+        };
+        queue_job(&mut core, &service, 10);
+        let now = NOW + 5 * SECOND;
+        let batch = vec![Command::Tick { wall: now, behind: false }];
+        assert_eq!(&rented(core.step(now, batch)), asked, "case {n}");
+    }
+}
+
+/// The first services come soon after an upgrade, and a boot takes longer than they should wait: room
+/// is kept for them for a while, and no longer if none come. A process that starts when the version
+/// was raised long ago, or in a new cluster, keeps none.
+#[test]
+fn room_is_kept_for_the_first_services() {
+    let both = || vec![("a".to_owned(), false, 1), ("b".to_owned(), false, 1)];
+    // (an old process holds a partition when the records are read, the version is raised by then,
+    // raised later after so many seconds, asked for after so many seconds; what is asked for)
+    for (n, (old, raised_before, raised_after, after, asked)) in [
+        (true, true, None, 1, vec![]),
+        (false, false, None, 1, vec![]),
+        (false, false, Some(1), 2, vec![]),
+        (true, false, None, 1, both()),
+        (true, false, Some(1), 2, both()),
+        (true, false, Some(100), 200, both()),
+        (true, false, None, 200, vec![]),
+        (true, false, Some(1), 200, vec![]),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let mut core = core();
+        machines(&mut core, &[]);
+        let mut rows = if raised_before { vec![raised_version(3)] } else { Vec::new() };
+        for (node, process, announced) in [("one", core.process, true), ("two", 22, !old)] {
+            core.cache.parts.insert(node.into(), (PartRecord { node: node.into(), process }, 5));
+            if announced {
+                rows.push(announcement(node, process, 4));
+            }
+        }
+        let listed = quartzlever_wire::state::Rows { rows, has_next: false, epoch: 9 };
+        core.cluster_listed(Ok(StateReply::Rows(listed)));
+        if let Some(seconds) = raised_after {
+            core.now = NOW + seconds * SECOND;
+            core.cluster_row(&raised_version(10));
+        }
+        core.lease.sure_until = NOW + 900 * SECOND;
+        let now = NOW + after * SECOND;
+        core.cache.viewed = now;
+        let batch = vec![Command::Tick { wall: now, behind: false }];
+        assert_eq!(rented(core.step(now, batch)), asked, "case {n}");
+    }
+}
+
+/// Some machines take several times as long to boot as others, or never come up: for a service
+/// another one is asked for.
+#[test]
+fn an_overdue_machine_is_not_waited_for_by_services() {
+    // (boots of its type since it was rented, whether it is still counted on)
+    for (boots, counted) in [(0.5, true), (1.1, true), (1.3, false)] {
+        let mut core = core();
+        machines(&mut core, &[]);
+        let types = core.types.clone().expect("known");
+        let boot = quartzlever_wire::micros_from_secs(types["m"].ready_s * boots);
+        let part = core.parts.get_mut("one").expect("it is held");
+        let expected =
+            Expected { kind: "m".into(), zone: "a".into(), spot: false, since: NOW - boot };
+        part.fleet.expected.insert("n-7".into(), expected);
+        let offer = ("m".to_owned(), "a".to_owned(), false);
+        assert_eq!(part.has_standby(&types, &offer, NOW), counted, "{boots} boots");
+    }
+}
--- a/crates/quartzlever-core/src/leases.rs
+++ b/crates/quartzlever-core/src/leases.rs
@@ -242,6 +242,7 @@
             let call = StateCall::List { prefix: CLUSTER.into(), from: Some(from) };
             return self.state(Lane::Lease, call, Waiting::ListCluster);
         }
+        self.look_for_upgrade();
         self.cache.loading = false;
         self.cache.loaded = true;
         self.close_gap();
--- a/crates/quartzlever-core/src/partition.rs
+++ b/crates/quartzlever-core/src/partition.rs
@@ -11,7 +11,7 @@
 use quartzlever_wire::state::{HostRecord, LIVE, LiveRecord, PARTS, Txn};
 use quartzlever_wire::users::{JobSpec, Rank};
 use quartzlever_wire::workers::TaskId;
-use quartzlever_wire::{Micros, Ranges};
+use quartzlever_wire::{Micros, Ranges, SECOND};
 
 use crate::config::Config;
 use crate::fleet::Fleet;
@@ -25,6 +25,8 @@
 
 /// A job that failed on so many machines and was never done is taken as mistaken itself.
 const MISTAKEN_AFTER: usize = 3;
+/// A machine that a job failed on is tried again after this time where nothing of the job runs.
+const FORGIVEN_AFTER: Micros = 20 * SECOND;
 
 /// Where a task may be.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -61,6 +63,7 @@
     /// Failed attempts here: machines they failed on, and how many.
     pub failed_on: BTreeSet<String>,
     pub failures: u32,
+    pub failed_at: Micros,
     /// Tasks of the job that were done here.
     pub good: u32,
     pub no_start_before: Micros,
@@ -119,9 +122,18 @@
         self.failed_on.clear();
     }
 
-    /// Whether the job fails wherever it is tried.
+    /// Whether the job fails wherever it is tried. A service may do so after it has run well: what
+    /// failed before that is forgotten by then.
     pub fn mistaken(&self) -> bool {
-        self.good == 0 && self.failed_on.len() >= MISTAKEN_AFTER
+        (self.good == 0 || self.service()) && self.failed_on.len() >= MISTAKEN_AFTER
+    }
+
+    /// When the machines that it failed on are tried again although it has not failed on as many as a
+    /// mistaken job: nothing of it runs, and there may be no others to be had. Where all machines had
+    /// failed for a while, a service stayed away for good after they were sound again.
+    pub fn forgives_at(&self) -> Option<Micros> {
+        let waits = !self.failed_on.is_empty() && self.located.is_empty() && !self.mistaken();
+        waits.then(|| self.failed_at + FORGIVEN_AFTER)
     }
 
     /// Whether the work of this part on the job is over and recorded.
@@ -270,6 +282,7 @@
                 due,
                 failed_on: BTreeSet::new(),
                 failures: 0,
+                failed_at: 0,
                 good: 0,
                 no_start_before: 0,
                 stopped: Ranges::default(),
--- a/crates/quartzlever-core/src/placement.rs
+++ b/crates/quartzlever-core/src/placement.rs
@@ -130,15 +130,40 @@
     }
 }
 
+/// How many more tasks of a job may start in each zone; without bounds for most jobs.
+#[derive(Clone, Debug)]
+pub(crate) struct ZoneRoom(Option<BTreeMap<String, u32>>);
+
+impl ZoneRoom {
+    /// How many more tasks may start in a zone.
+    pub fn left(&self, zone: &str) -> u32 {
+        self.0.as_ref().map_or(u32::MAX, |left| left.get(zone).copied().unwrap_or(0))
+    }
+
+    /// So many tasks are going to start in a zone.
+    pub fn take(&mut self, zone: &str, count: u32) {
+        if let Some(left) = self.0.as_mut().and_then(|left| left.get_mut(zone)) {
+            *left = left.saturating_sub(count);
+        }
+    }
+}
+
 /// Zones in which another task of the job may start now.
 pub(crate) fn zones_open(
     part: &Partition,
     job: &PartitionJob,
     zones: &[String],
 ) -> Option<Vec<String>> {
+    let ZoneRoom(room) = zone_room(part, job, zones);
+    let open = room?.into_iter().filter(|(_, left)| *left > 0);
+    Some(open.map(|(zone, _)| zone).collect())
+}
+
+/// How many more tasks of the job may start in each zone now.
+pub(crate) fn zone_room(part: &Partition, job: &PartitionJob, zones: &[String]) -> ZoneRoom {
     let spec = job.spec();
     if !spec.one_zone && !spec.spread {
-        return None;
+        return ZoneRoom(None);
     }
     let mut used: BTreeMap<&str, u32> = BTreeMap::new();
     for machine in part.machines.values() {
@@ -152,16 +177,11 @@
         }
     }
     if spec.one_zone && !used.is_empty() {
-        return Some(used.keys().map(|z| (*z).to_owned()).collect());
+        return ZoneRoom(Some(used.keys().map(|z| ((*z).to_owned(), u32::MAX)).collect()));
     }
     let most = if spec.spread { spec.tasks.div_ceil(2) } else { u32::MAX };
-    Some(
-        zones
-            .iter()
-            .filter(|z| used.get(z.as_str()).copied().unwrap_or(0) < most)
-            .cloned()
-            .collect(),
-    )
+    let left = |zone: &String| most.saturating_sub(used.get(zone.as_str()).copied().unwrap_or(0));
+    ZoneRoom(Some(zones.iter().map(|zone| (zone.clone(), left(zone))).collect()))
 }
 
 /// How well a machine suits a job, best first: it has failed nothing lately, runs no replica of the
@@ -370,9 +390,14 @@
             self.place_by(job.no_start_before);
             return false;
         }
+        let forgives_at = job.forgives_at();
+        if let Some(at) = forgives_at.filter(|at| *at > now) {
+            self.place_by(at);
+        }
+        let Some(job) = self.jobs.get(id) else { return false };
         let (spec, need) = (job.spec(), job.need());
-        // Where it failed it is tried again only when it fails everywhere.
-        let again = job.mistaken();
+        // Where it failed it is tried again only when it fails everywhere, or after a while.
+        let again = job.mistaken() || forgives_at.is_some_and(|at| at <= now);
         // Replicas of one service go to different machines, so that a loss takes one of them.
         let service = job.service();
         let mut beside: BTreeMap<&str, usize> = BTreeMap::new();
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -617,6 +617,7 @@
             Some(Cause::Error) | Some(Cause::Other) | None => {
                 if let Some(job) = self.jobs.get_mut(&seen.task.job) {
                     job.failures += 1;
+                    job.failed_at = now;
                     job.failed_on.insert(host.to_owned());
                     let elsewhere = job.failed_on.len() > 1;
                     if !elsewhere {
--- a/crates/quartzlever-core/src/testing.rs
+++ b/crates/quartzlever-core/src/testing.rs
@@ -10,8 +10,8 @@
 pub(crate) use quartzlever_wire::cloud::{CloudCall, MachineType};
 pub(crate) use quartzlever_wire::peers::{Load, PeerAnswer, PeerRequest, Room, ThiefRoom};
 pub(crate) use quartzlever_wire::state::{
-    CLUSTER_VERSION, Change, ClusterRecord, Event, HostRecord, Hosts, LiveRecord, OverRecord,
-    PartRecord, Row, Share, StateCall, StateReply, WatchAnswer, block_key,
+    CLUSTER_VERSION, Change, ClusterRecord, Event, HostRecord, Hosts, LiveRecord, NodeRecord,
+    OverRecord, PartRecord, Row, Share, StateCall, StateReply, WatchAnswer, block_key,
 };
 pub(crate) use quartzlever_wire::users::{JobPhase, JobSpec, Rank, Shape};
 pub(crate) use quartzlever_wire::workers::{
@@ -182,6 +182,12 @@
     effects.iter().filter_map(of).collect()
 }
 
+/// The announcement of a process of this version.
+pub(crate) fn announcement(node: &str, process: u64, stamp: u64) -> Row {
+    let v = Json::of(&NodeRecord { version: crate::cluster::VERSION, process });
+    Row { path: format!("cluster/nodes/{node}"), v, stamp, charter: Some(1) }
+}
+
 /// The record that raises the cluster version.
 pub(crate) fn raised_version(stamp: u64) -> Row {
     let v = Json::of(&ClusterRecord { version: crate::cluster::VERSION });
--- a/crates/quartzlever-core/tests/world/limits.rs
+++ b/crates/quartzlever-core/tests/world/limits.rs
@@ -4,7 +4,7 @@
 
 use quartzlever_core::Config;
 use quartzlever_wire::SECOND;
-use quartzlever_wire::state::hosts_in;
+use quartzlever_wire::state::{Hosts, hosts_in};
 use quartzlever_wire::users::JobPhase;
 
 use crate::sim::{World, job};
@@ -76,13 +76,15 @@
     }
 }
 
-/// How many machines belong to a partition.
-fn claimed(w: &World) -> usize {
+/// How many machines that are up belong to no partition.
+fn unclaimed(w: &World) -> usize {
     let machines = |key: String| {
         let (value, _) = w.store.get(&key)?;
         hosts_in(&key, value)
     };
-    w.store.keys("hosts/").into_iter().filter_map(machines).map(|hosts| hosts.len()).sum()
+    let claimed: Vec<Hosts> = w.store.keys("hosts/").into_iter().filter_map(machines).collect();
+    let is_claimed = |host: &String| claimed.iter().any(|hosts| hosts.contains_key(host));
+    w.workers.keys().filter(|host| !is_claimed(host)).count()
 }
 
 #[test]
@@ -102,7 +104,7 @@
             w.run(30 * SECOND);
             let up = w.workers.len();
             assert!(up > 30, "{name}: {up} machines: too few to fill a block");
-            let unclaimed = up - claimed(&w);
+            let unclaimed = unclaimed(&w);
             assert!(unclaimed < 4, "{name}: {unclaimed} of {up} machines belong to nobody");
             w.pass(200 * SECOND);
             assert!(w.rules.broken.is_empty(), "{name}: {:?}", &w.rules.broken[..1]);
--- a/crates/quartzlever-core/tests/world/services.rs
+++ b/crates/quartzlever-core/tests/world/services.rs
@@ -18,7 +18,7 @@
 }
 
 /// What befalls the machines, the holder, or the world of a service.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 enum Trouble {
     None,
     /// Replicas end by themselves, as done, after so many seconds.
@@ -32,6 +32,16 @@
     /// The holder ends and is back after so many tenths of a second.
     Restart(u64),
     Outage(u64),
+    /// The first replica's machine is taken back by the cloud, with a notice of so many seconds.
+    SpotNotice(u64),
+    /// The first replica's machine reports, but hears nothing.
+    Deaf,
+    /// It hears, but its reports do not arrive.
+    Mute,
+    /// All machines of one zone stop.
+    ZoneLost,
+    /// Every task fails on every machine for so many seconds.
+    FailsEverywhere(u64),
 }
 
 fn befall(w: &mut World, id: &str, trouble: Trouble) {
@@ -62,6 +72,25 @@
             let now = w.now;
             w.store.end_outage(now);
         }
+        Trouble::SpotNotice(secs) => {
+            w.workers.get_mut(&first).expect("it runs").warning_s = Some(secs as f64);
+            w.run(secs * SECOND);
+            w.workers.remove(&first);
+            w.cloud.machines.remove(&first);
+        }
+        Trouble::Deaf => drop(w.deaf.insert(first)),
+        Trouble::Mute => drop(w.mute.insert(first)),
+        Trouble::ZoneLost => {
+            let in_zone = w.workers.values_mut().filter(|m| m.rental.zone == "b");
+            in_zone.for_each(|m| m.hung = true);
+        }
+        Trouble::FailsEverywhere(secs) => {
+            for _ in 0..secs {
+                w.workers.values_mut().for_each(|m| m.faulty = true);
+                w.run(SECOND);
+            }
+            w.workers.values_mut().for_each(|m| m.faulty = false);
+        }
     }
 }
 
@@ -85,6 +114,12 @@
         ("the holder is away, a peer takes over", together, Restart(150)),
         ("the store is away", plain, Outage(8)),
         ("the store is away for longer than a lease", plain, Outage(25)),
+        ("the cloud takes a machine back", apart, SpotNotice(8)),
+        ("a machine hears nothing", apart, Deaf),
+        ("a machine is not heard", apart, Mute),
+        ("a zone is lost", apart, ZoneLost),
+        ("a team is at its limit as a zone is lost", limited, ZoneLost),
+        ("replicas fail everywhere", plain, FailsEverywhere(40)),
     ];
     for (name, change, trouble) in cases {
         for seed in 0..3 {
@@ -174,3 +209,43 @@
     let id = w.submit(1, spec);
     assert_eq!(w.answer(id, SECOND).map(|a| a.0), Some(200));
 }
+
+/// A service is cancelled just as something befalls it.
+#[test]
+fn a_service_in_trouble_can_be_cancelled() {
+    use Trouble::*;
+    for trouble in [
+        EndAfter(0),
+        Hang(0),
+        AllHang,
+        Faulty,
+        Restart(2),
+        Restart(150),
+        SpotNotice(1),
+        Deaf,
+        Mute,
+        ZoneLost,
+        FailsEverywhere(5),
+    ] {
+        for seed in 0..2 {
+            let mut w = World::new(40 + seed, NODES);
+            w.run(6 * SECOND);
+            w.run_time = if trouble == EndAfter(0) { 0 } else { 10_000 * SECOND };
+            let spec = service(1, 4);
+            assert_eq!(w.submit_surely(0, &spec), 201, "{trouble:?}");
+            w.pass(15 * SECOND);
+            befall(&mut w, &spec.id, trouble);
+            assert_eq!(w.abort_surely(1, &spec.id).as_deref(), Some("aborted"), "{trouble:?}");
+            w.pass(25 * SECOND);
+            let left = replicas(&w, &spec.id);
+            assert_eq!(left, 0, "{trouble:?} {seed}: gone within the time for cancellations");
+            for n in 0..3 {
+                let id = w.lookup(n, &spec.id);
+                let phase = w.answer(id, 2 * SECOND).map(|a| a.1["phase"].clone());
+                assert_eq!(phase, Some("aborted".into()), "{trouble:?} {seed}: at {n}");
+                assert_eq!(w.submit_surely(n, &spec), 200, "{trouble:?} {seed}: known at {n}");
+            }
+            assert!(w.rules.broken.is_empty(), "{trouble:?} {seed}: {:?}", &w.rules.broken[..1]);
+        }
+    }
+}
--- a/crates/quartzlever-standin/src/worker.rs
+++ b/crates/quartzlever-standin/src/worker.rs
@@ -29,6 +29,8 @@
     pub run_time: Micros,
     /// Jobs whose tasks run until they are stopped.
     pub endless: BTreeSet<String>,
+    /// The cloud takes the machine back in so many seconds.
+    pub warning_s: Option<f64>,
     /// Tasks with odd numbers run until this is unset.
     pub odd_tasks_wait: bool,
     /// Every task fails here.
@@ -53,6 +55,7 @@
             attempts: BTreeMap::new(),
             run_time,
             endless: BTreeSet::new(),
+            warning_s: None,
             odd_tasks_wait: false,
             faulty: false,
             hung: false,
@@ -106,7 +109,7 @@
             session: self.session,
             tick: self.tick,
             baton: self.baton,
-            warning_s: None,
+            warning_s: self.warning_s,
             tasks: self
                 .attempts
                 .iter()
