--- a/crates/quartzlever-core/examples/cost.rs
+++ b/crates/quartzlever-core/examples/cost.rs
@@ -26,7 +26,7 @@
 }
 
 impl World {
-    /// Hands in a command, carries out what it brings, and notes what the first step cost.
+    /// EffectThreads in a command, carries out what it brings, and notes what the first step cost.
     fn take(&mut self, kind: &'static str, command: Command) -> Option<Orders> {
         let begin = Instant::now();
         let mut effects = self.core.step(self.now, vec![command]);
@@ -123,7 +123,7 @@
         block_bytes: 16 * 1024,
         txn_ops: 24,
         version: quartzlever_core::VERSION,
-        at_ease: 10_000,
+        machine_capacity: 10_000,
         operator: Operator::default(),
         notes: Weight::Error,
     };
--- a/crates/quartzlever-core/src/config.rs
+++ b/crates/quartzlever-core/src/config.rs
@@ -114,8 +114,8 @@
     pub txn_ops: usize,
     /// The version that this process tells the others; 1 tells nothing, as the first version did.
     pub version: u32,
-    /// How many machines a controller's processor serves at ease.
-    pub at_ease: usize,
+    /// How many machines a controller's processor serves without falling behind.
+    pub machine_capacity: usize,
     pub operator: Operator,
     /// Notes of less weight than this are not even written.
     pub notes: crate::messages::Weight,
--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -17,21 +17,21 @@
 use crate::cluster::{Cluster, ClusterWrite};
 use crate::config::Config;
 use crate::fleet::CloudWork;
-use crate::hearing::Hearing;
 use crate::jobs::{JobWrite, Purpose};
 use crate::ledger::Ledger;
 use crate::lookups::{Asked, Lookups};
 use crate::messages::{Answer, Command, Effect, Lane, RequestId, Token, Weight};
 use crate::pages::Pages;
 use crate::partition::{Partition, Types};
-use crate::placement::Paces;
+use crate::placement::RunTimes;
+use crate::reachability::Reachability;
 use crate::stealing::Stealing;
 
 /// What an answer from the state service belongs to.
 #[derive(Debug)]
 pub(crate) enum Waiting {
-    /// Something was left for a peer to find; nothing depends on it.
-    Left,
+    /// Nothing depends on the answer: a hint for a peer, or the removal of what nobody needs.
+    Nothing,
     /// The kept catalogue is read, or written.
     KeptCatalogue,
     Grant {
@@ -126,7 +126,7 @@
     pub machine: String,
     pub runs: Vec<crate::machine::SlotKey>,
     /// A machine that nobody knew is asked whether it is there.
-    pub vouch: bool,
+    pub confirms_presence: bool,
     /// Any machine is asked, to see whether workers are reached from here.
     pub probe: bool,
 }
@@ -346,7 +346,7 @@
     /// What the state service takes, as far as is known.
     pub(crate) limits: Limits,
     txn_sizes: HashMap<Token, TxnSize>,
-    pub(crate) hearing: Hearing,
+    pub(crate) reachability: Reachability,
     pub(crate) ledger: Ledger,
     pub(crate) blocks: BTreeMap<String, BlockWork>,
     /// A block is being split; when the next one may be.
@@ -354,7 +354,7 @@
     pub(crate) split_at: Micros,
     pub(crate) lookups: Lookups,
     /// Reports of machines that nobody knew, while the machines are asked.
-    pub(crate) vouching: HashMap<String, (RequestId, Report)>,
+    pub(crate) unconfirmed: HashMap<String, (RequestId, Report)>,
     pub(crate) busy_parts: BTreeSet<String>,
     pub(crate) releasing: BTreeSet<String>,
     /// Partitions that are being taken from a process that has not given them up.
@@ -371,7 +371,7 @@
     pub(crate) stamps: Stamps,
     pub(crate) user_calls: usize,
     pub(crate) stealing: Stealing,
-    pub(crate) paces: Paces,
+    pub(crate) run_times: RunTimes,
     /// This node's part of the limits of the state service and the cloud.
     share: f64,
     /// What was turned away lately and why, for the log, and when that is told next.
@@ -421,13 +421,13 @@
                 learned_bytes: usize::MAX,
             },
             txn_sizes: HashMap::new(),
-            hearing: Hearing::new(now),
+            reachability: Reachability::new(now),
             ledger: Ledger::new(now),
             blocks: BTreeMap::new(),
             splitting: false,
             split_at: 0,
             lookups: Lookups::default(),
-            vouching: HashMap::new(),
+            unconfirmed: HashMap::new(),
             busy_parts: BTreeSet::new(),
             releasing: BTreeSet::new(),
             evicting: BTreeSet::new(),
@@ -439,7 +439,7 @@
             finals: Finals::default(),
             stamps: Stamps::default(),
             user_calls: 0,
-            paces: Paces::default(),
+            run_times: RunTimes::default(),
             share: 0.0,
             turned_away: BTreeMap::new(),
             tell_at: now,
@@ -489,7 +489,7 @@
         self.keep_contact();
         self.keep_cache();
         self.keep_cluster();
-        self.keep_hearing();
+        self.keep_reachability();
         if concerns_holders {
             self.keep_parts();
         }
@@ -533,7 +533,7 @@
             }
             Command::Tick { wall, behind } => {
                 if behind {
-                    self.hearing.attentive = self.now;
+                    self.reachability.attentive = self.now;
                 }
                 self.wall_offset = Some(wall as i64 - self.now as i64);
             }
@@ -744,7 +744,7 @@
 
     fn state_answer(&mut self, waiting: Waiting, result: Result<StateReply, CallError>) {
         match waiting {
-            Waiting::Left => {}
+            Waiting::Nothing => {}
             Waiting::Grant { sent } => self.granted(sent, result),
             Waiting::Renew { sent, lease } => self.renewed(sent, lease, result),
             Waiting::Acquire { part } => self.acquired(&part, result),
--- /dev/null
+++ b/crates/quartzlever-core/src/fleet/renting.rs
@@ -0,0 +1,411 @@
+//! Renting machines: what is missing for the queue of a partition, and room kept for services.
+
+use std::collections::BTreeMap;
+
+use quartzlever_wire::cloud::{CloudCall, CloudReply, Hire, MachineType};
+use quartzlever_wire::peers::PeerRequest;
+use quartzlever_wire::users::JobSpec;
+use quartzlever_wire::{CallError, Micros, SECOND, micros_from_secs};
+
+use super::{CloudWork, Expected, Offer, OpenHire, RETRY};
+use crate::config::Config;
+use crate::engine::Core;
+use crate::machine::{Amounts, Machine};
+use crate::messages::Weight;
+use crate::partition::{Partition, PartitionJob};
+use crate::placement::{RunTimes, ZoneRoom, offer_allowed, urgency, zone_room};
+use crate::stealing::PeerWork;
+
+/// How long a refused kind of machine is not asked for again.
+const REFUSED_FOR: Micros = 10 * SECOND;
+/// A queue that is gone within this time brings no machines, not even cheap ones.
+const EAGER: Micros = 15 * SECOND;
+/// Zones in which room is kept at hand for services, and how much of a machine counts as that.
+const STANDBY_ZONES: usize = 2;
+const STANDBY_ROOM: f64 = 0.25;
+/// So long lower work has to give way to a service before a machine is asked for.
+const GIVEN_WAY: Micros = 2 * SECOND;
+/// An offer counts as cheap up to this many times the lowest price for the job.
+const CHEAP: f64 = 1.5;
+/// A machine for services that has not come up after so many usual boots is not waited for.
+const OVERDUE_BOOTS: f64 = 1.2;
+/// The most machines in one request for them.
+const MOST_PER_HIRE: u32 = 50;
+/// Requests for machines of one part without an answer, at the most.
+const MOST_HIRES: usize = 4;
+/// Machines in excess of this many are not rented in one round.
+const MOST_PER_ROUND: u32 = 150;
+
+impl Expected {
+    /// Whether it should have come up by now. Some machines take several times as long as others, or
+    /// never come up: for a service another one is asked for meanwhile.
+    fn is_overdue(&self, types: &BTreeMap<String, MachineType>, now: Micros) -> bool {
+        let boot = types.get(&self.kind).map_or(0.0, |kind| kind.ready_s);
+        now.saturating_sub(self.since) > micros_from_secs(OVERDUE_BOOTS * boot)
+    }
+}
+
+/// Room of one kind that will be there or could be rented.
+struct Bin {
+    offer: Offer,
+    free: Amounts,
+}
+
+/// Tasks of a job that have no room yet. A job that is spread over zones needs room in each of them:
+/// with one machine for all of it half of a service waited out a second boot.
+struct Unplaced {
+    tasks: u32,
+    zones: ZoneRoom,
+}
+
+impl Unplaced {
+    /// Puts as many of the tasks as possible on a machine that is coming.
+    fn fill(&mut self, bin: &mut Bin, need: &Amounts) {
+        let zone = &bin.offer.1;
+        let count = bin.free.count(need).min(self.tasks).min(self.zones.left(zone));
+        for _ in 0..count {
+            bin.free.take(need);
+        }
+        self.zones.take(zone, count);
+        self.tasks -= count;
+    }
+}
+
+/// Whether a job may run on such machines, which are to be had where they are offered.
+fn may_rent(spec: &JobSpec, offer: &Offer) -> bool {
+    offer_allowed(spec, &offer.0, &offer.1, offer.2)
+}
+
+pub(super) fn price(kind: &MachineType, spot: bool) -> f64 {
+    if spot { kind.market_price.unwrap_or(f64::INFINITY) } else { kind.hourly }
+}
+
+/// The lowest price that machines of a type are to be had for.
+pub(super) fn cheapest_price(kind: &MachineType) -> f64 {
+    kind.market_price.unwrap_or(kind.hourly).min(kind.hourly)
+}
+
+impl Core {
+    /// Where each part keeps room at hand for services, once there are any: an ordinary machine of
+    /// the type that boots soonest in each of two zones, since most services are apart. Arrays run
+    /// there meanwhile and give way. Without it a service waited out a boot in whichever part and
+    /// zone had no such machine.
+    pub(super) fn standby(&self) -> Vec<Offer> {
+        let has_service = || self.cache.live.values().any(|(record, _)| record.job.is_service());
+        let services =
+            self.cluster.expects_services(self.now) || (self.cluster.services() && has_service());
+        let Some(types) = self.types.as_ref().filter(|_| services) else { return Vec::new() };
+        let soonest = types
+            .values()
+            .min_by(|a, b| a.ready_s.total_cmp(&b.ready_s).then(a.hourly.total_cmp(&b.hourly)));
+        let offers = |t: &MachineType| {
+            let zones = t.zones.iter().take(STANDBY_ZONES);
+            zones.map(|zone| (t.name.clone(), zone.clone(), false)).collect()
+        };
+        soonest.map(offers).unwrap_or_default()
+    }
+
+    pub(super) fn rent(&mut self, name: &str) {
+        let now = self.now;
+        let standby = self.standby();
+        let Some(types) = &self.types else { return };
+        let Some(part) = self.parts.get_mut(name) else { return };
+        let mut calls: Vec<Hire> = Vec::new();
+        for open in part.fleet.hires.values_mut() {
+            if open.retry_at.is_some_and(|t| now >= t) {
+                open.retry_at = None;
+                calls.push(open.hire.clone());
+            }
+        }
+        part.fleet.refused.retain(|_, until| *until > now);
+        let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
+        part.shortage(&self.cfg, &self.run_times, types, now, &mut wanted);
+        for offer in standby {
+            if !part.has_standby(types, &offer, now) && !part.fleet.refused.contains_key(&offer) {
+                wanted.entry(offer).or_insert(1);
+            }
+        }
+        let mut asks = Vec::new();
+        for (offer, mut count) in wanted {
+            while count > 0 {
+                asks.push((offer.clone(), count.min(MOST_PER_HIRE)));
+                count -= count.min(MOST_PER_HIRE);
+            }
+        }
+        asks.truncate(MOST_HIRES.saturating_sub(part.fleet.hires.len()));
+        for ((kind, zone, spot), count) in asks {
+            part.fleet.hired += 1;
+            // Never used before or after: the term is unique and the counter its holder's.
+            let hire = Hire {
+                name: format!("{}.{}.{}", part.name, part.term, part.fleet.hired),
+                kind,
+                zone,
+                spot,
+                count,
+            };
+            let open = OpenHire { hire: hire.clone(), since: now, retry_at: None };
+            part.fleet.hires.insert(hire.name.clone(), open);
+            calls.push(hire);
+        }
+        let term = part.term;
+        for hire in calls {
+            self.note(Weight::Info, || {
+                let Hire { kind, zone, spot, count, .. } = &hire;
+                format!("part {name}: asks for {count} {kind} in {zone}, spot {spot}")
+            });
+            let work = CloudWork::Hire { part: name.to_owned(), term, hire: hire.clone() };
+            self.cloud_call(CloudCall::Rent(hire), work);
+        }
+    }
+
+    pub(super) fn hired(
+        &mut self,
+        name: &str,
+        term: u64,
+        hire: Hire,
+        result: Result<CloudReply, CallError>,
+    ) {
+        let now = self.now;
+        let known = &self.cache.hosts;
+        let Some(part) = self.parts.get_mut(name).filter(|p| p.term == term) else { return };
+        match result {
+            Ok(CloudReply::Rented(hosts)) => {
+                let since = part.fleet.hires.remove(&hire.name).map_or(now, |o| o.since);
+                if (hosts.len() as u32) < hire.count {
+                    let offer = (hire.kind.clone(), hire.zone.clone(), hire.spot);
+                    part.fleet.refused.insert(offer, now + REFUSED_FOR);
+                }
+                for host in &hosts {
+                    if !known.contains_key(host) && !part.fleet.gone.contains(host) {
+                        let expected = Expected {
+                            kind: hire.kind.clone(),
+                            zone: hire.zone.clone(),
+                            spot: hire.spot,
+                            since,
+                        };
+                        part.fleet.expected.insert(host.clone(), expected);
+                    }
+                }
+                for host in &hosts {
+                    self.cloud.hint(host.clone(), name);
+                }
+                for node in self.cfg.nodes.clone() {
+                    if node != self.cfg.node {
+                        let request =
+                            PeerRequest::Rented { part: name.to_owned(), hosts: hosts.clone() };
+                        self.ask_peer(&node, request, PeerWork::Told);
+                    }
+                }
+            }
+            Ok(CloudReply::NoCapacity) => {
+                let what = format!("{} in {}, spot {}", hire.kind, hire.zone, hire.spot);
+                part.fleet.hires.remove(&hire.name);
+                let offer = (hire.kind, hire.zone, hire.spot);
+                part.fleet.refused.insert(offer, now + REFUSED_FOR);
+                self.note(Weight::Info, || format!("part {name}: no capacity for {what}"));
+            }
+            _ => {
+                if let Some(open) = part.fleet.hires.get_mut(&hire.name) {
+                    open.retry_at = Some(now + RETRY);
+                }
+            }
+        }
+    }
+}
+
+impl Partition {
+    /// A machine at hand that keeps room for services as this offer would: room that is free, or
+    /// that arrays give up.
+    pub(super) fn standby_at(
+        &self,
+        types: &BTreeMap<String, MachineType>,
+        offer: &Offer,
+    ) -> Option<String> {
+        let stands = |m: &Machine| {
+            let record = &m.record;
+            let kind = types.get(&record.kind);
+            let lower = m.slots.values().filter(|s| s.wanted && !s.exited() && !s.service);
+            let room = m.room.cpus + lower.map(|s| s.need.cpus).sum::<f64>();
+            record.zone == offer.1
+                && !record.spot
+                && m.usable()
+                && kind.is_some_and(|k| room >= k.cpus * STANDBY_ROOM)
+        };
+        self.machines.values().find(|m| stands(m)).map(|m| m.name.clone())
+    }
+
+    /// Whether such a machine is at hand or on its way.
+    pub(super) fn has_standby(
+        &self,
+        types: &BTreeMap<String, MachineType>,
+        offer: &Offer,
+        now: Micros,
+    ) -> bool {
+        let coming = |zone: &str, spot: bool| zone == offer.1 && !spot;
+        self.standby_at(types, offer).is_some()
+            || self
+                .fleet
+                .expected
+                .values()
+                .any(|e| coming(&e.zone, e.spot) && !e.is_overdue(types, now))
+            || self.fleet.hires.values().any(|h| coming(&h.hire.zone, h.hire.spot))
+    }
+
+    /// What should be rented for the ready tasks that neither the machines at hand nor those
+    /// coming up can serve in time.
+    fn shortage(
+        &self,
+        cfg: &Config,
+        run_times: &RunTimes,
+        types: &BTreeMap<String, MachineType>,
+        now: Micros,
+        wanted: &mut BTreeMap<Offer, u32>,
+    ) {
+        let mut bins: Vec<Bin> = Vec::new();
+        let mut cpus = 0.0;
+        // What the part's machines cost an hour, and would cost at their types' lowest prices.
+        let (mut paid, mut lowest) = (0.0, 0.0);
+        for machine in self.machines.values().filter(|m| m.fenced && m.return_wanted.is_none()) {
+            if let Some(kind) = types.get(&machine.record.kind) {
+                cpus += kind.cpus;
+                paid += price(kind, machine.record.spot);
+                lowest += cheapest_price(kind);
+            }
+        }
+        let mut coming = |kind: &str, zone: &str, spot: bool, count: u32| {
+            let Some(t) = types.get(kind) else { return };
+            for _ in 0..count {
+                cpus += t.cpus;
+                paid += price(t, spot);
+                lowest += cheapest_price(t);
+                bins.push(Bin {
+                    offer: (kind.to_owned(), zone.to_owned(), spot),
+                    free: Amounts::of_type(t),
+                });
+            }
+        };
+        for e in self.fleet.expected.values() {
+            let boot = types.get(&e.kind).map_or(60.0, |t| t.ready_s);
+            // One that is long overdue is not counted on.
+            if now.saturating_sub(e.since) < micros_from_secs(1.8 * boot) + 3 * SECOND {
+                coming(&e.kind, &e.zone, e.spot, 1);
+            }
+        }
+        for open in self.fleet.hires.values() {
+            coming(&open.hire.kind, &open.hire.zone, open.hire.spot, open.hire.count);
+        }
+        // Work ahead in the queue, in processor-seconds; what runs counts by what is left of it.
+        let mut ahead = 0.0;
+        for slot in self.live_slots() {
+            let ran = slot.running_since.map_or(0, |t| now.saturating_sub(t));
+            ahead += slot.expect.saturating_sub(ran) as f64 / 1e6 * slot.need.cpus;
+        }
+        for id in self.queue_order(cfg, run_times, now) {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            if job.mistaken() {
+                // Machines would not help it.
+                continue;
+            }
+            let usable =
+                |m: &Machine| !job.failed_on.contains(&m.name) && m.return_wanted.is_none();
+            let nowhere = !job.failed_on.is_empty() && !self.machines.values().any(|m| usable(m));
+            let spec = job.spec();
+            let need = job.need();
+            let expect = run_times.expect(spec).max(SECOND);
+            let mut unplaced =
+                Unplaced { tasks: job.ready.len(), zones: zone_room(self, job, &cfg.zones) };
+            for bin in &mut bins {
+                if unplaced.tasks == 0 {
+                    break;
+                }
+                if may_rent(spec, &bin.offer) {
+                    unplaced.fill(bin, &need);
+                }
+            }
+            let work = f64::from(job.ready.len()) * need.cpus * expect as f64 / 1e6;
+            ahead += work;
+            if unplaced.tasks == 0 {
+                continue;
+            }
+            let latest = urgency(cfg, run_times, job, now).latest;
+            let service = spec.is_service();
+            if service && !self.pressed && now.saturating_sub(job.since) < GIVEN_WAY {
+                // What makes way for it is quicker than any machine.
+                continue;
+            }
+            while unplaced.tasks > 0 && wanted.values().sum::<u32>() < MOST_PER_ROUND {
+                // Cheap machines come for any queue that is not gone soon, others only for an
+                // aim, and only as many as it takes: one machine serves several waves.
+                let mut cheap_only = false;
+                if cpus > 0.0 && !nowhere && !service {
+                    let drained = now + micros_from_secs(ahead / cpus * 1.2);
+                    let last_start = drained.saturating_sub(expect);
+                    if last_start <= latest.min(now + EAGER) {
+                        break;
+                    }
+                    cheap_only = last_start <= latest;
+                }
+                let Some(offer) = self.cheapest(cfg, types, job, &unplaced, now, cheap_only) else {
+                    break;
+                };
+                let Some(kind) = types.get(&offer.0) else { break };
+                let (more, least) = (price(kind, offer.2), cheapest_price(kind));
+                let dear = more > least * CHEAP && spec.spot;
+                if dear && paid + more > (lowest + least) * cfg.operator.price_cap {
+                    break;
+                }
+                paid += more;
+                lowest += least;
+                cpus += kind.cpus;
+                *wanted.entry(offer.clone()).or_default() += 1;
+                let mut bin = Bin { offer, free: Amounts::of_type(kind) };
+                unplaced.fill(&mut bin, &need);
+                bins.push(bin);
+            }
+        }
+    }
+
+    /// The cheapest offer for the tasks of a job that have no room yet.
+    fn cheapest(
+        &self,
+        cfg: &Config,
+        types: &BTreeMap<String, MachineType>,
+        job: &PartitionJob,
+        unplaced: &Unplaced,
+        now: Micros,
+        cheap_only: bool,
+    ) -> Option<Offer> {
+        let spec = job.spec();
+        let need = job.need();
+        let mut best: Option<(f64, Offer)> = None;
+        let mut lowest = f64::INFINITY;
+        for kind in types.values() {
+            let count = Amounts::of_type(kind).count(&need).min(unplaced.tasks);
+            if count == 0 {
+                continue;
+            }
+            for zone in &kind.zones {
+                for spot in [true, false] {
+                    let offer = (kind.name.clone(), zone.clone(), spot);
+                    // A job whose tasks must be together has no use for machines in another zone.
+                    if unplaced.zones.left(zone) == 0 || !may_rent(spec, &offer) {
+                        continue;
+                    }
+                    lowest = lowest.min(price(kind, spot) / f64::from(count));
+                    if self.fleet.refused.get(&offer).is_some_and(|until| *until > now) {
+                        continue;
+                    }
+                    // At the same price the holder's own zone: reports take the shorter way.
+                    let far = if *zone == cfg.zone { 1.0 } else { 1.01 };
+                    let cost = price(kind, spot) / f64::from(count) * far;
+                    // A moment without a replica is dearer than a machine.
+                    let cost = if spec.is_service() { kind.ready_s * 1e3 + cost } else { cost };
+                    if cost.is_finite() && best.as_ref().is_none_or(|b| cost < b.0) {
+                        best = Some((cost, offer));
+                    }
+                }
+            }
+        }
+        best.filter(|(cost, _)| !cheap_only || *cost <= lowest * CHEAP).map(|(_, offer)| offer)
+    }
+}
--- a/crates/quartzlever-core/src/fleet/tests.rs
+++ b/crates/quartzlever-core/src/fleet/tests.rs
@@ -1,5 +1,6 @@
 //! Which machines are returned, and what a restart knows of them.
 
+use super::ReturnReason;
 use crate::testing::*;
 
 #[test]
@@ -118,7 +119,7 @@
                 let machine = &core.parts["one"].machines["n-1"];
                 assert_eq!(machine.usable(), usable, "{name}");
             }
-            gone |= core.parts["one"].machines["n-1"].return_wanted == Some("deaf");
+            gone |= core.parts["one"].machines["n-1"].return_wanted == Some(ReturnReason::Deaf);
         }
         let effects = core.step(NOW + 4 * SECOND, Vec::new());
         gone |= effects.iter().any(|e| {
--- a/crates/quartzlever-core/src/rooms.rs
+++ b/crates/quartzlever-core/src/free_room_index.rs
@@ -19,7 +19,7 @@
 
 /// All machines of a part that may get tasks.
 #[derive(Debug, Default)]
-pub struct Rooms {
+pub struct FreeRoomIndex {
     groups: Vec<Group>,
     places: HashMap<String, (usize, u32)>,
 }
@@ -29,7 +29,7 @@
     (cpus.max(0.0) * 1000.0).round().min(f64::from(u32::MAX)) as u32
 }
 
-impl Rooms {
+impl FreeRoomIndex {
     /// Notes how many processors of a machine are free.
     pub fn put(&mut self, host: &str, record: &HostRecord, cpus: f64) {
         let free = thousandths(cpus);
--- a/crates/quartzlever-core/src/jobs.rs
+++ b/crates/quartzlever-core/src/jobs.rs
@@ -204,7 +204,7 @@
     }
 
     /// A part of another node that a new job enters instead of this one, which has more tasks than
-    /// its processor could serve machines at ease, while the other has less than half. Each task
+    /// its processor could serve machines for, while the other has less than half. Each task
     /// brings a machine at the most, and a part never gives machines away: of three controllers one
     /// had two thirds of them and went under, with the others at a quarter of their share.
     fn lighter_part(&self, own: &str) -> Option<(String, u64)> {
@@ -222,7 +222,7 @@
             }
         }
         let of = |part: &str| tasks.get(part).copied().unwrap_or(0);
-        if of(own) <= self.cfg.at_ease {
+        if of(own) <= self.cfg.machine_capacity {
             return None;
         }
         let (name, (_, term)) = others().min_by_key(|(name, _)| of(name))?;
--- a/crates/quartzlever-core/src/jobs/tests.rs
+++ b/crates/quartzlever-core/src/jobs/tests.rs
@@ -37,8 +37,8 @@
 
 #[test]
 fn a_job_enters_a_part_that_has_far_less_where_the_processor_is_short() {
-    // (machines at ease, tasks of the own part, of the other; the part that a job enters)
-    for (at_ease, own, other, enters) in [
+    // (machines that the processor serves, tasks of the own part, of the other; the part that a job enters)
+    for (machine_capacity, own, other, enters) in [
         (100, 0, 0, "one"),
         (100, 90, 0, "one"),
         (100, 150, 0, "two"),
@@ -46,7 +46,7 @@
         (100, 150, 80, "one"),
         (1_000, 150, 0, "one"),
     ] {
-        let mut core = with_holders(at_ease);
+        let mut core = with_holders(machine_capacity);
         for (number, tasks, part) in [(1, own, "one"), (2, other, "two")] {
             if tasks > 0 {
                 core.absorb(record_of(number, tasks, part), 10);
@@ -65,7 +65,11 @@
             _ => None,
         });
         let stamp = if enters == "one" { 5 } else { 6 };
-        assert_eq!(term, Some((format!("parts/{enters}"), stamp)), "{at_ease} {own} {other}");
+        assert_eq!(
+            term,
+            Some((format!("parts/{enters}"), stamp)),
+            "{machine_capacity} {own} {other}"
+        );
     }
 }
 
--- a/crates/quartzlever-core/src/leases.rs
+++ b/crates/quartzlever-core/src/leases.rs
@@ -14,9 +14,9 @@
 use crate::claims::is_hosts;
 use crate::config::surely_within;
 use crate::engine::{Core, Waiting};
-use crate::hearing::LEFT_TO_OTHERS;
 use crate::messages::{Lane, Weight};
 use crate::partition::Partition;
+use crate::reachability::LEFT_TO_OTHERS;
 use crate::stealing::PeerWork;
 
 /// Kept back from a lease's life for answers and calls that are on their way out.
@@ -63,7 +63,7 @@
             // The store may have been away, and its leases with their full time again: nobody is
             // called silent for what was not answered meanwhile.
             self.lease.regained = sent;
-            self.hearing.attentive = self.now;
+            self.reachability.attentive = self.now;
         }
         let life = surely_within(self.cfg.operator.lease_life);
         self.lease.sure_until = self.lease.sure_until.max(sent + life.saturating_sub(LEASE_MARGIN));
@@ -408,7 +408,7 @@
         }
         for name in self.cfg.nodes.clone() {
             // While it does not hear workers, this node is home to none.
-            let deaf = self.hearing.lost();
+            let deaf = self.reachability.lost();
             let home = name == self.cfg.node && !deaf;
             let entry = self.cache.parts.get(&name).cloned();
             match entry {
--- a/crates/quartzlever-core/src/lib.rs
+++ b/crates/quartzlever-core/src/lib.rs
@@ -19,7 +19,7 @@
 mod config;
 mod engine;
 pub mod fleet;
-mod hearing;
+pub mod free_room_index;
 pub mod jobs;
 mod leases;
 mod ledger;
@@ -29,8 +29,8 @@
 pub mod pages;
 mod partition;
 pub mod placement;
+mod reachability;
 mod reports;
-pub mod rooms;
 pub mod stealing;
 #[cfg(test)]
 mod testing;
--- a/crates/quartzlever-core/src/machine.rs
+++ b/crates/quartzlever-core/src/machine.rs
@@ -8,6 +8,7 @@
 use quartzlever_wire::users::{JobSpec, Rank};
 use quartzlever_wire::workers::{Cause, Order, Report, TaskId, TaskPhase, TaskReport};
 
+use crate::fleet::ReturnReason;
 use crate::messages::Token;
 
 /// Amounts of a machine, or what a task takes of one.
@@ -150,7 +151,7 @@
     pub call: Option<Token>,
     pub no_call_before: Micros,
     pub returning: bool,
-    pub return_wanted: Option<&'static str>,
+    pub return_wanted: Option<ReturnReason>,
     /// Failures in a row of jobs that failed nowhere else, and those jobs.
     pub errors: u32,
     pub failed_jobs: BTreeSet<String>,
@@ -206,7 +207,7 @@
 
     /// Whether an attempt that must not be here is not proven gone although it has had that long:
     /// its job is over, or its `run` may still arrive and nothing will ever tell.
-    pub fn holds_on(&self, now: Micros, within: Micros) -> bool {
+    pub fn outlasts_job(&self, now: Micros, within: Micros) -> bool {
         self.slots.values().filter(|s| !s.wanted && !s.exited()).any(|s| {
             let lost = s.phase.is_none() && s.direct == Direct::Doubtful;
             let since = s.over_since.or(lost.then_some(s.since));
--- a/crates/quartzlever-core/src/pages.rs
+++ b/crates/quartzlever-core/src/pages.rs
@@ -283,7 +283,7 @@
             return;
         }
         self.pages.remove_after = self.now + REMOVE_PAUSE;
-        self.state(Lane::Work, StateCall::Txn(txn), Waiting::Left);
+        self.state(Lane::Work, StateCall::Txn(txn), Waiting::Nothing);
     }
 }
 
--- a/crates/quartzlever-core/src/partition.rs
+++ b/crates/quartzlever-core/src/partition.rs
@@ -15,8 +15,8 @@
 
 use crate::config::Config;
 use crate::fleet::Fleet;
+use crate::free_room_index::FreeRoomIndex;
 use crate::machine::{Amounts, Machine, Slot, SlotKey};
-use crate::rooms::Rooms;
 
 /// Records by name, each in a place of its own: looking one up reads little memory, and where three
 /// controllers share a core, most of what a report cost was waiting for memory. The order is that
@@ -176,7 +176,7 @@
     /// machine, a fourth of all work with 2,000 of them.
     pub attempted: HashMap<String, BTreeSet<String>>,
     /// Free room of the machines that may get tasks.
-    pub rooms: Rooms,
+    pub free_room_index: FreeRoomIndex,
     /// Machines that may have something to be told at once.
     pub urgent: BTreeSet<String>,
     /// Machines that no report has proven yet, while the barrier is closed.
@@ -213,7 +213,7 @@
             notes: Vec::new(),
             types,
             attempted: HashMap::new(),
-            rooms: Rooms::default(),
+            free_room_index: FreeRoomIndex::default(),
             urgent: BTreeSet::new(),
             unfenced: BTreeSet::new(),
             place_wanted: true,
@@ -389,7 +389,7 @@
         self.empty_machine(name);
         self.urgent.remove(name);
         self.unfenced.remove(name);
-        self.rooms.remove(name);
+        self.free_room_index.remove(name);
         self.machines.swap_remove(name).is_some()
     }
 
@@ -404,9 +404,9 @@
         match kind.filter(|_| machine.usable()) {
             Some(kind) => {
                 machine.room = machine.free(Amounts::of_type(kind));
-                self.rooms.put(name, &machine.record, machine.room.cpus);
+                self.free_room_index.put(name, &machine.record, machine.room.cpus);
             }
-            None => self.rooms.remove(name),
+            None => self.free_room_index.remove(name),
         }
     }
 
--- a/crates/quartzlever-core/src/placement.rs
+++ b/crates/quartzlever-core/src/placement.rs
@@ -49,11 +49,11 @@
 
 /// What classes of jobs really take, against their owners' estimates.
 #[derive(Debug, Default)]
-pub struct Paces {
+pub struct RunTimes {
     classes: HashMap<String, (u32, f64)>,
 }
 
-impl Paces {
+impl RunTimes {
     const ONE: f64 = 1000.0;
 
     pub fn learn(&mut self, class: &str, pace: u32) {
@@ -90,13 +90,13 @@
 const NO_AIM: Micros = 60 * SECOND;
 
 /// What presses most for a job, of what can still be met.
-pub fn urgency(cfg: &Config, paces: &Paces, job: &PartitionJob, now: Micros) -> Urgency {
+pub fn urgency(cfg: &Config, run_times: &RunTimes, job: &PartitionJob, now: Micros) -> Urgency {
     let spec = job.spec();
     if spec.is_service() {
         // Each moment without a replica is lost.
         return Urgency { missed: false, latest: job.since };
     }
-    let expect = paces.expect(spec);
+    let expect = run_times.expect(spec);
     let by = |end: Micros| end.saturating_sub(expect);
     let span = job.due.map(|due| due.saturating_sub(job.since));
     // The next of all points of time that are still ahead, and whether there is any at all.
@@ -215,13 +215,13 @@
         part.short_least = f64::INFINITY;
         part.pressed = false;
         part.keep_room(now);
-        let short = part.machines.len() > self.cfg.at_ease / 2;
-        for id in part.queue_order(&self.cfg, &self.paces, now) {
+        let short = part.machines.len() > self.cfg.machine_capacity / 2;
+        for id in part.queue_order(&self.cfg, &self.run_times, now) {
             if let Some(job) = part.jobs.get_mut(&id) {
                 // A call costs as much as several reports. A hundred of them for one job took a
                 // short processor two seconds, in which submissions were late.
                 let soon = now + self.cfg.workers.report * 3 / 2;
-                job.patient = short && urgency(&self.cfg, &self.paces, job, now).latest > soon;
+                job.patient = short && urgency(&self.cfg, &self.run_times, job, now).latest > soon;
             }
             if part.place_job(&self.cfg, &id, None, now) {
                 let need = part.jobs.get(&id).map_or(0.0, |j| j.spec().cpus);
@@ -272,7 +272,7 @@
         let inside = part.guarantees(&self.cfg);
         for id in part.short.clone() {
             let Some(job) = part.jobs.get(&id) else { continue };
-            let urgency = urgency(&self.cfg, &self.paces, job, now);
+            let urgency = urgency(&self.cfg, &self.run_times, job, now);
             let from =
                 (job.since + PREEMPT_AFTER).max((urgency.latest + 1).saturating_sub(PREEMPT_AHEAD));
             if now < from {
@@ -354,7 +354,7 @@
 
 impl Partition {
     /// Jobs with ready tasks: by rank, guarantee and time.
-    pub fn queue_order(&self, cfg: &Config, paces: &Paces, now: Micros) -> Vec<String> {
+    pub fn queue_order(&self, cfg: &Config, run_times: &RunTimes, now: Micros) -> Vec<String> {
         let guaranteed = self.guarantees(cfg);
         let mut order: Vec<_> = self
             .jobs
@@ -363,7 +363,7 @@
             .map(|(id, job)| {
                 let inside = guaranteed.contains(job.spec().team.as_str());
                 let (starved, rank) = job.standing(now);
-                ((!starved, !inside, rank, urgency(cfg, paces, job, now), job.since), id)
+                ((!starved, !inside, rank, urgency(cfg, run_times, job, now), job.since), id)
             })
             .collect();
         order.sort();
@@ -431,7 +431,8 @@
                 found.map(|fit| (fit, host.to_owned())).into_iter().collect()
             }
             None => {
-                let found = self.rooms.with(spec).filter_map(|h| Some((fit(h)?, h.to_owned())));
+                let found =
+                    self.free_room_index.with(spec).filter_map(|h| Some((fit(h)?, h.to_owned())));
                 let mut found: Vec<(Fit, String)> = found.collect();
                 let order = |a: &Fit, b: &Fit| a.partial_cmp(b).unwrap_or(Ordering::Equal);
                 found.sort_by(|a, b| order(&a.0, &b.0).then_with(|| a.1.cmp(&b.1)));
--- a/crates/quartzlever-core/src/placement/tests.rs
+++ b/crates/quartzlever-core/src/placement/tests.rs
@@ -26,7 +26,7 @@
             job.finished.insert(0);
             job.ready.remove(0);
         }
-        let order = core.parts["one"].queue_order(&core.cfg, &core.paces, NOW);
+        let order = core.parts["one"].queue_order(&core.cfg, &core.run_times, NOW);
         assert_eq!(order.first().map(String::as_str), Some(first), "{age} {begun} {rank:?}");
     }
 }
--- a/crates/quartzlever-core/src/hearing.rs
+++ b/crates/quartzlever-core/src/reachability.rs
@@ -43,7 +43,7 @@
 
 /// What is known of who hears which workers.
 #[derive(Debug)]
-pub(crate) struct Hearing {
+pub(crate) struct Reachability {
     /// Since when this process has worked through all that came, without standing still.
     pub attentive: Micros,
     /// Machines of others' parts that came here, by part, and when they last did.
@@ -59,9 +59,9 @@
     next_probe: Micros,
 }
 
-impl Hearing {
+impl Reachability {
     pub fn new(now: Micros) -> Self {
-        Hearing {
+        Reachability {
             attentive: now,
             visitors: BTreeMap::new(),
             told: BTreeMap::new(),
@@ -95,14 +95,14 @@
 impl Core {
     /// A machine of a part that another node holds has come here.
     pub(crate) fn visited(&mut self, part: &str, host: &str) {
-        let visitors = self.hearing.visitors.entry(part.to_owned()).or_default();
+        let visitors = self.reachability.visitors.entry(part.to_owned()).or_default();
         visitors.insert(host.to_owned(), self.now);
     }
 
     /// A peer says how many machines of a part it hears.
     pub(crate) fn told_heard(&mut self, part: String, machines: u32) {
         let now = self.now;
-        let entry = self.hearing.told.entry(part).or_insert((0, 0));
+        let entry = self.reachability.told.entry(part).or_insert((0, 0));
         // Of several peers the one that hears most counts.
         if entry.0 <= machines || now.saturating_sub(entry.1) > TOLD {
             *entry = (machines, now);
@@ -111,12 +111,12 @@
 
     /// Tells holders which of their machines come here, gives up parts that a peer hears better,
     /// and tries whether workers can be reached again.
-    pub(crate) fn keep_hearing(&mut self) {
+    pub(crate) fn keep_reachability(&mut self) {
         let now = self.now;
-        if now < self.hearing.next_look {
+        if now < self.reachability.next_look {
             return;
         }
-        self.hearing.next_look = now + LOOK;
+        self.reachability.next_look = now + LOOK;
         self.tell_heard();
         if self.sure() {
             let unheard: Vec<(String, u64)> = self
@@ -129,8 +129,8 @@
                 self.note(Weight::Info, || {
                     format!("part {part}: given up, peers hear its workers")
                 });
-                self.hearing.told.remove(&part);
-                self.hearing.lose(now);
+                self.reachability.told.remove(&part);
+                self.reachability.lose(now);
                 self.release(&part, term);
             }
             self.probe();
@@ -146,7 +146,7 @@
         // It hangs on this node's lease, so that nothing is left of it in the end.
         let value = Json::of(&HeardRecord { machines });
         let txn = Txn::default().write_held(key, value, lease);
-        self.state(Lane::Work, StateCall::Txn(txn), Waiting::Left);
+        self.state(Lane::Work, StateCall::Txn(txn), Waiting::Nothing);
     }
 
     /// What a peer has left at the state service.
@@ -160,7 +160,7 @@
     fn tell_heard(&mut self) {
         let (now, recent) = (self.now, self.cfg.workers.report * 2);
         let mut tell = Vec::new();
-        self.hearing.visitors.retain(|part, hosts| {
+        self.reachability.visitors.retain(|part, hosts| {
             hosts.retain(|_, at| now.saturating_sub(*at) < recent);
             tell.push((part.clone(), hosts.len()));
             !hosts.is_empty()
@@ -176,11 +176,13 @@
 
     fn peer_hears_better(&self, name: &str) -> bool {
         let (now, report) = (self.now, self.cfg.workers.report);
-        let told = self.hearing.told.get(name).filter(|t| now.saturating_sub(t.1) < TOLD);
+        let told = self.reachability.told.get(name).filter(|t| now.saturating_sub(t.1) < TOLD);
         let (Some((peer, _)), Some(part)) = (told, self.parts.get(name)) else { return false };
         let long = report * 3 / 2;
         // What waits unread here may be those very reports.
-        if now < self.hearing.attentive.max(part.acquired) + long || part.machines.len() < FEWEST {
+        if now < self.reachability.attentive.max(part.acquired) + long
+            || part.machines.len() < FEWEST
+        {
             return false;
         }
         let quiet = |at: Micros| now.saturating_sub(at) > long;
@@ -192,16 +194,18 @@
     /// While workers were not heard, calls one of the home part's machines now and then.
     fn probe(&mut self) {
         let now = self.now;
-        if self.hearing.lost.is_none_or(|until| now < until) || now < self.hearing.next_probe {
+        if self.reachability.lost.is_none_or(|until| now < until)
+            || now < self.reachability.next_probe
+        {
             return;
         }
-        self.hearing.next_probe = now + PROBE_EVERY;
+        self.reachability.next_probe = now + PROBE_EVERY;
         let home = self.cfg.node.clone();
         let blocks = self.cache.blocks.values().flat_map(|(hosts, _)| hosts.iter());
         let one = blocks.filter(|(_, r)| r.part == home).choose(&mut self.rng);
         let Some((machine, address)) = one.map(|(h, r)| (h.clone(), r.address.clone())) else {
             // Nothing to try it on, and nothing to lose.
-            self.hearing.lost = None;
+            self.reachability.lost = None;
             return;
         };
         let wait = WorkerWait { machine, probe: true, ..WorkerWait::default() };
@@ -210,7 +214,7 @@
 
     /// A machine was reached again.
     pub(crate) fn probed(&mut self, reached: bool) {
-        if reached && self.hearing.lost.take().is_some() {
+        if reached && self.reachability.lost.take().is_some() {
             self.note(Weight::Info, || "workers are reached again".into());
         }
     }
--- a/crates/quartzlever-core/src/hearing/tests.rs
+++ b/crates/quartzlever-core/src/reachability/tests.rs
@@ -16,16 +16,16 @@
         (&[100, 150, 1_000], 15),
     ];
     for (times, wait) in cases {
-        let mut hearing = Hearing::new(0);
+        let mut reachability = Reachability::new(0);
         let mut last = 0;
         for at in *times {
             if at - last > 10 {
-                hearing.lost = None;
+                reachability.lost = None;
             }
             last = *at;
-            hearing.lose(at * SECOND);
+            reachability.lose(at * SECOND);
         }
-        assert_eq!(hearing.wait, wait * SECOND, "{times:?}");
+        assert_eq!(reachability.wait, wait * SECOND, "{times:?}");
     }
 }
 
@@ -120,7 +120,7 @@
         let write = write.replacen("two", "one", 1);
         let mut holder = with_cache(&[("one", "one", 5), ("two", "two", 6)]);
         ten_machines(&mut holder, NOW - 10 * SECOND);
-        holder.hearing.attentive = NOW - 60 * SECOND;
+        holder.reachability.attentive = NOW - 60 * SECOND;
         if let Some(part) = holder.parts.get_mut("one") {
             part.acquired = NOW - 60 * SECOND;
         }
@@ -150,7 +150,7 @@
     ] {
         let mut core = with_cache(&[("one", "one", 5), ("two", "two", 6)]);
         ten_machines(&mut core, NOW - 10 * SECOND);
-        core.hearing.attentive = NOW - 60 * SECOND;
+        core.reachability.attentive = NOW - 60 * SECOND;
         if let Some(part) = core.parts.get_mut("one") {
             part.acquired = NOW - 60 * SECOND;
         }
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -11,7 +11,7 @@
 use crate::machine::{Amounts, Direct, Machine, Slot, SlotKey};
 use crate::messages::{Answer, Effect, RequestId, Weight};
 use crate::partition::{Partition, Place};
-use crate::placement::Paces;
+use crate::placement::RunTimes;
 
 /// Wait after a direct call that brought nothing.
 const CALL_PAUSE: Micros = 3 * SECOND;
@@ -34,7 +34,7 @@
 const CLEARED_TOGETHER: usize = 4;
 
 /// Machines that are asked whether they are there, at once.
-const MOST_VOUCHING: usize = 16;
+const MOST_UNCONFIRMED: usize = 16;
 
 impl Core {
     /// A worker reports.
@@ -99,19 +99,25 @@
         }
         // Nobody here knows of it: a late copy of a report must not claim anew a machine that
         // was returned, so the machine itself is asked first.
-        if self.vouching.contains_key(&report.host) || self.vouching.len() >= MOST_VOUCHING {
+        if self.unconfirmed.contains_key(&report.host) || self.unconfirmed.len() >= MOST_UNCONFIRMED
+        {
             return self.later(id, 503, "asked already");
         }
         let (machine, address) = (report.host.clone(), report.address.clone());
-        self.vouching.insert(machine.clone(), (id, report));
-        let wait =
-            WorkerWait { part: part_name, term, machine, vouch: true, ..WorkerWait::default() };
+        self.unconfirmed.insert(machine.clone(), (id, report));
+        let wait = WorkerWait {
+            part: part_name,
+            term,
+            machine,
+            confirms_presence: true,
+            ..WorkerWait::default()
+        };
         self.worker_call(address, WorkerCall::Status, wait);
     }
 
     /// A machine that nobody knew was asked whether it is there.
-    fn vouched(&mut self, wait: &WorkerWait, result: Result<WorkerReply, CallError>) {
-        let Some((id, report)) = self.vouching.remove(&wait.machine) else { return };
+    fn presence_answered(&mut self, wait: &WorkerWait, result: Result<WorkerReply, CallError>) {
+        let Some((id, report)) = self.unconfirmed.remove(&wait.machine) else { return };
         match result {
             Ok(WorkerReply::Report(fresh)) if fresh.host == report.host => {
                 let held = self.parts.get(&wait.part).is_some_and(|p| p.term == wait.term);
@@ -139,7 +145,7 @@
             // Somebody holds a later term, whatever the watch has told so far.
             return self.later(id, 503, "not entitled");
         }
-        let newer = part.take_report(&self.cfg, &mut self.paces, report, true, now);
+        let newer = part.take_report(&self.cfg, &mut self.run_times, report, true, now);
         self.open_barrier(name);
         self.place(name);
         self.fill(name, &report.host);
@@ -201,7 +207,7 @@
         // dearer than a report, so a processor that is short of time for both waits for reports.
         let since = now.saturating_sub(part.acquired);
         let report = self.cfg.workers.report;
-        let short = machines.len() > self.cfg.at_ease / 2;
+        let short = machines.len() > self.cfg.machine_capacity / 2;
         let fencing = match since {
             _ if short && since < report / 2 => 0,
             _ if since < report * 3 / 2 => FIRST_CALLS,
@@ -276,8 +282,8 @@
         if wait.probe {
             return self.probed(result.is_ok());
         }
-        if wait.vouch {
-            return self.vouched(&wait, result);
+        if wait.confirms_presence {
+            return self.presence_answered(&wait, result);
         }
         let Some(part) = self.parts.get_mut(&wait.part).filter(|p| p.term == wait.term) else {
             return;
@@ -306,7 +312,7 @@
                     machine.no_call_before = now + CALL_PAUSE;
                     return;
                 }
-                part.take_report(&self.cfg, &mut self.paces, &report, false, now);
+                part.take_report(&self.cfg, &mut self.run_times, &report, false, now);
                 self.fill(&wait.part, &wait.machine);
             }
             Err(_) => {
@@ -400,7 +406,7 @@
     pub fn take_report(
         &mut self,
         cfg: &Config,
-        paces: &mut Paces,
+        run_times: &mut RunTimes,
         report: &Report,
         hello: bool,
         now: Micros,
@@ -423,7 +429,7 @@
             machine.slots.values_mut().for_each(|s| s.in_answer = false);
             return true;
         }
-        self.take_news(cfg, paces, report, hello, now);
+        self.take_news(cfg, run_times, report, hello, now);
         true
     }
 
@@ -431,7 +437,7 @@
     pub(crate) fn take_news(
         &mut self,
         cfg: &Config,
-        paces: &mut Paces,
+        run_times: &mut RunTimes,
         report: &Report,
         hello: bool,
         now: Micros,
@@ -466,7 +472,7 @@
             machine.slots.values_mut().for_each(|s| s.in_answer = false);
         }
         for task in &report.tasks {
-            self.take_task(cfg, paces, &report.host, task, now);
+            self.take_task(cfg, run_times, &report.host, task, now);
         }
         self.take_absent(report, hello);
         self.save_before_taken(report);
@@ -530,7 +536,7 @@
     fn take_task(
         &mut self,
         cfg: &Config,
-        paces: &mut Paces,
+        run_times: &mut RunTimes,
         host: &str,
         seen: &TaskReport,
         now: Micros,
@@ -538,7 +544,7 @@
         let key: SlotKey = (seen.task.clone(), seen.attempt);
         let known = self.machines.get(host).is_some_and(|m| m.slots.contains_key(&key));
         if !known {
-            self.meet(cfg, host, seen, now);
+            self.combine(cfg, host, seen, now);
         }
         let Some(machine) = self.machines.get_mut(host) else { return };
         let Some(slot) = machine.slots.get_mut(&key) else { return };
@@ -600,8 +606,8 @@
                     && expect > 0
                 {
                     let pace = (ran.saturating_mul(1000) / expect).min(1_000_000) as u32;
-                    machine.pace.push(paces.relative(&class, pace));
-                    paces.learn(&class, pace);
+                    machine.pace.push(run_times.relative(&class, pace));
+                    run_times.learn(&class, pace);
                     if machine.pace.len() > 8 {
                         machine.pace.remove(0);
                     }
@@ -657,7 +663,7 @@
 
     /// An attempt that this holder has not started: adopted if the task is ours and nowhere
     /// else, ended otherwise.
-    fn meet(&mut self, cfg: &Config, host: &str, seen: &TaskReport, now: Micros) {
+    fn combine(&mut self, cfg: &Config, host: &str, seen: &TaskReport, now: Micros) {
         let exited = seen.phase == TaskPhase::Exited;
         let mut slot = Slot::blank(now);
         (slot.phase, slot.cause) = (Some(seen.phase), seen.cause);
--- a/crates/quartzlever-core/src/reports/tests.rs
+++ b/crates/quartzlever-core/src/reports/tests.rs
@@ -18,8 +18,8 @@
         core.absorb(record("0", "1-3"), 10);
         let cfg = core.cfg.clone();
         let Some(part) = core.parts.get_mut("one") else { unreachable!() };
-        let mut paces = Paces::default();
-        part.take_report(&cfg, &mut paces, &report_tasks(1, &[]), true, NOW);
+        let mut run_times = RunTimes::default();
+        part.take_report(&cfg, &mut run_times, &report_tasks(1, &[]), true, NOW);
         part.start("req-1", 0, "n-1", NOW);
         let attempt = part.jobs["req-1"].located[&0].attempt;
         assert_eq!(part.orders_for("n-1", answer).len(), 1);
@@ -28,9 +28,9 @@
             machine.slots.values_mut().for_each(|s| s.direct = crate::machine::Direct::Doubtful);
         }
         let ended = [(attempt, TaskPhase::Exited, Some(Cause::Halted))];
-        part.take_report(&cfg, &mut paces, &report_tasks(2, &ended), false, NOW);
+        part.take_report(&cfg, &mut run_times, &report_tasks(2, &ended), false, NOW);
         if hello {
-            part.take_report(&cfg, &mut paces, &report_tasks(3, &ended), true, NOW);
+            part.take_report(&cfg, &mut run_times, &report_tasks(3, &ended), true, NOW);
         }
         let cleared =
             part.orders_for("n-1", false).iter().any(|o| matches!(o, Order::Clear { .. }));
@@ -53,8 +53,8 @@
         core.absorb(record("0-9", ""), 10);
         let cfg = core.cfg.clone();
         let Some(part) = core.parts.get_mut("one") else { unreachable!() };
-        let mut paces = Paces::default();
-        part.take_report(&cfg, &mut paces, &report_tasks(1, &[]), true, NOW);
+        let mut run_times = RunTimes::default();
+        part.take_report(&cfg, &mut run_times, &report_tasks(1, &[]), true, NOW);
         let mut list = Vec::new();
         for index in 0..ended {
             part.start("req-1", index, "n-1", NOW);
@@ -65,7 +65,7 @@
         for (index, task) in told.tasks.iter_mut().enumerate() {
             task.task.index = index as u32;
         }
-        part.take_report(&cfg, &mut paces, &told, true, NOW);
+        part.take_report(&cfg, &mut run_times, &told, true, NOW);
         if starts {
             part.start("req-1", 9, "n-1", NOW);
         }
@@ -94,8 +94,8 @@
             core.absorb(record("0-9", ""), 10);
             let cfg = core.cfg.clone();
             let part = core.parts.get_mut("one").expect("held");
-            let mut paces = Paces::default();
-            part.take_report(&cfg, &mut paces, &report_tasks(1, &[]), true, NOW);
+            let mut run_times = RunTimes::default();
+            part.take_report(&cfg, &mut run_times, &report_tasks(1, &[]), true, NOW);
             for index in 0..2 {
                 part.start("req-1", index, "n-1", NOW);
             }
@@ -111,23 +111,23 @@
                 told
             };
             part.orders_for("n-1", true);
-            part.take_report(&cfg, &mut paces, &told(2, before), true, NOW);
+            part.take_report(&cfg, &mut run_times, &told(2, before), true, NOW);
             part.urgent.clear();
             part.place_wanted = false;
             let last = told(3, after);
-            (core, cfg, paces, last)
+            (core, cfg, run_times, last)
         };
-        let (mut one, cfg, mut paces, last) = make();
+        let (mut one, cfg, mut run_times, last) = make();
         let part = one.parts.get_mut("one").expect("held");
         assert_eq!(part.machines["n-1"].shows_nothing_new(&last), short, "{before:?} {after:?}");
-        part.take_report(&cfg, &mut paces, &last, true, NOW + 1);
-        let (mut two, cfg, mut paces, last) = make();
+        part.take_report(&cfg, &mut run_times, &last, true, NOW + 1);
+        let (mut two, cfg, mut run_times, last) = make();
         let other = two.parts.get_mut("one").expect("held");
         if short {
             if let Some(machine) = other.machines.get_mut("n-1") {
                 (machine.tick, machine.heard) = (last.tick, NOW + 1);
             }
-            other.take_news(&cfg, &mut paces, &last, true, NOW + 1);
+            other.take_news(&cfg, &mut run_times, &last, true, NOW + 1);
             let part = one.parts.get("one").expect("held");
             assert_eq!(format!("{part:?}"), format!("{other:?}"), "{before:?} {after:?}");
         }
@@ -198,7 +198,7 @@
         part.barrier_open = known.is_some();
         machine.heard = NOW - SECOND;
         let told = report_from("n-1", *session, *tick, *baton, &[77]);
-        let newer = part.take_report(&cfg, &mut Paces::default(), &told, *hello, NOW);
+        let newer = part.take_report(&cfg, &mut RunTimes::default(), &told, *hello, NOW);
         part.try_open_barrier();
         assert_eq!(newer, *counts, "{name}");
         let machine = &part.machines["n-1"];
@@ -276,15 +276,17 @@
 
 #[test]
 fn a_call_is_made_for_what_cannot_wait_for_a_report() {
-    // (machines at ease, seconds within which a task should start; whether its start is called)
-    for (at_ease, within, called) in [(100, None, true), (1, None, false), (1, Some(2), true)] {
-        let mut core = with_holders(at_ease);
+    // (machines that the processor serves, seconds within which a task should start; whether its start is called)
+    for (machine_capacity, within, called) in
+        [(100, None, true), (1, None, false), (1, Some(2), true)]
+    {
+        let mut core = with_holders(machine_capacity);
         core.cfg.objectives = within
             .map(|s| Objective::Wait { class: spec(1).class, share: 0.9, within: s * SECOND })
             .into_iter()
             .collect();
         if let Some(part) = core.parts.get_mut("one") {
-            // A second machine, so that the part has more than half of what is at ease.
+            // A second machine, so that the part has more than half of what the processor serves.
             let host = HostRecord {
                 part: "one".into(),
                 address: "n-2:9000".into(),
@@ -303,7 +305,7 @@
         core.absorb(record_of(1, 1, "one"), 10);
         let effects = core.step(NOW + SECOND, Vec::new());
         let calls = effects.iter().filter(|e| matches!(e, Effect::Worker { .. })).count();
-        assert_eq!(calls > 0, called, "{at_ease} {within:?}");
+        assert_eq!(calls > 0, called, "{machine_capacity} {within:?}");
         assert_eq!(core.parts["one"].jobs["req-1"].located.len(), 1, "it is placed all the same");
     }
 }
--- a/crates/quartzlever-core/src/stealing.rs
+++ b/crates/quartzlever-core/src/stealing.rs
@@ -237,7 +237,7 @@
     fn load_of(&self, part: &Partition) -> Load {
         let jobs = part.jobs.values().filter(|j| !j.ready.is_empty());
         let work = jobs.map(|j| {
-            let each = self.paces.expect(j.spec()) as f64 / 1e6 * j.spec().cpus;
+            let each = self.run_times.expect(j.spec()) as f64 / 1e6 * j.spec().cpus;
             f64::from(j.ready.len()) * each
         });
         let kinds = part.machines.values().filter(|m| m.usable()).filter_map(|m| {
@@ -474,7 +474,7 @@
         let most_jobs = self.limits.txn_ops.clamp(1, 8);
         let value_bytes = self.limits.value_bytes;
         let order = match self.parts.get(victim) {
-            Some(part) => part.queue_order(&self.cfg, &self.paces, self.now),
+            Some(part) => part.queue_order(&self.cfg, &self.run_times, self.now),
             None => return self.answer_nothing(request),
         };
         // A thief with a queue of its own takes what evens out the two, and nothing urgent: that
@@ -482,7 +482,7 @@
         let own = self.parts.get(victim).map_or(Load::default(), |p| self.load_of(p));
         let mut excess = load.map(|thief| own.excess_over(&thief));
         let least = if load.is_some() && own.cpus > 0.0 { Rank::Standard } else { Rank::Prod };
-        let (paces, pages) = (&self.paces, &self.pages);
+        let (run_times, pages) = (&self.run_times, &self.pages);
         let Some(part) = self.parts.get_mut(victim) else { return };
         let mut left = (f64::from(part.movable_count(&self.cfg, rank)) * fraction).ceil() as u32;
         let mut txn = part.txn().when(format!("{PARTS}{thief}"), term);
@@ -500,7 +500,7 @@
             let count = match &mut excess {
                 None => fit_count(&mut free, job, left),
                 Some(excess) => {
-                    let each = paces.expect(job.spec()).max(1) as f64 / 1e6 * job.spec().cpus;
+                    let each = run_times.expect(job.spec()).max(1) as f64 / 1e6 * job.spec().cpus;
                     let most = (*excess / each.max(1e-6)).min(f64::from(left)) as u32;
                     let count =
                         if fits_somewhere(&free, job) { most.min(job.ready.len()) } else { 0 };
@@ -668,9 +668,9 @@
 }
 
 /// Whether a task of the job could ever run on one of these machines.
-fn fits_somewhere(rooms: &[Room], job: &crate::partition::PartitionJob) -> bool {
+fn fits_somewhere(free_room_index: &[Room], job: &crate::partition::PartitionJob) -> bool {
     let need = job.need();
-    rooms.iter().any(|r| {
+    free_room_index.iter().any(|r| {
         let amounts = Amounts { cpus: r.cpus, gpus: r.gpus, ram_gb: r.ram_gb };
         offer_allowed(job.spec(), &r.kind, &r.zone, r.spot) && amounts.fits(&need)
     })
--- a/crates/quartzlever-core/src/stealing/tests.rs
+++ b/crates/quartzlever-core/src/stealing/tests.rs
@@ -141,7 +141,7 @@
         core.parts.insert("two".into(), two);
         let cfg = core.cfg.clone();
         if let Some(part) = core.parts.get_mut("two") {
-            part.take_report(&cfg, &mut Paces::default(), &report_idle("n-2", 1, 6), true, NOW);
+            part.take_report(&cfg, &mut RunTimes::default(), &report_idle("n-2", 1, 6), true, NOW);
         }
         let job = JobSpec { id: "req-2".into(), rank: Rank::Standard, ..spec(8) };
         let share = Share { part: "two".into(), term: 6, tasks: Ranges::first(8) };
--- a/crates/quartzlever-core/src/testing.rs
+++ b/crates/quartzlever-core/src/testing.rs
@@ -5,7 +5,7 @@
 pub(crate) use crate::fleet::Expected;
 pub(crate) use crate::messages::{Answer, Command, Effect, RequestId, Token, Weight};
 pub(crate) use crate::partition::Partition;
-pub(crate) use crate::placement::Paces;
+pub(crate) use crate::placement::RunTimes;
 pub(crate) use crate::stealing::Move;
 pub(crate) use quartzlever_wire::cloud::{CloudCall, MachineType};
 pub(crate) use quartzlever_wire::peers::{Load, PeerAnswer, PeerRequest, Room, ThiefRoom};
@@ -77,7 +77,7 @@
         block_bytes: 16 * 1024,
         txn_ops: 24,
         version: crate::cluster::VERSION,
-        at_ease: 10_000,
+        machine_capacity: 10_000,
         operator: Operator::default(),
         notes: Weight::Error,
     };
@@ -275,7 +275,7 @@
 pub(crate) fn ready_machine(core: &mut Core) {
     let cfg = core.cfg.clone();
     if let Some(part) = core.parts.get_mut("one") {
-        part.take_report(&cfg, &mut Paces::default(), &report_idle("n-1", 1, 5), true, NOW);
+        part.take_report(&cfg, &mut RunTimes::default(), &report_idle("n-1", 1, 5), true, NOW);
     }
 }
 
@@ -310,9 +310,9 @@
     }
 }
 
-pub(crate) fn with_holders(at_ease: usize) -> Core {
+pub(crate) fn with_holders(machine_capacity: usize) -> Core {
     let mut core = core();
-    core.cfg.at_ease = at_ease;
+    core.cfg.machine_capacity = machine_capacity;
     core.cache.loaded = true;
     core.wall_offset = Some(0);
     for (part, stamp, process) in [("one", 5, core.process), ("two", 6, 77)] {
@@ -358,7 +358,7 @@
             warning_s: None,
             tasks: Vec::new(),
         };
-        part.take_report(&cfg, &mut Paces::default(), &report, true, NOW);
+        part.take_report(&cfg, &mut RunTimes::default(), &report, true, NOW);
     }
 }
 
--- a/crates/quartzlever-core/tests/world/meetings.rs
+++ b/crates/quartzlever-core/tests/world/fault_combinations.rs
@@ -1,5 +1,5 @@
-//! Meetings of troubles: each row brings one about, shows that it did, and must break no rule.
-//! `docs/meetings.md` says where in the code each is decided.
+//! Combinations of faults: each row brings one about, shows that it did, and must break no rule.
+//! `docs/fault-combinations.md` says where in the code each is decided.
 
 use quartzlever_core::Config;
 use quartzlever_wire::users::{JobPhase, JobSpec, Rank};
@@ -13,7 +13,7 @@
 const SEEDS: u64 = 4;
 
 /// One meeting.
-struct Meeting {
+struct FaultCombination {
     name: &'static str,
     /// Settings that make the meeting harder than the usual ones.
     tune: fn(&mut Config),
@@ -135,8 +135,8 @@
     w.apart.insert(node);
 }
 
-const MEETINGS: &[Meeting] = &[
-    Meeting {
+const FAULT_COMBINATIONS: &[FaultCombination] = &[
+    FaultCombination {
         name: "the holder is refused alone, others confirm cancellations, the store goes",
         tune: long_holds,
         bring_about: |w| refused_alone_then_all(w, SECOND, |_, _| {}),
@@ -147,7 +147,7 @@
                 && j.cancellations >= 12
         },
     },
-    Meeting {
+    FaultCombination {
         name: "so it is, while peers do not reach each other and machines hang and go on",
         tune: long_holds,
         bring_about: |w| {
@@ -163,7 +163,7 @@
             c.refused_alone > 4 && c.not_entitled > 50 && c.leases_lost > 4 && j.cancellations >= 12
         },
     },
-    Meeting {
+    FaultCombination {
         name: "jobs are cancelled as the holder is refused; a second later the store is away, slow after",
         tune: usual,
         bring_about: |w| {
@@ -173,7 +173,7 @@
         },
         came: |c, j| c.refused_alone > 5 && c.refused_all > 20 && j.cancellations >= 4,
     },
-    Meeting {
+    FaultCombination {
         name: "the store is back, and the old holder finds lost tasks of cancelled jobs",
         tune: |cfg| {
             // The view is within its bound when the store is back, the lease had run out.
@@ -210,7 +210,7 @@
                 && j.starts_after_cancel == 0
         },
     },
-    Meeting {
+    FaultCombination {
         name: "workers reach no controller while direct commands reach them",
         tune: usual,
         bring_about: |w| {
@@ -228,7 +228,7 @@
         },
         came: |c, j| c.mute > 50 && j.cancellations >= 6,
     },
-    Meeting {
+    FaultCombination {
         name: "jobs are cancelled in the seconds in which work changes hands",
         tune: usual,
         bring_about: |w| {
@@ -244,7 +244,7 @@
         },
         came: |c, j| c.holders > 12 && j.cancellations >= 12,
     },
-    Meeting {
+    FaultCombination {
         name: "all controllers are away for longer than a lease",
         tune: usual,
         bring_about: |w| {
@@ -260,7 +260,7 @@
         },
         came: |c, _| c.leases_lost > 4,
     },
-    Meeting {
+    FaultCombination {
         name: "jobs of two or three tasks end far apart across a change of holder",
         tune: usual,
         bring_about: |w| {
@@ -279,7 +279,7 @@
         },
         came: |c, _| c.holders > 16,
     },
-    Meeting {
+    FaultCombination {
         name: "a cancellation, a question and a repeated submission meet the end of the last task",
         tune: usual,
         bring_about: |w| {
@@ -302,7 +302,7 @@
         },
         came: |c, j| j.cancellations > 8 && j.cancellations < 32 && c.answers > 500,
     },
-    Meeting {
+    FaultCombination {
         name: "new machines get work at once while writes lag, and the holder ends",
         tune: usual,
         bring_about: |w| {
@@ -319,7 +319,7 @@
         },
         came: |c, _| c.late_in_force > 3 && c.late_conflicts > 10 && c.holders > 14,
     },
-    Meeting {
+    FaultCombination {
         name: "the holder ends while machines with long tasks cannot be reached, or hear nothing",
         tune: usual,
         bring_about: |w| {
@@ -343,7 +343,7 @@
         },
         came: |c, j| c.deaf > 20 && c.holders > 14 && j.cancellations >= 8,
     },
-    Meeting {
+    FaultCombination {
         name: "commands and their answers are held up for seconds, and machines go on",
         tune: usual,
         bring_about: |w| {
@@ -367,7 +367,7 @@
         },
         came: |c, j| c.held_executed + c.held_refused > 10 && j.cancellations >= 10,
     },
-    Meeting {
+    FaultCombination {
         name: "jobs are cancelled while the commands that start them are held up beyond `cancel_s`",
         tune: usual,
         bring_about: |w| {
@@ -386,7 +386,7 @@
         },
         came: |c, j| c.held > 20 && c.held_executed > 4 && j.cancellations >= 50,
     },
-    Meeting {
+    FaultCombination {
         name: "transactions without an answer are carried out after newer ones",
         tune: usual,
         bring_about: |w| {
@@ -406,7 +406,7 @@
         },
         came: |c, j| c.late_in_force > 5 && c.late_conflicts > 50 && j.cancellations >= 8,
     },
-    Meeting {
+    FaultCombination {
         name: "transactions are carried out and only their answers lost, while others read",
         tune: usual,
         bring_about: |w| {
@@ -434,7 +434,7 @@
         },
         came: |c, j| c.unanswered > 40 && j.cancellations >= 10,
     },
-    Meeting {
+    FaultCombination {
         name: "one-task jobs come four a second, a quarter of them cancelled",
         tune: usual,
         bring_about: |w| {
@@ -456,7 +456,7 @@
         },
         came: |c, j| c.answers > 400 && j.cancellations > 20,
     },
-    Meeting {
+    FaultCombination {
         name: "controllers hand over and back, all end, and one returns within a second",
         tune: usual,
         bring_about: |w| {
@@ -477,7 +477,7 @@
         },
         came: |c, _| c.holders > 24,
     },
-    Meeting {
+    FaultCombination {
         name: "a zone with workers and a controller is cut off for longer than a lease",
         tune: long_holds,
         bring_about: |w| {
@@ -492,7 +492,7 @@
         },
         came: |c, j| c.refused_alone > 20 && c.leases_lost > 2 && j.cancellations >= 6,
     },
-    Meeting {
+    FaultCombination {
         name: "jobs bound to one zone lose machines",
         tune: usual,
         bring_about: |w| {
@@ -515,7 +515,7 @@
         },
         came: |c, _| c.holders > 14,
     },
-    Meeting {
+    FaultCombination {
         name: "old reports reach every controller as a new holder begins",
         tune: usual,
         bring_about: |w| {
@@ -533,7 +533,7 @@
         },
         came: |c, j| c.copies_for_next > 40 && c.copies > 100 && j.cancellations >= 8,
     },
-    Meeting {
+    FaultCombination {
         name: "late copies of reports come from earlier sessions and attempts",
         tune: usual,
         bring_about: |w| {
@@ -553,7 +553,7 @@
         },
         came: |c, j| c.copies > 200 && c.leases_lost > 2 && j.cancellations >= 6,
     },
-    Meeting {
+    FaultCombination {
         name: "there is more work than room, urgent and not, over slow links",
         tune: usual,
         bring_about: |w| {
@@ -568,7 +568,7 @@
         },
         came: |c, _| c.answers >= 40,
     },
-    Meeting {
+    FaultCombination {
         name: "a team is at its limit, its cancelled tasks hang or are cut off, and the holder changes",
         tune: usual,
         bring_about: |w| {
@@ -601,7 +601,7 @@
         },
         came: |c, j| c.holders > 16 && j.cancellations >= 8,
     },
-    Meeting {
+    FaultCombination {
         name: "a team is at its limit as the holder changes, and machines cannot be asked",
         tune: usual,
         bring_about: |w| {
@@ -631,7 +631,7 @@
         },
         came: |c, j| c.holders > 14 && j.cancellations >= 4,
     },
-    Meeting {
+    FaultCombination {
         name: "a holder has only its workers and users left, and jobs end through the new one",
         tune: long_holds,
         bring_about: |w| {
@@ -648,7 +648,7 @@
         },
         came: |c, j| c.refused_alone > 30 && c.not_entitled > 10 && j.cancellations >= 8,
     },
-    Meeting {
+    FaultCombination {
         name: "holders change ten times in two minutes, also inside an outage",
         tune: usual,
         bring_about: |w| {
@@ -673,7 +673,7 @@
         },
         came: |c, j| c.holders > 40 && c.refused_all > 20 && j.cancellations >= 10,
     },
-    Meeting {
+    FaultCombination {
         name: "services are cancelled as their holder is refused alone, then the store goes",
         tune: long_holds,
         bring_about: |w| {
@@ -689,7 +689,7 @@
         },
         came: |c, j| c.refused_alone > 4 && c.not_entitled > 20 && j.cancellations >= 12,
     },
-    Meeting {
+    FaultCombination {
         name: "services are cancelled while their work changes hands and old reports come back",
         tune: usual,
         bring_about: |w| {
@@ -708,7 +708,7 @@
         },
         came: |c, j| c.copies_for_next > 20 && c.holders > 16 && j.cancellations >= 12,
     },
-    Meeting {
+    FaultCombination {
         name: "services fill a team's limit, are cancelled on machines that hang, and the holder ends",
         tune: usual,
         bring_about: |w| {
@@ -730,7 +730,7 @@
         },
         came: |c, j| c.holders > 16 && j.cancellations >= 12,
     },
-    Meeting {
+    FaultCombination {
         name: "services are cancelled on machines that hear nothing, or reach nobody",
         tune: usual,
         bring_about: |w| {
@@ -746,7 +746,7 @@
         },
         came: |c, j| c.deaf > 10 && c.mute > 10 && j.cancellations >= 12,
     },
-    Meeting {
+    FaultCombination {
         name: "users ask at all nodes at once after each acceptance, end and cancellation",
         tune: usual,
         bring_about: |w| {
@@ -917,26 +917,27 @@
 #[test]
 fn no_meeting_of_troubles_breaks_a_rule() {
     let mut failures = Vec::new();
-    for meeting in MEETINGS {
+    for combination in FAULT_COMBINATIONS {
         let outcome = std::panic::catch_unwind(|| {
             let mut sum = Counts::default();
             let mut total = RuleChecker::new(0, Vec::new());
             // The same for a row wherever it stands in the table.
-            let first = meeting.name.bytes().fold(7, |h: u64, b| h.wrapping_mul(31) + u64::from(b));
+            let first =
+                combination.name.bytes().fold(7, |h: u64, b| h.wrapping_mul(31) + u64::from(b));
             for seed in 0..SEEDS {
-                let mut world = World::with(first.wrapping_add(seed), NODES, meeting.tune);
+                let mut world = World::with(first.wrapping_add(seed), NODES, combination.tune);
                 world.run(3 * SECOND);
-                (meeting.bring_about)(&mut world);
-                settles(&mut world, &format!("{} (seed {seed})", meeting.name));
+                (combination.bring_about)(&mut world);
+                settles(&mut world, &format!("{} (seed {seed})", combination.name));
                 add(&mut sum, world.counts);
                 total.cancellations += world.rules.cancellations;
                 total.starts_after_cancel += world.rules.starts_after_cancel;
             }
             let (told, late) = (total.cancellations, total.starts_after_cancel);
             assert!(
-                (meeting.came)(&sum, &total),
+                (combination.came)(&sum, &total),
                 "{} did not come about: {sum:?}, {told} cancellations",
-                meeting.name
+                combination.name
             );
             (sum, told, late)
         });
@@ -944,10 +945,10 @@
             Ok((sum, told, late)) => {
                 println!(
                     "{}: {told} cancellations, {late} starts after one, {sum:?}",
-                    meeting.name
+                    combination.name
                 );
             }
-            Err(_) => failures.push(meeting.name),
+            Err(_) => failures.push(combination.name),
         }
     }
     assert!(failures.is_empty(), "{} rows: {failures:#?}", failures.len());
--- a/crates/quartzlever-core/tests/world/main.rs
+++ b/crates/quartzlever-core/tests/world/main.rs
@@ -1,9 +1,9 @@
 //! Whole controllers, several at once, in a simulated world: its state service, cloud, network,
 //! workers and users go wrong as those of the protocol may, and a checker looks for broken rules.
 
+mod fault_combinations;
 mod large_jobs;
 mod limits;
-mod meetings;
 mod safety;
 mod services;
 mod sim;
--- a/crates/quartzlever-core/tests/world/sim.rs
+++ b/crates/quartzlever-core/tests/world/sim.rs
@@ -37,7 +37,7 @@
         block_bytes: 16 * 1024,
         txn_ops: 24,
         version: quartzlever_core::VERSION,
-        at_ease: 10_000,
+        machine_capacity: 10_000,
         operator: Operator {
             lease_life: 5 * SECOND,
             takeover_after: SECOND,
--- a/crates/quartzlever/src/node.rs
+++ b/crates/quartzlever/src/node.rs
@@ -71,7 +71,7 @@
 }
 
 /// The queues of the threads that carry out effects.
-struct Hands {
+struct EffectThreads {
     lanes: HashMap<Lane, Sender<StateJob>>,
     cloud: Sender<CloudJob>,
     workers: Sender<WorkerJob>,
@@ -84,8 +84,8 @@
     thread::Builder::new().name(name.to_owned()).stack_size(STACK).spawn(work).map(|_| ())
 }
 
-impl Hands {
-    fn start(settings: &Settings, inbox: &Inbox, clock: Clock) -> io::Result<Hands> {
+impl EffectThreads {
+    fn start(settings: &Settings, inbox: &Inbox, clock: Clock) -> io::Result<EffectThreads> {
         // Until the core knows who shares the limits.
         let share = SHARE / settings.core.nodes.len() as f64;
         // The core keeps account of changes, since it knows which are worth most.
@@ -168,7 +168,7 @@
             })?;
         }
         let limits = [(settings.core.state_rps, requests), (settings.cloud_rps, budget)];
-        Ok(Hands { lanes, cloud, workers, peers, limits })
+        Ok(EffectThreads { lanes, cloud, workers, peers, limits })
     }
 }
 
@@ -199,7 +199,7 @@
 pub fn run(settings: Settings, seed: u64) -> io::Result<()> {
     let clock = Clock::new();
     let (inbox, outlet) = Inbox::new();
-    let hands = Hands::start(&settings, &inbox, clock)?;
+    let hands = EffectThreads::start(&settings, &inbox, clock)?;
     serve_peers(settings.internal, inbox.clone())?;
     let bounds = server::Bounds::of(settings.limits);
     let port = Port::take(settings.api, bounds, inbox, clock)?;
@@ -248,7 +248,13 @@
 }
 
 /// The one owner of all state: takes commands in batches and hands out effects.
-fn work(mut core: Core, outlet: Outlet, hands: Hands, port: Port, clock: Clock) -> io::Result<()> {
+fn work(
+    mut core: Core,
+    outlet: Outlet,
+    hands: EffectThreads,
+    port: Port,
+    clock: Clock,
+) -> io::Result<()> {
     const TICK_MICROS: Micros = TICK.as_micros() as Micros;
     let mut waiting = Waiting::default();
     let mut ticked = None;
@@ -309,7 +315,7 @@
     }
 }
 
-fn carry_out(effect: Effect, hands: &Hands, waiting: &mut Waiting, clock: Clock) {
+fn carry_out(effect: Effect, hands: &EffectThreads, waiting: &mut Waiting, clock: Clock) {
     // A queue or a waiting request that is gone means that nobody wants the result.
     match effect {
         Effect::Answer { id, status, body, retry_after_s, until } => {
--- a/crates/quartzlever/src/settings.rs
+++ b/crates/quartzlever/src/settings.rs
@@ -314,7 +314,8 @@
             .amount(&format!("params.state.next.{field}"), next, from, to)
             .map(|next| next.min(now))
     };
-    let at_ease = at_ease(&check, params.machine_limits.as_ref(), params.workers.report_s)?;
+    let machine_capacity =
+        machine_capacity(&check, params.machine_limits.as_ref(), params.workers.report_s)?;
     Ok(Settings {
         api: check.address("api_addr", &entry.api_addr)?,
         internal: check.address("internal_addr", &entry.internal_addr)?,
@@ -338,7 +339,7 @@
             block_bytes: (state.value_kb * 1024.0) as usize,
             txn_ops: lower("txn_ops", state.txn_ops as f64, next_ops, 2.0, 1e6)? as usize,
             version: quartzlever_core::VERSION,
-            at_ease,
+            machine_capacity,
             operator,
             notes,
         },
@@ -349,11 +350,11 @@
 /// come for each that is due: every change of a task brings one.
 const REPORT_COST: f64 = 150e-6;
 const REPORTS_EACH: f64 = 2.0;
-/// Share of the processor that reports may take at ease: bursts need the rest.
+/// Share of the processor that reports may take: bursts need the rest.
 const EASE: f64 = 0.5;
 
-/// How many machines the processor serves at ease; any number if nothing is said of it.
-fn at_ease(
+/// How many machines the processor serves without falling behind; any number if nothing is said of it.
+fn machine_capacity(
     check: &Checker,
     entry: Option<&LimitsEntry>,
     report_s: f64,
