Tests: jobs made in one place, services' input as a table, the statuses of early services

A service before the raise gets 400 from the version in production and 503 from this one (rolling_upgrade). The same job literal stood in five test files.

--- a/crates/quartzlever-core/examples/cost.rs
+++ b/crates/quartzlever-core/examples/cost.rs
@@ -9,8 +9,9 @@
 use quartzlever_core::{
     Answer, Command, Config, Core, Effect, Operator, Team, Weight, WorkerTimes,
 };
+use quartzlever_standin::jobs;
 use quartzlever_standin::{Cloud, Store, Worker};
-use quartzlever_wire::users::{JobSpec, Rank, Shape};
+use quartzlever_wire::users::JobSpec;
 use quartzlever_wire::workers::{Orders, WorkerCall, WorkerReply};
 use quartzlever_wire::{CallError, Micros, SECOND};
 
@@ -80,28 +81,7 @@
 }
 
 fn job(n: u32, tasks: u32) -> JobSpec {
-    JobSpec {
-        id: format!("req-{n:06}"),
-        class: "c".into(),
-        team: "free".into(),
-        shape: Shape::Batch,
-        rank: Rank::Standard,
-        tasks,
-        cpus: 2.0,
-        gpus: 0.0,
-        ram_gb: 1.0,
-        image: "img".into(),
-        image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: true,
-        expect_s: 20.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        due_s: Some(60.0),
-    }
+    JobSpec { expect_s: 20.0, due_s: Some(60.0), ..jobs::array(n, tasks) }
 }
 
 fn main() {
--- a/crates/quartzlever-core/src/testing.rs
+++ b/crates/quartzlever-core/src/testing.rs
@@ -24,28 +24,7 @@
 pub(crate) const NOW: Micros = 1_000 * SECOND;
 
 pub(crate) fn spec(tasks: u32) -> JobSpec {
-    JobSpec {
-        id: "req-1".into(),
-        class: "c".into(),
-        team: "free".into(),
-        shape: Shape::Batch,
-        rank: Rank::Standard,
-        tasks,
-        cpus: 2.0,
-        gpus: 0.0,
-        ram_gb: 1.0,
-        image: "img".into(),
-        image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: true,
-        expect_s: 3.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        due_s: None,
-    }
+    JobSpec { id: "req-1".into(), ..quartzlever_standin::jobs::array(1, tasks) }
 }
 
 /// A record of a job of four tasks, with these of them in part "one".
--- a/crates/quartzlever-core/tests/world/fault_combinations.rs
+++ b/crates/quartzlever-core/tests/world/fault_combinations.rs
@@ -12,10 +12,10 @@
 const NODES: &[&str] = &["one", "two", "three"];
 const SEEDS: u64 = 4;
 
-/// One meeting.
+/// One combination.
 struct FaultCombination {
     name: &'static str,
-    /// Settings that make the meeting harder than the usual ones.
+    /// Settings that make the combination harder than the usual ones.
     tune: fn(&mut Config),
     bring_about: fn(&mut World),
     /// What must be seen over all seeds: that it came about, and nothing that must not.
@@ -915,7 +915,7 @@
 }
 
 #[test]
-fn no_meeting_of_troubles_breaks_a_rule() {
+fn no_combination_of_faults_breaks_a_rule() {
     let mut failures = Vec::new();
     for combination in FAULT_COMBINATIONS {
         let outcome = std::panic::catch_unwind(|| {
--- a/crates/quartzlever-core/tests/world/sim.rs
+++ b/crates/quartzlever-core/tests/world/sim.rs
@@ -4,11 +4,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use quartzlever_core::{Command, Config, Core, Effect, Operator, Team, Weight, WorkerTimes};
+use quartzlever_standin::jobs;
 use quartzlever_standin::rules::{Asked, MachineTasks, RuleChecker, TeamLimit};
 use quartzlever_standin::{Cloud, Store, Worker};
 use quartzlever_wire::cloud::CloudReply;
 use quartzlever_wire::state::{OverRecord, StateCall, StateReply};
-use quartzlever_wire::users::{JobPhase, JobSpec, Rank, Shape};
+use quartzlever_wire::users::{JobPhase, JobSpec};
 use quartzlever_wire::workers::{Orders, Report, WorkerCall, WorkerReply};
 use quartzlever_wire::{CallError, Micros, SECOND};
 use rand::rngs::SmallRng;
@@ -55,28 +56,7 @@
 }
 
 pub fn job(n: u32, tasks: u32) -> JobSpec {
-    JobSpec {
-        id: format!("req-{n:06}"),
-        class: "c".into(),
-        team: "free".into(),
-        shape: Shape::Batch,
-        rank: Rank::Standard,
-        tasks,
-        cpus: 2.0,
-        gpus: 0.0,
-        ram_gb: 1.0,
-        image: "img".into(),
-        image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: true,
-        expect_s: 3.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        due_s: Some(60.0),
-    }
+    JobSpec { due_s: Some(60.0), ..jobs::array(n, tasks) }
 }
 
 /// What travels.
--- /dev/null
+++ b/crates/quartzlever-standin/src/jobs.rs
@@ -0,0 +1,34 @@
+//! Jobs for tests.
+
+use quartzlever_wire::users::{JobSpec, Rank, Shape};
+
+/// An array of so many tasks that any machine may run; what a test wants otherwise it changes.
+pub fn array(number: u32, tasks: u32) -> JobSpec {
+    JobSpec {
+        id: format!("req-{number:06}"),
+        class: "c".into(),
+        team: "free".into(),
+        shape: Shape::Batch,
+        rank: Rank::Standard,
+        tasks,
+        cpus: 2.0,
+        gpus: 0.0,
+        ram_gb: 1.0,
+        image: "img".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        expect_s: 3.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        due_s: None,
+    }
+}
+
+/// A service of so many replicas.
+pub fn service(number: u32, replicas: u32) -> JobSpec {
+    JobSpec { shape: Shape::Daemon, expect_s: 0.0, cpus: 1.0, ..array(number, replicas) }
+}
--- a/crates/quartzlever-standin/src/lib.rs
+++ b/crates/quartzlever-standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod crowd;
 pub mod fleet;
 pub mod http;
+pub mod jobs;
 pub mod production;
 pub mod program;
 pub mod rules;
--- a/crates/quartzlever-standin/tests/rules.rs
+++ b/crates/quartzlever-standin/tests/rules.rs
@@ -1,35 +1,15 @@
 //! The checker finds a violation of each rule, and nothing in what is right.
 
+use quartzlever_standin::jobs;
 use quartzlever_standin::rules::{Asked, MachineTasks, RuleChecker, TeamLimit};
-use quartzlever_wire::users::{JobSpec, Rank, Shape};
+use quartzlever_wire::users::JobSpec;
 use quartzlever_wire::workers::TaskId;
 use quartzlever_wire::{Micros, SECOND};
 
 const START: Micros = 1_000 * SECOND;
 
 fn job(n: u32, tasks: u32) -> JobSpec {
-    JobSpec {
-        id: format!("req-{n:06}"),
-        class: "c".into(),
-        team: "free".into(),
-        shape: Shape::Batch,
-        rank: Rank::Standard,
-        tasks,
-        cpus: 2.0,
-        gpus: 0.0,
-        ram_gb: 1.0,
-        image: "img".into(),
-        image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: true,
-        expect_s: 3.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        due_s: Some(60.0),
-    }
+    JobSpec { due_s: Some(60.0), ..jobs::array(n, tasks) }
 }
 
 fn task(n: u32, index: u32) -> TaskId {
--- a/crates/quartzlever-wire/tests/formats.rs
+++ b/crates/quartzlever-wire/tests/formats.rs
@@ -71,6 +71,46 @@
     }
 }
 
+/// A service is a submission like any other, but that it has no end: what it says of one is dropped.
+#[test]
+fn services_are_read_or_refused() {
+    let json_error = BadJob::Json(String::new());
+    // (what is changed, its new value or none, the kind of refusal)
+    let cases: &[(&str, Option<Value>, Option<BadJob>)] = &[
+        ("due_s", None, None),
+        ("expect_s", Some(json!(7.5)), None),
+        ("shards", Some(json!(1)), None),
+        ("shape", Some(json!("demon")), Some(json_error.clone_kind())),
+        ("shape", None, Some(json_error.clone_kind())),
+        ("shards", Some(json!(0)), Some(BadJob::Tasks)),
+        ("shards", Some(json!(100_001)), Some(BadJob::Tasks)),
+        ("cpus", Some(json!(-0.5)), Some(BadJob::Amount("cpus"))),
+        ("ram_gb", Some(json!(-1)), Some(BadJob::Amount("ram_gb"))),
+        ("expect_s", Some(json!(-1.0)), Some(BadJob::Amount("expect_s"))),
+        ("expect_s", None, Some(json_error.clone_kind())),
+        ("apart", None, Some(json_error.clone_kind())),
+        ("bundle", None, Some(json_error.clone_kind())),
+    ];
+    for (field, value, refusal) in cases {
+        let mut body = submission();
+        (body["shape"], body["expect_s"]) = (json!("daemon"), json!(0));
+        match value {
+            Some(value) => body[*field] = value.clone(),
+            None => drop(body.as_object_mut().expect("object").remove(*field)),
+        }
+        let result = JobSpec::parse(body.to_string().as_bytes());
+        if let Ok(spec) = &result {
+            assert!(spec.is_service(), "{field} = {value:?}");
+            assert_eq!((spec.expect_s, spec.due_s), (0.0, None), "{field} = {value:?}");
+        }
+        assert_eq!(result.err().map(|e| e.clone_kind()), *refusal, "{field} = {value:?}");
+    }
+    // Numbers beyond all bounds.
+    let text = submission().to_string().replace("\"cpus\":8.0", "\"cpus\":1e999");
+    assert_ne!(text, submission().to_string());
+    assert!(JobSpec::parse(text.as_bytes()).is_err());
+}
+
 /// The kind of a refusal, without the parser's words.
 trait Kind {
     fn clone_kind(&self) -> BadJob;
--- a/crates/quartzlever/tests/rolling_upgrade/testbed.rs
+++ b/crates/quartzlever/tests/rolling_upgrade/testbed.rs
@@ -8,14 +8,15 @@
 use std::time::{Duration, Instant};
 
 use quartzlever_standin::fleet::{Behaviour, Fleet};
+use quartzlever_standin::jobs::{array, service};
 use quartzlever_standin::program::Node;
 use quartzlever_standin::rules::RuleChecker;
 use quartzlever_standin::{Cloud, Store, http, production};
 use quartzlever_wire::SECOND;
 use quartzlever_wire::state::{CLUSTER_VERSION, OVER, OverRecord, PARTS, PartRecord};
-use quartzlever_wire::users::JobPhase;
+use quartzlever_wire::users::{JobPhase, JobSpec};
 
-use crate::users::{Users, array, service, until};
+use crate::users::{Users, until};
 
 /// Controllers, and so partitions, by name.
 pub const PARTITIONS: [&str; 3] = ["one", "two", "three"];
@@ -254,7 +255,7 @@
         }
     }
 
-    fn submit(&self, node: usize, spec: &quartzlever_wire::users::JobSpec) {
+    fn submit(&self, node: usize, spec: &JobSpec) {
         let address = self.controllers[node].address;
         let what = format!("{}: {} accepted by node {node}", self.name, spec.id);
         until(&what, || self.users.submit(address, spec), |told| matches!(told.status, 200 | 201));
@@ -294,7 +295,12 @@
             let early = service(self.new_job(), 2);
             let address = self.controllers[node].address;
             let told = self.users.submit(address, &early);
-            assert!(!matches!(told.status, 200 | 201), "{}: {told:?} by node {node}", self.name);
+            // Malformed to the version in production; to this one, something for later.
+            let status = match self.controllers[node].version {
+                Version::Production => 400,
+                Version::Present => 503,
+            };
+            assert_eq!(told.status, status, "{}: {told:?} by node {node}", self.name);
             let what = format!("{}: node {node} does not know {}", self.name, early.id);
             until(&what, || self.users.look_up(address, &early.id), |told| told.status == 404);
         }
--- a/crates/quartzlever/tests/rolling_upgrade/users.rs
+++ b/crates/quartzlever/tests/rolling_upgrade/users.rs
@@ -8,7 +8,7 @@
 
 use quartzlever_standin::fleet::Fleet;
 use quartzlever_standin::rules::Asked;
-use quartzlever_wire::users::{JobSpec, Rank, Shape};
+use quartzlever_wire::users::JobSpec;
 use serde_json::Value;
 
 const PATIENCE: Duration = Duration::from_secs(2);
@@ -16,37 +16,6 @@
 /// Far longer than any takeover; a test that waits for so long has found a fault.
 pub const DEADLINE: Duration = Duration::from_secs(120);
 
-/// An array of tasks.
-pub fn array(number: u32, tasks: u32) -> JobSpec {
-    JobSpec {
-        id: format!("req-{number:06}"),
-        class: "array".into(),
-        team: "free".into(),
-        shape: Shape::Batch,
-        rank: Rank::Standard,
-        tasks,
-        cpus: 2.0,
-        gpus: 0.0,
-        ram_gb: 1.0,
-        image: "image".into(),
-        image_gb: 0.5,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: true,
-        expect_s: 1.5,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        due_s: None,
-    }
-}
-
-/// A service.
-pub fn service(number: u32, replicas: u32) -> JobSpec {
-    JobSpec { shape: Shape::Daemon, expect_s: 0.0, cpus: 1.0, ..array(number, replicas) }
-}
-
 /// What a user was told.
 #[derive(Clone, Debug)]
 pub struct Told {
