--- a/crates/quartzlever-core/src/fleet/renting.rs
+++ b/crates/quartzlever-core/src/fleet/renting.rs
@@ -29,6 +29,11 @@
 const CHEAP: f64 = 1.5;
 /// A machine for services that has not come up after so many usual boots is not waited for.
 const OVERDUE_BOOTS: f64 = 1.2;
+/// A machine that has not come up after so many usual boots, and this much more, is not counted on.
+const COUNTED_ON_BOOTS: f64 = 1.8;
+const COUNTED_ON_MORE: Micros = 3 * SECOND;
+/// Queues take so much longer than their work divided by the processors.
+const DRAIN_SPARE: f64 = 1.2;
 /// The most machines in one request for them.
 const MOST_PER_HIRE: u32 = 50;
 /// Requests for machines of one part without an answer, at the most.
@@ -51,6 +56,44 @@
     free: Amounts,
 }
 
+/// The machines of a partition, there or coming up, and the work that is ahead of them.
+#[derive(Default)]
+struct Supply {
+    /// Room on machines that are coming up.
+    bins: Vec<Bin>,
+    cpus: f64,
+    /// What the machines cost an hour, and would cost at their types' lowest prices.
+    paid: f64,
+    lowest: f64,
+    /// Work ahead in the queue, in processor-seconds; what runs counts by what is left of it.
+    ahead: f64,
+}
+
+impl Supply {
+    fn add_price_of(&mut self, kind: &MachineType, spot: bool) {
+        self.cpus += kind.cpus;
+        self.paid += price(kind, spot);
+        self.lowest += cheapest_price(kind);
+    }
+
+    fn add_coming(&mut self, kind: &MachineType, offer: Offer) {
+        self.add_price_of(kind, offer.2);
+        self.bins.push(Bin { offer, free: Amounts::of_type(kind) });
+    }
+
+    /// When the work ahead will be done, with a little to spare.
+    fn drained_at(&self, now: Micros) -> Micros {
+        now + micros_from_secs(self.ahead / self.cpus * DRAIN_SPARE)
+    }
+
+    /// Whether one more machine keeps the price of all within `cap` times the lowest, if it is dear.
+    fn affords(&self, kind: &MachineType, spot: bool, cap: f64) -> bool {
+        let (more, least) = (price(kind, spot), cheapest_price(kind));
+        let dear = more > least * CHEAP;
+        !dear || self.paid + more <= (self.lowest + least) * cap
+    }
+}
+
 /// Tasks of a job that have no room yet. A job that is spread over zones needs room in each of them:
 /// with one machine for all of it half of a service waited out a second boot.
 struct Unplaced {
@@ -261,108 +304,94 @@
         now: Micros,
         wanted: &mut BTreeMap<Offer, u32>,
     ) {
-        let mut bins: Vec<Bin> = Vec::new();
-        let mut cpus = 0.0;
-        // What the part's machines cost an hour, and would cost at their types' lowest prices.
-        let (mut paid, mut lowest) = (0.0, 0.0);
-        for machine in self.machines.values().filter(|m| m.fenced && m.return_wanted.is_none()) {
-            if let Some(kind) = types.get(&machine.record.kind) {
-                cpus += kind.cpus;
-                paid += price(kind, machine.record.spot);
-                lowest += cheapest_price(kind);
-            }
-        }
-        let mut coming = |kind: &str, zone: &str, spot: bool, count: u32| {
-            let Some(t) = types.get(kind) else { return };
-            for _ in 0..count {
-                cpus += t.cpus;
-                paid += price(t, spot);
-                lowest += cheapest_price(t);
-                bins.push(Bin {
-                    offer: (kind.to_owned(), zone.to_owned(), spot),
-                    free: Amounts::of_type(t),
-                });
-            }
-        };
-        for e in self.fleet.expected.values() {
-            let boot = types.get(&e.kind).map_or(60.0, |t| t.ready_s);
-            // One that is long overdue is not counted on.
-            if now.saturating_sub(e.since) < micros_from_secs(1.8 * boot) + 3 * SECOND {
-                coming(&e.kind, &e.zone, e.spot, 1);
-            }
-        }
-        for open in self.fleet.hires.values() {
-            coming(&open.hire.kind, &open.hire.zone, open.hire.spot, open.hire.count);
-        }
-        // Work ahead in the queue, in processor-seconds; what runs counts by what is left of it.
-        let mut ahead = 0.0;
-        for slot in self.live_slots() {
-            let ran = slot.running_since.map_or(0, |t| now.saturating_sub(t));
-            ahead += slot.expect.saturating_sub(ran) as f64 / 1e6 * slot.need.cpus;
-        }
+        let mut supply = self.supply(types, now);
         for id in self.queue_order(cfg, run_times, now) {
             let Some(job) = self.jobs.get(&id) else { continue };
             if job.mistaken() {
                 // Machines would not help it.
                 continue;
             }
-            let usable =
-                |m: &Machine| !job.failed_on.contains(&m.name) && m.return_wanted.is_none();
-            let nowhere = !job.failed_on.is_empty() && !self.machines.values().any(|m| usable(m));
-            let spec = job.spec();
-            let need = job.need();
-            let expect = run_times.expect(spec).max(SECOND);
+            let (spec, need) = (job.spec(), job.need());
             let mut unplaced =
                 Unplaced { tasks: job.ready.len(), zones: zone_room(self, job, &cfg.zones) };
-            for bin in &mut bins {
-                if unplaced.tasks == 0 {
-                    break;
-                }
-                if may_rent(spec, &bin.offer) {
-                    unplaced.fill(bin, &need);
-                }
+            for bin in supply.bins.iter_mut().filter(|bin| may_rent(spec, &bin.offer)) {
+                unplaced.fill(bin, &need);
             }
-            let work = f64::from(job.ready.len()) * need.cpus * expect as f64 / 1e6;
-            ahead += work;
-            if unplaced.tasks == 0 {
+            let expect = run_times.expect(spec).max(SECOND);
+            supply.ahead += f64::from(job.ready.len()) * need.cpus * expect as f64 / 1e6;
+            if unplaced.tasks == 0 || self.gives_way_to(job, now) {
                 continue;
             }
             let latest = urgency(cfg, run_times, job, now).latest;
-            let service = spec.is_service();
-            if service && !self.pressed && now.saturating_sub(job.since) < GIVEN_WAY {
-                // What makes way for it is quicker than any machine.
-                continue;
-            }
+            let must_rent = spec.is_service() || self.is_welcome_nowhere(job);
             while unplaced.tasks > 0 && wanted.values().sum::<u32>() < MOST_PER_ROUND {
-                // Cheap machines come for any queue that is not gone soon, others only for an
-                // aim, and only as many as it takes: one machine serves several waves.
                 let mut cheap_only = false;
-                if cpus > 0.0 && !nowhere && !service {
-                    let drained = now + micros_from_secs(ahead / cpus * 1.2);
-                    let last_start = drained.saturating_sub(expect);
+                if supply.cpus > 0.0 && !must_rent {
+                    let last_start = supply.drained_at(now).saturating_sub(expect);
                     if last_start <= latest.min(now + EAGER) {
                         break;
                     }
+                    // Cheap machines come for any queue that is not gone soon, others only for an
+                    // aim, and only as many as it takes: one machine serves several waves.
                     cheap_only = last_start <= latest;
                 }
                 let Some(offer) = self.cheapest(cfg, types, job, &unplaced, now, cheap_only) else {
                     break;
                 };
                 let Some(kind) = types.get(&offer.0) else { break };
-                let (more, least) = (price(kind, offer.2), cheapest_price(kind));
-                let dear = more > least * CHEAP && spec.spot;
-                if dear && paid + more > (lowest + least) * cfg.operator.price_cap {
+                if spec.spot && !supply.affords(kind, offer.2, cfg.operator.price_cap) {
                     break;
                 }
-                paid += more;
-                lowest += least;
-                cpus += kind.cpus;
                 *wanted.entry(offer.clone()).or_default() += 1;
+                supply.add_price_of(kind, offer.2);
                 let mut bin = Bin { offer, free: Amounts::of_type(kind) };
                 unplaced.fill(&mut bin, &need);
-                bins.push(bin);
+                supply.bins.push(bin);
+            }
+        }
+    }
+
+    /// The machines at hand and those coming up, and the work that runs on them.
+    fn supply(&self, types: &BTreeMap<String, MachineType>, now: Micros) -> Supply {
+        let mut supply = Supply::default();
+        for machine in self.machines.values().filter(|m| m.fenced && m.return_wanted.is_none()) {
+            if let Some(kind) = types.get(&machine.record.kind) {
+                supply.add_price_of(kind, machine.record.spot);
             }
         }
+        for expected in self.fleet.expected.values() {
+            let Some(kind) = types.get(&expected.kind) else { continue };
+            // One that is long overdue is not counted on.
+            let overdue = micros_from_secs(COUNTED_ON_BOOTS * kind.ready_s) + COUNTED_ON_MORE;
+            if now.saturating_sub(expected.since) < overdue {
+                let offer = (expected.kind.clone(), expected.zone.clone(), expected.spot);
+                supply.add_coming(kind, offer);
+            }
+        }
+        for OpenHire { hire, .. } in self.fleet.hires.values() {
+            let Some(kind) = types.get(&hire.kind) else { continue };
+            for _ in 0..hire.count {
+                supply.add_coming(kind, (hire.kind.clone(), hire.zone.clone(), hire.spot));
+            }
+        }
+        for slot in self.live_slots() {
+            let ran = slot.running_since.map_or(0, |since| now.saturating_sub(since));
+            supply.ahead += slot.expect.saturating_sub(ran) as f64 / 1e6 * slot.need.cpus;
+        }
+        supply
+    }
+
+    /// Whether lower work may still make way for a service: that is quicker than any machine.
+    fn gives_way_to(&self, job: &PartitionJob, now: Micros) -> bool {
+        job.service() && !self.pressed && now.saturating_sub(job.since) < GIVEN_WAY
+    }
+
+    /// Whether a job has failed on every machine that there is.
+    fn is_welcome_nowhere(&self, job: &PartitionJob) -> bool {
+        let usable = |machine: &Machine| {
+            !job.failed_on.contains(&machine.name) && machine.return_wanted.is_none()
+        };
+        !job.failed_on.is_empty() && !self.machines.values().any(|machine| usable(machine))
     }
 
     /// The cheapest offer for the tasks of a job that have no room yet.
