--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -10,7 +10,7 @@
 use crate::engine::{CONTACT_LOST, Core, STARTING, WorkerWait};
 use crate::machine::{Amounts, Direct, Machine, Slot, SlotKey};
 use crate::messages::{Answer, Effect, RequestId, Weight};
-use crate::partition::{Partition, Place};
+use crate::partition::{Partition, PartitionJob, Place};
 use crate::placement::RunTimes;
 
 /// Wait after a direct call that brought nothing.
@@ -30,6 +30,30 @@
     (SECOND / 2) << failures.min(6)
 }
 
+/// Run times of a machine's last tasks that are kept.
+const REMEMBERED_PACES: usize = 8;
+
+/// An attempt whose end a report shows for the first time.
+struct EndedAttempt<'a> {
+    host: &'a str,
+    seen: &'a TaskReport,
+    /// For how long it ran, if it was ever seen to run.
+    ran: Option<Micros>,
+    class: String,
+    expect: Micros,
+}
+
+/// A replica has ended, which says nothing of its machine. One that ran well goes on at once, one
+/// that should not have ended so soon after a pause.
+fn replica_ended(job: &mut PartitionJob, ended: &EndedAttempt, now: Micros) {
+    if ended.ran.is_some_and(|ran| ran > SETTLED_AFTER) {
+        job.settles();
+    } else {
+        job.failures += 1;
+        job.no_start_before = now + pause_after(job.failures);
+    }
+}
+
 /// So many ended attempts are cleared for themselves alone.
 const CLEARED_TOGETHER: usize = 4;
 
@@ -544,109 +568,121 @@
         let key: SlotKey = (seen.task.clone(), seen.attempt);
         let known = self.machines.get(host).is_some_and(|m| m.slots.contains_key(&key));
         if !known {
-            self.combine(cfg, host, seen, now);
+            self.adopt_attempt(cfg, host, seen, now);
+        }
+        if seen.phase == TaskPhase::Running {
+            self.attempt_runs(cfg, host, &key, now);
+        }
+        let Some(slot) = self.machines.get_mut(host).and_then(|m| m.slots.get_mut(&key)) else {
+            return;
+        };
+        slot.phase = Some(seen.phase);
+        slot.cause = seen.cause;
+        if seen.phase != TaskPhase::Exited || slot.settled {
+            return;
         }
+        slot.settled = true;
+        // What a limited team used, or may have used, is free for its other tasks anywhere.
+        self.place_wanted |= slot.team.is_empty() || cfg.limited(&slot.team);
+        let ended = EndedAttempt {
+            host,
+            seen,
+            ran: slot.running_since.map(|since| now.saturating_sub(since)),
+            class: slot.class.clone(),
+            expect: slot.expect,
+        };
+        self.attempt_ended(run_times, &ended, now);
+    }
+
+    /// An attempt is reported to run.
+    fn attempt_runs(&mut self, cfg: &Config, host: &str, key: &SlotKey, now: Micros) {
         let Some(machine) = self.machines.get_mut(host) else { return };
-        let Some(slot) = machine.slots.get_mut(&key) else { return };
-        if seen.phase == TaskPhase::Running && slot.running_since.is_none() {
+        let Some(slot) = machine.slots.get_mut(key) else { return };
+        let task = &key.0;
+        if slot.running_since.is_none() {
             slot.running_since = Some(now);
             if cfg.notes >= Weight::Debug {
                 let placed = (now - slot.since) / 1000;
-                let since = self.jobs.get(&seen.task.job).map_or(0, |j| (now - j.since) / 1000);
-                let (task, class) = (&seen.task, &slot.class);
-                let text = format!(
-                    "{task} of {class} runs on {host}, {placed} ms after its \
-                    placement, {since} ms after its submission"
-                );
-                self.notes.push(text);
+                let since = self.jobs.get(&task.job).map_or(0, |j| (now - j.since) / 1000);
+                self.notes.push(format!(
+                    "{task} of {} runs on {host}, {placed} ms after its placement, {since} ms \
+                     after its submission",
+                    slot.class
+                ));
             }
         }
-        if seen.phase == TaskPhase::Running
-            && let Some(job) = self.jobs.get_mut(&seen.task.job).filter(|j| j.service())
-        {
+        if let Some(job) = self.jobs.get_mut(&task.job).filter(|j| j.service()) {
             // No progress is ever written of a service, so that others would call it queued.
             job.wants_write |= !job.record.started;
             if slot.running_since.is_some_and(|t| now.saturating_sub(t) > SETTLED_AFTER) {
                 job.settles();
             }
         }
-        if seen.phase == TaskPhase::Running && !machine.images.contains(&slot.image) {
+        if !machine.images.contains(&slot.image) {
             machine.images.insert(slot.image.clone());
         }
-        slot.phase = Some(seen.phase);
-        slot.cause = seen.cause;
-        if seen.phase != TaskPhase::Exited || slot.settled {
-            return;
-        }
-        slot.settled = true;
-        // What a limited team used, or may have used, is free for its other tasks anywhere.
-        self.place_wanted |= slot.team.is_empty() || cfg.limited(&slot.team);
-        let ran = slot.running_since.map(|s| now.saturating_sub(s));
-        let (class, expect) = (slot.class.clone(), slot.expect);
-        let service = self.jobs.get(&seen.task.job).is_some_and(|j| j.service());
-        if service && ran.is_some_and(|ran| ran > SETTLED_AFTER) {
-            if let Some(job) = self.jobs.get_mut(&seen.task.job) {
-                job.settles();
-            }
+    }
+
+    fn attempt_ended(&mut self, run_times: &mut RunTimes, ended: &EndedAttempt, now: Micros) {
+        let seen = ended.seen;
+        let job = self.jobs.get_mut(&seen.task.job);
+        if let Some(job) = job.filter(|job| job.service())
+            && (ended.ran.is_some_and(|ran| ran > SETTLED_AFTER) || seen.cause == Some(Cause::Done))
+        {
+            replica_ended(job, ended, now);
             return self.requeue(&seen.task, seen.attempt);
         }
         match seen.cause {
-            Some(Cause::Done) if service => {
-                // It should not have ended, and says nothing of its machine.
-                if let Some(job) = self.jobs.get_mut(&seen.task.job) {
-                    job.failures += 1;
-                    job.no_start_before = now + pause_after(job.failures);
-                }
-                self.requeue(&seen.task, seen.attempt);
-            }
-            Some(Cause::Done) => {
-                machine.errors = 0;
-                machine.failed_jobs.clear();
-                if let Some(ran) = ran
-                    && expect > 0
-                {
-                    let pace = (ran.saturating_mul(1000) / expect).min(1_000_000) as u32;
-                    machine.pace.push(run_times.relative(&class, pace));
-                    run_times.learn(&class, pace);
-                    if machine.pace.len() > 8 {
-                        machine.pace.remove(0);
-                    }
-                }
-                self.finish(&seen.task.job, seen.task.index, now);
-                if let Some(job) = self.jobs.get_mut(&seen.task.job)
-                    && job.located.get(&seen.task.index).is_some_and(|p| p.attempt == seen.attempt)
-                {
-                    job.located.remove(&seen.task.index);
-                }
-            }
-            Some(Cause::Halted) => self.requeue(&seen.task, seen.attempt),
-            Some(Cause::Error) | Some(Cause::Other) | None => {
-                if let Some(job) = self.jobs.get_mut(&seen.task.job) {
-                    job.failures += 1;
-                    job.failed_at = now;
-                    job.failed_on.insert(host.to_owned());
-                    let elsewhere = job.failed_on.len() > 1;
-                    if !elsewhere {
-                        machine.errors += 1;
-                        machine.failed_jobs.insert(seen.task.job.clone());
-                    }
-                    // A mistaken job fails everywhere: it must not hammer the machines.
-                    if elsewhere {
-                        job.no_start_before = now + pause_after(job.failures);
-                        // A job that fails on other machines too says nothing of the first.
-                        let hosts = job.failed_on.clone();
-                        self.acquit(&seen.task.job, &hosts);
-                    }
-                }
-                self.requeue(&seen.task, seen.attempt);
-            }
+            Some(Cause::Done) => return self.task_done(run_times, ended, now),
+            Some(Cause::Halted) => {}
+            Some(Cause::Error) | Some(Cause::Other) | None => self.attempt_failed(ended, now),
             Some(Cause::NoRoom | Cause::Busy | Cause::Unknown) => {
                 if let Some(job) = self.jobs.get_mut(&seen.task.job) {
                     job.no_start_before = now + SECOND;
                 }
-                self.requeue(&seen.task, seen.attempt);
             }
         }
+        self.requeue(&seen.task, seen.attempt);
+    }
+
+    fn task_done(&mut self, run_times: &mut RunTimes, ended: &EndedAttempt, now: Micros) {
+        let task = &ended.seen.task;
+        if let Some(machine) = self.machines.get_mut(ended.host) {
+            machine.errors = 0;
+            machine.failed_jobs.clear();
+            if let Some(ran) = ended.ran.filter(|_| ended.expect > 0) {
+                let pace = (ran.saturating_mul(1000) / ended.expect).min(1_000_000) as u32;
+                machine.pace.push(run_times.relative(&ended.class, pace));
+                run_times.learn(&ended.class, pace);
+                if machine.pace.len() > REMEMBERED_PACES {
+                    machine.pace.remove(0);
+                }
+            }
+        }
+        self.finish(&task.job, task.index, now);
+        if let Some(job) = self.jobs.get_mut(&task.job)
+            && job.located.get(&task.index).is_some_and(|p| p.attempt == ended.seen.attempt)
+        {
+            job.located.remove(&task.index);
+        }
+    }
+
+    fn attempt_failed(&mut self, ended: &EndedAttempt, now: Micros) {
+        let id = &ended.seen.task.job;
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.failures += 1;
+        job.failed_at = now;
+        job.failed_on.insert(ended.host.to_owned());
+        if job.failed_on.len() > 1 {
+            // A mistaken job fails everywhere: it must not hammer the machines.
+            job.no_start_before = now + pause_after(job.failures);
+            // A job that fails on other machines too says nothing of the first.
+            let hosts = job.failed_on.clone();
+            self.acquit(id, &hosts);
+        } else if let Some(machine) = self.machines.get_mut(ended.host) {
+            machine.errors += 1;
+            machine.failed_jobs.insert(id.clone());
+        }
     }
 
     /// Takes back what a job's failures said of machines.
@@ -663,7 +699,7 @@
 
     /// An attempt that this holder has not started: adopted if the task is ours and nowhere
     /// else, ended otherwise.
-    fn combine(&mut self, cfg: &Config, host: &str, seen: &TaskReport, now: Micros) {
+    fn adopt_attempt(&mut self, cfg: &Config, host: &str, seen: &TaskReport, now: Micros) {
         let exited = seen.phase == TaskPhase::Exited;
         let mut slot = Slot::blank(now);
         (slot.phase, slot.cause) = (Some(seen.phase), seen.cause);
