--- a/crates/quartzlever-core/tests/world/services.rs
+++ b/crates/quartzlever-core/tests/world/services.rs
@@ -210,6 +210,33 @@
     assert_eq!(w.answer(id, SECOND).map(|a| a.0), Some(200));
 }
 
+/// A service that fails on every machine, as one that was submitted with a mistake does, is tried
+/// again and again with growing pauses, and no machine is returned for it.
+#[test]
+fn a_service_that_fails_everywhere_condemns_no_machine() {
+    for seed in 0..4 {
+        // Idle machines stay, so that whatever is returned is returned for a fault.
+        let mut w = World::with(60 + seed, NODES, |cfg| cfg.operator.idle_boots = 1_000.0);
+        w.run(6 * SECOND);
+        w.run_time = 10_000 * SECOND;
+        let spec = service(1, 4);
+        assert_eq!(w.submit_surely(seed as usize % 3, &spec), 201, "{seed}");
+        let mut starts = Vec::new();
+        for _ in 0..2 {
+            befall(&mut w, &spec.id, Trouble::FailsEverywhere(60));
+            starts.push(w.workers.values().map(|m| m.started.len()).sum::<usize>());
+        }
+        let (first, second) = (starts[0], starts[1] - starts[0]);
+        assert!(first > 0 && second > 0, "{seed}: {starts:?} starts: it is given up");
+        assert!(second < first && second <= 16, "{seed}: {starts:?} starts: no growing pauses");
+        assert!(w.cloud.gone.is_empty(), "{seed}: {:?} returned", w.cloud.gone);
+        // The mistake is corrected: replicas are up again.
+        w.pass(60 * SECOND);
+        assert_eq!(replicas(&w, &spec.id), 4, "{seed}");
+        assert!(w.rules.broken.is_empty(), "{seed}: {:?}", &w.rules.broken[..1]);
+    }
+}
+
 /// A service is cancelled just as something befalls it.
 #[test]
 fn a_service_in_trouble_can_be_cancelled() {
