The rule checker knows nothing_ran, and two liveness checks that find it earlier

All worlds that settle are judged by them: after the last fault each partition has exactly one controller that acts for it, and each class with work that could run sees a start. A broken one names what each controller waits for (lease, records, view, catalogue, partition, proof of machines, machines, changes). A checker test shows that each can fail.

--- /dev/null
+++ b/crates/quartzlever-core/src/diagnosis.rs
@@ -0,0 +1,106 @@
+//! What a controller waits for before it can act: for tests that find it standing still, and for logs.
+
+use std::fmt;
+
+use crate::engine::Core;
+
+/// A condition that is not met yet, without which a controller or one of its partitions cannot go on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Awaited {
+    /// A lease in the state service that is surely alive.
+    Lease,
+    /// The announcement of this process's version.
+    Announcement,
+    /// The first reading of the records.
+    Records,
+    /// A view of the records that is fresh enough to act on.
+    FreshView,
+    /// The machine types.
+    Catalogue,
+    /// Any partition to act for.
+    Partition,
+    /// A partition's key names this process, which does not act for it.
+    Unattended { partition: String },
+    /// The records have not come to the acquisition of a partition.
+    PartitionRecords { partition: String },
+    /// Machines of a partition that are not proven to be free of earlier holders' tasks.
+    Recovery { partition: String, machines: usize },
+    /// A partition has ready tasks, and no machine at hand, rented or asked for.
+    Machines { partition: String, ready: u32 },
+    /// Changes are owed to the account of the state service's limit.
+    ChangeBudget,
+}
+
+impl fmt::Display for Awaited {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Awaited::Lease => f.write_str("a lease"),
+            Awaited::Announcement => f.write_str("its announcement"),
+            Awaited::Records => f.write_str("the records"),
+            Awaited::FreshView => f.write_str("a fresh view"),
+            Awaited::Catalogue => f.write_str("the catalogue"),
+            Awaited::Partition => f.write_str("a partition"),
+            Awaited::Unattended { partition } => write!(f, "{partition}: held, not acted for"),
+            Awaited::PartitionRecords { partition } => write!(f, "{partition}: its records"),
+            Awaited::Recovery { partition, machines } => {
+                write!(f, "{partition}: proof of {machines} machines")
+            }
+            Awaited::Machines { partition, ready } => {
+                write!(f, "{partition}: machines for {ready} tasks")
+            }
+            Awaited::ChangeBudget => f.write_str("changes that the state service allows"),
+        }
+    }
+}
+
+impl Core {
+    /// Whether this process acts for a partition now.
+    pub fn acts_for(&self, partition: &str) -> bool {
+        self.sure() && self.parts.get(partition).is_some_and(|p| p.active())
+    }
+
+    /// Everything that this process waits for.
+    pub fn awaited(&self) -> Vec<Awaited> {
+        let conditions = [
+            (!self.holds(), Awaited::Lease),
+            (!self.has_announced(), Awaited::Announcement),
+            (!self.cache.loaded(), Awaited::Records),
+            (self.holds() && !self.sure(), Awaited::FreshView),
+            (self.types.is_none(), Awaited::Catalogue),
+            (self.parts.is_empty(), Awaited::Partition),
+            (self.ledger.exhausted(), Awaited::ChangeBudget),
+        ];
+        let mut awaited: Vec<Awaited> =
+            conditions.into_iter().filter(|(unmet, _)| *unmet).map(|(_, what)| what).collect();
+        awaited.extend(self.unattended());
+        awaited.extend(self.awaited_by_partitions());
+        awaited
+    }
+
+    /// Partitions whose keys name this process although it does not act for them.
+    fn unattended(&self) -> impl Iterator<Item = Awaited> {
+        let ours = self.cache.parts.iter().filter(|(name, (record, _))| {
+            record.process == self.process
+                && record.node == self.cfg.node
+                && !self.parts.contains_key(*name)
+        });
+        ours.map(|(name, _)| Awaited::Unattended { partition: name.clone() })
+    }
+
+    fn awaited_by_partitions(&self) -> impl Iterator<Item = Awaited> {
+        self.parts.values().filter_map(|part| {
+            let partition = part.name.clone();
+            let unproven = part.machines.values().filter(|m| !m.proven).count();
+            let ready: u32 = part.jobs.values().map(|job| job.ready.len()).sum();
+            if !part.active() {
+                Some(Awaited::PartitionRecords { partition })
+            } else if !part.barrier_open {
+                Some(Awaited::Recovery { partition, machines: unproven })
+            } else if ready > 0 && part.machines.is_empty() && part.fleet.is_nothing_coming() {
+                Some(Awaited::Machines { partition, ready })
+            } else {
+                None
+            }
+        })
+    }
+}
--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -129,6 +129,21 @@
     pub fn arrived(&mut self, host: &str) {
         self.expected.remove(host);
     }
+
+    /// The cloud has refused spot machines of these types in these zones.
+    #[cfg(test)]
+    pub(crate) fn refuse_spot(&mut self, types: &[&str], zones: &[&str], until: Micros) {
+        for kind in types {
+            for zone in zones {
+                self.refused.insert(((*kind).to_owned(), (*zone).to_owned(), true), until);
+            }
+        }
+    }
+
+    /// Whether no machine is rented that has not reported yet, and none is asked for.
+    pub fn is_nothing_coming(&self) -> bool {
+        self.expected.is_empty() && self.hires.is_empty()
+    }
 }
 
 impl Core {
--- a/crates/quartzlever-core/src/lib.rs
+++ b/crates/quartzlever-core/src/lib.rs
@@ -6,17 +6,19 @@
 //!
 //! - [`jobs`]: submissions, lookups, cancellations, and the record of each job.
 //! - `lookups`, `ledger`, `claims`: what is asked of and written to the state service, and how often.
-//! - [`part`]: a part's queue, its holder, its machines' reports, and recovery.
+//! - `partition`, `reports`: a partition's queue, its holder, its machines' reports, and recovery.
 //! - `cluster`: what all controllers understand, and how that is raised while serving.
-//! - `hearing`: whether this node hears its workers, and parts given up to a peer that does.
+//! - `reachability`: whether this node hears its workers, and parts given up to a peer that does.
 //! - [`placement`]: which task goes where.
-//! - [`rooms`]: the free room of a part's machines, as an index.
+//! - [`free_room_index`]: the free room of a partition's machines.
 //! - [`stealing`]: the adaptive work stealing between parts.
 //! - [`fleet`]: renting, returning, and suspicion of machines.
+//! - `diagnosis`: what a controller waits for before it can act.
 
 mod claims;
 mod cluster;
 mod config;
+mod diagnosis;
 mod engine;
 pub mod fleet;
 pub mod free_room_index;
@@ -37,5 +39,6 @@
 
 pub use cluster::VERSION;
 pub use config::{Config, Objective, Operator, Team, WorkerTimes};
+pub use diagnosis::Awaited;
 pub use engine::Core;
 pub use messages::{Answer, Command, Effect, Lane, RequestId, Token, Weight};
--- a/crates/quartzlever-core/tests/world/fault_combinations.rs
+++ b/crates/quartzlever-core/tests/world/fault_combinations.rs
@@ -785,6 +785,7 @@
     w.pass(60 * SECOND);
     let now = w.now;
     w.rules.unanswered(now, calm + 75 * SECOND);
+    w.check_liveness(calm);
     assert!(w.rules.broken.is_empty(), "{name}: {:?}", &w.rules.broken[..1]);
     for id in w.rules.accepted() {
         let told = w.rules.cancelled(&id).is_some();
--- a/crates/quartzlever-core/tests/world/sim.rs
+++ b/crates/quartzlever-core/tests/world/sim.rs
@@ -820,6 +820,46 @@
         }
     }
 
+    /// The controllers have been undisturbed since `since`: each partition has one that acts for it,
+    /// and tasks start. Each is given a report of what the controllers wait for if not.
+    pub fn check_liveness(&mut self, since: Micros) {
+        let now = self.now;
+        let before = self.rules.broken.len();
+        for partition in self.names.clone() {
+            let acting = self.cores.iter().flatten().filter(|c| c.acts_for(partition)).count();
+            self.rules.partition_held(now, partition, acting);
+        }
+        let types = self.cloud.catalogue.types.clone();
+        let can_rent = self.cloud.machines.len() < self.cloud.most;
+        let limits = team_limits(config(self.names[0], &self.names).teams);
+        self.rules.classes_start(now, since, |spec| {
+            let limit = limits.iter().find(|l| l.team == spec.team).map_or(0.0, |l| l.cpus);
+            let fits = types.iter().any(|t| {
+                t.cpus >= spec.cpus
+                    && spec.types.as_ref().is_none_or(|allowed| allowed.contains(&t.name))
+                    && spec.zone.as_ref().is_none_or(|zone| t.zones.contains(zone))
+            });
+            fits && can_rent && limit <= 0.0
+        });
+        self.rules.day_over(now);
+        if self.rules.broken.len() > before {
+            let report = self.awaited();
+            self.rules.broken[before..].iter_mut().for_each(|broken| broken.push_str(&report));
+        }
+    }
+
+    /// What each controller waits for.
+    pub fn awaited(&self) -> String {
+        let each = self.names.iter().zip(&self.cores).map(|(name, core)| match core {
+            Some(core) => {
+                let awaited: Vec<String> = core.awaited().iter().map(ToString::to_string).collect();
+                format!("; {name} waits for [{}]", awaited.join(", "))
+            }
+            None => format!("; {name} is down"),
+        });
+        each.collect()
+    }
+
     /// Whether a machine that reports has room for one more task of the usual size.
     pub fn has_room(&self) -> bool {
         self.workers.values().any(|w| !w.hung && w.running().len() < 4)
--- a/crates/quartzlever-standin/src/cloud.rs
+++ b/crates/quartzlever-standin/src/cloud.rs
@@ -16,6 +16,8 @@
     pub gone: BTreeSet<String>,
     count: u32,
     pub most: usize,
+    /// The most machines that it lets on short notice; their price is in the catalogue all the same.
+    pub most_spot: usize,
 }
 
 impl Cloud {
@@ -39,6 +41,7 @@
             gone: BTreeSet::new(),
             count: 0,
             most,
+            most_spot: usize::MAX,
         }
     }
 
@@ -49,7 +52,11 @@
                 if let Some(hosts) = self.hires.get(&hire.name) {
                     return CloudReply::Rented(hosts.clone());
                 }
-                let room = self.most.saturating_sub(self.machines.len());
+                let mut room = self.most.saturating_sub(self.machines.len());
+                if hire.spot {
+                    let spot = self.machines.values().filter(|m| m.spot).count();
+                    room = room.min(self.most_spot.saturating_sub(spot));
+                }
                 let count = (hire.count as usize).min(room);
                 if count == 0 {
                     return CloudReply::NoCapacity;
--- a/crates/quartzlever-standin/src/rules.rs
+++ b/crates/quartzlever-standin/src/rules.rs
@@ -55,6 +55,8 @@
     /// Jobs that are done in the state service, and since when.
     ended: BTreeMap<String, Micros>,
     begun: BTreeSet<String>,
+    /// When a task of each class last started.
+    class_starts: BTreeMap<String, Micros>,
     /// Broken rules, each with its time; the name of the rule comes first.
     pub broken: Vec<String>,
     /// Starts after a confirmed cancellation, still within the time for its tasks to be gone.
@@ -72,6 +74,7 @@
             completed: BTreeMap::new(),
             ended: BTreeMap::new(),
             begun: BTreeSet::new(),
+            class_starts: BTreeMap::new(),
             broken: Vec::new(),
             starts_after_cancel: 0,
             cancellations: 0,
@@ -207,6 +210,7 @@
         let Some(spec) = self.specs.get(&task.job).cloned() else {
             return self.breaks("invented", now, &format!("{task} starts"));
         };
+        self.class_starts.insert(spec.class.clone(), now);
         let Some(place) = machines.iter().find(|m| m.host == host) else { return };
         let kind = spec.types.as_ref().is_none_or(|t| t.contains(&place.kind));
         let zone = spec.zone.as_ref().is_none_or(|z| *z == place.zone);
@@ -244,6 +248,50 @@
         self.told.iter().filter(open).map(|(job, _)| job.as_str()).collect()
     }
 
+    /// The day is over: some task must have been started if there was anything to run.
+    pub fn day_over(&mut self, now: Micros) {
+        let to_run = self.unfinished().count();
+        if self.begun.is_empty() && to_run > 0 {
+            self.breaks("nothing_ran", now, &format!("none of {to_run} jobs was begun"));
+        }
+    }
+
+    /// The controllers are undisturbed; so many of them act for a partition.
+    pub fn partition_held(&mut self, now: Micros, partition: &str, acting: usize) {
+        if acting != 1 {
+            self.breaks("not_held", now, &format!("{partition}: {acting} controllers act for it"));
+        }
+    }
+
+    /// The controllers have been undisturbed since `since`: each class with a job that has not begun
+    /// must have seen a start. `could_run` says whether any machine type fits such a job and its team
+    /// has room for a task of it.
+    pub fn classes_start(
+        &mut self,
+        now: Micros,
+        since: Micros,
+        could_run: impl Fn(&JobSpec) -> bool,
+    ) {
+        let waiting: BTreeSet<String> = self
+            .unfinished()
+            .filter(|spec| !self.begun.contains(&spec.id) && could_run(spec))
+            .map(|spec| spec.class.clone())
+            .collect();
+        for class in waiting {
+            if self.class_starts.get(&class).is_none_or(|at| *at < since) {
+                self.breaks("class_waits", now, &format!("no task of {class} was started"));
+            }
+        }
+    }
+
+    /// Jobs that were accepted and are neither over nor cancelled, as far as users know.
+    fn unfinished(&self) -> impl Iterator<Item = &JobSpec> {
+        let open = |(_, told): &(&String, &Told)| {
+            told.accepted.is_some() && told.over.is_none() && !told.cancel_asked
+        };
+        self.told.iter().filter(open).filter_map(|(job, _)| self.specs.get(job))
+    }
+
     pub fn asked_to_cancel(&self, job: &str) -> bool {
         self.told.get(job).is_some_and(|t| t.cancel_asked)
     }
--- a/crates/quartzlever-standin/tests/rules.rs
+++ b/crates/quartzlever-standin/tests/rules.rs
@@ -104,6 +104,33 @@
             j.job_done(START, "req-000001");
             j.task_started(START + 1, &task(1, 0), "n1", &[]);
         }),
+        ("nothing_ran", |j| j.day_over(START + 9)),
+        ("", |j| {
+            j.task_started(START + 1, &task(1, 0), "n1", &[]);
+            j.day_over(START + 9);
+        }),
+        ("", |j| {
+            // Nobody wants the only job any more.
+            j.asked(Asked::Cancel, "req-000001", None);
+            j.day_over(START + 9);
+        }),
+        ("not_held", |j| j.partition_held(START + 9, "one", 0)),
+        ("not_held", |j| j.partition_held(START + 9, "one", 2)),
+        ("", |j| j.partition_held(START + 9, "one", 1)),
+        ("class_waits", |j| j.classes_start(START + 90 * SECOND, START, |_| true)),
+        ("", |j| j.classes_start(START + 90 * SECOND, START, |_| false)),
+        ("", |j| {
+            // Another job of the class was begun after the last fault.
+            j.asked(Asked::Submit, &job(2, 1).id, Some(&job(2, 1)));
+            j.task_started(START + 2 * SECOND, &task(2, 0), "n1", &[]);
+            j.classes_start(START + 90 * SECOND, START + SECOND, |_| true);
+        }),
+        ("class_waits", |j| {
+            // So it was, but before.
+            j.asked(Asked::Submit, &job(2, 1).id, Some(&job(2, 1)));
+            j.task_started(START + 1, &task(2, 0), "n1", &[]);
+            j.classes_start(START + 90 * SECOND, START + SECOND, |_| true);
+        }),
     ];
     for (n, (rule, script)) in cases.iter().enumerate() {
         let mut checker = checker(|_| {});
