Machines are rented where the cloud has no spot machines (nothing_ran)

Cause: the cap on the price of a partition's machines held the first ordinary machine against the spot price alone. Long queues escaped by accident: nine spot machines asked for and not yet refused made room for one ordinary one. So it took a small fleet with short queues.

The test failed before: 'nothing_ran: none of 6 jobs was begun; one waits for [one: machines for 2 tasks]; two ...'.

Now the cap holds only beside cheap machines that can run the job, and not for a job that has not begun in the time in which any must. Two paths with the same flaw: a job that had failed on three faulty machines got no machine any more once they were gone; and the sum of no processors, -0.0, made a partition without machines look like the shortest or the longest queue, as the build chose, so that in debug builds nobody took its tasks. The test of pressed partitions rested on that: its partition had no machine that counts, and now has one.

Each of five changes on a scratch copy fails the new table.

--- a/crates/quartzlever-core/src/fleet/renting.rs
+++ b/crates/quartzlever-core/src/fleet/renting.rs
@@ -61,6 +61,8 @@
 struct Supply {
     /// Room on machines that are coming up.
     bins: Vec<Bin>,
+    /// Kinds of machines at hand or coming up.
+    offers: Vec<Offer>,
     cpus: f64,
     /// What the machines cost an hour, and would cost at their types' lowest prices.
     paid: f64,
@@ -70,17 +72,33 @@
 }
 
 impl Supply {
-    fn add_price_of(&mut self, kind: &MachineType, spot: bool) {
+    fn add(&mut self, kind: &MachineType, zone: &str, spot: bool) {
         self.cpus += kind.cpus;
         self.paid += price(kind, spot);
         self.lowest += cheapest_price(kind);
+        // There are few kinds, and many machines of each.
+        let is_known = |o: &Offer| o.0 == kind.name && o.1 == zone && o.2 == spot;
+        if !self.offers.iter().any(is_known) {
+            self.offers.push((kind.name.clone(), zone.to_owned(), spot));
+        }
     }
 
     fn add_coming(&mut self, kind: &MachineType, offer: Offer) {
-        self.add_price_of(kind, offer.2);
+        self.add(kind, &offer.1, offer.2);
         self.bins.push(Bin { offer, free: Amounts::of_type(kind) });
     }
 
+    /// Whether a machine at hand or coming up can run tasks of a job.
+    fn suits(&self, types: &BTreeMap<String, MachineType>, spec: &JobSpec) -> bool {
+        self.offers.iter().any(|offer| offer_suits(types, spec, offer))
+    }
+
+    /// Whether a cheap machine at hand or coming up can.
+    fn suits_cheaply(&self, types: &BTreeMap<String, MachineType>, spec: &JobSpec) -> bool {
+        let cheap = |offer: &Offer| types.get(&offer.0).is_some_and(|kind| !is_dear(kind, offer.2));
+        self.offers.iter().any(|offer| cheap(offer) && offer_suits(types, spec, offer))
+    }
+
     /// When the work ahead will be done, with a little to spare.
     fn drained_at(&self, now: Micros) -> Micros {
         now + micros_from_secs(self.ahead / self.cpus * DRAIN_SPARE)
@@ -89,8 +107,27 @@
     /// Whether one more machine keeps the price of all within `cap` times the lowest, if it is dear.
     fn affords(&self, kind: &MachineType, spot: bool, cap: f64) -> bool {
         let (more, least) = (price(kind, spot), cheapest_price(kind));
-        let dear = more > least * CHEAP;
-        !dear || self.paid + more <= (self.lowest + least) * cap
+        !is_dear(kind, spot) || self.paid + more <= (self.lowest + least) * cap
+    }
+}
+
+/// What decides about renting at one moment.
+#[derive(Clone, Copy)]
+struct Market<'a> {
+    cfg: &'a Config,
+    run_times: &'a RunTimes,
+    types: &'a BTreeMap<String, MachineType>,
+    now: Micros,
+}
+
+impl Market<'_> {
+    /// Whether dear machines for a job are limited by what they cost beside cheap ones. That says
+    /// nothing where no cheap machine can run the job: an empty partition could afford no ordinary
+    /// machine, and where the cloud had no spot machines nothing was rented all day. Nor does it
+    /// keep a job from beginning for longer than any job may wait.
+    fn caps_price(&self, job: &PartitionJob, supply: &Supply) -> bool {
+        let spec = job.spec();
+        spec.spot && !job.is_starved(self.now) && supply.suits_cheaply(self.types, spec)
     }
 }
 
@@ -119,6 +156,17 @@
     offer_allowed(spec, &offer.0, &offer.1, offer.2)
 }
 
+/// Whether tasks of a job can run on such machines.
+fn offer_suits(types: &BTreeMap<String, MachineType>, spec: &JobSpec, offer: &Offer) -> bool {
+    let fits = |kind: &MachineType| Amounts::of_type(kind).fits(&Amounts::of_job(spec));
+    may_rent(spec, offer) && types.get(&offer.0).is_some_and(fits)
+}
+
+/// Whether such machines cost far more than the type's lowest price.
+fn is_dear(kind: &MachineType, spot: bool) -> bool {
+    price(kind, spot) > cheapest_price(kind) * CHEAP
+}
+
 pub(super) fn price(kind: &MachineType, spot: bool) -> f64 {
     if spot { kind.market_price.unwrap_or(f64::INFINITY) } else { kind.hourly }
 }
@@ -305,48 +353,67 @@
         wanted: &mut BTreeMap<Offer, u32>,
     ) {
         let mut supply = self.supply(types, now);
+        let market = Market { cfg, run_times, types, now };
         for id in self.queue_order(cfg, run_times, now) {
             let Some(job) = self.jobs.get(&id) else { continue };
-            if job.mistaken() {
-                // Machines would not help it.
+            if job.mistaken() && supply.suits(types, job.spec()) {
+                // More machines would not help it, but with none it could never show that it is
+                // sound: all that it had failed on may have been faulty, and be gone.
                 continue;
             }
-            let (spec, need) = (job.spec(), job.need());
-            let mut unplaced =
-                Unplaced { tasks: job.ready.len(), zones: zone_room(self, job, &cfg.zones) };
-            for bin in supply.bins.iter_mut().filter(|bin| may_rent(spec, &bin.offer)) {
-                unplaced.fill(bin, &need);
-            }
-            let expect = run_times.expect(spec).max(SECOND);
-            supply.ahead += f64::from(job.ready.len()) * need.cpus * expect as f64 / 1e6;
-            if unplaced.tasks == 0 || self.gives_way_to(job, now) {
-                continue;
-            }
-            let latest = urgency(cfg, run_times, job, now).latest;
-            let must_rent = spec.is_service() || self.is_welcome_nowhere(job);
-            while unplaced.tasks > 0 && wanted.values().sum::<u32>() < MOST_PER_ROUND {
-                let mut cheap_only = false;
-                if supply.cpus > 0.0 && !must_rent {
-                    let last_start = supply.drained_at(now).saturating_sub(expect);
-                    if last_start <= latest.min(now + EAGER) {
-                        break;
-                    }
-                    // Cheap machines come for any queue that is not gone soon, others only for an
-                    // aim, and only as many as it takes: one machine serves several waves.
-                    cheap_only = last_start <= latest;
-                }
-                let Some(offer) = self.cheapest(cfg, types, job, &unplaced, now, cheap_only) else {
-                    break;
-                };
-                let Some(kind) = types.get(&offer.0) else { break };
-                if spec.spot && !supply.affords(kind, offer.2, cfg.operator.price_cap) {
+            self.rent_for_job(&market, job, &mut supply, wanted);
+        }
+    }
+
+    /// Adds what should be rented for one job, and its tasks to the work ahead.
+    fn rent_for_job(
+        &self,
+        market: &Market,
+        job: &PartitionJob,
+        supply: &mut Supply,
+        wanted: &mut BTreeMap<Offer, u32>,
+    ) {
+        let Market { cfg, run_times, types, now } = *market;
+        let (spec, need) = (job.spec(), job.need());
+        let mut unplaced =
+            Unplaced { tasks: job.ready.len(), zones: zone_room(self, job, &cfg.zones) };
+        for bin in supply.bins.iter_mut().filter(|bin| may_rent(spec, &bin.offer)) {
+            unplaced.fill(bin, &need);
+        }
+        let expect = run_times.expect(spec).max(SECOND);
+        supply.ahead += f64::from(job.ready.len()) * need.cpus * expect as f64 / 1e6;
+        if unplaced.tasks == 0 || self.gives_way_to(job, now) {
+            return;
+        }
+        let latest = urgency(cfg, run_times, job, now).latest;
+        let must_rent = spec.is_service() || self.is_welcome_nowhere(job);
+        while unplaced.tasks > 0 && wanted.values().sum::<u32>() < MOST_PER_ROUND {
+            let mut cheap_only = false;
+            if supply.cpus > 0.0 && !must_rent {
+                let last_start = supply.drained_at(now).saturating_sub(expect);
+                if last_start <= latest.min(now + EAGER) {
                     break;
                 }
-                *wanted.entry(offer.clone()).or_default() += 1;
-                supply.add_price_of(kind, offer.2);
-                let mut bin = Bin { offer, free: Amounts::of_type(kind) };
-                unplaced.fill(&mut bin, &need);
-                supply.bins.push(bin);
+                // Cheap machines come for any queue that is not gone soon, others only for an
+                // aim, and only as many as it takes: one machine serves several waves.
+                cheap_only = last_start <= latest;
+            }
+            let Some(offer) = self.cheapest(cfg, types, job, &unplaced, now, cheap_only) else {
+                break;
+            };
+            let Some(kind) = types.get(&offer.0) else { break };
+            if market.caps_price(job, supply)
+                && !supply.affords(kind, offer.2, cfg.operator.price_cap)
+            {
+                break;
+            }
+            *wanted.entry(offer.clone()).or_default() += 1;
+            supply.add(kind, &offer.1, offer.2);
+            let mut bin = Bin { offer, free: Amounts::of_type(kind) };
+            unplaced.fill(&mut bin, &need);
+            supply.bins.push(bin);
+            if job.mistaken() {
+                break;
             }
         }
     }
@@ -355,8 +422,9 @@
     fn supply(&self, types: &BTreeMap<String, MachineType>, now: Micros) -> Supply {
         let mut supply = Supply::default();
         for machine in self.machines.values().filter(|m| m.fenced && m.return_wanted.is_none()) {
-            if let Some(kind) = types.get(&machine.record.kind) {
-                supply.add_price_of(kind, machine.record.spot);
+            let record = &machine.record;
+            if let Some(kind) = types.get(&record.kind) {
+                supply.add(kind, &record.zone, record.spot);
             }
         }
         for expected in self.fleet.expected.values() {
--- a/crates/quartzlever-core/src/fleet/tests.rs
+++ b/crates/quartzlever-core/src/fleet/tests.rs
@@ -411,3 +411,87 @@
         assert_eq!(part.has_standby(&types, &offer, NOW), counted, "{boots} boots");
     }
 }
+
+/// What one case of `whatever_is_to_be_had_is_rented` starts from.
+struct Scarcity {
+    name: &'static str,
+    /// Spot machines at hand: their type, if any. All are full.
+    at_hand: Option<&'static str>,
+    /// The only type that the job may run on.
+    only: Option<&'static str>,
+    /// Seconds since the submission.
+    age_s: u64,
+    /// Machines, gone by now, that the job has failed on.
+    failed_on: u32,
+    /// Ordinary machines that are asked for.
+    asked: u32,
+}
+
+/// The cloud names a price for spot machines and has none. What ordinary machines cost beside cheap
+/// ones says nothing to a partition without cheap ones: an empty one could not afford the first, and
+/// nothing was ever rented (`nothing_ran`). Nor does it keep a job from beginning for good. A job that
+/// failed on faulty machines, all gone, must be able to show that it is sound.
+#[test]
+fn whatever_is_to_be_had_is_rented() {
+    let base = Scarcity {
+        name: "no machine",
+        at_hand: None,
+        only: None,
+        age_s: 0,
+        failed_on: 0,
+        asked: 1,
+    };
+    let cases = [
+        Scarcity { ..base },
+        Scarcity { name: "a cheap one that suits", at_hand: Some("m"), asked: 0, ..base },
+        Scarcity {
+            name: "a cheap one of another type",
+            at_hand: Some("m"),
+            only: Some("x"),
+            ..base
+        },
+        Scarcity {
+            name: "a cheap one that suits, for too long",
+            at_hand: Some("m"),
+            age_s: 151,
+            ..base
+        },
+        Scarcity { name: "failed on machines that are gone", failed_on: 3, ..base },
+        Scarcity {
+            name: "failed everywhere, and a machine is there",
+            at_hand: Some("m"),
+            failed_on: 3,
+            age_s: 151,
+            asked: 0,
+            ..base
+        },
+    ];
+    for case in &cases {
+        let mut core = core();
+        let types = core.types.as_mut().map(Arc::make_mut).expect("known");
+        types.values_mut().for_each(|kind| kind.market_price = Some(0.4));
+        let at_hand: Vec<_> = case.at_hand.iter().map(|kind| ("s-1", *kind, "a", true)).collect();
+        machines(&mut core, &at_hand);
+        // Work of higher rank that fills what is at hand for long.
+        let full = JobSpec { cpus: 8.0, rank: Rank::Prod, expect_s: 600.0, ..spec(1) };
+        if case.at_hand.is_some() {
+            queue_job(&mut core, &JobSpec { id: "req-9".into(), ..full }, 10);
+        }
+        let spec = JobSpec { types: case.only.map(|kind| vec![kind.into()]), ..spec(4) };
+        absorb_job(&mut core, &spec, 11, NOW);
+        let now = NOW + case.age_s * SECOND + SECOND;
+        let part = core.parts.get_mut("one").expect("it is held");
+        part.fleet.refuse_spot(&["m", "x"], &["a", "b"], now + SECOND);
+        let job = part.jobs.get_mut("req-1").expect("it is known");
+        job.since = NOW;
+        (job.failures, job.failed_at) = (case.failed_on, NOW);
+        job.failed_on = (0..case.failed_on).map(|n| format!("gone-{n}")).collect();
+        for machine in part.machines.values_mut() {
+            (machine.heard, machine.answered) = (now, now);
+        }
+        core.cache.viewed = now;
+        let hires = rented(core.step(now, vec![Command::Tick { wall: now, behind: false }]));
+        let ordinary: u32 = hires.iter().filter(|hire| !hire.1).map(|hire| hire.2).sum();
+        assert_eq!(ordinary, case.asked, "{}: {hires:?}", case.name);
+    }
+}
--- a/crates/quartzlever-core/src/placement.rs
+++ b/crates/quartzlever-core/src/placement.rs
@@ -343,12 +343,16 @@
     /// Without this, a flood of higher work, or of jobs that can still meet their aims, kept
     /// others from beginning at all.
     fn standing(&self, now: Micros) -> (bool, Rank) {
+        let rank = self.spec().rank;
+        (self.is_starved(now), if self.aged(now) { rank.min(Rank::Urgent) } else { rank })
+    }
+
+    /// Whether the job has not begun although it has waited as long as any may.
+    pub(crate) fn is_starved(&self, now: Micros) -> bool {
         let begun = !self.located.is_empty()
             || !self.finished.is_empty()
             || !self.record.finished.is_empty();
-        let starved = !begun && now.saturating_sub(self.since) > STARVED_AFTER;
-        let rank = self.spec().rank;
-        (starved, if self.aged(now) { rank.min(Rank::Urgent) } else { rank })
+        !begun && now.saturating_sub(self.since) > STARVED_AFTER
     }
 }
 
--- a/crates/quartzlever-core/src/stealing/tests.rs
+++ b/crates/quartzlever-core/src/stealing/tests.rs
@@ -133,6 +133,8 @@
     // (whether the part is pressed; whether the other one takes its urgent tasks)
     for pressed in [false, true] {
         let mut core = with_cache(&[("one", "one", 5), ("two", "one", 6)]);
+        // Its machine is at hand: the work of a partition without any moves in any case.
+        ready_machine(&mut core);
         queue_tasks(&mut core, 4, Rank::Urgent, 2.0);
         // Partition two has a machine, full of lower work, and a queue of that.
         let mut two = Partition::new("two", 6, core.types.clone(), NOW);
--- a/crates/quartzlever-core/tests/world/main.rs
+++ b/crates/quartzlever-core/tests/world/main.rs
@@ -4,6 +4,7 @@
 mod fault_combinations;
 mod large_jobs;
 mod limits;
+mod liveness;
 mod safety;
 mod services;
 mod sim;
--- a/crates/quartzlever-wire/src/peers.rs
+++ b/crates/quartzlever-wire/src/peers.rs
@@ -49,9 +49,17 @@
 }
 
 impl Load {
-    /// Seconds until the queue is gone.
+    /// Seconds until the queue is gone: never, where there is work and no machine. The sum of no
+    /// processors is -0.0, and what was divided by it came out as the shortest queue of all or as the
+    /// longest, as the compiler chose.
     pub fn drain_s(&self) -> f64 {
-        if self.work <= 0.0 { 0.0 } else { self.work / self.cpus.max(0.0) }
+        if self.work <= 0.0 {
+            0.0
+        } else if self.cpus <= 0.0 {
+            f64::INFINITY
+        } else {
+            self.work / self.cpus
+        }
     }
 
     /// What has to move from this queue to another so that both last equally long.
