--- a/crates/quartzlever-core/src/fleet/renting.rs
+++ b/crates/quartzlever-core/src/fleet/renting.rs
@@ -124,10 +124,12 @@
     /// Whether dear machines for a job are limited by what they cost beside cheap ones. That says
     /// nothing where no cheap machine can run the job: an empty partition could afford no ordinary
     /// machine, and where the cloud had no spot machines nothing was rented all day. Nor does it
-    /// keep a job from beginning for longer than any job may wait.
-    fn caps_price(&self, job: &PartitionJob, supply: &Supply) -> bool {
+    /// keep a job from beginning for longer than any job may wait; `begins` says that a machine is
+    /// coming up for it.
+    fn caps_price(&self, job: &PartitionJob, begins: bool, supply: &Supply) -> bool {
         let spec = job.spec();
-        spec.spot && !job.is_starved(self.now) && supply.suits_cheaply(self.types, spec)
+        let must_begin = job.is_starved(self.now) && !begins;
+        spec.spot && !must_begin && supply.suits_cheaply(self.types, spec)
     }
 }
 
@@ -402,7 +404,8 @@
                 break;
             };
             let Some(kind) = types.get(&offer.0) else { break };
-            if market.caps_price(job, supply)
+            let begins = unplaced.tasks < job.ready.len();
+            if market.caps_price(job, begins, supply)
                 && !supply.affords(kind, offer.2, cfg.operator.price_cap)
             {
                 break;
--- a/crates/quartzlever-core/src/fleet/tests.rs
+++ b/crates/quartzlever-core/src/fleet/tests.rs
@@ -439,7 +439,7 @@
         only: None,
         age_s: 0,
         failed_on: 0,
-        asked: 1,
+        asked: 2,
     };
     let cases = [
         Scarcity { ..base },
@@ -454,9 +454,10 @@
             name: "a cheap one that suits, for too long",
             at_hand: Some("m"),
             age_s: 151,
+            asked: 1,
             ..base
         },
-        Scarcity { name: "failed on machines that are gone", failed_on: 3, ..base },
+        Scarcity { name: "failed on machines that are gone", failed_on: 3, asked: 1, ..base },
         Scarcity {
             name: "failed everywhere, and a machine is there",
             at_hand: Some("m"),
@@ -477,7 +478,9 @@
         if case.at_hand.is_some() {
             queue_job(&mut core, &JobSpec { id: "req-9".into(), ..full }, 10);
         }
-        let spec = JobSpec { types: case.only.map(|kind| vec![kind.into()]), ..spec(4) };
+        // Tasks for two machines: the second has to be worth its price again.
+        let types = case.only.map(|kind| vec![kind.into()]);
+        let spec = JobSpec { types, expect_s: 60.0, ..spec(8) };
         absorb_job(&mut core, &spec, 11, NOW);
         let now = NOW + case.age_s * SECOND + SECOND;
         let part = core.parts.get_mut("one").expect("it is held");
