--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -366,7 +366,9 @@
     pub(crate) lookups: Lookups,
     /// Reports of machines that nobody knew, while the machines are asked.
     pub(crate) unconfirmed: HashMap<String, (RequestId, Report)>,
+    /// Partitions whose keys are being changed; those whose change failed, and when the next may be made.
     pub(crate) busy_parts: BTreeSet<String>,
+    pub(crate) retry_parts: BTreeMap<String, Micros>,
     pub(crate) releasing: BTreeSet<String>,
     /// Partitions that are being taken from a process that has not given them up.
     pub(crate) evicting: BTreeSet<String>,
@@ -440,6 +442,7 @@
             lookups: Lookups::default(),
             unconfirmed: HashMap::new(),
             busy_parts: BTreeSet::new(),
+            retry_parts: BTreeMap::new(),
             releasing: BTreeSet::new(),
             evicting: BTreeSet::new(),
             evict_after: 0,
--- a/crates/quartzlever-core/src/leases.rs
+++ b/crates/quartzlever-core/src/leases.rs
@@ -22,6 +22,9 @@
 /// Kept back from a lease's life for answers and calls that are on their way out.
 const LEASE_MARGIN: Micros = SECOND;
 const RETRY: Micros = SECOND / 2;
+/// After an attempt to take or give up a partition that failed. At once, again and again, they came
+/// to a hundred a second, which the limit of changes left nothing beside.
+const PARTITION_RETRY: Micros = SECOND / 4;
 /// Share of the requests to the state service that may open watches.
 const WATCH_SHARE: f64 = 0.15;
 /// Shortest time between two watches: what comes meanwhile comes together.
@@ -301,7 +304,9 @@
                     } else {
                         let spread = self.rng.random_range(0..SECOND);
                         let others = if deaf { LEFT_TO_OTHERS } else { 0 };
-                        self.cfg.operator.takeover_after + spread + others
+                        // Its home node may hear of the release later than this one.
+                        let heard = self.pause_for(WATCH_SHARE).saturating_sub(WATCH_PAUSE);
+                        self.cfg.operator.takeover_after + spread + others + heard
                     };
                     let start_grace = if home { 0 } else { START_GRACE };
                     let since = *self.absent_since.entry(name.clone()).or_insert(self.now);
@@ -343,7 +348,7 @@
 
     fn acquire(&mut self, name: &str, stamp: u64) {
         let Some(lease) = self.lease.id.filter(|_| self.has_announced()) else { return };
-        if !self.busy_parts.insert(name.to_owned()) {
+        if !self.may_change_partition(name) {
             return;
         }
         self.releasing.remove(name);
@@ -355,6 +360,17 @@
         self.state(Lane::Lease, StateCall::Txn(txn), waiting);
     }
 
+    /// Whether a partition's key may be changed now; it counts as being changed then.
+    fn may_change_partition(&mut self, name: &str) -> bool {
+        let is_early = self.retry_parts.get(name).is_some_and(|at| self.now < *at);
+        !is_early && self.busy_parts.insert(name.to_owned())
+    }
+
+    /// A change of a partition's key has failed, or may have.
+    fn partition_change_failed(&mut self, name: &str) {
+        self.retry_parts.insert(name.to_owned(), self.now + PARTITION_RETRY);
+    }
+
     pub(crate) fn acquired(
         &mut self,
         name: &str,
@@ -377,6 +393,7 @@
                     self.evicting.remove(name);
                 }
                 self.absent_since.insert(name.to_owned(), self.now);
+                self.partition_change_failed(name);
             }
         }
     }
@@ -480,7 +497,7 @@
         self.parts.remove(name);
         self.home_asks.remove(name);
         self.releasing.insert(name.to_owned());
-        if !self.busy_parts.insert(name.to_owned()) {
+        if !self.may_change_partition(name) {
             return;
         }
         self.note(Weight::Info, || format!("part {name}: handed back"));
@@ -502,7 +519,9 @@
     ) {
         self.busy_parts.remove(name);
         let settled = matches!(result, Ok(StateReply::Committed(_) | StateReply::Conflict(_)));
-        if settled && self.cache.parts.get(name).is_some_and(|(_, s)| *s == stamp) {
+        if !settled {
+            self.partition_change_failed(name);
+        } else if self.cache.parts.get(name).is_some_and(|(_, s)| *s == stamp) {
             self.cache.parts.remove(name);
         }
     }
--- a/crates/quartzlever-core/src/leases/tests.rs
+++ b/crates/quartzlever-core/src/leases/tests.rs
@@ -113,3 +113,28 @@
         assert_eq!(named, !meets, "{lease} {cancel}");
     }
 }
+
+/// Its own partition is absent, and the state service refuses what it is asked: each refusal was
+/// followed by the next attempt at once, a hundred a second, and each counted against the limit of changes.
+#[test]
+fn a_refused_acquisition_is_repeated_after_a_pause() {
+    for (name, brings) in [
+        ("refused", Err(CallError::Refused)),
+        ("too often", Err(CallError::TooOften)),
+        ("conflict", Ok(StateReply::Conflict(vec!["parts/one".into()]))),
+    ] {
+        let mut core = with_cache(&[("two", "two", 6)]);
+        core.parts.clear();
+        core.cluster_row(&announcement("one", core.process, 4));
+        let (mut attempts, mut answers) = (0, Vec::new());
+        for step in 0..200 {
+            let now = NOW + step * SECOND / 100;
+            let effects = core.step(now, std::mem::take(&mut answers));
+            for token in changes(&effects, "parts/one") {
+                attempts += 1;
+                answers.push(Command::State { token, result: brings.clone() });
+            }
+        }
+        assert!((4..=9).contains(&attempts), "{name}: {attempts} attempts in 2 s");
+    }
+}
--- a/crates/quartzlever-core/src/ledger.rs
+++ b/crates/quartzlever-core/src/ledger.rs
@@ -47,6 +47,11 @@
 const REGAINED: f64 = 0.005;
 /// Share of the limit that is used at all: bursts of several controllers may meet.
 const SAFE: f64 = 0.9;
+/// Never more than so many seconds' worth is owed. The state service itself remembers a second; what was
+/// asked beyond that it has refused. Without a bound 40 acquisitions that it had refused, one after
+/// the other, left a controller without a change for more than a minute: it claimed no machine, and no
+/// task was started.
+const MOST_OWED_S: f64 = 2.0;
 
 impl Ledger {
     pub fn new(now: Micros) -> Self {
@@ -93,7 +98,9 @@
 
     /// Takes changes that are made in any case.
     pub fn spend(&mut self, count: usize) {
-        self.level -= count as f64;
+        let least = -MOST_OWED_S * self.rate.max(2.0);
+        // What is owed already stays owed, though the rate may have sunk since.
+        self.level = (self.level - count as f64).max(least.min(self.level));
     }
 
     /// Whether so much is owed that new submissions have to wait.
--- a/crates/quartzlever-core/src/ledger/tests.rs
+++ b/crates/quartzlever-core/src/ledger/tests.rs
@@ -28,3 +28,16 @@
     ledger.pass(5 * SECOND, 30.0, 3);
     assert!(!ledger.exhausted());
 }
+
+/// Whatever was tried in vain, claims of machines are made again within seconds.
+#[test]
+fn what_is_owed_is_bounded() {
+    // (changes that were tried one by one, whether a machine may be claimed after so many seconds)
+    for (tried, after, allowed) in [(1, 1, true), (40, 1, false), (40, 4, true), (4_000, 4, true)] {
+        let mut ledger = Ledger::new(0);
+        ledger.pass(SECOND, 30.0, 3);
+        (0..tried).for_each(|_| ledger.spend(1));
+        ledger.pass((1 + after) * SECOND, 30.0, 3);
+        assert_eq!(ledger.allows(Change::Claim, 1), allowed, "{tried} tried, after {after} s");
+    }
+}
