Submissions wait for claims and ends that find no changes left (nothing_ran in a flood)

In the simulated world 40 submissions a second, beside 12 changes a second, kept the account in debt: 'nothing_ran: none of 497 jobs was begun' in 25 s, since each change went to a further job and none to the claim of a machine. The users' order is reports, decisions, submissions; a claim or the end of a job that has found nothing left for a second now goes before submissions, which get their 429 with Retry-After at once. What is not asked for any more holds up nobody.

--- a/crates/quartzlever-core/src/claims.rs
+++ b/crates/quartzlever-core/src/claims.rs
@@ -247,7 +247,7 @@
         let cache = &self.cache;
         let Some(work) = self.blocks.get_mut(key) else { return };
         let kind = if work.claims.is_empty() { Change::Tidy } else { Change::Claim };
-        if sure && !self.ledger.has(kind, 1) {
+        if sure && !self.ledger.asks_for(kind, 1) {
             return;
         }
         let parts = &self.parts;
--- a/crates/quartzlever-core/src/ledger.rs
+++ b/crates/quartzlever-core/src/ledger.rs
@@ -1,6 +1,8 @@
 //! What this controller may still change in the state service: its share of the changes a second,
 //! and how much of it is kept for what matters more.
 
+use std::collections::BTreeMap;
+
 use quartzlever_wire::{Micros, SECOND};
 
 /// Kinds of changes, the most urgent first. Leases, parts, submissions and cancellations are
@@ -38,8 +40,28 @@
     /// Share of the limit that the state service was seen to allow, and when that last sank.
     seen: f64,
     slowed: Micros,
+    /// Kinds of changes that go before submissions and found nothing left.
+    denied: BTreeMap<Change, Denied>,
+}
+
+/// Since when a kind of change has been denied, and when it was last.
+#[derive(Clone, Copy, Debug)]
+struct Denied {
+    since: Micros,
+    last: Micros,
 }
 
+impl Denied {
+    /// Whether it waits for too long. One that is not asked for any more waits for nothing.
+    fn is_starved(self, now: Micros) -> bool {
+        let lasts = now.saturating_sub(self.last) < STARVED_AFTER;
+        lasts && self.last.saturating_sub(self.since) >= STARVED_AFTER
+    }
+}
+
+/// A change that goes before submissions waits no longer than this for what they have taken.
+const STARVED_AFTER: Micros = SECOND;
+
 /// Once refused for coming too often, changes come so much slower, and come back to the limit at
 /// this share of it a second.
 const SLOWER: f64 = 0.8;
@@ -55,7 +77,7 @@
 
 impl Ledger {
     pub fn new(now: Micros) -> Self {
-        Ledger { rate: 1.0, level: 1.0, at: now, seen: 1.0, slowed: 0 }
+        Ledger { rate: 1.0, level: 1.0, at: now, seen: 1.0, slowed: 0, denied: BTreeMap::new() }
     }
 
     /// Time passes; `limit` is for all who change anything, `sharers` so many.
@@ -82,7 +104,7 @@
     /// Takes `count` changes, if enough is left for what matters more. One more than a full
     /// account ever holds is let through when the account is full.
     pub fn allows(&mut self, kind: Change, count: usize) -> bool {
-        let has = self.has(kind, count);
+        let has = self.asks_for(kind, count);
         if has {
             self.spend(count);
         }
@@ -96,6 +118,23 @@
         self.level + 1e-9 >= need
     }
 
+    /// Whether that much is left for a change that waits to be made; if not, and it goes before
+    /// submissions, these wait for it from some time on.
+    pub fn asks_for(&mut self, kind: Change, count: usize) -> bool {
+        let has = self.has(kind, count);
+        if has {
+            self.denied.remove(&kind);
+        } else if kind <= Change::Claim {
+            let now = self.at;
+            let denied = self.denied.entry(kind).or_insert(Denied { since: now, last: now });
+            if now.saturating_sub(denied.last) >= STARVED_AFTER {
+                denied.since = now;
+            }
+            denied.last = now;
+        }
+        has
+    }
+
     /// Takes changes that are made in any case.
     pub fn spend(&mut self, count: usize) {
         let least = -MOST_OWED_S * self.rate.max(2.0);
@@ -103,9 +142,11 @@
         self.level = (self.level - count as f64).max(least.min(self.level));
     }
 
-    /// Whether so much is owed that new submissions have to wait.
+    /// Whether so much is owed that new submissions have to wait, or changes that go before them do:
+    /// a flood of submissions took each change as it came, no machine was claimed, and no task started.
     pub fn exhausted(&self) -> bool {
-        self.level < -self.rate.max(2.0)
+        let starved = self.denied.values().any(|denied| denied.is_starved(self.at));
+        starved || self.level < -self.rate.max(2.0)
     }
 }
 
--- a/crates/quartzlever-core/src/ledger/tests.rs
+++ b/crates/quartzlever-core/src/ledger/tests.rs
@@ -41,3 +41,30 @@
         assert_eq!(ledger.allows(Change::Claim, 1), allowed, "{tried} tried, after {after} s");
     }
 }
+
+/// Submissions wait for changes that go before them, but only while somebody still asks for these.
+#[test]
+fn submissions_wait_for_starved_changes() {
+    // (kind, tenths of a second for which it is asked for in vain, tenths after that; whether submissions wait)
+    for (kind, asked, after, wait) in [
+        (Change::Claim, 12, 0, true),
+        (Change::Finish, 12, 0, true),
+        (Change::Claim, 5, 0, false),
+        (Change::Claim, 12, 11, false),
+        (Change::Move, 12, 0, false),
+        (Change::Progress, 12, 0, false),
+    ] {
+        let mut ledger = Ledger::new(0);
+        ledger.pass(SECOND, 30.0, 3);
+        for tenth in 1..=asked {
+            ledger.pass(SECOND + tenth * SECOND / 10, 30.0, 3);
+            // Submissions take what there is, without exhausting the account.
+            ledger.level = 0.0;
+            assert!(!ledger.allows(kind, 1));
+        }
+        ledger.pass(SECOND + (asked + after) * SECOND / 10, 30.0, 3);
+        assert_eq!(ledger.exhausted(), wait, "{kind:?} {asked} {after}");
+        ledger.level = ledger.rate;
+        assert!(ledger.allows(kind, 1) && !ledger.exhausted(), "{kind:?}: made");
+    }
+}
--- a/crates/quartzlever-core/tests/world/liveness.rs
+++ b/crates/quartzlever-core/tests/world/liveness.rs
@@ -190,3 +190,30 @@
     let failed: Vec<String> = seeds.filter_map(|seed| StartUp::drawn(seed).play().err()).collect();
     assert!(failed.is_empty(), "{} failed: {failed:#?}", failed.len());
 }
+
+/// Jobs come faster than the state service takes changes, for as long as the test runs. What is left of
+/// the changes goes to machines before it goes to further jobs: with none for them, no task was started
+/// until the flood was over.
+#[test]
+fn tasks_start_in_a_flood_of_submissions() {
+    // (settings, changes a second, jobs a second)
+    let cases: [(fn(&mut Config), f64, u64); 2] = [
+        (|cfg| cfg.state_write_rps = 12.0, 12.0, 40),
+        (|cfg| cfg.state_write_rps = 30.0, 30.0, 60),
+    ];
+    for (tune, write_rps, jobs_a_second) in cases {
+        let mut world = World::with(90_000 + jobs_a_second, NODES, tune);
+        (world.store.write_rate, world.cloud.most) = (write_rps, 30);
+        let mut number = 0;
+        for _ in 0..25 {
+            for _ in 0..jobs_a_second {
+                number += 1;
+                world.submit(number as usize % NODES.len(), job(number, 1));
+                world.run(SECOND / jobs_a_second);
+            }
+        }
+        let now = world.now;
+        world.rules.day_over(now);
+        assert_eq!(world.rules.broken, Vec::<String>::new(), "{jobs_a_second} a second");
+    }
+}
