Changes too many to read are listed instead of asked for again

An answer to a watch has no size limit, and the client reads 4 MiB. One that was longer counted as lost and was asked for again, longer each time, until the state service had forgotten the changes.

--- a/crates/quartzlever-clients/src/http.rs
+++ b/crates/quartzlever-clients/src/http.rs
@@ -1,5 +1,6 @@
 //! What the HTTP clients share.
 
+use std::io::Read;
 use std::time::Duration;
 
 use quartzlever_wire::CallError;
@@ -12,6 +13,8 @@
 pub struct Reply {
     pub status: u16,
     pub body: Vec<u8>,
+    /// The body is longer than what was read of it.
+    pub cut_short: bool,
 }
 
 impl Reply {
@@ -53,12 +56,13 @@
     };
     let status = response.status();
     let mut body = Vec::new();
-    std::io::Read::read_to_end(
-        &mut std::io::Read::take(response.into_reader(), MOST_ANSWER),
-        &mut body,
-    )
-    .map_err(|_| CallError::Unknown)?;
-    Ok(Reply { status, body })
+    response
+        .into_reader()
+        .take(MOST_ANSWER + 1)
+        .read_to_end(&mut body)
+        .map_err(|_| CallError::Unknown)?;
+    let cut_short = body.len() as u64 > MOST_ANSWER;
+    Ok(Reply { status, body, cut_short })
 }
 
 /// Writes a message; our own types always can be.
--- a/crates/quartzlever-clients/src/state.rs
+++ b/crates/quartzlever-clients/src/state.rs
@@ -106,6 +106,10 @@
                     .query("hold_ms", &hold_ms.to_string());
                 let reply = call(request, None)?;
                 match reply.status {
+                    // It holds all changes since then, however many. Asked again it would only be
+                    // longer, and nothing be known until the state service had forgotten them;
+                    // listed, the records come in pages.
+                    200 if reply.cut_short => Ok(StateReply::TooOld),
                     200 => Ok(StateReply::Watched(reply.json::<WatchAnswer>()?)),
                     410 => Ok(StateReply::TooOld),
                     _ => Err(failure(&reply)),
--- a/crates/quartzlever-core/tests/world/liveness.rs
+++ b/crates/quartzlever-core/tests/world/liveness.rs
@@ -197,7 +197,8 @@
 #[test]
 fn tasks_start_in_a_flood_of_submissions() {
     // (settings, changes a second, jobs a second)
-    let cases: [(fn(&mut Config), f64, u64); 2] = [
+    type Tune = fn(&mut Config);
+    let cases: [(Tune, f64, u64); 2] = [
         (|cfg| cfg.state_write_rps = 12.0, 12.0, 40),
         (|cfg| cfg.state_write_rps = 30.0, 30.0, 60),
     ];
