--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -1,25 +1,23 @@
 //! The one owner of all state of a process.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use quartzlever_wire::cloud::{CloudCall, CloudReply};
 use quartzlever_wire::peers::{PeerAnswer, PeerRequest};
-use quartzlever_wire::state::{
-    Change as StateChange, HostRecord, Hosts, LiveRecord, OverRecord, PartRecord, StateCall,
-    StateReply,
-};
+use quartzlever_wire::state::{Change as StateChange, Hosts, LiveRecord, StateCall, StateReply};
 use quartzlever_wire::workers::{Report, WorkerCall, WorkerReply};
 use quartzlever_wire::{CallError, Micros, SECOND};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::cache::{Cache, FinalStates, LatestStamps};
 use crate::claims::BlockWork;
 use crate::cluster::{Cluster, ClusterWrite};
 use crate::config::Config;
 use crate::fleet::CloudWork;
 use crate::jobs::{JobWrite, Purpose};
 use crate::ledger::Ledger;
-use crate::listing::{Listing, Section};
+use crate::listing::Section;
 use crate::lookups::{Asked, Lookups};
 use crate::messages::{Answer, Command, Effect, Lane, RequestId, Token, Weight};
 use crate::pages::Pages;
@@ -147,157 +145,6 @@
     pub next: Micros,
 }
 
-/// The copy of the keys `parts/`, `hosts/` and `live/` that a watch keeps fresh: all changes up to
-/// the revision `revision` are in it, and some later ones.
-#[derive(Debug, Default)]
-pub(crate) struct Cache {
-    pub loaded: bool,
-    /// The listing of all records that is under way, and how many were begun.
-    pub listing: Option<Listing>,
-    pub listings: u64,
-    pub retry_at: Micros,
-    /// Number of the latest watch, which is open or not, and since when.
-    pub watch: u64,
-    pub watching: Option<Micros>,
-    pub watch_at: Micros,
-    pub revision: u64,
-    /// Everything that was committed before this moment is in the copy: the sending of the latest
-    /// read that it has caught up with.
-    pub viewed: Micros,
-    /// Reads of the revision that the cache has not caught up with: the revision, and the sending.
-    pub ahead: VecDeque<(u64, Micros)>,
-    /// The revision is being read for the age of the view alone: once at a time, since renewals
-    /// share the threads and each call to a store that is away takes its whole patience.
-    pub reading_view: bool,
-    /// When it may be read next.
-    pub view_read_at: Micros,
-    /// The latest revision that any answer told of.
-    pub newest: u64,
-    pub parts: BTreeMap<String, (PartRecord, u64)>,
-    /// Machines by the key of their block, with its stamp; and where each machine is found.
-    pub blocks: HashMap<String, (Hosts, u64)>,
-    pub hosts: HashMap<String, String>,
-    pub live: BTreeMap<String, (LiveRecord, u64)>,
-    /// Jobs whose records cannot be read; they are not over for that.
-    pub unread: BTreeSet<String>,
-}
-
-impl Cache {
-    pub fn loaded(&self) -> bool {
-        self.loaded
-    }
-
-    /// Whether a change of this process is to be taken in with its answer. If the cache has come as far
-    /// already, it shows what became of the change: an answer that came after the removal of the
-    /// partition's key made a process act for a partition that another one held. While the records
-    /// are being listed the listing shows it, or the watch that follows.
-    pub fn is_news(&self, stamp: u64) -> bool {
-        self.loaded && self.revision < stamp
-    }
-
-    /// The machines of a partition, each where it is claimed: while a block is split some are in two.
-    pub fn machines_of(&self, part: &str) -> impl Iterator<Item = (&String, &HostRecord)> {
-        let blocks = self.blocks.iter().flat_map(move |(key, (hosts, _))| {
-            hosts.iter().filter(move |(host, _)| self.hosts.get(*host) == Some(key))
-        });
-        blocks.filter(move |(_, record)| record.part == part)
-    }
-
-    /// Whether a job is neither done nor cancelled, as far as the cache has come.
-    pub fn is_live(&self, job: &str) -> bool {
-        self.live.contains_key(job) || self.unread.contains(job)
-    }
-
-    /// A read sent at that moment has shown this revision to be the present one.
-    pub fn read_revision(&mut self, epoch: u64, sent: Micros) {
-        self.newest = self.newest.max(epoch);
-        self.ahead.push_back((epoch, sent));
-        self.catch_up();
-    }
-
-    /// Reckons the age of the view anew after the cache has come further.
-    pub fn catch_up(&mut self) {
-        if !self.loaded {
-            return;
-        }
-        let (epoch, mut viewed) = (self.revision, self.viewed);
-        self.ahead.retain(|(revision, sent)| {
-            let reached = *revision <= epoch;
-            if reached {
-                viewed = viewed.max(*sent);
-            }
-            !reached
-        });
-        self.viewed = viewed;
-    }
-
-    /// How many nodes hold parts.
-    pub fn holders(&self) -> usize {
-        let nodes: BTreeSet<&str> = self.parts.values().map(|(r, _)| r.node.as_str()).collect();
-        nodes.len()
-    }
-}
-
-/// Final states that were read or written; only these may be remembered.
-#[derive(Debug, Default)]
-pub(crate) struct Finals {
-    known: HashMap<String, OverRecord>,
-    order: VecDeque<String>,
-}
-
-impl Finals {
-    const MOST: usize = 20_000;
-
-    pub fn get(&self, id: &str) -> Option<&OverRecord> {
-        self.known.get(id)
-    }
-
-    pub fn put(&mut self, id: &str, over: OverRecord) {
-        if self.known.insert(id.to_owned(), over).is_none() {
-            self.order.push_back(id.to_owned());
-            if self.order.len() > Self::MOST
-                && let Some(old) = self.order.pop_front()
-            {
-                self.known.remove(&old);
-            }
-        }
-    }
-}
-
-/// The latest stamp of each job's record that was seen or written, so that an older record,
-/// which a watch may bring late, is never taken for news: a part that had given away its last
-/// tasks of a job took them back from such a record, and started them a second time.
-#[derive(Debug, Default)]
-pub(crate) struct Stamps {
-    known: HashMap<String, u64>,
-    order: VecDeque<String>,
-}
-
-impl Stamps {
-    const MOST: usize = 20_000;
-
-    /// Notes a stamp; `false` if a later one is known.
-    pub fn saw(&mut self, id: &str, stamp: u64) -> bool {
-        match self.known.get_mut(id) {
-            Some(latest) if *latest > stamp => false,
-            Some(latest) => {
-                *latest = stamp;
-                true
-            }
-            None => {
-                self.known.insert(id.to_owned(), stamp);
-                self.order.push_back(id.to_owned());
-                if self.order.len() > Self::MOST
-                    && let Some(old) = self.order.pop_front()
-                {
-                    self.known.remove(&old);
-                }
-                true
-            }
-        }
-    }
-}
-
 /// Whether the state service is to be reached from here.
 #[derive(Debug, Default)]
 pub(crate) struct Contact {
@@ -380,8 +227,8 @@
     pub(crate) home_asks: BTreeMap<String, (Micros, Micros)>,
     pub(crate) types: Option<Types>,
     pub(crate) cloud: crate::fleet::Cloud,
-    pub(crate) finals: Finals,
-    pub(crate) stamps: Stamps,
+    pub(crate) finals: FinalStates,
+    pub(crate) stamps: LatestStamps,
     pub(crate) user_calls: usize,
     pub(crate) stealing: Stealing,
     pub(crate) run_times: RunTimes,
@@ -450,8 +297,8 @@
             home_asks: BTreeMap::new(),
             types: None,
             cloud: crate::fleet::Cloud::default(),
-            finals: Finals::default(),
-            stamps: Stamps::default(),
+            finals: FinalStates::default(),
+            stamps: LatestStamps::default(),
             user_calls: 0,
             run_times: RunTimes::default(),
             share: 0.0,
--- a/crates/quartzlever-core/src/lib.rs
+++ b/crates/quartzlever-core/src/lib.rs
@@ -5,7 +5,7 @@
 //! The same commands at the same times give the same effects.
 //!
 //! - [`jobs`]: submissions, lookups, cancellations, and the record of each job.
-//! - `leases`, `listing`: the lease, partitions that change hands, and the cache of the records.
+//! - `leases`, `cache`, `listing`: the lease, partitions that change hands, and what is known of the records.
 //! - `lookups`, `ledger`, `claims`: what is asked of and written to the state service, and how often.
 //! - `partition`, `reports`: a partition's queue, its holder, its machines' reports, and recovery.
 //! - `cluster`: what all controllers understand, and how that is raised while serving.
@@ -16,6 +16,7 @@
 //! - [`fleet`]: renting, returning, and suspicion of machines.
 //! - `diagnosis`: what a controller waits for before it can act.
 
+mod cache;
 mod claims;
 mod cluster;
 mod config;
--- a/crates/quartzlever-core/src/listing.rs
+++ b/crates/quartzlever-core/src/listing.rs
@@ -9,7 +9,8 @@
 use quartzlever_wire::state::{CLUSTER, HOSTS, LIVE, PARTS, Row, Rows, StateCall, StateReply};
 use quartzlever_wire::{CallError, Micros, SECOND};
 
-use crate::engine::{Cache, Core, Waiting};
+use crate::cache::Cache;
+use crate::engine::{Core, Waiting};
 use crate::leases::parse;
 use crate::messages::{Lane, Weight};
 
--- a/crates/quartzlever/src/inbox.rs
+++ b/crates/quartzlever/src/inbox.rs
@@ -132,7 +132,7 @@
         now < self.gate.ready_until.load(Ordering::Relaxed)
     }
 
-    /// EffectThreads in what a call has brought.
+    /// Hands in the result of a call.
     pub fn tell(&self, command: Command) {
         // Fails only when the core's thread has ended, and then the process ends.
         let _ = self.first.send(Item { command, reply: None });
--- a/crates/quartzlever/src/node.rs
+++ b/crates/quartzlever/src/node.rs
@@ -199,13 +199,13 @@
 pub fn run(settings: Settings, seed: u64) -> io::Result<()> {
     let clock = Clock::new();
     let (inbox, outlet) = Inbox::new();
-    let hands = EffectThreads::start(&settings, &inbox, clock)?;
+    let threads = EffectThreads::start(&settings, &inbox, clock)?;
     serve_peers(settings.internal, inbox.clone())?;
     let bounds = server::Bounds::of(settings.limits);
     let port = Port::take(settings.api, bounds, inbox, clock)?;
     tracing::info!("{} serves {}", settings.core.node, port.address()?);
     let core = Core::new(settings.core, seed, clock.now());
-    work(core, outlet, hands, port, clock)
+    work(core, outlet, threads, port, clock)
 }
 
 /// Requests that wait for their answers.
@@ -251,7 +251,7 @@
 fn work(
     mut core: Core,
     outlet: Outlet,
-    hands: EffectThreads,
+    threads: EffectThreads,
     port: Port,
     clock: Clock,
 ) -> io::Result<()> {
@@ -303,7 +303,7 @@
             continue;
         }
         for effect in core.step(now, batch) {
-            carry_out(effect, &hands, &mut waiting, clock);
+            carry_out(effect, &threads, &mut waiting, clock);
         }
         let ready_until = if core.is_ready() { now + READY_FOR } else { 0 };
         core.turned_away_unasked(outlet.tell_state(core.starting(), ready_until));
@@ -315,7 +315,7 @@
     }
 }
 
-fn carry_out(effect: Effect, hands: &EffectThreads, waiting: &mut Waiting, clock: Clock) {
+fn carry_out(effect: Effect, threads: &EffectThreads, waiting: &mut Waiting, clock: Clock) {
     // A queue or a waiting request that is gone means that nobody wants the result.
     match effect {
         Effect::Answer { id, status, body, retry_after_s, until } => {
@@ -338,21 +338,21 @@
             }
         }
         Effect::State { token, lane, call } => {
-            if let Some(queue) = hands.lanes.get(&lane) {
+            if let Some(queue) = threads.lanes.get(&lane) {
                 let _ = queue.send(StateJob { token, call });
             }
         }
         Effect::Cloud { token, call, until } => {
-            let _ = hands.cloud.send(CloudJob { token, call, until });
+            let _ = threads.cloud.send(CloudJob { token, call, until });
         }
         Effect::Worker { token, address, call, until } => {
-            let _ = hands.workers.send(WorkerJob { token, address, call, until });
+            let _ = threads.workers.send(WorkerJob { token, address, call, until });
         }
         Effect::Peer { token, node, request } => {
-            let _ = hands.peers.send(PeerJob { token, node, request });
+            let _ = threads.peers.send(PeerJob { token, node, request });
         }
         Effect::Share(share) => {
-            for (limit, budget) in &hands.limits {
+            for (limit, budget) in &threads.limits {
                 budget.set_rate(limit * share * SHARE);
             }
         }
--- a/crates/quartzlever/src/server.rs
+++ b/crates/quartzlever/src/server.rs
@@ -485,7 +485,7 @@
         Ok(Some((request, length)))
     }
 
-    /// EffectThreads a request to the core, or answers it at once; the body is the first part of the buffer.
+    /// Hands a request to the core, or answers it at once; the body is the first part of the buffer.
     fn route(&self, path: Path, body: usize, close: bool) -> io::Result<()> {
         let body = &self.buffer[..body];
         match path {
