--- /dev/null
+++ b/crates/quartzlever-core/tests/world/sim/calls.rs
@@ -0,0 +1,389 @@
+//! The calls of controllers: carried out, answered, and going wrong.
+
+use super::*;
+
+/// What happens to one call of a controller, or to the controller at that moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallFault {
+    /// It is refused, and not carried out.
+    Refused,
+    /// It is carried out, and its answer lost.
+    AnswerLost,
+    /// It seems lost, and is carried out seconds later.
+    CarriedOutLate,
+    /// Its answer comes after more than three seconds.
+    AnswerLate,
+    /// It is carried out once more, seconds later.
+    CarriedOutTwice,
+    /// The controller ends before it leaves, and is back within a fraction of a second.
+    EndsBefore,
+    /// The controller ends while it is on its way, and is back within a fraction of a second.
+    EndsAfter,
+    /// The controller stands still for longer than its lease lives.
+    StandsStill,
+}
+
+impl CallFault {
+    pub const ALL: [CallFault; 8] = [
+        CallFault::Refused,
+        CallFault::AnswerLost,
+        CallFault::CarriedOutLate,
+        CallFault::AnswerLate,
+        CallFault::CarriedOutTwice,
+        CallFault::EndsBefore,
+        CallFault::EndsAfter,
+        CallFault::StandsStill,
+    ];
+}
+
+/// How late a call, or its second execution, comes when a fault holds it up.
+const CALL_LATE: Micros = 6 * SECOND;
+/// When a caller gives a call up.
+const CALL_PATIENCE: Micros = 1_500_000;
+/// How late an answer comes that is held up.
+const ANSWER_LATE: Micros = 3_200_000;
+/// How long a controller that ends is away, and how long one stands still.
+const AWAY: Micros = SECOND / 5;
+const STILL: Micros = 9 * SECOND;
+
+impl World {
+    pub(super) fn deliver(
+        &mut self,
+        message: Message,
+        batches: &mut BTreeMap<usize, Vec<Command>>,
+    ) {
+        let now = self.now;
+        match message {
+            Message::ToNode(n, life, command) => {
+                if self.frozen.contains(&n) {
+                    self.post(STEP, Message::ToNode(n, life, command));
+                } else if self.cores[n].is_some() && self.lives[n] == life {
+                    batches.entry(n).or_default().push(*command);
+                }
+            }
+            Message::State(n, life, token, call, lost) => {
+                let refused = Err(CallError::Refused);
+                let lonely = self.lonely.contains(&n);
+                self.counts.refused_alone += usize::from(lonely && !self.store.outage);
+                self.counts.refused_all += usize::from(self.store.outage);
+                let mut result = if lonely { refused } else { self.store.call(now, &call) };
+                let mut delay = self.short() + self.slow / 2;
+                let unanswered = matches!(call, StateCall::Txn(_))
+                    && matches!(result, Ok(StateReply::Committed(_)))
+                    && self.rng.random_range(0..100) < self.luck.unanswered;
+                self.counts.unanswered += usize::from(unanswered);
+                if lost || unanswered {
+                    result = Err(CallError::Unknown);
+                    delay = 1_500_000;
+                }
+                let command = Command::State { token, result };
+                self.post(delay, Message::ToNode(n, life, Box::new(command)));
+            }
+            Message::Worker(n, life, token, address, call, lost) => {
+                let name = address.trim_end_matches(":9000").to_owned();
+                let cut = self.cut.contains(&(n, name.clone())) || self.deaf.contains(&name);
+                let result = match self.workers.get_mut(&name) {
+                    Some(worker) if !worker.hung && !cut => Ok(match &call {
+                        WorkerCall::Status => WorkerReply::Report(worker.report()),
+                        WorkerCall::Command(orders) => worker.command(orders, now),
+                    }),
+                    Some(_) => {
+                        // Held back, and delivered when the machine or the network is back.
+                        self.post(8 * SECOND, Message::LateWorker(address, call));
+                        Err(CallError::Unknown)
+                    }
+                    None => Err(CallError::Refused),
+                };
+                let result = if lost { Err(CallError::Unknown) } else { result };
+                let delay = if result.is_err() { 2 * SECOND } else { self.short() };
+                let command = Command::Worker { token, result };
+                self.post(delay, Message::ToNode(n, life, Box::new(command)));
+            }
+            Message::Hello(n, name, orders, sent, session) => {
+                if self.cut.contains(&(n, name.clone())) {
+                    return;
+                }
+                if self.deaf.contains(&name) {
+                    self.counts.deaf += 1;
+                    return;
+                }
+                if let Some(worker) = self.workers.get_mut(&name) {
+                    worker.answered(&orders, sent, session, now);
+                }
+            }
+            Message::LateState(call) => match self.store.call(now, &call) {
+                Ok(StateReply::Committed(_)) => self.counts.late_in_force += 1,
+                _ => self.counts.late_conflicts += 1,
+            },
+            Message::Copy(nodes, report) => {
+                for n in nodes {
+                    self.request += 1;
+                    let id = self.request;
+                    let command = Command::Report { id, report: (*report).clone() };
+                    if self.cores[n].is_some() && !self.frozen.contains(&n) {
+                        self.counts.copies += 1;
+                        batches.entry(n).or_default().push(command);
+                    }
+                }
+            }
+            Message::LateCloud(call) => {
+                self.cloud_call(&call);
+            }
+            Message::Start(n) => {
+                if self.cores[n].is_none() {
+                    self.start(n);
+                }
+            }
+            Message::GoOn(n) => {
+                self.frozen.remove(&n);
+            }
+            Message::LateWorker(address, call) => {
+                let name = address.trim_end_matches(":9000").to_owned();
+                if let (Some(worker), WorkerCall::Command(orders)) =
+                    (self.workers.get_mut(&name), &call)
+                {
+                    match worker.command(orders, now) {
+                        WorkerReply::Refused(_) => self.counts.held_refused += 1,
+                        WorkerReply::Report(_) => self.counts.held_executed += 1,
+                    }
+                }
+            }
+        }
+    }
+
+    /// The cloud carries out a call, and new machines begin to boot.
+    pub(super) fn cloud_call(&mut self, call: &CloudCall) -> CloudReply {
+        let reply = self.cloud.call(call);
+        if let CloudReply::Rented(hosts) = &reply {
+            for host in hosts {
+                let rental = self.cloud.machines.get(host).cloned();
+                if let Some(rental) = rental.filter(|_| !self.workers.contains_key(host)) {
+                    let mut worker = Worker::new(rental, LEASE, self.run_time, self.now);
+                    worker.odd_tasks_wait = self.odd_tasks_wait;
+                    self.workers.insert(host.clone(), worker);
+                    let first = self.rng.random_range(0..self.cores.len());
+                    let at = self.now + self.boot;
+                    self.next_report.insert(host.clone(), (first, at));
+                }
+            }
+        }
+        reply
+    }
+
+    pub(super) fn poll_watches(&mut self) {
+        let watches = std::mem::take(&mut self.watches);
+        for watch in watches {
+            let call = StateCall::Watch { from: watch.from, hold_ms: 0 };
+            let result = self.store.call(self.now, &call);
+            let ready = match &result {
+                Ok(StateReply::Watched(answer)) => !answer.log.is_empty() || self.now >= watch.end,
+                Ok(StateReply::TooOld) => true,
+                _ => false,
+            };
+            let ready = ready && !self.lonely.contains(&watch.node);
+            if ready && self.lives[watch.node] == watch.life {
+                // What a watch tells may be a good deal older than what calls have brought.
+                let command = Command::State { token: watch.token, result };
+                let delay = if self.rng.random() { 0 } else { self.rng.random_range(0..SECOND) };
+                let delay = delay + self.watch_lag;
+                self.post(delay, Message::ToNode(watch.node, watch.life, Box::new(command)));
+            } else {
+                self.watches.push(watch);
+            }
+        }
+    }
+
+    /// Carries out what a controller wants done, until it ends.
+    pub(super) fn carry_out_all(&mut self, n: usize, effects: Vec<Effect>) {
+        let life = self.lives[n];
+        for effect in effects {
+            if self.lives[n] == life {
+                self.carry_out(n, effect);
+            }
+        }
+    }
+
+    /// The fault that befalls an effect, if it is a call and its turn has come.
+    pub(super) fn fault_of(&mut self, effect: &Effect) -> Option<CallFault> {
+        let is_call = matches!(
+            effect,
+            Effect::State { .. }
+                | Effect::Cloud { .. }
+                | Effect::Worker { .. }
+                | Effect::Peer { .. }
+        );
+        if !is_call {
+            return None;
+        }
+        self.calls += 1;
+        self.call_faults.get(&self.calls).copied()
+    }
+
+    /// Executes a call when its caller does not wait for it any more: once more if it was answered, or
+    /// for the first time.
+    pub(super) fn carry_out_late(&mut self, effect: Effect, answered: bool) {
+        let late = match effect {
+            Effect::State { call: StateCall::Watch { .. }, .. } => return,
+            Effect::State { call, .. } => Message::LateState(call),
+            Effect::Cloud { call, .. } => Message::LateCloud(call),
+            Effect::Worker { address, call, .. } if !answered => Message::LateWorker(address, call),
+            // Direct commands are carried out once, however late.
+            _ => return,
+        };
+        self.post(CALL_LATE, late);
+    }
+
+    /// Tells the caller how a call ended that was not answered.
+    pub(super) fn fail_call(&mut self, n: usize, effect: &Effect, error: CallError, after: Micros) {
+        let command = match effect {
+            Effect::State { token, .. } => Command::State { token: *token, result: Err(error) },
+            Effect::Cloud { token, .. } => Command::Cloud { token: *token, result: Err(error) },
+            Effect::Worker { token, .. } => Command::Worker { token: *token, result: Err(error) },
+            Effect::Peer { token, .. } => Command::Asked { token: *token, result: Err(error) },
+            _ => return,
+        };
+        let life = self.lives[n];
+        self.post(after, Message::ToNode(n, life, Box::new(command)));
+    }
+
+    pub(super) fn carry_out(&mut self, n: usize, effect: Effect) {
+        let Some(fault) = self.fault_of(&effect) else { return self.carry_out_soundly(n, effect) };
+        match fault {
+            CallFault::Refused => self.fail_call(n, &effect, CallError::Refused, STEP),
+            CallFault::AnswerLost => {
+                self.fail_call(n, &effect, CallError::Unknown, CALL_PATIENCE);
+                // Carried out for a caller that is not there any more.
+                self.lives[n] += 1;
+                self.carry_out_soundly(n, effect);
+                self.lives[n] -= 1;
+            }
+            CallFault::CarriedOutLate => {
+                self.fail_call(n, &effect, CallError::Unknown, CALL_PATIENCE);
+                self.carry_out_late(effect, false);
+            }
+            CallFault::AnswerLate => {
+                let sent = self.mail.len();
+                self.carry_out_soundly(n, effect);
+                self.mail[sent..].iter_mut().for_each(|(at, ..)| *at += ANSWER_LATE);
+            }
+            CallFault::CarriedOutTwice => {
+                self.carry_out_late(effect.clone(), true);
+                self.carry_out_soundly(n, effect);
+            }
+            CallFault::EndsBefore => self.end(n),
+            CallFault::EndsAfter => {
+                self.carry_out_soundly(n, effect);
+                self.end(n);
+            }
+            CallFault::StandsStill => {
+                self.carry_out_soundly(n, effect);
+                self.frozen.insert(n);
+                self.post(STILL, Message::GoOn(n));
+            }
+        }
+    }
+
+    /// Ends a controller, which is back within a fraction of a second.
+    pub(super) fn end(&mut self, n: usize) {
+        self.kill(n);
+        self.post(AWAY, Message::Start(n));
+    }
+
+    pub(super) fn carry_out_soundly(&mut self, n: usize, effect: Effect) {
+        let life = self.lives[n];
+        match effect {
+            Effect::State { token, call: StateCall::Watch { from, hold_ms }, .. } => {
+                let end = self.now + hold_ms * 1000;
+                self.watches.push(Watch { node: n, life, token, from, end });
+            }
+            Effect::State { token, call, .. } => {
+                let (lost, late) = self.fate();
+                let delay = self.short() + self.slow / 2;
+                let txn = matches!(call, StateCall::Txn(_));
+                let lagging = txn && self.rng.random_range(0..100) < self.luck.late_writes;
+                if lagging {
+                    let wait = self.rng.random_range(2 * SECOND..12 * SECOND);
+                    self.post(wait, Message::LateState(call));
+                    let command = Command::State { token, result: Err(CallError::Unknown) };
+                    self.post(1_500_000, Message::ToNode(n, life, Box::new(command)));
+                } else if late && txn {
+                    // Soon after, or minutes later.
+                    let most = if self.rng.random() { 2 * SECOND } else { 90 * SECOND };
+                    let wait = self.rng.random_range(SECOND / 10..most);
+                    self.post(wait, Message::LateState(call));
+                    let command = Command::State { token, result: Err(CallError::Unknown) };
+                    self.post(1_500_000, Message::ToNode(n, life, Box::new(command)));
+                } else {
+                    self.post(delay, Message::State(n, life, token, call, lost));
+                }
+            }
+            Effect::Cloud { token, .. } if self.cloud_down => {
+                let command = Command::Cloud { token, result: Err(CallError::Refused) };
+                self.post(200_000, Message::ToNode(n, life, Box::new(command)));
+            }
+            Effect::Cloud { token, call, .. } => {
+                let reply = self.cloud_call(&call);
+                let (lost, _) = self.fate();
+                let result = if lost { Err(CallError::Refused) } else { Ok(reply) };
+                let command = Command::Cloud { token, result };
+                self.post(200_000, Message::ToNode(n, life, Box::new(command)));
+            }
+            Effect::Worker { token, address, call, until } => {
+                assert!(until > self.now, "a command without a sure hold");
+                let (lost, late) = self.fate();
+                let delay = self.short();
+                let held = self.held > 0 && matches!(call, WorkerCall::Command(_));
+                if late || held {
+                    self.counts.held += 1;
+                    let any = self.rng.random_range(2..30) * SECOND;
+                    let wait = if held { self.held } else { any };
+                    self.post(wait, Message::LateWorker(address, call));
+                    let command = Command::Worker { token, result: Err(CallError::Unknown) };
+                    self.post(2 * SECOND, Message::ToNode(n, life, Box::new(command)));
+                } else {
+                    self.post(delay, Message::Worker(n, life, token, address, call, lost));
+                }
+            }
+            Effect::Peer { token, node, request } => {
+                let to = self.names.iter().position(|name| *name == node);
+                let Some(to) = to.filter(|to| self.cores[*to].is_some()) else {
+                    let command = Command::Asked { token, result: Err(CallError::Refused) };
+                    return self.post(10_000, Message::ToNode(n, life, Box::new(command)));
+                };
+                let apart = self.apart.contains(&n) || self.apart.contains(&to);
+                let lost = self.fate().0 || apart;
+                self.request += 1;
+                let id = self.request;
+                if !lost {
+                    self.requests.insert(id, (n, token));
+                }
+                let (delay, to_life) = (self.short(), self.lives[to]);
+                let command = Command::Peer { id, request };
+                self.post(delay, Message::ToNode(to, to_life, Box::new(command)));
+                // The answer comes as `AnswerPeer`; without one the call runs out.
+                let command = Command::Asked { token, result: Err(CallError::Unknown) };
+                self.post(2 * SECOND, Message::ToNode(n, life, Box::new(command)));
+            }
+            Effect::AnswerPeer { id, answer } => {
+                if let Some((asker, token)) = self.requests.remove(&id) {
+                    let (delay, life) = (self.short(), self.lives[asker]);
+                    let command = Command::Asked { token, result: Ok(answer) };
+                    self.post(delay, Message::ToNode(asker, life, Box::new(command)));
+                }
+            }
+            Effect::Answer { id, status, body, until, .. } => {
+                assert!(until.is_none_or(|u| u > self.now), "an answer without a sure hold");
+                let body = serde_json::to_value(body).expect("an answer is JSON");
+                self.counts.not_entitled += usize::from(body["error"] == "not entitled");
+                if let Some((asked, job, sent)) = self.asked.remove(&id) {
+                    let phase = body["phase"].as_str().unwrap_or("");
+                    self.counts.answers += usize::from(matches!(status, 200 | 201));
+                    self.rules.answered(self.now, sent, asked, &job, status, phase);
+                }
+                self.answers.insert(id, (status, body));
+            }
+            Effect::End { why } => self.ended = Some(why),
+            Effect::Note { .. } | Effect::Share(_) => {}
+        }
+    }
+}
