--- a/crates/quartzlever-clients/src/cloud.rs
+++ b/crates/quartzlever-clients/src/cloud.rs
@@ -15,6 +15,7 @@
 }
 
 impl CloudClient {
+    /// A client of the cloud at this address and port.
     pub fn new(address: &str) -> Self {
         CloudClient {
             base: format!("http://{address}"),
--- a/crates/quartzlever-clients/src/lib.rs
+++ b/crates/quartzlever-clients/src/lib.rs
@@ -5,6 +5,8 @@
 //! of the region go through a [`Budget`]. A call ends in an answer or in a
 //! [`CallError`](quartzlever_wire::CallError) that says whether it may have been carried out.
 
+#![deny(missing_docs)]
+
 mod budget;
 mod cloud;
 mod http;
--- a/crates/quartzlever-clients/src/state.rs
+++ b/crates/quartzlever-clients/src/state.rs
@@ -21,6 +21,7 @@
 const WHOLE: Duration = Duration::from_millis(1500);
 
 impl StateClient {
+    /// A client of the state service at this address and port.
     pub fn new(address: &str) -> Self {
         StateClient {
             base: format!("http://{address}"),
--- a/crates/quartzlever-core/src/machine.rs
+++ b/crates/quartzlever-core/src/machine.rs
@@ -136,7 +136,7 @@
     /// The cloud takes it away at about this time.
     pub warned_until: Option<Micros>,
     pub slots: BTreeMap<SlotKey, Slot>,
-    /// What is free, kept by [`Partition::refresh`](crate::partition::Partition::refresh).
+    /// What is free, kept by `Partition::refresh`.
     pub room: Amounts,
     /// Direct calls in a row that brought nothing, with nothing heard since.
     pub failed_calls: u32,
