--- a/crates/quartzlever-core/src/claims.rs
+++ b/crates/quartzlever-core/src/claims.rs
@@ -54,6 +54,22 @@
     not_before: Micros,
 }
 
+/// A change of one block.
+struct BlockChange {
+    /// The block as it is to be, and its stamp as it is.
+    hosts: Hosts,
+    stamp: u64,
+    added: BTreeSet<String>,
+    dropped: BTreeSet<String>,
+    /// The partitions whose machines the change concerns, with their terms.
+    terms: BTreeMap<String, u64>,
+}
+
+/// What a block's value takes beside its machines, at the most; and a machine's name beside its
+/// letters: quotes, a colon and a comma.
+const BLOCK_FRAME: usize = 16;
+const NAME_FRAME: usize = 4;
+
 impl Core {
     /// How many machines share a key that is written now.
     pub(crate) fn block_size(&self) -> u64 {
@@ -240,102 +256,125 @@
 
     fn write_block(&mut self, key: &str) {
         self.reroute(key);
-        let (now, sure) = (self.now, self.sure());
-        let most = self.block_value_limit();
-        let large_form = self.block_size() == BLOCK;
-        let (agreed_stamp, may_claim) = (self.cluster.blocks_stamp(), self.knows_block_size());
-        let cache = &self.cache;
-        let Some(work) = self.blocks.get_mut(key) else { return };
+        let sure = self.sure();
+        let Some(work) = self.blocks.get(key) else { return };
         let kind = if work.claims.is_empty() { Change::Tidy } else { Change::Claim };
         if sure && !self.ledger.asks_for(kind, 1) {
             return;
         }
+        let turned_away = self.forget_lost_work(key, sure);
+        self.turn_away(turned_away);
+        let Some(change) = self.plan_block(key) else { return };
+        if change.terms.is_empty() {
+            // Nothing to change, or nothing that fits: those that wait are sent elsewhere.
+            let claims = self.blocks.remove(key).map(|work| work.claims).unwrap_or_default();
+            return self.turn_away(claims.into_values().flat_map(|claim| claim.ids).collect());
+        }
+        let kind = if change.added.is_empty() { Change::Tidy } else { Change::Claim };
+        let too_large = !change.hosts.is_empty()
+            && written_length(&change.hosts) + BLOCK_FRAME > self.block_value_limit();
+        let Some(work) = self.blocks.get_mut(key) else { return };
+        if too_large {
+            // A block of the first form that is still to be split: nothing larger than the limit is
+            // tried, over and over, and what was returned is removed from the small ones.
+            work.not_before = self.now + TIDY_PAUSE;
+        } else if self.ledger.allows(kind, 1) {
+            work.writing = true;
+            work.not_before = self.now + if change.added.is_empty() { TIDY_PAUSE } else { PAUSE };
+            self.send_block(key, change);
+        }
+    }
+
+    fn turn_away(&mut self, requests: Vec<RequestId>) {
+        for id in requests {
+            self.later(id, 503, "not entitled");
+        }
+    }
+
+    /// Forgets claims and removals for partitions that are not held here any more, under those terms;
+    /// gives the requests that waited for such a claim.
+    fn forget_lost_work(&mut self, key: &str, sure: bool) -> Vec<RequestId> {
         let parts = &self.parts;
         let held = |part: &str, term: u64| {
             sure && parts.get(part).is_some_and(|p| p.term == term && p.active())
         };
+        let Some(work) = self.blocks.get_mut(key) else { return Vec::new() };
+        work.drops.retain(|_, (part, term)| held(part, *term));
         let lost: Vec<String> = work
             .claims
             .iter()
-            .filter(|(_, c)| !held(&c.part, c.term))
+            .filter(|(_, claim)| !held(&claim.part, claim.term))
             .map(|(host, _)| host.clone())
             .collect();
-        let mut turned_away = Vec::new();
-        for host in lost {
-            turned_away.extend(work.claims.remove(&host).into_iter().flat_map(|c| c.ids));
-        }
-        work.drops.retain(|_, (part, term)| held(part, *term));
-        let (mut hosts, stamp) = cache.blocks.get(key).cloned().unwrap_or_default();
-        let mut terms: BTreeMap<String, u64> = BTreeMap::new();
+        lost.iter()
+            .filter_map(|host| work.claims.remove(host))
+            .flat_map(|claim| claim.ids)
+            .collect()
+    }
+
+    /// A block as it is to be: without the machines that were returned, and with those that wait for
+    /// their claim, as far as they fit.
+    fn plan_block(&self, key: &str) -> Option<BlockChange> {
+        let work = self.blocks.get(key)?;
+        let (hosts, stamp) = self.cache.blocks.get(key).cloned().unwrap_or_default();
+        let dropped = work.drops.keys().cloned().collect();
+        let mut change =
+            BlockChange { hosts, stamp, added: BTreeSet::new(), dropped, terms: BTreeMap::new() };
         for (host, (part, term)) in &work.drops {
-            if hosts.get(host).is_some_and(|r| r.part == *part) {
-                hosts.remove(host);
-                terms.insert(part.clone(), *term);
+            if change.hosts.get(host).is_some_and(|record| record.part == *part) {
+                change.hosts.remove(host);
+                change.terms.insert(part.clone(), *term);
             }
         }
-        let mut added = BTreeSet::new();
+        if work.claims.is_empty() || !self.knows_block_size() {
+            return Some(change);
+        }
         // The whole block is measured once, then each record that comes to it: writing it out
         // anew for each was most of the work of a start.
-        let mut length = if work.claims.is_empty() { 0 } else { written_length(&hosts) + 16 };
-        for (host, claim) in work.claims.iter().filter(|_| may_claim) {
-            if hosts.contains_key(host) || cache.hosts.contains_key(host) {
+        let mut room =
+            self.block_value_limit().saturating_sub(written_length(&change.hosts) + BLOCK_FRAME);
+        for (host, claim) in &work.claims {
+            if change.hosts.contains_key(host) || self.cache.hosts.contains_key(host) {
                 continue;
             }
             let record = record_of(claim);
-            // Quotes, a colon and a comma beside the name.
-            let more = host.len() + 4 + written_length(&record);
-            if length + more > most {
+            let length = host.len() + NAME_FRAME + written_length(&record);
+            if length > room {
                 continue;
             }
-            length += more;
-            hosts.insert(host.clone(), record);
-            added.insert(host.clone());
-            terms.insert(claim.part.clone(), claim.term);
+            room -= length;
+            change.hosts.insert(host.clone(), record);
+            change.added.insert(host.clone());
+            change.terms.insert(claim.part.clone(), claim.term);
         }
-        if terms.is_empty() {
-            // Nothing to change, or nothing that fits: those that wait are sent elsewhere.
-            let claims = std::mem::take(&mut work.claims);
-            self.blocks.remove(key);
-            turned_away.extend(claims.into_values().flat_map(|c| c.ids));
-            for id in turned_away {
-                self.later(id, 503, "not entitled");
-            }
-            return;
+        Some(change)
+    }
+
+    /// Writes a block on condition of its stamp, of the terms of all partitions concerned, and of
+    /// whatever else decides where a machine is claimed.
+    fn send_block(&mut self, key: &str, change: BlockChange) {
+        let BlockChange { hosts, stamp, added, dropped, terms } = change;
+        let large_form = self.block_size() == BLOCK;
+        let mut txn = Txn::default().when(key, stamp);
+        for (part, term) in &terms {
+            txn = txn.when(format!("{PARTS}{part}"), *term);
         }
-        let kind = if added.is_empty() { Change::Tidy } else { Change::Claim };
-        if !hosts.is_empty() && written_length(&hosts) + 16 > most {
-            // A block of the first form that is still to be split: nothing larger than the limit is
-            // tried, over and over, and what was returned is removed from the small ones.
-            work.not_before = now + TIDY_PAUSE;
-        } else if self.ledger.allows(kind, 1) {
-            work.writing = true;
-            work.not_before = now + if added.is_empty() { TIDY_PAUSE } else { PAUSE };
-            let mut txn = Txn::default().when(key, stamp);
-            for (part, term) in &terms {
-                txn = txn.when(format!("{PARTS}{part}"), *term);
-            }
-            if !added.is_empty() && !large_form {
-                txn = txn.when(CLUSTER_BLOCKS, agreed_stamp);
-            }
-            // A claim that an earlier version wrote for one of these machines is seen there.
-            let first_form = added.iter().next().map(|host| block_key(host));
-            if let Some(first) = first_form.filter(|first| !large_form && first != key) {
-                let stamp = cache.blocks.get(&first).map_or(0, |(_, stamp)| *stamp);
-                txn = txn.when(first, stamp);
-            }
-            let txn = if hosts.is_empty() {
-                txn.delete(key)
-            } else {
-                txn.write(key, Json::of(&HostBlock { m: hosts.clone() }))
-            };
-            let dropped = work.drops.keys().cloned().collect();
-            let waiting =
-                Waiting::Block { key: key.to_owned(), hosts, added, dropped, parts: terms };
-            self.state(Lane::Work, StateCall::Txn(txn), waiting);
-        }
-        for id in turned_away {
-            self.later(id, 503, "not entitled");
+        if !added.is_empty() && !large_form {
+            txn = txn.when(CLUSTER_BLOCKS, self.cluster.blocks_stamp());
+        }
+        // A claim that an earlier version wrote for one of these machines is seen there.
+        let first_form = added.iter().next().map(|host| block_key(host));
+        if let Some(first) = first_form.filter(|first| !large_form && first != key) {
+            let stamp = self.cache.blocks.get(&first).map_or(0, |(_, stamp)| *stamp);
+            txn = txn.when(first, stamp);
         }
+        let txn = if hosts.is_empty() {
+            txn.delete(key)
+        } else {
+            txn.write(key, Json::of(&HostBlock { m: hosts.clone() }))
+        };
+        let waiting = Waiting::Block { key: key.to_owned(), hosts, added, dropped, parts: terms };
+        self.state(Lane::Work, StateCall::Txn(txn), waiting);
     }
 
     pub(crate) fn block_written(
