The price cap counts cheap machines that a new holder has not fenced yet

Right after a takeover none of a partition's machines counted, so the cap would not have held where the cloud refused spot machines in that moment. Found by reading; the table has the case, which fails without it.

--- a/crates/quartzlever-core/src/fleet/renting.rs
+++ b/crates/quartzlever-core/src/fleet/renting.rs
@@ -76,10 +76,14 @@
         self.cpus += kind.cpus;
         self.paid += price(kind, spot);
         self.lowest += cheapest_price(kind);
-        // There are few kinds, and many machines of each.
-        let is_known = |o: &Offer| o.0 == kind.name && o.1 == zone && o.2 == spot;
+        self.add_offer(&kind.name, zone, spot);
+    }
+
+    /// Notes a kind of machines. There are few kinds, and many machines of each.
+    fn add_offer(&mut self, kind: &str, zone: &str, spot: bool) {
+        let is_known = |offer: &Offer| offer.0 == kind && offer.1 == zone && offer.2 == spot;
         if !self.offers.iter().any(is_known) {
-            self.offers.push((kind.name.clone(), zone.to_owned(), spot));
+            self.offers.push((kind.to_owned(), zone.to_owned(), spot));
         }
     }
 
@@ -424,10 +428,12 @@
     /// The machines at hand and those coming up, and the work that runs on them.
     fn supply(&self, types: &BTreeMap<String, MachineType>, now: Micros) -> Supply {
         let mut supply = Supply::default();
-        for machine in self.machines.values().filter(|m| m.fenced && m.return_wanted.is_none()) {
+        for machine in self.machines.values().filter(|m| m.return_wanted.is_none()) {
             let record = &machine.record;
-            if let Some(kind) = types.get(&record.kind) {
-                supply.add(kind, &record.zone, record.spot);
+            match types.get(&record.kind) {
+                Some(kind) if machine.fenced => supply.add(kind, &record.zone, record.spot),
+                // After a takeover most are there and will be of use within seconds.
+                _ => supply.add_offer(&record.kind, &record.zone, record.spot),
             }
         }
         for expected in self.fleet.expected.values() {
--- a/crates/quartzlever-core/src/fleet/tests.rs
+++ b/crates/quartzlever-core/src/fleet/tests.rs
@@ -414,8 +414,9 @@
 /// What one case of `whatever_is_to_be_had_is_rented` starts from.
 struct Scarcity {
     name: &'static str,
-    /// Spot machines at hand: their type, if any. All are full.
+    /// Spot machines at hand: their type, if any. All are full, or not fenced yet.
     at_hand: Option<&'static str>,
+    fenced: bool,
     /// The only type that the job may run on.
     only: Option<&'static str>,
     /// Seconds since the submission.
@@ -435,6 +436,7 @@
     let base = Scarcity {
         name: "no machine",
         at_hand: None,
+        fenced: true,
         only: None,
         age_s: 0,
         failed_on: 0,
@@ -443,6 +445,13 @@
     let cases = [
         Scarcity { ..base },
         Scarcity { name: "a cheap one that suits", at_hand: Some("m"), asked: 0, ..base },
+        Scarcity {
+            name: "a cheap one of an earlier holder",
+            at_hand: Some("m"),
+            fenced: false,
+            asked: 0,
+            ..base
+        },
         Scarcity {
             name: "a cheap one of another type",
             at_hand: Some("m"),
@@ -490,6 +499,7 @@
         job.failed_on = (0..case.failed_on).map(|n| format!("gone-{n}")).collect();
         for machine in part.machines.values_mut() {
             (machine.heard, machine.answered) = (now, now);
+            machine.fenced = case.fenced;
         }
         core.cache.viewed = now;
         let hires = rented(core.step(now, vec![Command::Tick { wall: now, behind: false }]));
