--- a/crates/quartzlever-core/tests/world/large_jobs.rs
+++ b/crates/quartzlever-core/tests/world/large_jobs.rs
@@ -114,6 +114,7 @@
         assert_eq!(w.over(&id), Some(end), "{trouble:?}");
         assert!(w.store.keys(PAGES).is_empty(), "{trouble:?}: pages are left over");
         assert!(w.store.too_large < 8, "{trouble:?}: {} too large", w.store.too_large);
+        w.check_end();
         assert!(w.rules.broken.is_empty(), "{trouble:?}: {:?}", &w.rules.broken[..1]);
     }
 }
--- a/crates/quartzlever-core/tests/world/limits.rs
+++ b/crates/quartzlever-core/tests/world/limits.rs
@@ -107,6 +107,7 @@
             let unclaimed = unclaimed(&w);
             assert!(unclaimed < 4, "{name}: {unclaimed} of {up} machines belong to nobody");
             w.pass(200 * SECOND);
+            w.check_end();
             assert!(w.rules.broken.is_empty(), "{name}: {:?}", &w.rules.broken[..1]);
             for id in w.rules.accepted() {
                 assert_eq!(w.over(&id), Some(JobPhase::Done), "{name}: {id}");
--- a/crates/quartzlever-core/tests/world/safety.rs
+++ b/crates/quartzlever-core/tests/world/safety.rs
@@ -201,6 +201,7 @@
             let ended = world.abort_surely(up, &jobs[5]);
             assert!(ended.is_some(), "{name} {seed}: cancellation is never answered");
             world.run(150 * SECOND);
+            world.check_end();
             assert!(world.rules.broken.is_empty(), "{name} {seed}: {:?}", &world.rules.broken[..1]);
             for id in &jobs[..5] {
                 assert_eq!(world.over(id), Some(JobPhase::Done), "{name} {seed}: {id}");
@@ -222,6 +223,7 @@
             assert_ne!(world.submit_surely(0, &job(k, 20)), 0);
         }
         world.run(240 * SECOND);
+        world.check_end();
         assert!(world.rules.broken.is_empty(), "{seed}: {:?}", &world.rules.broken[..1]);
         for k in 0..5 {
             assert_eq!(world.over(&format!("req-{k:06}")), Some(JobPhase::Done), "{seed} {k}");
@@ -249,6 +251,7 @@
             world.run(SECOND);
         }
         world.run(120 * SECOND);
+        world.check_end();
         assert!(world.rules.broken.is_empty(), "{seed}: {:?}", &world.rules.broken[..1]);
         for k in (0..4).chain(10..22) {
             assert_eq!(world.over(&format!("req-{k:06}")), Some(JobPhase::Done), "{seed} {k}");
@@ -273,6 +276,7 @@
             let phase = world.abort_surely((seed as usize + 1) % 3, "req-000001");
             assert!(may.contains(&phase.as_deref().unwrap_or("")), "{tenths} {seed}: {phase:?}");
             world.run(30 * SECOND);
+            world.check_end();
             assert!(
                 world.rules.broken.is_empty(),
                 "{tenths} {seed}: {:?}",
@@ -351,5 +355,6 @@
         let size = world.store.get("live/req-000001").map_or(0, |(v, _)| v.text().len());
         assert!(size > 0 && size <= 16 * 1024, "{size}");
     }
+    world.check_end();
     assert!(world.rules.broken.is_empty(), "{:?}", &world.rules.broken[..1]);
 }
--- a/crates/quartzlever-core/tests/world/services.rs
+++ b/crates/quartzlever-core/tests/world/services.rs
@@ -150,6 +150,7 @@
             assert_eq!(w.abort_surely(1, &spec.id).as_deref(), Some("aborted"), "{name} {seed}");
             w.pass(25 * SECOND);
             assert_eq!(replicas(&w, &spec.id), 0, "{name} {seed}: gone");
+            w.check_end();
             assert!(w.rules.broken.is_empty(), "{name} {seed}: {:?}", &w.rules.broken[..1]);
         }
     }
@@ -181,6 +182,7 @@
             let id = job(k, 1).id;
             assert!(w.over(&id).is_some(), "{seed}: array {k} starves");
         }
+        w.check_end();
         assert!(w.rules.broken.is_empty(), "{seed}: {:?}", &w.rules.broken[..1]);
     }
 }
@@ -233,6 +235,7 @@
         // The mistake is corrected: replicas are up again.
         w.pass(60 * SECOND);
         assert_eq!(replicas(&w, &spec.id), 4, "{seed}");
+        w.check_end();
         assert!(w.rules.broken.is_empty(), "{seed}: {:?}", &w.rules.broken[..1]);
     }
 }
@@ -272,6 +275,7 @@
                 assert_eq!(phase, Some("aborted".into()), "{trouble:?} {seed}: at {n}");
                 assert_eq!(w.submit_surely(n, &spec), 200, "{trouble:?} {seed}: known at {n}");
             }
+            w.check_end();
             assert!(w.rules.broken.is_empty(), "{trouble:?} {seed}: {:?}", &w.rules.broken[..1]);
         }
     }
--- a/crates/quartzlever-core/tests/world/sim/checks.rs
+++ b/crates/quartzlever-core/tests/world/sim/checks.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// How long the controllers have before they are looked at.
+const UNDISTURBED: Micros = 20 * SECOND;
+
 impl World {
     /// Tells the checker which tasks have run to their end.
     pub(super) fn note_ends(&mut self) {
@@ -106,6 +109,14 @@
         }
     }
 
+    /// Ends bad luck with calls, and looks at what the controllers have come to some time later.
+    pub fn check_end(&mut self) {
+        self.luck = Luck::default();
+        let since = self.now;
+        self.run(UNDISTURBED);
+        self.check_liveness(since);
+    }
+
     /// What each controller waits for.
     pub fn awaited(&self) -> String {
         let each = self.names.iter().zip(&self.cores).map(|(name, core)| match core {
--- a/crates/quartzlever-core/tests/world/upgrade.rs
+++ b/crates/quartzlever-core/tests/world/upgrade.rs
@@ -116,6 +116,7 @@
                 keys.iter().filter(|k| w.store.get(k).is_some_and(|(v, _)| v.text().len() > VALUE));
             assert_eq!(long.count(), 0, "{name}: blocks too large, {before} keys before");
             assert!(w.store.too_large < 5, "{name}: {} too large", w.store.too_large);
+            w.check_end();
             assert!(w.rules.broken.is_empty(), "{name}: {:?}", &w.rules.broken[..1]);
             for k in (0..10).chain(20..26).filter(|k| *k != 21) {
                 assert_eq!(w.over(&job(k, 1).id), Some(JobPhase::Done), "{name}: {k}");
@@ -152,6 +153,7 @@
         lower_limits(&mut w, VALUE, ops);
         w.pass(120 * SECOND);
         assert!(length(&w) <= Some(VALUE), "{seed}: {:?} after", length(&w));
+        w.check_end();
         assert!(w.rules.broken.is_empty(), "{seed}: {:?}", &w.rules.broken[..1]);
         for k in 0..20 {
             assert_eq!(w.over(&job(k, 1).id), Some(JobPhase::Done), "{seed}: {k}");
@@ -171,6 +173,7 @@
         assert_ne!(w.submit_surely(k as usize % 3, &job(k, 40)), 0);
     }
     w.pass(200 * SECOND);
+    w.check_end();
     assert!(w.rules.broken.is_empty(), "{:?}", &w.rules.broken[..1]);
     for k in 0..8 {
         assert_eq!(w.over(&job(k, 1).id), Some(JobPhase::Done), "{k}");
