--- a/crates/quartzlever-core/src/stealing.rs
+++ b/crates/quartzlever-core/src/stealing.rs
@@ -531,12 +531,7 @@
             return self.answer_nothing(request);
         }
         if !self.ledger.allows(Change::Move, moved.len()) {
-            for Move { job: id, cut, .. } in moved {
-                let Some(job) = part.jobs.get_mut(&id) else { continue };
-                job.writing = false;
-                job.cutting.subtract(&cut);
-                job.ready.add(&cut);
-            }
+            self.take_back(victim, moved);
             return self.answer_nothing(request);
         }
         let waiting =
@@ -544,6 +539,7 @@
         self.state(Lane::Work, StateCall::Txn(txn), waiting);
     }
 
+    /// The state service has answered the write of a move, or not.
     pub(crate) fn steal_written(
         &mut self,
         name: &str,
@@ -552,84 +548,108 @@
         moved: Vec<Move>,
         result: Result<StateReply, CallError>,
     ) {
-        let now = self.now;
         if self.part_at(name, term).is_none() {
             return self.answer_nothing(request);
         }
-        let Some(part) = self.parts.get_mut(name) else { return };
         match result {
             Ok(StateReply::Committed(stamp)) => {
-                let mut jobs = Vec::new();
-                for Move { job: id, cut, mut record } in moved {
-                    let text = Json::of(&self.pages.stored_form(&record)).text().to_owned();
-                    if let Some(job) = self.parts.get_mut(name).and_then(|p| p.jobs.get_mut(&id)) {
-                        job.writing = false;
-                        job.cutting.subtract(&cut);
-                        if stamp > job.stamp {
-                            // A page may have told of finished tasks meanwhile.
-                            record.finished.add(&job.record.finished);
-                            job.stamp = stamp;
-                            job.record = record.clone();
-                        }
-                    }
-                    // The thief may be another part of this very process.
-                    self.absorb(record, stamp);
-                    jobs.push((id, stamp, text));
-                }
-                let count = jobs.len();
-                self.note(Weight::Info, || format!("part {name}: tasks of {count} jobs stolen"));
-                match request {
-                    Some(id) => {
-                        let answer = PeerAnswer::Stolen { jobs };
-                        self.out.push(Effect::AnswerPeer { id, answer });
-                    }
-                    None => self.steal_succeeded(),
-                }
-            }
-            Ok(StateReply::Conflict(failed)) => {
-                let mut again = Vec::new();
-                for Move { job: id, cut, .. } in moved {
-                    let Some(job) = part.jobs.get_mut(&id) else { continue };
-                    job.writing = false;
-                    job.cutting.subtract(&cut);
-                    let owned = job.record.owned_by(name);
-                    job.ready.add(&cut.intersect(&owned));
-                    if failed.contains(&live_key(&id)) {
-                        job.writing = true;
-                        again.push(id);
-                    }
-                }
-                part.place_wanted = true;
-                if failed.contains(&part.key()) {
-                    self.lose_part(name, term);
-                }
-                for id in again {
-                    self.reread_job(name, term, &id);
-                }
-                self.answer_nothing(request);
+                return self.move_committed(name, request, moved, stamp);
             }
+            Ok(StateReply::Conflict(failed)) => self.move_conflicted(name, term, moved, &failed),
             Err(CallError::Refused | CallError::TooOften) | Ok(_) => {
-                for Move { job: id, cut, .. } in moved {
-                    let Some(job) = part.jobs.get_mut(&id) else { continue };
-                    job.writing = false;
-                    job.cutting.subtract(&cut);
-                    job.ready.add(&cut);
+                self.take_back(name, moved);
+                if let Some(part) = self.parts.get_mut(name) {
+                    part.place_wanted = true;
                 }
-                part.place_wanted = true;
-                self.answer_nothing(request);
             }
-            Err(CallError::Unknown) => {
-                // It may still come into force, minutes late. The ranges stay cut until another
-                // write at the same stamp, or a newer record, has settled the matter.
-                for Move { job: id, .. } in moved {
-                    let Some(job) = part.jobs.get_mut(&id) else { continue };
-                    job.writing = false;
-                    job.doubtful = true;
-                    job.wants_write = true;
-                    job.write_after = now + SECOND / 4;
+            Err(CallError::Unknown) => self.move_doubtful(name, moved),
+        }
+        self.answer_nothing(request);
+    }
+
+    /// The move is in force: the thief is told.
+    fn move_committed(
+        &mut self,
+        name: &str,
+        request: Option<RequestId>,
+        moved: Vec<Move>,
+        stamp: u64,
+    ) {
+        let mut jobs = Vec::new();
+        for Move { job: id, cut, mut record } in moved {
+            let text = Json::of(&self.pages.stored_form(&record)).text().to_owned();
+            if let Some(job) = self.parts.get_mut(name).and_then(|p| p.jobs.get_mut(&id)) {
+                job.writing = false;
+                job.cutting.subtract(&cut);
+                if stamp > job.stamp {
+                    // A page may have told of finished tasks meanwhile.
+                    record.finished.add(&job.record.finished);
+                    job.stamp = stamp;
+                    job.record = record.clone();
                 }
-                self.answer_nothing(request);
             }
+            // The thief may be another part of this very process.
+            self.absorb(record, stamp);
+            jobs.push((id, stamp, text));
+        }
+        let count = jobs.len();
+        self.note(Weight::Info, || format!("part {name}: tasks of {count} jobs stolen"));
+        match request {
+            Some(id) => {
+                let answer = PeerAnswer::Stolen { jobs };
+                self.out.push(Effect::AnswerPeer { id, answer });
+            }
+            None => self.steal_succeeded(),
+        }
+    }
+
+    /// The move can no longer come into force: what is still owned returns to the queue, and jobs whose
+    /// records have changed are read again.
+    fn move_conflicted(&mut self, name: &str, term: u64, moved: Vec<Move>, failed: &[String]) {
+        let Some(part) = self.parts.get_mut(name) else { return };
+        let mut again = Vec::new();
+        for Move { job: id, cut, .. } in moved {
+            let Some(job) = part.jobs.get_mut(&id) else { continue };
+            job.writing = false;
+            job.cutting.subtract(&cut);
+            let owned = job.record.owned_by(name);
+            job.ready.add(&cut.intersect(&owned));
+            if failed.contains(&live_key(&id)) {
+                job.writing = true;
+                again.push(id);
+            }
+        }
+        part.place_wanted = true;
+        if failed.contains(&part.key()) {
+            self.lose_part(name, term);
+        }
+        for id in again {
+            self.reread_job(name, term, &id);
+        }
+    }
+
+    /// The move was not carried out: its tasks return to the queue.
+    fn take_back(&mut self, name: &str, moved: Vec<Move>) {
+        let Some(part) = self.parts.get_mut(name) else { return };
+        for Move { job: id, cut, .. } in moved {
+            let Some(job) = part.jobs.get_mut(&id) else { continue };
+            job.writing = false;
+            job.cutting.subtract(&cut);
+            job.ready.add(&cut);
+        }
+    }
+
+    /// The move may still come into force, minutes late. Its tasks stay cut until another write at the
+    /// same stamp, or a newer record, has settled the matter.
+    fn move_doubtful(&mut self, name: &str, moved: Vec<Move>) {
+        let soon = self.now + SECOND / 4;
+        let Some(part) = self.parts.get_mut(name) else { return };
+        for Move { job: id, .. } in moved {
+            let Some(job) = part.jobs.get_mut(&id) else { continue };
+            job.writing = false;
+            job.doubtful = true;
+            job.wants_write = true;
+            job.write_after = soon;
         }
     }
 }
