--- a/crates/quartzlever-core/src/cache.rs
+++ b/crates/quartzlever-core/src/cache.rs
@@ -99,62 +99,69 @@
     }
 }
 
-/// Final states that were read or written; only these may be remembered.
-#[derive(Debug, Default)]
-pub(crate) struct FinalStates {
-    known: HashMap<String, OverRecord>,
+/// What is remembered of so many jobs; beyond that the first that came are forgotten.
+const MOST_REMEMBERED: usize = 20_000;
+
+/// Something about each of the latest jobs, by their ids.
+#[derive(Debug)]
+struct Remembered<T> {
+    known: HashMap<String, T>,
     order: VecDeque<String>,
 }
 
-impl FinalStates {
-    const MOST: usize = 20_000;
+impl<T> Default for Remembered<T> {
+    fn default() -> Self {
+        Remembered { known: HashMap::new(), order: VecDeque::new() }
+    }
+}
 
-    pub fn get(&self, id: &str) -> Option<&OverRecord> {
+impl<T> Remembered<T> {
+    fn get(&self, id: &str) -> Option<&T> {
         self.known.get(id)
     }
 
-    pub fn put(&mut self, id: &str, over: OverRecord) {
-        if self.known.insert(id.to_owned(), over).is_none() {
-            self.order.push_back(id.to_owned());
-            if self.order.len() > Self::MOST
-                && let Some(old) = self.order.pop_front()
-            {
-                self.known.remove(&old);
-            }
+    fn put(&mut self, id: &str, value: T) {
+        if let Some(known) = self.known.get_mut(id) {
+            *known = value;
+            return;
+        }
+        self.known.insert(id.to_owned(), value);
+        self.order.push_back(id.to_owned());
+        if self.order.len() > MOST_REMEMBERED
+            && let Some(old) = self.order.pop_front()
+        {
+            self.known.remove(&old);
         }
     }
 }
 
+/// Final states that were read or written; only these may be remembered.
+#[derive(Debug, Default)]
+pub(crate) struct FinalStates(Remembered<OverRecord>);
+
+impl FinalStates {
+    pub fn get(&self, id: &str) -> Option<&OverRecord> {
+        self.0.get(id)
+    }
+
+    pub fn put(&mut self, id: &str, over: OverRecord) {
+        self.0.put(id, over);
+    }
+}
+
 /// The latest stamp of each job's record that was seen or written, so that an older record,
 /// which a watch may bring late, is never taken for news: a part that had given away its last
 /// tasks of a job took them back from such a record, and started them a second time.
 #[derive(Debug, Default)]
-pub(crate) struct LatestStamps {
-    known: HashMap<String, u64>,
-    order: VecDeque<String>,
-}
+pub(crate) struct LatestStamps(Remembered<u64>);
 
 impl LatestStamps {
-    const MOST: usize = 20_000;
-
     /// Notes a stamp; `false` if a later one is known.
     pub fn saw(&mut self, id: &str, stamp: u64) -> bool {
-        match self.known.get_mut(id) {
-            Some(latest) if *latest > stamp => false,
-            Some(latest) => {
-                *latest = stamp;
-                true
-            }
-            None => {
-                self.known.insert(id.to_owned(), stamp);
-                self.order.push_back(id.to_owned());
-                if self.order.len() > Self::MOST
-                    && let Some(old) = self.order.pop_front()
-                {
-                    self.known.remove(&old);
-                }
-                true
-            }
+        let is_late = self.0.get(id).is_some_and(|latest| *latest > stamp);
+        if !is_late {
+            self.0.put(id, stamp);
         }
+        !is_late
     }
 }
