The price cap also holds where other partitions have cheap machines

Its work moves to those that have them, as before; only where no partition has a cheap machine that suits does the cap say nothing.

--- a/crates/quartzlever-core/src/fleet/renting.rs
+++ b/crates/quartzlever-core/src/fleet/renting.rs
@@ -1,9 +1,10 @@
 //! Renting machines: what is missing for the queue of a partition, and room kept for services.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use quartzlever_wire::cloud::{CloudCall, CloudReply, Hire, MachineType};
 use quartzlever_wire::peers::PeerRequest;
+use quartzlever_wire::state::{HostRecord, Hosts};
 use quartzlever_wire::users::JobSpec;
 use quartzlever_wire::{CallError, Micros, SECOND, micros_from_secs};
 
@@ -121,19 +122,33 @@
     cfg: &'a Config,
     run_times: &'a RunTimes,
     types: &'a BTreeMap<String, MachineType>,
+    /// All claimed machines, whichever partition they belong to.
+    claimed: &'a HashMap<String, (Hosts, u64)>,
     now: Micros,
 }
 
 impl Market<'_> {
     /// Whether dear machines for a job are limited by what they cost beside cheap ones. That says
-    /// nothing where no cheap machine can run the job: an empty partition could afford no ordinary
-    /// machine, and where the cloud had no spot machines nothing was rented all day. Nor does it
-    /// keep a job from beginning for longer than any job may wait; `begins` says that a machine is
-    /// coming up for it.
+    /// nothing where no cheap machine that can run the job is to be had: an empty partition could
+    /// afford no ordinary machine, and where the cloud had no spot machines nothing was rented all
+    /// day. If other partitions have cheap ones, work moves there. Nor does it keep a job from
+    /// beginning for longer than any job may wait; `begins` says that a machine is coming up for it.
     fn caps_price(&self, job: &PartitionJob, begins: bool, supply: &Supply) -> bool {
         let spec = job.spec();
         let must_begin = job.is_starved(self.now) && !begins;
-        spec.spot && !must_begin && supply.suits_cheaply(self.types, spec)
+        spec.spot
+            && !must_begin
+            && (supply.suits_cheaply(self.types, spec) || self.has_cheap_machine_for(spec))
+    }
+
+    /// Whether any partition has a cheap machine that can run the job.
+    fn has_cheap_machine_for(&self, spec: &JobSpec) -> bool {
+        let suits = |record: &HostRecord| {
+            let offer = (record.kind.clone(), record.zone.clone(), record.spot);
+            self.types.get(&record.kind).is_some_and(|kind| !is_dear(kind, record.spot))
+                && offer_suits(self.types, spec, &offer)
+        };
+        self.claimed.values().flat_map(|(hosts, _)| hosts.values()).any(suits)
     }
 }
 
@@ -216,7 +231,14 @@
         }
         part.fleet.refused.retain(|_, until| *until > now);
         let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
-        part.shortage(&self.cfg, &self.run_times, types, now, &mut wanted);
+        let market = Market {
+            cfg: &self.cfg,
+            run_times: &self.run_times,
+            types,
+            claimed: &self.cache.blocks,
+            now,
+        };
+        part.shortage(&market, &mut wanted);
         for offer in standby {
             if !part.has_standby(types, &offer, now) && !part.fleet.refused.contains_key(&offer) {
                 wanted.entry(offer).or_insert(1);
@@ -350,16 +372,9 @@
 
     /// What should be rented for the ready tasks that neither the machines at hand nor those
     /// coming up can serve in time.
-    fn shortage(
-        &self,
-        cfg: &Config,
-        run_times: &RunTimes,
-        types: &BTreeMap<String, MachineType>,
-        now: Micros,
-        wanted: &mut BTreeMap<Offer, u32>,
-    ) {
+    fn shortage(&self, market: &Market, wanted: &mut BTreeMap<Offer, u32>) {
+        let Market { cfg, run_times, types, now, .. } = *market;
         let mut supply = self.supply(types, now);
-        let market = Market { cfg, run_times, types, now };
         for id in self.queue_order(cfg, run_times, now) {
             let Some(job) = self.jobs.get(&id) else { continue };
             if job.mistaken() && supply.suits(types, job.spec()) {
@@ -367,7 +382,7 @@
                 // sound: all that it had failed on may have been faulty, and be gone.
                 continue;
             }
-            self.rent_for_job(&market, job, &mut supply, wanted);
+            self.rent_for_job(market, job, &mut supply, wanted);
         }
     }
 
@@ -379,7 +394,7 @@
         supply: &mut Supply,
         wanted: &mut BTreeMap<Offer, u32>,
     ) {
-        let Market { cfg, run_times, types, now } = *market;
+        let Market { cfg, run_times, types, now, .. } = *market;
         let (spec, need) = (job.spec(), job.need());
         let mut unplaced =
             Unplaced { tasks: job.ready.len(), zones: zone_room(self, job, &cfg.zones) };
@@ -409,8 +424,8 @@
             };
             let Some(kind) = types.get(&offer.0) else { break };
             let begins = unplaced.tasks < job.ready.len();
-            if market.caps_price(job, begins, supply)
-                && !supply.affords(kind, offer.2, cfg.operator.price_cap)
+            if !supply.affords(kind, offer.2, cfg.operator.price_cap)
+                && market.caps_price(job, begins, supply)
             {
                 break;
             }
--- a/crates/quartzlever-core/src/fleet/tests.rs
+++ b/crates/quartzlever-core/src/fleet/tests.rs
@@ -417,6 +417,8 @@
     /// Spot machines at hand: their type, if any. All are full, or not fenced yet.
     at_hand: Option<&'static str>,
     fenced: bool,
+    /// Another partition has a spot machine of type "m".
+    elsewhere: bool,
     /// The only type that the job may run on.
     only: Option<&'static str>,
     /// Seconds since the submission.
@@ -437,6 +439,7 @@
         name: "no machine",
         at_hand: None,
         fenced: true,
+        elsewhere: false,
         only: None,
         age_s: 0,
         failed_on: 0,
@@ -445,6 +448,20 @@
     let cases = [
         Scarcity { ..base },
         Scarcity { name: "a cheap one that suits", at_hand: Some("m"), asked: 0, ..base },
+        Scarcity { name: "another partition has a cheap one", elsewhere: true, asked: 0, ..base },
+        Scarcity {
+            name: "another partition has a cheap one, for too long",
+            elsewhere: true,
+            age_s: 151,
+            asked: 1,
+            ..base
+        },
+        Scarcity {
+            name: "another partition has a cheap one of another type",
+            elsewhere: true,
+            only: Some("x"),
+            ..base
+        },
         Scarcity {
             name: "a cheap one of an earlier holder",
             at_hand: Some("m"),
@@ -490,6 +507,10 @@
         let types = case.only.map(|kind| vec![kind.into()]);
         let spec = JobSpec { types, expect_s: 60.0, ..spec(8) };
         absorb_job(&mut core, &spec, 11, NOW);
+        if case.elsewhere {
+            let hosts = Hosts::from([("n-9".to_owned(), host_record("n-9", "two"))]);
+            core.cache.blocks.insert(block_key("n-9"), (hosts, 3));
+        }
         let now = NOW + case.age_s * SECOND + SECOND;
         let part = core.parts.get_mut("one").expect("it is held");
         part.fleet.refuse_spot(&["m", "x"], &["a", "b"], now + SECOND);
