--- a/crates/quartzlever-core/src/fleet/renting.rs
+++ b/crates/quartzlever-core/src/fleet/renting.rs
@@ -33,6 +33,9 @@
 /// A machine that has not come up after so many usual boots, and this much more, is not counted on.
 const COUNTED_ON_BOOTS: f64 = 1.8;
 const COUNTED_ON_MORE: Micros = 3 * SECOND;
+/// A machine that a job needs to begin at all is up by then: jobs have to begin within four minutes, and
+/// its claim and the image take a while.
+const UP_WITHIN: Micros = 230 * SECOND;
 /// Queues take so much longer than their work divided by the processors.
 const DRAIN_SPARE: f64 = 1.2;
 /// The most machines in one request for them.
@@ -133,9 +136,17 @@
     /// afford no ordinary machine, and where the cloud had no spot machines nothing was rented all
     /// day. If other partitions have cheap ones, work moves there. Nor does it keep a job from
     /// beginning for longer than any job may wait; `begins` says that a machine is coming up for it.
-    fn caps_price(&self, job: &PartitionJob, begins: bool, supply: &Supply) -> bool {
+    fn caps_price(
+        &self,
+        job: &PartitionJob,
+        kind: &MachineType,
+        begins: bool,
+        supply: &Supply,
+    ) -> bool {
         let spec = job.spec();
-        let must_begin = job.is_starved(self.now) && !begins;
+        let boot = micros_from_secs(OVERDUE_BOOTS * kind.ready_s);
+        let up_at = self.now.saturating_sub(job.since) + boot;
+        let must_begin = job.is_starved(self.now) && up_at >= UP_WITHIN && !begins;
         spec.spot
             && !must_begin
             && (supply.suits_cheaply(self.types, spec) || self.has_cheap_machine_for(spec))
@@ -425,7 +436,7 @@
             let Some(kind) = types.get(&offer.0) else { break };
             let begins = unplaced.tasks < job.ready.len();
             if !supply.affords(kind, offer.2, cfg.operator.price_cap)
-                && market.caps_price(job, begins, supply)
+                && market.caps_price(job, kind, begins, supply)
             {
                 break;
             }
--- a/crates/quartzlever-core/src/fleet/tests.rs
+++ b/crates/quartzlever-core/src/fleet/tests.rs
@@ -452,7 +452,7 @@
         Scarcity {
             name: "another partition has a cheap one, for too long",
             elsewhere: true,
-            age_s: 151,
+            age_s: 228,
             asked: 1,
             ..base
         },
@@ -478,16 +478,23 @@
         Scarcity {
             name: "a cheap one that suits, for too long",
             at_hand: Some("m"),
-            age_s: 151,
+            age_s: 228,
             asked: 1,
             ..base
         },
         Scarcity { name: "failed on machines that are gone", failed_on: 3, asked: 1, ..base },
+        Scarcity {
+            name: "a cheap one that suits, for long",
+            at_hand: Some("m"),
+            age_s: 200,
+            asked: 0,
+            ..base
+        },
         Scarcity {
             name: "failed everywhere, and a machine is there",
             at_hand: Some("m"),
             failed_on: 3,
-            age_s: 151,
+            age_s: 228,
             asked: 0,
             ..base
         },
