--- /dev/null
+++ b/crates/quartzlever-recovery/src/detection.rs
@@ -0,0 +1,134 @@
+//! What counts as a loss of the store's data. An outage, a refusal, a watch that is too old or late never
+//! does: only what an answer of the store itself shows.
+
+use std::collections::BTreeMap;
+
+use quartzlever_wire::state::{CATALOGUE, CLUSTER_BLOCKS, CLUSTER_VERSION, LIVE, OVER};
+
+use crate::generation::Generation;
+use crate::history::History;
+use crate::identity::{Identity, Observed, Phase, Stamped};
+use crate::picture::{Picture, Record};
+
+/// Why the store's data counts as lost.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Loss {
+    #[error("the identity of the records is gone")]
+    IdentityGone,
+    #[error("the identity of the records is another one")]
+    IdentityDiffers,
+    #[error("the revision went back from {from} to {to}")]
+    RevisionWentBack { from: u64, to: u64 },
+    #[error(
+        "a key of this controller is older than it has written it: {found} instead of {written}"
+    )]
+    WitnessWentBack { written: u64, found: u64 },
+    #[error("{count} lasting records are missing or older than before, {example} among them")]
+    RecordsMissing { count: usize, example: String },
+    #[error("another controller has given the generation up")]
+    GivenUp,
+}
+
+/// What a controller knew of the store when it last looked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Known<'a> {
+    pub identity: &'a Identity,
+    /// The latest revision that was seen, as the generation counts.
+    pub revision: u64,
+    pub witness: u64,
+}
+
+/// What an observation means for a controller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Neither the store nor this controller knows of any cluster.
+    Unfounded,
+    /// The store is as it was, or further.
+    Intact(Generation),
+    /// The store serves a generation that is new to this controller.
+    Newer(Generation),
+    /// The store has another cluster's records.
+    ForeignCluster,
+    Lost(Loss),
+}
+
+/// Judges what was observed by what was known.
+pub fn judge(node: &str, known: Option<&Known<'_>>, observed: &Observed) -> Verdict {
+    let Some(Stamped { value: identity, stamp }) = &observed.identity else {
+        return if known.is_some() {
+            Verdict::Lost(Loss::IdentityGone)
+        } else {
+            Verdict::Unfounded
+        };
+    };
+    let generation = Generation { identity: identity.clone(), stamp: *stamp };
+    if known.is_some_and(|known| known.identity.cluster != identity.cluster) {
+        return Verdict::ForeignCluster;
+    }
+    if identity.phase == Phase::Rebuilding {
+        return Verdict::Lost(Loss::GivenUp);
+    }
+    match known {
+        None => Verdict::Newer(generation),
+        Some(known) if identity.generation > known.identity.generation => {
+            Verdict::Newer(generation)
+        }
+        Some(known) => match went_back(node, known, identity, observed) {
+            Some(loss) => Verdict::Lost(loss),
+            None => Verdict::Intact(generation),
+        },
+    }
+}
+
+fn went_back(
+    node: &str,
+    known: &Known<'_>,
+    identity: &Identity,
+    observed: &Observed,
+) -> Option<Loss> {
+    let same_line = identity.generation == known.identity.generation
+        && identity.namespace == known.identity.namespace
+        && identity.base == known.identity.base;
+    if !same_line {
+        return Some(Loss::IdentityDiffers);
+    }
+    let revision = observed.epoch + identity.base;
+    if revision < known.revision {
+        return Some(Loss::RevisionWentBack { from: known.revision, to: revision });
+    }
+    let found = observed.witnesses.get(node).copied().unwrap_or(0);
+    (found < known.witness).then_some(Loss::WitnessWentBack { written: known.witness, found })
+}
+
+impl History {
+    /// What this history knows of the store.
+    pub fn known(&self) -> Known<'_> {
+        let revision = self.picture.newest();
+        Known { identity: &self.identity, revision, witness: self.witness }
+    }
+}
+
+/// Whether a record that was there once may only change, but never go, or only by an end that stays.
+fn stays_for_good(key: &str) -> bool {
+    key.starts_with(OVER) || [CLUSTER_VERSION, CLUSTER_BLOCKS, CATALOGUE].contains(&key)
+}
+
+/// Whether a record of the picture is missing from the store's records, or older there, in a way that no
+/// change explains. The records were listed after the picture was taken.
+pub fn is_missing(key: &str, record: &Record, store: &BTreeMap<String, Record>) -> bool {
+    if let Some(found) = store.get(key) {
+        return found.stamp < record.stamp;
+    }
+    match key.strip_prefix(LIVE) {
+        Some(job) => !store.contains_key(&format!("{OVER}{job}")),
+        None => stays_for_good(key),
+    }
+}
+
+/// Lasting records of the picture that the store's records lack.
+pub fn missing_records(picture: &Picture, store: &BTreeMap<String, Record>) -> Option<Loss> {
+    let rows = picture.rows().iter();
+    let mut missing = rows.filter(|(key, record)| is_missing(key, record, store));
+    let (example, _) = missing.next()?;
+    Some(Loss::RecordsMissing { count: 1 + missing.count(), example: example.clone() })
+}
--- /dev/null
+++ b/crates/quartzlever-recovery/src/identity.rs
@@ -0,0 +1,143 @@
+//! Which store this is: the keys under `recovery/`, which no generation's records hide.
+
+use std::collections::BTreeMap;
+
+use quartzlever_wire::state::{Row, Rows};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+/// Prefix of all keys of this crate.
+pub const RECOVERY: &str = "recovery/";
+/// Key of the [`Identity`].
+pub const IDENTITY: &str = "recovery/identity";
+/// Key of the [`Lock`] of the controller that rebuilds.
+pub const LOCK: &str = "recovery/lock";
+/// Prefix of the keys of [`Candidate`]s, by node.
+pub const CANDIDATES: &str = "recovery/candidates/";
+/// Prefix of the keys of [`ExtraPiece`]s, by node and number.
+pub const EXTRAS: &str = "recovery/extra/";
+/// Prefix of keys, by node, of controllers that were up before a loss and had no part in the rebuild: what
+/// they alone know is not in the records before they come back.
+pub const ABSENT: &str = "recovery/absent/";
+/// Prefix of the keys of [`Witness`]es, by node.
+pub const WITNESSES: &str = "recovery/witness/";
+
+/// Whether controllers may act on the records.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Phase {
+    Serving,
+    /// The generation was given up; nobody acts before the next one serves.
+    Rebuilding,
+}
+
+/// The lasting identity of a cluster's records. Each transaction has its key, at its stamp, as a condition,
+/// so nothing that was decided before a rebuild comes into force after it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Identity {
+    /// Drawn once, when the cluster was founded.
+    pub cluster: String,
+    /// Counts the rebuilds.
+    pub generation: u32,
+    /// Prefix of the generation's keys in the store; empty for the first.
+    pub namespace: String,
+    /// What the generation's revisions are ahead of the store's: tokens and attempts are made of them
+    /// and may never sink, though a store that lost everything counts from the beginning.
+    pub base: u64,
+    pub phase: Phase,
+}
+
+/// A controller that waits for an intact store, with what it could rebuild it from; on its lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Candidate {
+    /// None if it has no history.
+    pub generation: Option<u32>,
+    /// The latest change that it knows, and how far it knows all of them.
+    pub revision: u64,
+    pub complete_to: u64,
+    /// The changes after this revision that it knows are under [`EXTRAS`].
+    pub extras_after: Option<u64>,
+    /// Whether its log surely has everything that it acted on.
+    pub proven: bool,
+}
+
+/// The controller that rebuilds; on its lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lock {
+    pub node: String,
+    pub process: u64,
+}
+
+/// A part of the value of a change that a candidate knows and another may lack; on the candidate's lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExtraPiece {
+    pub key: String,
+    pub stamp: u64,
+    /// None if the key was deleted.
+    pub text: Option<String>,
+    /// Whether the value goes on in the next piece.
+    pub continues: bool,
+}
+
+/// A controller that had no part in a rebuild.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AbsentNode {
+    /// The generation that was rebuilt without it.
+    pub generation: u32,
+}
+
+/// How often a controller has written this key. A store that was restored from a backup shows an earlier
+/// number, even if its revision has grown beyond the one last seen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Witness {
+    pub count: u64,
+}
+
+/// A record with the stamp of its key in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stamped<T> {
+    pub value: T,
+    pub stamp: u64,
+}
+
+/// The keys under `recovery/` at one revision of the store.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Observed {
+    pub identity: Option<Stamped<Identity>>,
+    pub lock: Option<Stamped<Lock>>,
+    pub candidates: BTreeMap<String, Stamped<Candidate>>,
+    pub witnesses: BTreeMap<String, u64>,
+    /// Controllers whose knowledge the records lack.
+    pub absent: BTreeMap<String, Stamped<AbsentNode>>,
+    pub extras: Vec<ExtraPiece>,
+    /// The store's own revision.
+    pub epoch: u64,
+}
+
+fn stamped<T: DeserializeOwned>(row: &Row) -> Option<Stamped<T>> {
+    Some(Stamped { value: row.v.parse()?, stamp: row.stamp })
+}
+
+impl Observed {
+    /// What a listing of `recovery/`, or of the identity's key alone, shows.
+    pub fn of(rows: &Rows) -> Observed {
+        let mut observed = Observed { epoch: rows.epoch, ..Observed::default() };
+        for row in &rows.rows {
+            if row.path == IDENTITY {
+                observed.identity = stamped(row);
+            } else if row.path == LOCK {
+                observed.lock = stamped(row);
+            } else if let Some(node) = row.path.strip_prefix(CANDIDATES) {
+                observed.candidates.extend(stamped(row).map(|c| (node.to_owned(), c)));
+            } else if let Some(node) = row.path.strip_prefix(ABSENT) {
+                observed.absent.extend(stamped(row).map(|a| (node.to_owned(), a)));
+            } else if row.path.starts_with(EXTRAS) {
+                observed.extras.extend(row.v.parse::<ExtraPiece>());
+            } else if let Some(node) = row.path.strip_prefix(WITNESSES) {
+                let count = row.v.parse::<Witness>().map(|w| w.count);
+                observed.witnesses.extend(count.map(|count| (node.to_owned(), count)));
+            }
+        }
+        observed
+    }
+}
--- /dev/null
+++ b/crates/quartzlever-recovery/src/picture.rs
@@ -0,0 +1,171 @@
+//! All records that a controller has seen, complete up to a revision.
+
+use std::collections::BTreeMap;
+
+use quartzlever_wire::state::{
+    CLUSTER_NODES, Change, Event, NodeRecord, Row, StateCall, StateReply,
+};
+use serde::{Deserialize, Serialize};
+
+/// A record: its JSON text, and the revision of its last change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    pub value: String,
+    pub stamp: u64,
+}
+
+/// A change of one key; without a value it was deleted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyChange {
+    pub key: String,
+    pub stamp: u64,
+    pub value: Option<String>,
+}
+
+/// Changes that an answer of the state service has shown.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Update {
+    pub changes: Vec<KeyChange>,
+    /// Together with what was known before, these are all changes up to this revision.
+    pub complete_to: Option<u64>,
+}
+
+impl Update {
+    /// What an answer to a call shows; nothing if it shows no change.
+    pub fn shown_by(call: &StateCall, reply: &StateReply) -> Option<Update> {
+        match (call, reply) {
+            (StateCall::Txn(txn), StateReply::Committed(stamp)) if !txn.changes.is_empty() => {
+                let changes = txn.changes.iter().map(|c| written(c, *stamp)).collect();
+                Some(Update { changes, complete_to: None })
+            }
+            (StateCall::Watch { .. }, StateReply::Watched(answer)) => {
+                let changes = answer.log.iter().map(told).collect();
+                Some(Update { changes, complete_to: Some(answer.epoch) })
+            }
+            (StateCall::Get(_), StateReply::Row(Some(row))) => {
+                Some(Update { changes: vec![read(row)], complete_to: None })
+            }
+            _ => None,
+        }
+    }
+}
+
+fn written(change: &Change, stamp: u64) -> KeyChange {
+    match change {
+        Change::Write { write, v, .. } => {
+            KeyChange { key: write.clone(), stamp, value: Some(v.text().to_owned()) }
+        }
+        Change::Delete { delete } => KeyChange { key: delete.clone(), stamp, value: None },
+    }
+}
+
+fn told(event: &Event) -> KeyChange {
+    match event {
+        Event::Write { write, v, stamp } => {
+            KeyChange { key: write.clone(), stamp: *stamp, value: Some(v.text().to_owned()) }
+        }
+        Event::Delete { delete, stamp } => {
+            KeyChange { key: delete.clone(), stamp: *stamp, value: None }
+        }
+    }
+}
+
+fn read(row: &Row) -> KeyChange {
+    KeyChange { key: row.path.clone(), stamp: row.stamp, value: Some(row.v.text().to_owned()) }
+}
+
+/// The records of a generation.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Picture {
+    revision: u64,
+    rows: BTreeMap<String, Record>,
+    /// Deletions that were learned before all earlier changes: an earlier write of the same key, which
+    /// is told later, is no news.
+    early_deletions: BTreeMap<String, u64>,
+}
+
+impl Picture {
+    /// A picture of these records, which are all there were at this revision.
+    pub fn new(revision: u64, rows: BTreeMap<String, Record>) -> Picture {
+        Picture { revision, rows, early_deletions: BTreeMap::new() }
+    }
+
+    /// All changes up to this revision are in the picture.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    pub fn rows(&self) -> &BTreeMap<String, Record> {
+        &self.rows
+    }
+
+    pub fn get(&self, key: &str) -> Option<&Record> {
+        self.rows.get(key)
+    }
+
+    /// Takes changes in; those that are known already, or older than what is known, change nothing.
+    pub fn apply(&mut self, update: Update) {
+        for change in update.changes {
+            self.apply_change(change);
+        }
+        if let Some(revision) = update.complete_to {
+            self.revision = self.revision.max(revision);
+            let complete = self.revision;
+            self.early_deletions.retain(|_, stamp| *stamp > complete);
+        }
+    }
+
+    fn apply_change(&mut self, change: KeyChange) {
+        let known = self.rows.get(&change.key).map_or(0, |record| record.stamp);
+        let deleted = self.early_deletions.get(&change.key).copied().unwrap_or(0);
+        if change.stamp <= self.revision.max(known).max(deleted) {
+            return;
+        }
+        match change.value {
+            Some(value) => {
+                self.early_deletions.remove(&change.key);
+                self.rows.insert(change.key, Record { value, stamp: change.stamp });
+            }
+            None => {
+                self.rows.remove(&change.key);
+                self.early_deletions.insert(change.key, change.stamp);
+            }
+        }
+    }
+
+    /// What is known of changes after a revision. Of the deletions only those that came early are
+    /// known; a job's end shows by its final state.
+    pub fn changes_after(&self, revision: u64) -> Vec<KeyChange> {
+        let later = self.rows.iter().filter(|(_, record)| record.stamp > revision);
+        let written = later.map(|(key, record)| KeyChange {
+            key: key.clone(),
+            stamp: record.stamp,
+            value: Some(record.value.clone()),
+        });
+        let deletions = self.early_deletions.iter().filter(|(_, stamp)| **stamp > revision);
+        let deleted = deletions.map(|(key, stamp)| KeyChange {
+            key: key.clone(),
+            stamp: *stamp,
+            value: None,
+        });
+        written.chain(deleted).collect()
+    }
+
+    /// The latest stamp of any change in the picture.
+    pub fn newest(&self) -> u64 {
+        let latest = self.rows.values().map(|record| record.stamp).max().unwrap_or(0);
+        let deleted = self.early_deletions.values().copied().max().unwrap_or(0);
+        self.revision.max(latest).max(deleted)
+    }
+
+    /// The nodes whose processes were up.
+    pub fn nodes_up(&self) -> impl Iterator<Item = &str> {
+        let announced = self.rows.iter().filter(|(key, _)| key.starts_with(CLUSTER_NODES));
+        let readable = announced.filter(|(_, r)| serde_json_reads::<NodeRecord>(&r.value));
+        readable.filter_map(|(key, _)| key.strip_prefix(CLUSTER_NODES))
+    }
+}
+
+fn serde_json_reads<T: serde::de::DeserializeOwned>(text: &str) -> bool {
+    quartzlever_wire::Json::from_text(text).is_some_and(|json| json.parse::<T>().is_some())
+}
--- a/crates/quartzlever-standin/src/fleet.rs
+++ b/crates/quartzlever-standin/src/fleet.rs
@@ -130,6 +130,16 @@
         state.workers.values().map(|w| w.running().iter().filter(of_job).count()).sum()
     }
 
+    /// A machine that runs tasks stops for good, if there is one.
+    pub fn fail_busy_machine(&self) {
+        self.change(|state, _| {
+            let busy = state.workers.iter().find(|(_, worker)| !worker.running().is_empty());
+            if let Some(host) = busy.map(|(host, _)| host.clone()) {
+                state.workers.remove(&host);
+            }
+        });
+    }
+
     fn leave(&self, host: &str) {
         self.change(|state, _| {
             state.workers.remove(host);
--- a/crates/quartzlever-standin/src/lib.rs
+++ b/crates/quartzlever-standin/src/lib.rs
@@ -3,7 +3,8 @@
 //! [`Store`], [`Cloud`] and [`Worker`] are pure: the caller says what time it is. [`http`] puts
 //! them on loopback ports for tests of the real program, [`fleet`] runs the workers and shows the
 //! [`rules`] checker what they do, [`crowd`] is a fleet of thousands of workers, and [`program`]
-//! starts the program itself, or the version in [`production`].
+//! starts the program itself, or the version in [`production`], with the settings of a [`site`]; [`users`]
+//! ask it.
 
 mod cloud;
 pub mod crowd;
@@ -13,7 +14,9 @@
 pub mod production;
 pub mod program;
 pub mod rules;
+pub mod site;
 mod store;
+pub mod users;
 mod worker;
 
 pub use cloud::Cloud;
--- a/crates/quartzlever-standin/src/store.rs
+++ b/crates/quartzlever-standin/src/store.rs
@@ -10,7 +10,7 @@
 use quartzlever_wire::{CallError, Json, Micros};
 
 /// A consistent store with leases and a log of changes.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Store {
     epoch: u64,
     keys: BTreeMap<String, (Json, u64, Option<u64>)>,
@@ -63,6 +63,18 @@
         self.keys.iter().find(unknown).map(|(key, _)| key.as_str())
     }
 
+    /// Forgets everything: keys, leases, and how many changes there were.
+    pub fn wipe(&mut self) {
+        let Store { value_limit, ops_limit, write_rate, page_limit, log_limit, .. } = *self;
+        *self =
+            Store { value_limit, ops_limit, write_rate, page_limit, log_limit, ..Store::default() };
+    }
+
+    /// Loses keys, without any change that a watch could tell of.
+    pub fn lose(&mut self, mut is_lost: impl FnMut(&str) -> bool) {
+        self.keys.retain(|key, _| !is_lost(key));
+    }
+
     /// Ends an outage: all leases get their full time again.
     pub fn end_outage(&mut self, now: Micros) {
         self.outage = false;
--- a/crates/quartzlever/tests/rolling_upgrade/users.rs
+++ b/crates/quartzlever-standin/src/users.rs
@@ -6,11 +6,12 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use quartzlever_standin::fleet::Fleet;
-use quartzlever_standin::rules::Asked;
 use quartzlever_wire::users::JobSpec;
 use serde_json::Value;
 
+use crate::fleet::Fleet;
+use crate::rules::Asked;
+
 const PATIENCE: Duration = Duration::from_secs(2);
 const RETRY: Duration = Duration::from_millis(500);
 /// Far longer than any takeover; a test that waits for so long has found a fault.
--- a/crates/quartzlever-wire/src/json.rs
+++ b/crates/quartzlever-wire/src/json.rs
@@ -16,6 +16,11 @@
         Json(serde_json::value::to_raw_value(value).unwrap_or_else(|_| null()))
     }
 
+    /// The value of a text, if it is JSON.
+    pub fn from_text(text: &str) -> Option<Json> {
+        RawValue::from_string(text.to_owned()).ok().map(Json)
+    }
+
     /// What the text says, if it is of that type.
     pub fn parse<T: DeserializeOwned>(&self) -> Option<T> {
         serde_json::from_str(self.text()).ok()
--- a/crates/quartzlever/src/node.rs
+++ b/crates/quartzlever/src/node.rs
@@ -19,6 +19,7 @@
 
 use crate::clock::{Clock, wall};
 use crate::inbox::{Inbox, Item, Outlet, Reply};
+use crate::recovery::{self, Recovery, StateService};
 use crate::server::{self, BUSY, BUSY_BODY, Exit, Port, Status};
 use crate::settings::Settings;
 use crate::thread_pool;
@@ -85,12 +86,16 @@
 }
 
 impl EffectThreads {
-    fn start(settings: &Settings, inbox: &Inbox, clock: Clock) -> io::Result<EffectThreads> {
+    fn start(
+        settings: &Settings,
+        client: &StateService,
+        inbox: &Inbox,
+        clock: Clock,
+    ) -> io::Result<EffectThreads> {
         // Until the core knows who shares the limits.
         let share = SHARE / settings.core.nodes.len() as f64;
         // The core keeps account of changes, since it knows which are worth most.
         let requests = Arc::new(Budget::new(settings.core.state_rps * share));
-        let client = StateClient::new(&settings.state);
         let mut lanes = HashMap::new();
         // Lane, threads, share of the budget left to others, patience.
         for (lane, threads, keep, patience) in [
@@ -196,18 +201,55 @@
 }
 
 /// Runs a controller until the process is ended.
-pub fn run(settings: Settings, seed: u64) -> io::Result<()> {
+pub fn run(settings: Settings, recovery: Option<Recovery>, seed: u64) -> io::Result<()> {
     let clock = Clock::new();
     let (inbox, outlet) = Inbox::new();
-    let threads = EffectThreads::start(&settings, &inbox, clock)?;
     serve_peers(settings.internal, inbox.clone())?;
     let bounds = server::Bounds::of(settings.limits);
-    let port = Port::take(settings.api, bounds, inbox, clock)?;
+    let port = Port::take(settings.api, bounds, inbox.clone(), clock)?;
     tracing::info!("{} serves {}", settings.core.node, port.address()?);
+    let (service, port) = match recovery {
+        None => (StateService::Direct(StateClient::new(&settings.state)), Some(port)),
+        Some(recovery) => {
+            port.open()?;
+            (open_state(&settings, recovery, &outlet)?, None)
+        }
+    };
+    let threads = EffectThreads::start(&settings, &service, &inbox, clock)?;
     let core = Core::new(settings.core, seed, clock.now());
     work(core, outlet, threads, port, clock)
 }
 
+/// Turns everybody away until the state service may be worked with.
+fn open_state(
+    settings: &Settings,
+    recovery: Recovery,
+    outlet: &Outlet,
+) -> io::Result<StateService> {
+    let core = thread::current();
+    thread::scope(|scope| {
+        let opening = thread::Builder::new().name("recovery".into()).spawn_scoped(scope, || {
+            let opened = recovery::open(settings, recovery);
+            core.unpark();
+            opened
+        })?;
+        let mut message = Vec::new();
+        while !opening.is_finished() {
+            outlet.tell_state(true, 0);
+            outlet.sleep(TICK);
+            let all = outlet.first.try_iter().chain(outlet.questions.try_iter());
+            for Item { reply, .. } in all.chain(outlet.submissions.try_iter()) {
+                // A peer whose reply is dropped is told nothing.
+                if let Some((_, Reply::Http(exit, _))) = reply {
+                    exit.taken();
+                    exit.send(&BUSY, BUSY_BODY, &mut message);
+                }
+            }
+        }
+        opening.join().map_err(|_| io::Error::other("the recovery of lost state failed"))?
+    })
+}
+
 /// Requests that wait for their answers.
 #[derive(Default)]
 struct Waiting {
@@ -247,19 +289,20 @@
     }
 }
 
-/// The one owner of all state: takes commands in batches and hands out effects.
+/// The one owner of all state: takes commands in batches and hands out effects. A port that is handed over
+/// is opened once the state service has been read.
 fn work(
     mut core: Core,
     outlet: Outlet,
     threads: EffectThreads,
-    port: Port,
+    mut port: Option<Port>,
     clock: Clock,
 ) -> io::Result<()> {
     const TICK_MICROS: Micros = TICK.as_micros() as Micros;
     let mut waiting = Waiting::default();
     let mut ticked = None;
     let (mut last, mut behind) = (clock.now(), false);
-    let (mut port, open_at) = (Some(port), clock.now() + OPEN_AFTER);
+    let open_at = clock.now() + OPEN_AFTER;
     loop {
         let now = clock.now();
         let tick_at = ticked.map_or(now, |t| t + TICK_MICROS);
--- /dev/null
+++ b/crates/quartzlever/src/recovery.rs
@@ -0,0 +1,91 @@
+//! Rebuilding lost state, as the operator has switched it on: the files, the threads, and the way of a
+//! process to an intact store.
+
+pub mod commands;
+mod directory;
+mod journal;
+mod monitor;
+mod settings;
+mod state;
+
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+
+use quartzlever_clients::StateClient;
+use quartzlever_recovery::guard::Guard;
+use quartzlever_recovery::history::{LoadedHistory, read_history};
+use quartzlever_recovery::rebuild::{self, Local, RebuildSettings};
+
+use crate::clock::Clock;
+use crate::settings::Settings;
+use journal::Journal;
+use monitor::Monitor;
+use state::{ClientAccess, GuardedState};
+
+pub use directory::{Directory, DirectoryError, OwnDirectory};
+pub use settings::{RecoveryEntry, RecoverySettings};
+pub use state::StateService;
+
+/// What recovery asks of the state service beyond what the core asks, in requests a second: the looks at
+/// the identity, its check after each renewal, and the witness.
+pub const REQUESTS_A_SECOND: f64 = 2.0;
+
+/// What the operator has switched on.
+#[derive(Debug)]
+pub struct Recovery {
+    pub settings: RecoverySettings,
+    pub directory: OwnDirectory,
+}
+
+fn load(directory: &Directory) -> io::Result<(LoadedHistory, bool)> {
+    let marked = directory.is_marked();
+    Ok((read_history(&directory.read()?), marked))
+}
+
+/// What the steps of a rebuild are told by the settings.
+fn rebuild_settings(settings: &Settings, recovery: &RecoverySettings) -> RebuildSettings {
+    let core = &settings.core;
+    RebuildSettings {
+        node: core.node.clone(),
+        nodes: core.nodes.clone(),
+        process: crate::random_number(),
+        gather: recovery.gather,
+        lease_life: core.operator.lease_life,
+        worker_lease: core.workers.lease,
+        txn_ops: core.txn_ops,
+        write_rps: core.state_write_rps,
+        value_bytes: core.value_bytes,
+    }
+}
+
+/// Comes back when the state service may be worked with. Whatever its data has suffered while this process
+/// was away is mended by then, by this controller or another.
+pub fn open(settings: &Settings, recovery: Recovery) -> io::Result<StateService> {
+    let Recovery { settings: own, directory } = recovery;
+    let (loaded, marked) = load(&directory.directory)?;
+    for complaint in &loaded.complaints {
+        tracing::error!("recovery: {complaint}");
+    }
+    let witness = loaded.history.as_ref().map_or(0, |history| history.witness);
+    let client = StateClient::new(&settings.state);
+    let mut access = ClientAccess { client: client.clone(), clock: Clock::new() };
+    let local = Local { history: loaded.history, marked, found: None };
+    let opened = rebuild::open(&mut access, &rebuild_settings(settings, &own), &local)
+        .map_err(io::Error::other)?;
+    // A new generation knows of no witness yet, or of the one that was written last.
+    let same = local.history.as_ref().is_some_and(|h| h.identity == opened.generation.identity);
+    let witness = if same { witness } else { 0 };
+    let identity = opened.generation.identity.clone();
+    let journal = Journal::start(directory, &own, identity, opened.picture)?;
+    journal.witness_written(witness);
+    let state = Arc::new(GuardedState {
+        client,
+        guard: Guard::new(opened.generation, opened.epoch),
+        journal,
+        suspects: AtomicBool::new(false),
+        lacks_jobs: AtomicBool::new(opened.lacks_jobs),
+    });
+    Monitor::start(state.clone(), own, settings.core.node.clone(), witness)?;
+    Ok(StateService::Guarded(state))
+}
--- /dev/null
+++ b/crates/quartzlever/src/recovery/journal.rs
@@ -0,0 +1,339 @@
+//! The thread that owns the picture of all records, and writes each change to the log before the rest of
+//! the program learns of it.
+//!
+//! So nothing that the program does rests on a record that its log lacks. Where the disk fails, or takes too
+//! long, the program goes on without it and says so: the mark in the directory is removed first.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded, unbounded};
+use hdrhistogram::Histogram;
+use quartzlever_recovery::format::{LogEntry, Snapshot, WriteTimes};
+use quartzlever_recovery::identity::Identity;
+use quartzlever_recovery::picture::{Picture, Update};
+
+use crate::clock::wall;
+use crate::recovery::directory::{Directory, LogFile, OwnDirectory, WriteError};
+use crate::recovery::settings::RecoverySettings;
+
+/// How long an answer of the state service is kept back for the disk.
+const PATIENCE: Duration = Duration::from_secs(1);
+/// The log shows at least this often that it is written.
+const ALIVE_EVERY: Duration = Duration::from_secs(1);
+/// After a write that failed.
+const RETRY: Duration = Duration::from_secs(5);
+const REPORT_EVERY: Duration = Duration::from_secs(60);
+
+/// What the journal is asked.
+enum Request {
+    Record {
+        update: Update,
+        written: Sender<()>,
+    },
+    /// The records were listed anew.
+    Replace {
+        picture: Picture,
+        written: Sender<()>,
+    },
+    IsKnown {
+        key: String,
+        answer: Sender<bool>,
+    },
+    Picture {
+        answer: Sender<Picture>,
+    },
+    /// The process has written its witness key so often.
+    Witness(u64),
+}
+
+/// The way to the journal's thread.
+#[derive(Clone)]
+pub struct Journal {
+    requests: Sender<Request>,
+    /// All changes up to this revision are in the picture.
+    complete_to: Arc<AtomicU64>,
+    /// The program goes on without the log.
+    unprotected: Arc<AtomicBool>,
+    directory: Directory,
+}
+
+impl Journal {
+    /// Writes a snapshot of the picture and starts the journal with it.
+    pub fn start(
+        own: OwnDirectory,
+        settings: &RecoverySettings,
+        identity: Identity,
+        picture: Picture,
+    ) -> io::Result<Journal> {
+        let (requests, receiver) = unbounded();
+        let journal = Journal {
+            requests,
+            complete_to: Arc::new(AtomicU64::new(picture.revision())),
+            unprotected: Arc::new(AtomicBool::new(false)),
+            directory: own.directory.clone(),
+        };
+        let mut writer = Writer {
+            own,
+            settings: settings.clone(),
+            identity,
+            picture,
+            witness: 0,
+            log: None,
+            mark_due: false,
+            snapshot_at: Instant::now(),
+            retry_at: Instant::now(),
+            complete_to: journal.complete_to.clone(),
+            unprotected: journal.unprotected.clone(),
+            times: Times::new()?,
+        };
+        writer.take_snapshot();
+        writer.set_due_mark();
+        thread::Builder::new().name("journal".into()).spawn(move || writer.run(&receiver))?;
+        Ok(journal)
+    }
+
+    /// Comes back when the changes are on the disk, or when the disk is not to be waited for.
+    pub fn record(&self, update: Update) {
+        let (written, done) = bounded(1);
+        // A journal that has ended by a failure takes nothing; what follows says so.
+        let _ = self.requests.send(Request::Record { update, written });
+        self.await_write(&done);
+    }
+
+    /// The same for a picture that takes the present one's place.
+    pub fn replace(&self, picture: Picture) {
+        let (written, done) = bounded(1);
+        let _ = self.requests.send(Request::Replace { picture, written });
+        self.await_write(&done);
+    }
+
+    fn await_write(&self, done: &Receiver<()>) {
+        if self.unprotected.load(Ordering::SeqCst) || done.recv_timeout(PATIENCE).is_ok() {
+            return;
+        }
+        if !self.unprotected.swap(true, Ordering::SeqCst) {
+            tracing::error!("log: the disk takes too long; the service goes on unprotected");
+            unmark_in_time(&self.directory);
+        }
+    }
+
+    pub fn is_known(&self, key: &str) -> bool {
+        let (answer, known) = bounded(1);
+        let key = key.to_owned();
+        let asked = self.requests.send(Request::IsKnown { key, answer });
+        asked.is_ok() && known.recv_timeout(PATIENCE).unwrap_or(false)
+    }
+
+    /// The picture as it is now.
+    pub fn picture(&self) -> Option<Picture> {
+        let (answer, picture) = bounded(1);
+        self.requests.send(Request::Picture { answer }).ok()?;
+        picture.recv_timeout(PATIENCE).ok()
+    }
+
+    pub fn witness_written(&self, count: u64) {
+        let _ = self.requests.send(Request::Witness(count));
+    }
+
+    pub fn complete_to(&self) -> u64 {
+        self.complete_to.load(Ordering::SeqCst)
+    }
+}
+
+/// Removes the mark, waiting no longer than for a write: the disk may hang in this too. The log's age shows
+/// then that it was not written.
+fn unmark_in_time(directory: &Directory) {
+    let (done, removed) = bounded(1);
+    let directory = directory.clone();
+    let spawned = thread::Builder::new().name("unmark".into()).spawn(move || {
+        let _ = done.send(directory.unmark());
+    });
+    let result = spawned.map(|_| removed.recv_timeout(PATIENCE));
+    if !matches!(result, Ok(Ok(Ok(())))) {
+        tracing::error!("log: its mark could not be removed");
+    }
+}
+
+/// How long writes took.
+struct Times {
+    histogram: Histogram<u64>,
+    reported: Instant,
+}
+
+impl Times {
+    /// Three digits are kept.
+    fn new() -> io::Result<Times> {
+        let histogram = Histogram::new(3).map_err(io::Error::other)?;
+        Ok(Times { histogram, reported: Instant::now() })
+    }
+
+    fn add(&mut self, span: Duration) {
+        // The histogram grows to whatever comes.
+        let _ = self.histogram.record(span.as_micros() as u64);
+    }
+
+    fn summary(&self) -> WriteTimes {
+        WriteTimes {
+            count: self.histogram.len(),
+            median: self.histogram.value_at_quantile(0.5),
+            p99: self.histogram.value_at_quantile(0.99),
+            longest: self.histogram.max(),
+        }
+    }
+
+    fn report(&mut self) {
+        if self.reported.elapsed() < REPORT_EVERY {
+            return;
+        }
+        self.reported = Instant::now();
+        let WriteTimes { count, median, p99, longest } = self.summary();
+        tracing::info!(
+            "log: {count} writes since the start, half of them within {median} us, 99% within \
+             {p99} us, the longest {longest} us"
+        );
+    }
+}
+
+struct Writer {
+    own: OwnDirectory,
+    settings: RecoverySettings,
+    identity: Identity,
+    picture: Picture,
+    witness: u64,
+    /// None while the disk fails.
+    log: Option<LogFile>,
+    /// The mark is to be set once everything that was not waited for is on the disk.
+    mark_due: bool,
+    snapshot_at: Instant,
+    retry_at: Instant,
+    complete_to: Arc<AtomicU64>,
+    unprotected: Arc<AtomicBool>,
+    times: Times,
+}
+
+impl Writer {
+    fn run(&mut self, requests: &Receiver<Request>) {
+        loop {
+            let first = match requests.recv_timeout(ALIVE_EVERY) {
+                Ok(request) => Some(request),
+                Err(RecvTimeoutError::Timeout) => None,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            let batch: Vec<Request> = first.into_iter().chain(requests.try_iter()).collect();
+            self.take(batch);
+            self.times.report();
+        }
+    }
+
+    /// Takes a batch in: all its changes go to the disk together.
+    fn take(&mut self, batch: Vec<Request>) {
+        let mut entries = Vec::new();
+        let mut waiting = Vec::new();
+        let mut replaced = false;
+        for request in batch {
+            match request {
+                Request::Record { update, written } => {
+                    entries.push(LogEntry::Update(update.clone()));
+                    self.picture.apply(update);
+                    waiting.push(written);
+                }
+                Request::Replace { picture, written } => {
+                    if picture.revision() >= self.picture.revision() {
+                        self.picture = picture;
+                        replaced = true;
+                    }
+                    waiting.push(written);
+                }
+                Request::IsKnown { key, answer } => {
+                    let _ = answer.send(self.picture.get(&key).is_some());
+                }
+                Request::Picture { answer } => {
+                    let _ = answer.send(self.picture.clone());
+                }
+                Request::Witness(count) => self.witness = self.witness.max(count),
+            }
+        }
+        entries.push(LogEntry::Alive { wall: wall(), witness: self.witness });
+        self.append(&entries);
+        self.set_due_mark();
+        if replaced || self.needs_snapshot() {
+            self.take_snapshot();
+        }
+        self.complete_to.store(self.picture.revision(), Ordering::SeqCst);
+        for written in waiting {
+            // Whoever no longer waits has been told that the disk is slow.
+            let _ = written.send(());
+        }
+    }
+
+    /// Sets the mark again. Whatever was told to the program without being waited for was in the queue before
+    /// the program began to wait again, so it was appended with the batch after that.
+    fn set_due_mark(&mut self) {
+        if !self.mark_due || self.log.is_none() {
+            return;
+        }
+        self.mark_due = false;
+        if let Err(error) = self.own.directory.mark() {
+            self.fails(&error.into());
+        }
+    }
+
+    fn append(&mut self, entries: &[LogEntry]) {
+        let Some(log) = &mut self.log else { return };
+        let begin = Instant::now();
+        match log.append(entries) {
+            Ok(()) => self.times.add(begin.elapsed()),
+            Err(error) => self.fails(&error),
+        }
+    }
+
+    fn needs_snapshot(&self) -> bool {
+        let Some(log) = &self.log else { return Instant::now() >= self.retry_at };
+        let aged = self.snapshot_at.elapsed().as_micros() as u64 >= self.settings.snapshot;
+        // What was not waited for is on the disk only with a new snapshot.
+        aged || log.bytes >= self.settings.log_bytes || self.unprotected.load(Ordering::SeqCst)
+    }
+
+    /// Writes a snapshot, and a new log after it.
+    fn take_snapshot(&mut self) {
+        let snapshot = Snapshot {
+            identity: self.identity.clone(),
+            revision: self.picture.revision(),
+            wall: wall(),
+            write_times: self.times.summary(),
+            rows: self.picture.rows().iter().map(|(k, r)| (k.clone(), r.clone())).collect(),
+        };
+        self.snapshot_at = Instant::now();
+        match self.write_snapshot(&snapshot) {
+            Ok(log) => {
+                self.log = Some(log);
+                self.mark_due = true;
+                if self.unprotected.swap(false, Ordering::SeqCst) {
+                    tracing::info!("log: written again; the service is protected");
+                }
+            }
+            Err(error) => self.fails(&error),
+        }
+    }
+
+    fn write_snapshot(&self, snapshot: &Snapshot) -> Result<LogFile, WriteError> {
+        let directory = &self.own.directory;
+        let number = directory.next_number()?;
+        let mut log = directory.write_snapshot(number, snapshot, self.settings.most_bytes / 2)?;
+        log.append(&[LogEntry::Alive { wall: wall(), witness: self.witness }])?;
+        Ok(log)
+    }
+
+    fn fails(&mut self, error: &WriteError) {
+        self.log = None;
+        self.retry_at = Instant::now() + RETRY;
+        if !self.unprotected.swap(true, Ordering::SeqCst) {
+            tracing::error!("log: {error}; the service goes on unprotected");
+        }
+        unmark_in_time(&self.own.directory);
+    }
+}
--- /dev/null
+++ b/crates/quartzlever/src/recovery/state.rs
@@ -0,0 +1,158 @@
+//! The state service as the rest of the program sees it: every answer was guarded against loss, and is in
+//! the log before it is known.
+
+use std::os::unix::process::CommandExt;
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use quartzlever_clients::StateClient;
+use quartzlever_recovery::StateAccess;
+use quartzlever_recovery::detection::Loss;
+use quartzlever_recovery::guard::{Guard, GuardError};
+use quartzlever_recovery::picture::Update;
+use quartzlever_recovery::rebuild::list_generation;
+use quartzlever_wire::state::{LIVE, OVER, StateCall, StateReply};
+use quartzlever_wire::{CallError, Micros};
+
+use crate::clock::{Clock, wall};
+use crate::recovery::journal::Journal;
+
+/// The state service, called directly or through the guard.
+#[derive(Clone)]
+pub enum StateService {
+    Direct(StateClient),
+    Guarded(std::sync::Arc<GuardedState>),
+}
+
+impl StateService {
+    pub fn call(&self, call: &StateCall) -> Result<StateReply, CallError> {
+        match self {
+            StateService::Direct(client) => client.call(call),
+            StateService::Guarded(state) => state.call(call),
+        }
+    }
+}
+
+/// The state service behind the guard and the journal.
+pub struct GuardedState {
+    pub client: StateClient,
+    pub guard: Guard,
+    pub journal: Journal,
+    /// A record that should be there was not found: all are to be compared.
+    pub suspects: AtomicBool,
+    /// Some jobs may be known to a controller alone that had no part in the rebuild: that a record is not
+    /// there does not show that nobody was told of its job.
+    pub lacks_jobs: AtomicBool,
+}
+
+impl GuardedState {
+    fn call(&self, call: &StateCall) -> Result<StateReply, CallError> {
+        let call = &self.joined_to_picture(call);
+        let mut store = |call: &StateCall| self.client.call(call);
+        match self.guard.call(&mut store, call, |key| self.journal.is_known(key)) {
+            Ok(StateReply::Row(None)) if self.may_be_known_elsewhere(call) => {
+                Err(CallError::Unknown)
+            }
+            Ok(reply) => {
+                if let Some(update) = Update::shown_by(call, &reply) {
+                    self.journal.record(update);
+                } else if matches!((call, &reply), (StateCall::Watch { .. }, StateReply::TooOld)) {
+                    self.read_anew()?;
+                }
+                Ok(reply)
+            }
+            Err(GuardError::Call(error)) => Err(error),
+            Err(GuardError::Suspect) => {
+                self.suspects.store(true, Ordering::SeqCst);
+                Err(CallError::Unknown)
+            }
+            Err(GuardError::Lost(loss)) => begin_anew(&loss),
+        }
+    }
+
+    fn may_be_known_elsewhere(&self, call: &StateCall) -> bool {
+        let of_job = |key: &String| key.starts_with(OVER) || key.starts_with(LIVE);
+        matches!(call, StateCall::Get(key) if of_job(key)) && self.lacks_jobs.load(Ordering::SeqCst)
+    }
+
+    /// A watch begins where the picture is complete, at the latest: the core, which has listed the records
+    /// later, knows what comes twice.
+    fn joined_to_picture(&self, call: &StateCall) -> StateCall {
+        match call {
+            StateCall::Watch { from, hold_ms } => {
+                let from = (*from).min(self.journal.complete_to());
+                StateCall::Watch { from, hold_ms: *hold_ms }
+            }
+            call => call.clone(),
+        }
+    }
+
+    /// Lists all records after the watch has missed some.
+    fn read_anew(&self) -> Result<(), CallError> {
+        let mut access = ClientAccess { client: self.client.clone(), clock: Clock::new() };
+        let picture = list_generation(&mut access, &self.guard.generation)?;
+        let mut store = |call: &StateCall| self.client.call(call);
+        match self.guard.verify(&mut store) {
+            Ok(()) => self.journal.replace(picture),
+            Err(GuardError::Lost(loss)) => begin_anew(&loss),
+            Err(GuardError::Call(error)) => return Err(error),
+            Err(GuardError::Suspect) => return Err(CallError::Unknown),
+        }
+        Ok(())
+    }
+}
+
+/// Exit status of a process that could not begin anew by itself.
+const CANNOT_BEGIN_ANEW: i32 = 1;
+
+/// Data was lost: the process begins anew, in place, so that nothing it has learned or asked for before can
+/// be acted on any more.
+pub fn begin_anew(loss: &Loss) -> ! {
+    static BEGUN: AtomicBool = AtomicBool::new(false);
+    if BEGUN.swap(true, Ordering::SeqCst) {
+        // Another thread is at it, and ends this one.
+        loop {
+            thread::park();
+        }
+    }
+    tracing::error!(
+        "the state service has lost data: {loss}; nothing is done before it is rebuilt"
+    );
+    let error = Command::new("/proc/self/exe").args(std::env::args_os().skip(1)).exec();
+    tracing::error!("cannot begin anew: {error}");
+    std::process::exit(CANNOT_BEGIN_ANEW);
+}
+
+/// What the steps of a rebuild need, by a client of the state service.
+pub struct ClientAccess {
+    pub client: StateClient,
+    pub clock: Clock,
+}
+
+impl StateAccess for ClientAccess {
+    fn call(&mut self, call: &StateCall) -> Result<StateReply, CallError> {
+        self.client.call(call)
+    }
+
+    fn now(&mut self) -> Micros {
+        self.clock.now()
+    }
+
+    fn wall(&mut self) -> Micros {
+        wall()
+    }
+
+    fn pause(&mut self, span: Micros) {
+        thread::sleep(Duration::from_micros(span));
+    }
+
+    fn note(&mut self, line: String) {
+        tracing::info!("recovery: {line}");
+    }
+
+    fn draw(&mut self) -> u64 {
+        crate::random_number()
+    }
+}
--- a/crates/quartzlever/src/settings.rs
+++ b/crates/quartzlever/src/settings.rs
@@ -8,6 +8,7 @@
 use quartzlever_wire::{Micros, micros_from_secs};
 use serde::Deserialize;
 
+use crate::recovery::{REQUESTS_A_SECOND, RecoveryEntry, RecoverySettings};
 use crate::server::Limits;
 
 /// Why the program cannot start; one line that names the field.
@@ -125,7 +126,8 @@
     memory_mb: Option<f64>,
 }
 
-/// What holds for a limit of the machine that the settings leave out.
+/// What holds for a limit of the machine that the settings leave out. Nothing is said of threads then
+/// either, and there are as many as the sockets take: a fixed number would bound the machines.
 const USUAL_LIMITS: Limits = Limits { sockets: 1024, threads: 2000, memory_mb: 256.0 };
 
 /// The operator's file. Every key may be left out.
@@ -145,6 +147,8 @@
     price_cap: Option<f64>,
     silent_return_s: Option<f64>,
     progress_write_s: Option<f64>,
+    /// Lost state is rebuilt from snapshots and a log; off if left out.
+    recovery: Option<RecoveryEntry>,
 }
 
 /// Everything that the program is told at its start.
@@ -158,14 +162,16 @@
     pub state: String,
     pub cloud_rps: f64,
     pub limits: Limits,
+    pub recovery: Option<RecoverySettings>,
 }
 
-struct Checker<'a> {
+/// Checks single settings, and names the file and the field of a bad one.
+pub struct Checker<'a> {
     file: &'a str,
 }
 
 impl Checker<'_> {
-    fn bad(&self, field: &str, why: impl Into<String>) -> BadSettings {
+    pub fn bad(&self, field: &str, why: impl Into<String>) -> BadSettings {
         BadSettings::Field { file: self.file.to_owned(), field: field.to_owned(), why: why.into() }
     }
 
@@ -173,7 +179,7 @@
         text.parse().map_err(|_| self.bad(field, format!("not an address with a port: {text:?}")))
     }
 
-    fn amount(&self, field: &str, value: f64, from: f64, to: f64) -> Result<f64, BadSettings> {
+    pub fn amount(&self, field: &str, value: f64, from: f64, to: f64) -> Result<f64, BadSettings> {
         if value.is_finite() && (from..=to).contains(&value) {
             Ok(value)
         } else {
@@ -181,7 +187,7 @@
         }
     }
 
-    fn span(&self, field: &str, value: f64, from: f64, to: f64) -> Result<Micros, BadSettings> {
+    pub fn span(&self, field: &str, value: f64, from: f64, to: f64) -> Result<Micros, BadSettings> {
         self.amount(field, value, from, to).map(micros_from_secs)
     }
 
@@ -210,7 +216,7 @@
 ) -> Result<Settings, BadSettings> {
     let operator = match operator {
         Some(path) => parse_operator(&path.display().to_string(), &read(path)?)?,
-        None => Operator::default(),
+        None => OperatorSettings::default(),
     };
     parse(&config.display().to_string(), &read(config)?, operator, notes)
 }
@@ -219,7 +225,14 @@
     text.split_whitespace().collect::<Vec<_>>().join(" ")
 }
 
-fn parse_operator(file: &str, text: &str) -> Result<Operator, BadSettings> {
+/// What the operator's file says: to the core, and of recovery.
+#[derive(Default)]
+struct OperatorSettings {
+    core: Operator,
+    recovery: Option<RecoverySettings>,
+}
+
+fn parse_operator(file: &str, text: &str) -> Result<OperatorSettings, BadSettings> {
     let check = Checker { file };
     let entry: Option<OperatorFile> = serde_yaml_ng::from_str(text)
         .map_err(|e| BadSettings::Read { file: file.into(), why: one_line(&e.to_string()) })?;
@@ -254,15 +267,17 @@
     if out.steal_cap < out.steal_start {
         return Err(check.bad("steal_cap_s", "must not be below steal_start_s"));
     }
-    Ok(out)
+    let recovery = entry.recovery.map(|recovery| recovery.check(&check)).transpose()?;
+    Ok(OperatorSettings { core: out, recovery })
 }
 
 fn parse(
     file: &str,
     text: &str,
-    operator: Operator,
+    operator: OperatorSettings,
     notes: Weight,
 ) -> Result<Settings, BadSettings> {
+    let OperatorSettings { core: operator, recovery } = operator;
     let check = Checker { file };
     let entry: File = toml::from_str(text).map_err(|e| {
         let place = e.span().map(|s| text[..s.start.min(text.len())].lines().count());
@@ -316,7 +331,12 @@
     };
     let machine_capacity =
         machine_capacity(&check, params.machine_limits.as_ref(), params.workers.report_s)?;
+    let state_rps = lower("rps", state.rps, state.next.rps, 1.0, 1e9)?;
+    // What recovery asks for itself comes off the controllers' requests, down to half of them.
+    let own = recovery.as_ref().map_or(0.0, |_| REQUESTS_A_SECOND * nodes.len() as f64);
+    let state_rps = (state_rps - own).max(state_rps / 2.0);
     Ok(Settings {
+        recovery,
         api: check.address("api_addr", &entry.api_addr)?,
         internal: check.address("internal_addr", &entry.internal_addr)?,
         peers,
@@ -332,7 +352,7 @@
             teams,
             objectives,
             workers,
-            state_rps: lower("rps", state.rps, state.next.rps, 1.0, 1e9)?,
+            state_rps,
             state_write_rps: lower("write_rps", state.write_rps, state.next.write_rps, 1.0, 1e9)?,
             value_bytes: (lower("value_kb", state.value_kb, state.next.value_kb, 1.0, 1e6)?
                 * 1024.0) as usize,
@@ -373,9 +393,10 @@
     let memory = entry.and_then(|l| l.memory_mb).unwrap_or(USUAL_LIMITS.memory_mb);
     let sockets = entry.and_then(|l| l.sockets);
     let threads = entry.and_then(|l| l.threads);
+    let sockets = count("sockets", sockets, USUAL_LIMITS.sockets, 64.0)?;
     Ok(Limits {
-        sockets: count("sockets", sockets, USUAL_LIMITS.sockets, 64.0)?,
-        threads: count("threads", threads, USUAL_LIMITS.threads, 150.0)?,
+        sockets,
+        threads: count("threads", threads, USUAL_LIMITS.threads.max(sockets), 150.0)?,
         memory_mb: check.amount("params.machine_limits.memory_mb", memory, 16.0, 1e9)?,
     })
 }
--- /dev/null
+++ b/crates/quartzlever/tests/recovery/main.rs
@@ -0,0 +1,145 @@
+//! The real program rebuilds what the state service has lost, while controllers and machines fail.
+
+mod testbed;
+
+use std::thread;
+use std::time::Duration;
+
+use quartzlever_standin::Store;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use testbed::Testbed;
+
+/// What the store loses.
+#[derive(Clone, Copy, Debug)]
+enum Lost {
+    Everything,
+    /// It is restored from a backup, of before the last jobs.
+    Backup,
+    Identity,
+    /// The records of all jobs that are over; of one job; of half of all keys.
+    FinalStates,
+    OneJob,
+    Half,
+}
+
+/// What else goes wrong at the same time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Trouble {
+    None,
+    AllControllersKilled,
+    OneControllerAway,
+    MachinesFail,
+    /// Everything is lost once more while it is being rebuilt.
+    LostAgain,
+}
+
+fn bring_about(store: &mut Store, lost: Lost, backup: &Store, rng: &mut SmallRng) {
+    match lost {
+        Lost::Everything => store.wipe(),
+        Lost::Backup => *store = backup.clone(),
+        Lost::Identity => store.lose(|key| key == "recovery/identity"),
+        Lost::FinalStates => store.lose(|key| key.starts_with("over/")),
+        Lost::OneJob => {
+            let live = store.keys("live/");
+            let lost = live.first().cloned().unwrap_or_else(|| store.keys("over/")[0].clone());
+            store.lose(|key| key == lost);
+        }
+        Lost::Half => {
+            let first = store.keys("over/").first().cloned();
+            store.lose(|key| Some(key) == first.as_deref() || rng.random_bool(0.5));
+        }
+    }
+}
+
+/// Jobs run and end, data is lost at a drawn moment, and every job has one final answer.
+fn jobs_survive(lost: Lost, trouble: Trouble, seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let name = format!("{lost:?}-{trouble:?}").to_lowercase();
+    // Only an audit finds single records that nobody asks for.
+    let mut bed = Testbed::start(&name, 2.0);
+    let first = bed.submit(10);
+    bed.submit_and_cancel();
+    let backup = bed.store().clone();
+    bed.await_done(&first);
+    bed.submit(24);
+    bed.submit_and_cancel();
+    bed.submit(3);
+    thread::sleep(Duration::from_millis(rng.random_range(0..2_500)));
+
+    let before = bed.generation();
+    match trouble {
+        Trouble::AllControllersKilled => bed.kill(&[0, 1, 2]),
+        Trouble::OneControllerAway => bed.kill(&[rng.random_range(0..3)]),
+        Trouble::MachinesFail => {
+            bed.fleet.fail_busy_machine();
+            bed.fleet.fail_busy_machine();
+        }
+        Trouble::None | Trouble::LostAgain => {}
+    }
+    bring_about(&mut bed.store(), lost, &backup, &mut rng);
+    match trouble {
+        Trouble::AllControllersKilled => bed.start_nodes(&[0, 1, 2]),
+        Trouble::LostAgain => {
+            thread::sleep(Duration::from_millis(rng.random_range(500..4_000)));
+            bed.store().wipe();
+        }
+        _ => {}
+    }
+    bed.await_generation_after(before);
+    bed.submit(12);
+    if trouble == Trouble::OneControllerAway {
+        for node in 0..3 {
+            bed.kill(&[node]);
+            bed.start_nodes(&[node]);
+        }
+    }
+    bed.await_ready();
+    bed.finish();
+}
+
+#[test]
+fn everything_is_lost() {
+    jobs_survive(Lost::Everything, Trouble::None, 1);
+}
+
+#[test]
+fn everything_is_lost_and_all_controllers_are_killed() {
+    jobs_survive(Lost::Everything, Trouble::AllControllersKilled, 2);
+}
+
+#[test]
+fn everything_is_lost_while_one_controller_is_away() {
+    jobs_survive(Lost::Everything, Trouble::OneControllerAway, 3);
+}
+
+#[test]
+fn everything_is_lost_again_during_the_rebuild() {
+    jobs_survive(Lost::Everything, Trouble::LostAgain, 4);
+}
+
+#[test]
+fn a_backup_is_restored_while_machines_fail() {
+    jobs_survive(Lost::Backup, Trouble::MachinesFail, 5);
+}
+
+#[test]
+fn the_identity_is_lost() {
+    jobs_survive(Lost::Identity, Trouble::None, 6);
+}
+
+#[test]
+fn final_states_are_lost() {
+    jobs_survive(Lost::FinalStates, Trouble::None, 7);
+}
+
+#[test]
+fn the_record_of_one_job_is_lost() {
+    jobs_survive(Lost::OneJob, Trouble::MachinesFail, 8);
+}
+
+#[test]
+fn half_of_the_records_are_lost() {
+    jobs_survive(Lost::Half, Trouble::None, 9);
+}
--- /dev/null
+++ b/crates/quartzlever/tests/recovery/testbed.rs
@@ -0,0 +1,254 @@
+//! Three controllers that keep snapshots and logs, with stand-ins for store, cloud and workers; the
+//! store loses data.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use quartzlever_standin::fleet::{Behaviour, Fleet};
+use quartzlever_standin::jobs::array;
+use quartzlever_standin::program::Node;
+use quartzlever_standin::rules::RuleChecker;
+use quartzlever_standin::site::Site;
+use quartzlever_standin::users::{Users, until};
+use quartzlever_standin::{Cloud, Store, http};
+use quartzlever_wire::SECOND;
+use quartzlever_wire::state::OverRecord;
+use quartzlever_wire::users::JobPhase;
+
+const NODES: [&str; 3] = ["one", "two", "three"];
+const ZONES: [&str; 3] = ["a", "b", "a"];
+const MACHINES: usize = 8;
+const LIMITS: &str = "value_kb = 16.0\ntxn_ops = 24";
+const LOOK: Duration = Duration::from_millis(25);
+const POLL: Duration = Duration::from_millis(200);
+/// No question about a job may stay without an answer for longer.
+const KNOWN_WITHIN: u64 = 75 * SECOND;
+
+struct Controller {
+    address: SocketAddr,
+    config: PathBuf,
+    operator: PathBuf,
+    /// Where its snapshots and logs are.
+    directory: PathBuf,
+    process: Option<Node>,
+}
+
+/// What surrounds the controllers, and the threads that watch it.
+pub struct Testbed {
+    name: String,
+    store: Arc<Mutex<Store>>,
+    pub fleet: Arc<Fleet>,
+    users: Users,
+    controllers: Vec<Controller>,
+    ended: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+    kept: Vec<String>,
+    cancelled: Vec<String>,
+    next_job: u32,
+}
+
+fn empty_directory(path: &Path) {
+    // It is there only if an earlier run ended early.
+    let _ = std::fs::remove_dir_all(path);
+    std::fs::create_dir_all(path).expect("a directory");
+}
+
+impl Testbed {
+    /// Starts everything and waits until the controllers are ready. All records are compared with the
+    /// picture every `audit_s`.
+    pub fn start(name: &str, audit_s: f64) -> Testbed {
+        let begin = Instant::now();
+        let store = Arc::new(Mutex::new(Store::default()));
+        let state = http::serve_store(store.clone(), begin).expect("store");
+        let scratch = Path::new(env!("CARGO_TARGET_TMPDIR"));
+        let site = Site::new(&format!("recovery-{name}"), scratch, &NODES, &ZONES, LIMITS);
+        let behaviour = Behaviour {
+            report: Duration::from_millis(300),
+            slow_calls: Duration::from_millis(300),
+            lease: 10 * SECOND,
+            run_time: 2 * SECOND,
+        };
+        let rules = RuleChecker::new(20 * SECOND, Vec::new());
+        let fleet = Fleet::new(rules, Arc::new(Mutex::new(site.addresses())), behaviour, begin);
+        let cloud = fleet.serve_cloud(Cloud::new(8.0, &["a", "b"], MACHINES)).expect("cloud");
+        let controller = |(n, (node, address)): (usize, (String, SocketAddr))| {
+            let directory = scratch.join(format!("recovery-{name}-{node}"));
+            empty_directory(&directory);
+            let operator = format!(
+                "lease_life_s: 6\ntakeover_after_s: 1\nhandback_after_s: 2\nsilent_return_s: 5\n\
+                 recovery:\n  directory: {}\n  gather_s: 3\n  check_s: 0.3\n  audit_s: {audit_s}\n\
+                 \x20 snapshot_s: 4\n",
+                directory.display()
+            );
+            Controller {
+                address,
+                config: site.write_settings(n, state, cloud).expect("settings"),
+                operator: site.write(&format!("{n}.yaml"), &operator).expect("an operator's file"),
+                directory,
+                process: None,
+            }
+        };
+        let mut bed = Testbed {
+            name: name.to_owned(),
+            store,
+            users: Users::new(fleet.clone()),
+            fleet,
+            controllers: site.addresses().into_iter().enumerate().map(controller).collect(),
+            ended: Arc::default(),
+            threads: Vec::new(),
+            kept: Vec::new(),
+            cancelled: Vec::new(),
+            next_job: 0,
+        };
+        bed.watch();
+        bed.start_nodes(&[0, 1, 2]);
+        bed.await_ready();
+        bed
+    }
+
+    fn watch(&mut self) {
+        let (store, fleet, ended) = (self.store.clone(), self.fleet.clone(), self.ended.clone());
+        self.threads.push(thread::spawn(move || {
+            while !ended.load(Ordering::Relaxed) {
+                let done = done_jobs(&store.lock().unwrap_or_else(PoisonError::into_inner));
+                fleet.rules(|rules, now| done.iter().for_each(|job| rules.job_done(now, job)));
+                thread::sleep(LOOK);
+            }
+        }));
+        let (users, fleet, ended) = (self.users.clone(), self.fleet.clone(), self.ended.clone());
+        let addresses: Vec<SocketAddr> = self.controllers.iter().map(|c| c.address).collect();
+        self.threads.push(thread::spawn(move || {
+            for turn in 0.. {
+                for job in fleet.rules(|rules, _| rules.accepted()) {
+                    if ended.load(Ordering::Relaxed) {
+                        return;
+                    }
+                    users.look_up(addresses[turn % addresses.len()], &job);
+                }
+                fleet.rules(|rules, now| rules.unanswered(now, now.saturating_sub(KNOWN_WITHIN)));
+                thread::sleep(POLL);
+                if ended.load(Ordering::Relaxed) {
+                    return;
+                }
+            }
+        }));
+    }
+
+    pub fn start_nodes(&mut self, nodes: &[usize]) {
+        for n in nodes {
+            let controller = &mut self.controllers[*n];
+            let program = Path::new(env!("CARGO_BIN_EXE_quartzlever"));
+            let process = Node::start_with(program, &controller.config, Some(&controller.operator));
+            controller.process = Some(process.expect("the program starts"));
+        }
+    }
+
+    pub fn kill(&mut self, nodes: &[usize]) {
+        for n in nodes {
+            self.controllers[*n].process = None;
+        }
+    }
+
+    /// Waits until each process that was started is ready.
+    pub fn await_ready(&self) {
+        for controller in self.controllers.iter().filter(|c| c.process.is_some()) {
+            let url = format!("http://{}/ready", controller.address);
+            let ready = || ureq::get(&url).timeout(Duration::from_secs(1)).call().is_ok();
+            until(&format!("{}: {url}", self.name), ready, |ready| *ready);
+        }
+    }
+
+    pub fn store(&self) -> MutexGuard<'_, Store> {
+        self.store.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Where a controller's snapshots and logs are.
+    pub fn directory(&self, node: usize) -> &Path {
+        &self.controllers[node].directory
+    }
+
+    /// An array is accepted by some controller; it has to be done in the end.
+    pub fn submit(&mut self, tasks: u32) -> String {
+        self.next_job += 1;
+        let spec = array(self.next_job, tasks);
+        let mut turn = self.next_job as usize;
+        let what = format!("{}: {} accepted", self.name, spec.id);
+        let submit = || {
+            turn += 1;
+            self.users.submit(self.controllers[turn % NODES.len()].address, &spec)
+        };
+        until(&what, submit, |told| matches!(told.status, 200 | 201));
+        self.kept.push(spec.id.clone());
+        spec.id
+    }
+
+    /// An array is accepted and then cancelled.
+    pub fn submit_and_cancel(&mut self) {
+        let job = self.submit(40);
+        self.kept.pop();
+        let address = self.controllers[self.next_job as usize % NODES.len()].address;
+        let what = format!("{}: {job} cancelled", self.name);
+        until(&what, || self.users.cancel(address, &job), |told| told.status == 200);
+        self.cancelled.push(job);
+    }
+
+    pub fn await_done(&self, job: &str) {
+        let mut turn = 0;
+        let look_up = || {
+            turn += 1;
+            self.users.look_up(self.controllers[turn % NODES.len()].address, job)
+        };
+        until(&format!("{}: {job} done", self.name), look_up, |told| told.phase == "done");
+    }
+
+    /// Generation of the records in the store.
+    pub fn generation(&self) -> Option<u64> {
+        let store = self.store();
+        let (identity, _) = store.get("recovery/identity")?;
+        identity.parse::<serde_json::Value>()?["generation"].as_u64()
+    }
+
+    /// Waits until a generation after this one serves.
+    pub fn await_generation_after(&self, before: Option<u64>) {
+        let what = format!("{}: rebuilt after generation {before:?}", self.name);
+        until(&what, || self.generation(), |now| *now > before);
+    }
+
+    /// Every job has its one final answer, which no later one contradicts; no rule was broken.
+    pub fn finish(mut self) {
+        self.submit(6);
+        for job in &self.kept {
+            self.await_done(job);
+        }
+        for (n, controller) in self.controllers.iter().enumerate() {
+            for job in self.kept.iter().chain(&self.cancelled) {
+                let phase = if self.kept.contains(job) { "done" } else { "aborted" };
+                let what = format!("{}: {job} {phase} at node {n}", self.name);
+                until(&what, || self.users.look_up(controller.address, job), |t| t.phase == phase);
+            }
+        }
+        self.ended.store(true, Ordering::Relaxed);
+        for thread in self.threads.drain(..) {
+            thread.join().expect("a watching thread");
+        }
+        let broken = self.fleet.rules(|rules, _| rules.broken.clone());
+        assert!(broken.is_empty(), "{}: {broken:#?}", self.name);
+    }
+}
+
+/// Jobs that are done by the store's records, of whatever generation.
+fn done_jobs(store: &Store) -> Vec<String> {
+    let is_done = |key: &str| {
+        let record = store.get(key).and_then(|(value, _)| value.parse::<OverRecord>());
+        record.is_some_and(|record| record.phase == JobPhase::Done)
+    };
+    let jobs = store.keys("").into_iter().filter_map(|key| {
+        let job = key.strip_prefix("over/").or_else(|| Some(key.split_once("/over/")?.1))?;
+        is_done(&key).then(|| job.to_owned())
+    });
+    jobs.collect()
+}
--- a/crates/quartzlever/tests/rolling_upgrade/main.rs
+++ b/crates/quartzlever/tests/rolling_upgrade/main.rs
@@ -6,7 +6,6 @@
 //! full. Nothing here waits for less than the leases need; a run takes about two minutes.
 
 mod testbed;
-mod users;
 
 use testbed::{PARTITIONS, Testbed, Version};
 
--- a/crates/quartzlever/tests/rolling_upgrade/testbed.rs
+++ b/crates/quartzlever/tests/rolling_upgrade/testbed.rs
@@ -1,6 +1,6 @@
 //! Three controllers of either version with stand-ins for store, cloud and workers.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
@@ -11,19 +11,19 @@
 use quartzlever_standin::jobs::{array, service};
 use quartzlever_standin::program::Node;
 use quartzlever_standin::rules::RuleChecker;
+use quartzlever_standin::site::Site;
+use quartzlever_standin::users::{Users, until};
 use quartzlever_standin::{Cloud, Store, http, production};
 use quartzlever_wire::SECOND;
 use quartzlever_wire::state::{CLUSTER_VERSION, OVER, OverRecord, PARTS, PartRecord};
 use quartzlever_wire::users::{JobPhase, JobSpec};
 
-use crate::users::{Users, until};
-
 /// Controllers, and so partitions, by name.
 pub const PARTITIONS: [&str; 3] = ["one", "two", "three"];
 const ZONES: [&str; 3] = ["a", "b", "a"];
 const MACHINES: usize = 9;
-const API_PORT: u16 = 7100;
-const PEER_PORT: u16 = 7200;
+/// Limits to come, which the upgrade has to keep to.
+const LIMITS: &str = "value_kb = 16.0\ntxn_ops = 24\n[params.state.next]\nvalue_kb = 1.0";
 /// How often the workers and the store are looked at.
 const LOOK: Duration = Duration::from_millis(25);
 const POLL: Duration = Duration::from_millis(200);
@@ -95,10 +95,9 @@
         let begin = Instant::now();
         let store = Arc::new(Mutex::new(Store::default()));
         let state = http::serve_store(store.clone(), begin).expect("store");
-        let addresses = PARTITIONS.iter().enumerate().map(|(n, partition)| {
-            ((*partition).to_owned(), SocketAddr::from((loopback(name, n), API_PORT)))
-        });
-        let addresses: Vec<(String, SocketAddr)> = addresses.collect();
+        let directory = Path::new(env!("CARGO_TARGET_TMPDIR"));
+        let site = Site::new(&format!("upgrade-{name}"), directory, &PARTITIONS, &ZONES, LIMITS);
+        let addresses = site.addresses();
         let behaviour = Behaviour {
             report: Duration::from_millis(500),
             // A new holder reaches some machines long before others.
@@ -107,13 +106,12 @@
             run_time: 4 * SECOND,
         };
         let rules = RuleChecker::new(20 * SECOND, Vec::new());
-        let directory = Arc::new(Mutex::new(addresses.clone()));
-        let fleet = Fleet::new(rules, directory, behaviour, begin);
+        let fleet = Fleet::new(rules, Arc::new(Mutex::new(addresses.clone())), behaviour, begin);
         let cloud = fleet.serve_cloud(Cloud::new(8.0, &["a", "b"], MACHINES)).expect("cloud");
         let controllers = addresses.into_iter().zip(versions).enumerate();
         let controllers = controllers.map(|(n, ((_, address), version))| Controller {
             address,
-            config: scratch(name, &format!("{n}.toml"), &settings(name, n, state, cloud)),
+            config: site.write_settings(n, state, cloud).expect("a settings file"),
             process: None,
             version,
             started_at: 0,
@@ -124,7 +122,7 @@
             users: Users::new(fleet.clone()),
             fleet,
             controllers: controllers.collect(),
-            operator: scratch(name, "operator.yaml", OPERATOR),
+            operator: site.write("operator.yaml", OPERATOR).expect("an operator's file"),
             upgrading: Arc::new(AtomicBool::new(true)),
             ended: Arc::default(),
             threads: Vec::new(),
@@ -375,57 +373,3 @@
     let jobs = done.map(|key| key[OVER.len()..].to_owned()).collect();
     (unknown.map(str::to_owned), jobs)
 }
-
-/// A loopback address for each node of each test of each run, so that a process that is started
-/// again finds its port free.
-fn loopback(name: &str, node: usize) -> Ipv4Addr {
-    let run = 2 + (std::process::id() % 250) as u8;
-    let test = name.bytes().fold(7_u8, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte));
-    Ipv4Addr::new(127, run, test, node as u8 + 1)
-}
-
-fn scratch(name: &str, file: &str, text: &str) -> PathBuf {
-    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("upgrade-{name}-{file}"));
-    std::fs::write(&path, text).expect("a scratch file");
-    path
-}
-
-fn settings(name: &str, node: usize, state: SocketAddr, cloud: SocketAddr) -> String {
-    let mut seeds = String::new();
-    for (n, partition) in PARTITIONS.iter().enumerate().filter(|(n, _)| *n != node) {
-        let address = loopback(name, n);
-        seeds +=
-            &format!("[[seeds]]\nnode_name = \"{partition}\"\naddr = \"{address}:{PEER_PORT}\"\n");
-    }
-    let (node_name, zone, address) = (PARTITIONS[node], ZONES[node], loopback(name, node));
-    format!(
-        r#"
-node_name = "{node_name}"
-site = "{zone}"
-api_addr = "{address}:{API_PORT}"
-internal_addr = "{address}:{PEER_PORT}"
-{seeds}
-[external]
-cloud = "{cloud}"
-state = "{state}"
-[params]
-zones = ["a", "b"]
-[[params.teams]]
-name = "free"
-[params.workers]
-report_s = 1.0
-lease_s = 10.0
-cancel_s = 20.0
-[params.state]
-rps = 500.0
-write_rps = 500.0
-value_kb = 16.0
-txn_ops = 24
-[params.state.next]
-value_kb = 1.0
-[params.cloud]
-rps = 50.0
-list_lag_s = 1.0
-"#
-    )
-}
