--- /dev/null
+++ b/crates/quartzlever-recovery/tests/files.rs
@@ -0,0 +1,179 @@
+//! Snapshots and logs that are torn, corrupt or missing.
+
+use quartzlever_recovery::format::{
+    FormatError, LogEntry, Snapshot, WriteTimes, log_frame, log_header, read_log,
+};
+use quartzlever_recovery::history::{StoredFiles, read_history};
+use quartzlever_recovery::identity::{Identity, Phase};
+use quartzlever_recovery::picture::{KeyChange, Picture, Record, Update};
+
+fn identity() -> Identity {
+    Identity {
+        cluster: "c".into(),
+        generation: 3,
+        namespace: "generation/3-1/".into(),
+        base: 1 << 31,
+        phase: Phase::Serving,
+    }
+}
+
+fn snapshot(revision: u64, keys: &[(&str, u64)]) -> Vec<u8> {
+    let row = |(key, stamp): &(&str, u64)| {
+        ((*key).to_owned(), Record { value: "{}".into(), stamp: *stamp })
+    };
+    let write_times = WriteTimes::default();
+    let rows = keys.iter().map(row).collect();
+    Snapshot { identity: identity(), revision, wall: 5, write_times, rows }
+        .to_bytes()
+        .expect("bytes")
+}
+
+fn written(key: &str, stamp: u64) -> KeyChange {
+    KeyChange { key: key.into(), stamp, value: Some("{}".into()) }
+}
+
+fn deleted(key: &str, stamp: u64) -> KeyChange {
+    KeyChange { key: key.into(), stamp, value: None }
+}
+
+fn update(changes: Vec<KeyChange>, complete_to: u64) -> LogEntry {
+    LogEntry::Update(Update { changes, complete_to: Some(complete_to) })
+}
+
+fn log(entries: &[LogEntry]) -> Vec<u8> {
+    let frames = entries.iter().flat_map(|entry| log_frame(entry).expect("a frame"));
+    log_header().into_iter().chain(frames).collect()
+}
+
+fn begin(revision: u64) -> LogEntry {
+    LogEntry::Begin { identity: identity(), revision }
+}
+
+/// A power cut may leave any part of the last entries: what is whole counts, and nothing else does.
+#[test]
+fn a_log_may_end_anywhere() {
+    let entries =
+        [begin(1), update(vec![written("live/a", 2)], 2), update(vec![deleted("live/a", 3)], 3)];
+    let bytes = log(&entries);
+    let mut seen = Vec::new();
+    for end in log_header().len()..=bytes.len() {
+        let content = read_log(&bytes[..end]).expect("a log");
+        let count = content.entries.len();
+        assert_eq!(content.entries, entries[..count], "{end}");
+        assert_eq!(content.torn_bytes, end - log(&entries[..count]).len(), "{end}");
+        seen.push(count);
+    }
+    seen.dedup();
+    assert_eq!(seen, [0, 1, 2, 3]);
+}
+
+#[test]
+fn no_damaged_byte_goes_unnoticed() {
+    let good = snapshot(7, &[("live/a", 3), ("over/b", 6)]);
+    assert!(Snapshot::from_bytes(&good).is_ok());
+    for at in 0..good.len() {
+        let mut bad = good.clone();
+        bad[at] ^= 0x10;
+        assert!(Snapshot::from_bytes(&bad).is_err(), "byte {at}");
+        assert!(Snapshot::from_bytes(&good[..at]).is_err(), "cut at {at}");
+    }
+    let mut later = good.clone();
+    later[8] = 9;
+    assert_eq!(Snapshot::from_bytes(&later), Err(FormatError::Version(9)));
+    assert_eq!(Snapshot::from_bytes(b"something else"), Err(FormatError::Foreign));
+}
+
+/// What is left of two pairs of files, one of them damaged, and whether it is known to be everything.
+#[test]
+fn a_damaged_snapshot_falls_back_to_the_one_before() {
+    let first = || snapshot(10, &[("live/a", 3)]);
+    let first_log = || log(&[begin(10), update(vec![written("live/b", 12)], 12)]);
+    let second = || snapshot(12, &[("live/a", 3), ("live/b", 12)]);
+    let second_log = || log(&[begin(12), update(vec![deleted("live/a", 15)], 15)]);
+    let damaged = || second()[..40].to_vec();
+    let torn = || {
+        let mut bytes = first_log();
+        bytes.truncate(bytes.len() - 3);
+        bytes
+    };
+    // (snapshots, logs, keys, complete to, whole, complaints)
+    type Files = [Option<Vec<u8>>; 2];
+    let cases: Vec<(Files, Files, &[&str], u64, bool, usize)> = vec![
+        (
+            [Some(first()), Some(second())],
+            [Some(first_log()), Some(second_log())],
+            &["live/b"],
+            15,
+            true,
+            0,
+        ),
+        (
+            [Some(first()), Some(damaged())],
+            [Some(first_log()), Some(second_log())],
+            &["live/b"],
+            15,
+            true,
+            1,
+        ),
+        ([Some(first()), None], [Some(first_log()), Some(second_log())], &["live/b"], 15, true, 0),
+        (
+            [Some(first()), Some(second())],
+            [Some(first_log()), None],
+            &["live/a", "live/b"],
+            12,
+            false,
+            1,
+        ),
+        ([Some(first()), Some(damaged())], [None, Some(second_log())], &["live/a"], 10, false, 3),
+        (
+            [Some(first()), Some(damaged())],
+            [Some(torn()), Some(second_log())],
+            &["live/a"],
+            10,
+            false,
+            3,
+        ),
+    ];
+    for (n, (snapshots, logs, keys, complete_to, whole, complaints)) in
+        cases.into_iter().enumerate()
+    {
+        let files: Vec<StoredFiles> = snapshots
+            .into_iter()
+            .zip(logs)
+            .zip(1..)
+            .map(|((snapshot, log), number)| StoredFiles { number, snapshot, log })
+            .collect();
+        let loaded = read_history(&files);
+        let history = loaded.history.expect("a history");
+        let found: Vec<&str> = history.picture.rows().keys().map(String::as_str).collect();
+        assert_eq!(found, keys, "case {n}");
+        assert_eq!(history.picture.revision(), complete_to, "case {n}");
+        assert_eq!(history.whole, whole, "case {n}");
+        assert_eq!(loaded.complaints.len(), complaints, "case {n}: {:?}", loaded.complaints);
+    }
+}
+
+/// Own changes are known before earlier ones of others, and watches tell things twice: whatever the
+/// order, the latest change of a key stands.
+#[test]
+fn changes_may_come_in_any_order_and_twice() {
+    let changes = [
+        (vec![written("live/a", 11)], Some(11)),
+        (vec![written("live/a", 11), written("live/a", 12), written("live/b", 13)], Some(13)),
+        (vec![deleted("live/a", 14)], None),
+        (vec![written("live/b", 15)], None),
+        (vec![deleted("live/a", 14), written("live/b", 15)], Some(15)),
+    ];
+    let orders =
+        [[0, 1, 2, 3, 4], [2, 0, 3, 1, 4], [3, 2, 1, 0, 4], [2, 3, 4, 1, 0], [4, 1, 2, 0, 3]];
+    for order in orders {
+        let mut picture = Picture::new(10, Default::default());
+        for n in order {
+            let (changes, complete_to) = changes[n].clone();
+            picture.apply(Update { changes, complete_to });
+        }
+        assert_eq!(picture.get("live/a"), None, "{order:?}");
+        assert_eq!(picture.get("live/b").map(|r| r.stamp), Some(15), "{order:?}");
+        assert_eq!(picture.revision(), 15, "{order:?}");
+    }
+}
--- /dev/null
+++ b/crates/quartzlever/tests/recovery/commands.rs
@@ -0,0 +1,111 @@
+//! What operators are told at the terminal, and what ends a start.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+use crate::testbed::Testbed;
+
+fn run(arguments: &[&str]) -> Output {
+    let program = env!("CARGO_BIN_EXE_quartzlever");
+    Command::new(program).args(arguments).output().expect("the program runs")
+}
+
+/// The exit status, what was printed, and how many lines of complaint there are.
+fn told(arguments: &[&str]) -> (Option<i32>, String, usize) {
+    let output = run(arguments);
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    let error = text(&output.stderr);
+    (output.status.code(), text(&output.stdout) + &error, error.lines().count())
+}
+
+fn newest_snapshot(directory: &Path) -> PathBuf {
+    let entries = std::fs::read_dir(directory).expect("a directory").flatten();
+    let is_snapshot = |path: &PathBuf| path.display().to_string().contains("snapshot-");
+    entries.map(|entry| entry.path()).filter(is_snapshot).max().expect("a snapshot")
+}
+
+#[test]
+fn an_operator_sees_what_the_files_hold() {
+    let mut bed = Testbed::start("commands", 60.0);
+    let job = bed.submit(3);
+    bed.await_done(&job);
+    bed.submit(40);
+    let directory = bed.directory(0).display().to_string();
+    let [config, operator] = bed.files(0).map(|path| path.display().to_string());
+    let dry_run =
+        ["rebuild", "--dry-run", "--config", config.as_str(), "--operator", operator.as_str()];
+
+    let (status, text, _) = told(&["snapshot", "verify", &directory]);
+    assert_eq!(status, Some(0), "{text}");
+    let (status, text, _) = told(&["snapshot", "show", &directory]);
+    assert_eq!(status, Some(0), "{text}");
+    assert!(text.contains("surely has all") && text.contains("1 ended"), "{text}");
+    let (status, text, _) = told(&dry_run);
+    assert_eq!(status, Some(0), "{text}");
+    assert!(text.contains("would not rebuild"), "{text}");
+
+    // Two controllers on one directory.
+    let (status, text, lines) = told(&["--config", &config, "--operator", &operator]);
+    assert_eq!((status, lines), (Some(2), 1), "{text}");
+    assert!(text.contains("in use"), "{text}");
+
+    bed.kill(&[0, 1, 2]);
+    bed.store().lose(|key| key.starts_with("over/"));
+    let (status, text, _) = told(&dry_run);
+    assert_eq!(status, Some(0), "{text}");
+    assert!(text.contains("would rebuild: 1 lasting records are missing"), "{text}");
+
+    let snapshot = newest_snapshot(bed.directory(0));
+    let mut bytes = std::fs::read(&snapshot).expect("a snapshot");
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 1;
+    std::fs::write(&snapshot, bytes).expect("a snapshot");
+    let (status, text, _) = told(&["snapshot", "verify", &directory]);
+    assert_eq!(status, Some(1), "{text}");
+    assert!(text.contains("wrong checksum"), "{text}");
+    let (status, text, _) = told(&["snapshot", "list", &directory]);
+    assert_eq!(status, Some(0), "{text}");
+    assert!(text.contains("corrupt"), "{text}");
+    // It starts from the pair of files before.
+    bed.start_nodes(&[0, 1, 2]);
+    bed.await_ready();
+    bed.finish();
+}
+
+#[test]
+fn bad_settings_of_recovery_end_the_start_with_one_line() {
+    let scratch = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let config = scratch.join("recovery-check.toml");
+    let settings = include_str!("check.toml");
+    std::fs::write(&config, settings).expect("a settings file");
+    let config = config.display().to_string();
+    let here = scratch.display().to_string();
+    let missing = format!("{here}/no-such-directory");
+    let cases = [
+        (format!("directory: {here}"), 0, ""),
+        (format!("directory: {missing}"), 2, "no-such-directory"),
+        (format!("directory: {config}"), 2, "recovery-check.toml"),
+        ("gather_s: 5".into(), 2, "directory"),
+        (format!("directory: {here}\n  check_s: 0"), 2, "recovery.check_s"),
+        (format!("directory: {here}\n  audit_s: -1"), 2, "recovery.audit_s"),
+        (format!("directory: {here}\n  snapshot_s: .nan"), 2, "recovery.snapshot_s"),
+        (format!("directory: {here}\n  log_mb: 0"), 2, "recovery.log_mb"),
+        (format!("directory: {here}\n  log_mb: 8\n  most_mb: 9"), 2, "recovery.most_mb"),
+        (format!("directory: {here}\n  sync: never"), 2, "sync"),
+    ];
+    for (n, (entry, status, mentions)) in cases.iter().enumerate() {
+        let operator = scratch.join(format!("recovery-check-{n}.yaml"));
+        std::fs::write(&operator, format!("recovery:\n  {entry}\n")).expect("a file");
+        let operator = operator.display().to_string();
+        let (code, text, lines) = told(&["check", "--config", &config, "--operator", &operator]);
+        assert_eq!(code, Some(*status), "{entry}: {text}");
+        assert!(text.contains(mentions), "{entry}: {text}");
+        assert_eq!(lines, usize::from(*status != 0), "{entry}: {text}");
+    }
+    for arguments in [["snapshot", "list", &missing], ["snapshot", "show", &missing]] {
+        let (code, text, lines) = told(&arguments);
+        assert_eq!((code, lines), (Some(2), 1), "{arguments:?}: {text}");
+    }
+    let (code, text, _) = told(&["rebuild", "--dry-run", "--config", &config]);
+    assert_eq!(code, Some(2), "{text}");
+}
--- a/crates/quartzlever/tests/recovery/main.rs
+++ b/crates/quartzlever/tests/recovery/main.rs
@@ -1,11 +1,14 @@
 //! The real program rebuilds what the state service has lost, while controllers and machines fail.
 
+mod commands;
 mod testbed;
 
+use std::os::unix::fs::symlink;
 use std::thread;
 use std::time::Duration;
 
 use quartzlever_standin::Store;
+use quartzlever_standin::users::until;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -143,3 +146,33 @@
 fn half_of_the_records_are_lost() {
     jobs_survive(Lost::Half, Trouble::None, 9);
 }
+
+/// While a disk takes nothing the service goes on without its log, and says so by the mark that it
+/// removes. What is lost then costs the workers their leases, and the records that only that log lacks
+/// come from the others. Once the disk takes something again, the log is written first again.
+#[test]
+fn the_service_goes_on_while_a_disk_is_full() {
+    let mut bed = Testbed::start("full-disk", 60.0);
+    let done = bed.submit(6);
+    let marks: Vec<_> = (0..3).map(|n| bed.directory(n).join("written-first")).collect();
+    let partial = bed.directory(0).join("partial");
+    let marked = || marks.iter().map(|mark| mark.exists()).collect::<Vec<_>>();
+    until("all marked", marked, |all| *all == [true; 3]);
+
+    symlink("/dev/full", &partial).expect("a link");
+    until("unmarked", marked, |all| *all == [false, true, true]);
+    bed.submit(8);
+    bed.submit_and_cancel();
+    bed.await_done(&done);
+    let before = bed.generation();
+    bed.store().wipe();
+    bed.await_generation_after(before);
+    bed.submit(8);
+
+    std::fs::remove_file(&partial).expect("the link");
+    until("marked again", marked, |all| *all == [true; 3]);
+    let before = bed.generation();
+    bed.store().wipe();
+    bed.await_generation_after(before);
+    bed.finish();
+}
--- a/crates/quartzlever/tests/recovery/testbed.rs
+++ b/crates/quartzlever/tests/recovery/testbed.rs
@@ -171,6 +171,12 @@
         &self.controllers[node].directory
     }
 
+    /// A controller's settings and its operator's file.
+    pub fn files(&self, node: usize) -> [&Path; 2] {
+        let controller = &self.controllers[node];
+        [&controller.config, &controller.operator]
+    }
+
     /// An array is accepted by some controller; it has to be done in the end.
     pub fn submit(&mut self, tasks: u32) -> String {
         self.next_job += 1;
