Recovery: tests for three guards that mutations showed untested; the bench of a rebuild

Need: of 24 guards taken out one by one, four went unnoticed.

Change: late transactions at every pair of stamps, the lock lost at each step, a candidate that has not told of its last changes, a table of plans, deletions learned early. A bench with stand-in workers.

--- a/crates/quartzlever-recovery/tests/files.rs
+++ b/crates/quartzlever-recovery/tests/files.rs
@@ -168,9 +168,12 @@
         [[0, 1, 2, 3, 4], [2, 0, 3, 1, 4], [3, 2, 1, 0, 4], [2, 3, 4, 1, 0], [4, 1, 2, 0, 3]];
     for order in orders {
         let mut picture = Picture::new(10, Default::default());
+        let mut is_deleted = false;
         for n in order {
             let (changes, complete_to) = changes[n].clone();
             picture.apply(Update { changes, complete_to });
+            is_deleted |= [2, 4].contains(&n);
+            assert!(!is_deleted || picture.get("live/a").is_none(), "{order:?}: back at {n}");
         }
         assert_eq!(picture.get("live/a"), None, "{order:?}");
         assert_eq!(picture.get("live/b").map(|r| r.stamp), Some(15), "{order:?}");
--- /dev/null
+++ b/crates/quartzlever-recovery/tests/plans.rs
@@ -0,0 +1,85 @@
+//! Which records a rebuild takes from a controller's picture, and which from what the store still holds.
+
+use std::collections::BTreeMap;
+
+use quartzlever_recovery::picture::{Picture, Record};
+use quartzlever_recovery::plan::{Survivors, plan};
+
+type Rows<'a> = &'a [(&'a str, u64)];
+
+/// Records whose values tell where they come from, and their stamps.
+fn records(from: &str, rows: Rows) -> BTreeMap<String, Record> {
+    let record = |stamp: &u64| Record { value: format!("\"{from}{stamp}\""), stamp: *stamp };
+    rows.iter().map(|(key, stamp)| ((*key).to_owned(), record(stamp))).collect()
+}
+
+/// The picture is complete to revision 20.
+#[test]
+fn final_states_and_later_changes_stand() {
+    // (what, picture, store, its revisions never went back, the records)
+    type Case<'a> = (&'a str, Rows<'a>, Rows<'a>, bool, &'a [(&'a str, &'a str)]);
+    let cases: &[Case] = &[
+        ("lost", &[("live/a", 5), ("over/b", 6)], &[], true, &[("live/a", "p5"), ("over/b", "p6")]),
+        ("changed since", &[("live/a", 5)], &[("live/a", 25)], true, &[("live/a", "s25")]),
+        ("a new line", &[("live/a", 5)], &[("live/a", 25)], false, &[("live/a", "p5")]),
+        ("ended since", &[("live/a", 5)], &[("over/a", 25)], true, &[("over/a", "s25")]),
+        ("ended by others", &[("live/a", 5)], &[("over/a", 3)], false, &[("over/a", "s3")]),
+        ("came back", &[("over/a", 9)], &[("live/a", 7)], false, &[("over/a", "p9")]),
+        ("ended, then came back", &[], &[("live/a", 7)], true, &[]),
+        ("accepted since", &[], &[("live/a", 22)], true, &[("live/a", "s22")]),
+        ("accepted by others", &[], &[("live/a", 2)], false, &[("live/a", "s2")]),
+        ("pages alone", &[("pages/a/00000001", 5)], &[], true, &[]),
+        (
+            "pages with their job",
+            &[("live/a", 4), ("pages/a/00000001", 5)],
+            &[("pages/a/00000002", 24)],
+            true,
+            &[("live/a", "p4"), ("pages/a/00000001", "p5"), ("pages/a/00000002", "s24")],
+        ),
+        (
+            "pages of a job that ended",
+            &[("over/a", 9), ("pages/a/00000001", 5)],
+            &[],
+            true,
+            &[("over/a", "p9")],
+        ),
+        (
+            "what is on leases",
+            &[("parts/one", 5), ("heard/one/two", 6), ("cluster/nodes/one", 7)],
+            &[("parts/one", 25)],
+            true,
+            &[],
+        ),
+        (
+            "the cluster's own",
+            &[("cluster/version", 3), ("catalogue", 4)],
+            &[("cluster/version", 1)],
+            false,
+            &[("catalogue", "p4"), ("cluster/version", "p3")],
+        ),
+    ];
+    for (what, picture, store, same_line, expected) in cases {
+        let picture = Picture::new(20, records("p", picture));
+        let survivors = Survivors { rows: records("s", store), same_line: *same_line };
+        let plan = plan(&picture, &survivors);
+        let found: Vec<(&str, &str)> =
+            plan.records.iter().map(|(key, v)| (key.as_str(), v.trim_matches('"'))).collect();
+        assert_eq!(found, *expected, "{what}");
+        // Writing the changes brings the store to exactly these records.
+        let mut after: BTreeMap<String, String> = BTreeMap::new();
+        if *same_line {
+            after.extend(survivors.rows.iter().map(|(key, r)| (key.clone(), r.value.clone())));
+        }
+        for change in plan.changes(&survivors) {
+            match change {
+                quartzlever_wire::state::Change::Write { write, v, .. } => {
+                    after.insert(write, v.text().to_owned());
+                }
+                quartzlever_wire::state::Change::Delete { delete } => {
+                    after.remove(&delete);
+                }
+            }
+        }
+        assert_eq!(after, plan.records, "{what}");
+    }
+}
--- a/crates/quartzlever-recovery/tests/rebuilding/main.rs
+++ b/crates/quartzlever-recovery/tests/rebuilding/main.rs
@@ -3,8 +3,11 @@
 mod world;
 
 use quartzlever_recovery::detection::Loss;
+use quartzlever_recovery::generation::Generation;
 use quartzlever_recovery::guard::{Guard, GuardError};
-use quartzlever_recovery::identity::{CANDIDATES, Candidate, IDENTITY, Observed, WITNESSES};
+use quartzlever_recovery::identity::{
+    CANDIDATES, Candidate, IDENTITY, LOCK, Lock, Observed, WITNESSES,
+};
 use quartzlever_recovery::picture::{KeyChange, Update};
 use quartzlever_recovery::rebuild::{RebuildError, observe};
 use quartzlever_wire::state::{StateCall, StateReply, Txn};
@@ -28,13 +31,17 @@
 }
 
 fn announce(world: &Shared, nodes: &[&str]) {
+    announce_with_extras(world, nodes, Some(0));
+}
+
+fn announce_with_extras(world: &Shared, nodes: &[&str], extras_after: Option<u64>) {
     let now = world.borrow().now;
     for node in nodes {
         let candidate = Candidate {
             generation: Some(0),
             revision: 0,
             complete_to: u64::MAX >> 4,
-            extras_after: Some(0),
+            extras_after,
             proven: true,
         };
         let txn = Txn::default().write(format!("{CANDIDATES}{node}"), Json::of(&candidate));
@@ -83,12 +90,10 @@
     let mut late: Vec<StateCall> = Vec::new();
     for round in 1..4 {
         // Decided before the loss, at whatever stamps: those of the next line are as small.
-        for stamp in 0..40 {
-            let generation = quartzlever_recovery::generation::Generation {
-                identity: history.identity.clone(),
-                stamp,
-            };
-            let stamp = generation.revision(stamp);
+        for (identity, record) in (1..30).flat_map(|i| (1..30).map(move |r| (i, r))) {
+            let known = history.identity.clone();
+            let generation = Generation { identity: known, stamp: identity };
+            let stamp = generation.revision(record);
             let txn = Txn::default().when("live/req-1", stamp).delete("live/req-1");
             late.push(generation.to_store(&StateCall::Txn(txn)));
         }
@@ -186,6 +191,53 @@
     assert_eq!(values(&opened.picture), expected, "{:#?}", world.borrow().notes);
 }
 
+/// A controller that has lost the lock makes nothing the next generation, at whatever step it was.
+#[test]
+fn who_has_lost_the_lock_rebuilds_nothing() {
+    let mut overtaken = 0;
+    for pause in 1..30 {
+        let world = world();
+        fill(&world, RECORDS);
+        let history = history(&world);
+        world.borrow_mut().store.wipe();
+        announce_others(&world);
+        let mut access = Access::new(&world);
+        access.killed_at = Some(100);
+        access.later = Some((pause, |w| {
+            let lock = Lock { node: "two".into(), process: 9 };
+            let txn = Txn::default().write(LOCK, Json::of(&lock)).write("overtaken", Json::of(&1));
+            w.store.call(w.now, &StateCall::Txn(txn)).expect("written");
+        }));
+        start(&mut access, &settings("one", 1), &local(&history));
+        let world = world.borrow();
+        let stamp = |key: &str| world.store.get(key).map(|(_, stamp)| stamp);
+        match (stamp(IDENTITY), stamp("overtaken")) {
+            (Some(rebuilt), Some(lost)) => assert!(rebuilt < lost, "pause {pause}"),
+            (Some(_), None) => {}
+            (None, _) => overtaken += 1,
+        }
+    }
+    assert!((1..29).contains(&overtaken), "{overtaken}");
+}
+
+/// Nothing is rebuilt before a candidate that is there has told of its last changes.
+#[test]
+fn the_last_changes_of_a_candidate_are_awaited() {
+    let world = world();
+    fill(&world, RECORDS);
+    let history = history(&world);
+    world.borrow_mut().store.wipe();
+    announce(&world, &["three"]);
+    announce_with_extras(&world, &["two"], None);
+    let mut access = Access::new(&world);
+    access.killed_at = Some(100);
+    assert!(start(&mut access, &settings("one", 1), &local(&history)).is_none());
+    assert!(world.borrow().store.get(IDENTITY).is_none(), "rebuilt without them");
+    announce(&world, &["two"]);
+    let opened = opened(&world, "one", &local(&history));
+    assert_eq!(values(&opened.picture), RECORDS.to_vec());
+}
+
 /// A controller that was away during the rebuild hands in the jobs that it alone knows.
 #[test]
 fn a_controller_that_comes_back_contributes_what_it_alone_knows() {
@@ -327,7 +379,7 @@
         let mut access = Access::new(&world);
         let observed: Observed = observe(&mut access).expect("observed");
         let identity = observed.identity.expect("an identity");
-        let generation = quartzlever_recovery::generation::Generation::new(identity);
+        let generation = Generation::new(identity);
         let guard = Guard::new(generation, observed.epoch);
         befalls(&mut world.borrow_mut());
         let mut store = |call: &StateCall| {
--- a/crates/quartzlever-standin/src/crowd.rs
+++ b/crates/quartzlever-standin/src/crowd.rs
@@ -3,7 +3,7 @@
 //! Each worker has a loopback address of its own, all served by one listener, and one small thread
 //! that reports over one connection as the protocol says.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use quartzlever_wire::cloud::Rental;
-use quartzlever_wire::workers::{Orders, WorkerReply};
+use quartzlever_wire::workers::{Orders, TaskId, WorkerReply};
 use quartzlever_wire::{Micros, SECOND};
 
 use crate::Worker;
@@ -129,6 +129,33 @@
         (tasks.sum(), members.len())
     }
 
+    /// What was started on each machine that is there.
+    fn starts(&self) -> Vec<(TaskId, Micros)> {
+        let members: Vec<Member> = match self.members.lock() {
+            Ok(members) => members.values().cloned().collect(),
+            Err(_) => Vec::new(),
+        };
+        let started = members.iter().filter_map(|m| m.lock().ok().map(|m| m.started.clone()));
+        started.flatten().collect()
+    }
+
+    /// How many tasks were started.
+    pub fn started(&self) -> usize {
+        self.starts().len()
+    }
+
+    /// How many tasks were started more than once.
+    pub fn started_again(&self) -> usize {
+        let starts = self.starts();
+        let tasks: BTreeSet<&TaskId> = starts.iter().map(|(task, _)| task).collect();
+        starts.len() - tasks.len()
+    }
+
+    /// When the first task was started after a moment.
+    pub fn first_start_since(&self, moment: Micros) -> Option<Micros> {
+        self.starts().into_iter().map(|(_, at)| at).filter(|at| *at > moment).min()
+    }
+
     /// Reports over one connection until that ends.
     fn report_for_long(&self, member: &Mutex<Worker>) {
         let Some(controller) = self.controller.lock().ok().and_then(|c| *c) else {
