Recovery: final states written after the rebuild; controllers without a history are vouched for

Need: with 10,000 final states and 50 changes a second a rebuild took minutes.

Change: final states that all candidates know are inherited: served from the picture, written afterwards. A controller without a history gives no 404 until one with a history has compared the records. In a first form of the inheritance a controller whose disk had been full called a job running that was done: final states beyond what every candidate knows are written before the generation serves (test).

--- a/crates/quartzlever-recovery/src/detection.rs
+++ b/crates/quartzlever-recovery/src/detection.rs
@@ -125,9 +125,14 @@
     }
 }
 
-/// Lasting records of the picture that the store's records lack.
-pub fn missing_records(picture: &Picture, store: &BTreeMap<String, Record>) -> Option<Loss> {
-    let rows = picture.rows().iter();
+/// Lasting records of the picture that the store's records lack. Those up to the generation's base are
+/// inherited and may not be written yet.
+pub fn missing_records(
+    picture: &Picture,
+    base: u64,
+    store: &BTreeMap<String, Record>,
+) -> Option<Loss> {
+    let rows = picture.rows().iter().filter(|(_, record)| record.stamp > base);
     let mut missing = rows.filter(|(key, record)| is_missing(key, record, store));
     let (example, _) = missing.next()?;
     Some(Loss::RecordsMissing { count: 1 + missing.count(), example: example.clone() })
--- a/crates/quartzlever-recovery/src/identity.rs
+++ b/crates/quartzlever-recovery/src/identity.rs
@@ -19,6 +19,11 @@
 /// Prefix of keys, by node, of controllers that were up before a loss and had no part in the rebuild: what
 /// they alone know is not in the records before they come back.
 pub const ABSENT: &str = "recovery/absent/";
+/// Prefix of keys, by node, of controllers that came without any history. Such a one cannot tell records
+/// that were never there from lost ones until a controller with a history has compared them with its own.
+pub const UNVOUCHED: &str = "recovery/unvouched/";
+/// Key that is there while final states of the generation before are not all written yet: [`Inheriting`].
+pub const INHERITING: &str = "recovery/inheriting";
 /// Prefix of the keys of [`Witness`]es, by node.
 pub const WITNESSES: &str = "recovery/witness/";
 
@@ -79,6 +84,13 @@
     pub continues: bool,
 }
 
+/// Final states are written after a rebuild. Until then the controllers that had them answer from their
+/// pictures: those that knew everything up to this revision of the generation before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Inheriting {
+    pub known_to: u64,
+}
+
 /// A controller that had no part in a rebuild.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AbsentNode {
@@ -110,6 +122,9 @@
     /// Controllers whose knowledge the records lack.
     pub absent: BTreeMap<String, Stamped<AbsentNode>>,
     pub extras: Vec<ExtraPiece>,
+    pub inheriting: Option<Stamped<Inheriting>>,
+    /// Stamps of the keys of controllers without a history.
+    pub unvouched: BTreeMap<String, u64>,
     /// The store's own revision.
     pub epoch: u64,
 }
@@ -119,18 +134,27 @@
 }
 
 impl Observed {
+    /// Whether some jobs may be known to others alone, as far as `node` can tell.
+    pub fn lacks_jobs(&self, node: &str) -> bool {
+        !self.absent.is_empty() || self.unvouched.contains_key(node)
+    }
+
     /// What a listing of `recovery/`, or of the identity's key alone, shows.
     pub fn of(rows: &Rows) -> Observed {
         let mut observed = Observed { epoch: rows.epoch, ..Observed::default() };
         for row in &rows.rows {
             if row.path == IDENTITY {
                 observed.identity = stamped(row);
+            } else if row.path == INHERITING {
+                observed.inheriting = stamped(row);
             } else if row.path == LOCK {
                 observed.lock = stamped(row);
             } else if let Some(node) = row.path.strip_prefix(CANDIDATES) {
                 observed.candidates.extend(stamped(row).map(|c| (node.to_owned(), c)));
             } else if let Some(node) = row.path.strip_prefix(ABSENT) {
                 observed.absent.extend(stamped(row).map(|a| (node.to_owned(), a)));
+            } else if let Some(node) = row.path.strip_prefix(UNVOUCHED) {
+                observed.unvouched.insert(node.to_owned(), row.stamp);
             } else if row.path.starts_with(EXTRAS) {
                 observed.extras.extend(row.v.parse::<ExtraPiece>());
             } else if let Some(node) = row.path.strip_prefix(WITNESSES) {
--- a/crates/quartzlever-recovery/src/picture.rs
+++ b/crates/quartzlever-recovery/src/picture.rs
@@ -1,6 +1,7 @@
 //! All records that a controller has seen, complete up to a revision.
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 
 use quartzlever_wire::state::{
     CLUSTER_NODES, Change, Event, NodeRecord, Row, StateCall, StateReply,
@@ -133,6 +134,24 @@
         }
     }
 
+    /// Adds records of the generation before that are not written anew yet, at the stamp of its end, which
+    /// is before every change of this one. What is known already stays.
+    pub fn inherit(&mut self, records: impl IntoIterator<Item = (String, String)>, stamp: u64) {
+        for (key, value) in records {
+            self.rows.entry(key).or_insert(Record { value, stamp });
+        }
+    }
+
+    /// Inherited records that are not written anew yet, after a key.
+    pub fn inherited<'a>(
+        &'a self,
+        base: u64,
+        after: &str,
+    ) -> impl Iterator<Item = (&'a String, &'a Record)> {
+        let bounds = (Bound::Excluded(after.to_owned()), Bound::Unbounded);
+        self.rows.range(bounds).filter(move |(_, record)| record.stamp <= base)
+    }
+
     /// What is known of changes after a revision. Of the deletions only those that came early are
     /// known; a job's end shows by its final state.
     pub fn changes_after(&self, revision: u64) -> Vec<KeyChange> {
--- a/crates/quartzlever-recovery/src/plan.rs
+++ b/crates/quartzlever-recovery/src/plan.rs
@@ -111,12 +111,16 @@
 
 impl Plan {
     /// The changes that make the store's records those of the plan, by the generation's own keys:
-    /// only what differs where the generation keeps its namespace.
-    pub fn changes(&self, survivors: &Survivors) -> Vec<Change> {
+    /// only what differs where the generation keeps its namespace, and else all but the final states up to
+    /// the revision that every candidate knows, which are written later.
+    pub fn changes(&self, survivors: &Survivors, picture: &Picture, known_to: u64) -> Vec<Change> {
+        let is_known = |key: &str| picture.get(key).is_some_and(|record| record.stamp <= known_to);
+        let is_inherited =
+            |key: &str| !survivors.same_line && key.starts_with(OVER) && is_known(key);
         let kept = |key: &str| survivors.rows.get(key).filter(|_| survivors.same_line);
         let mut changes = Vec::new();
         for (key, value) in &self.records {
-            if kept(key).is_some_and(|record| record.value == *value) {
+            if is_inherited(key) || kept(key).is_some_and(|record| record.value == *value) {
                 continue;
             }
             if let Some(v) = Json::from_text(value) {
--- a/crates/quartzlever-recovery/src/rebuild.rs
+++ b/crates/quartzlever-recovery/src/rebuild.rs
@@ -11,7 +11,7 @@
 
 use std::collections::BTreeMap;
 
-use quartzlever_wire::state::{Change, Condition, Rows, StateCall, StateReply, Txn};
+use quartzlever_wire::state::{Change, Condition, OVER, Rows, StateCall, StateReply, Txn};
 use quartzlever_wire::{CallError, Json, Micros, SECOND};
 
 use crate::StateAccess;
@@ -19,11 +19,11 @@
 use crate::generation::{GENERATIONS, Generation};
 use crate::history::History;
 use crate::identity::{
-    ABSENT, AbsentNode, CANDIDATES, Candidate, IDENTITY, Identity, LOCK, Lock, Observed, Phase,
-    RECOVERY, Stamped,
+    ABSENT, AbsentNode, CANDIDATES, Candidate, IDENTITY, INHERITING, Identity, Inheriting, LOCK,
+    Lock, Observed, Phase, RECOVERY, Stamped, UNVOUCHED,
 };
-use crate::picture::{Picture, Record};
-use crate::plan::{Plan, Survivors, plan};
+use crate::picture::{Picture, Record, Update};
+use crate::plan::{Survivors, plan};
 
 /// Between two looks at the store.
 const POLL: Micros = SECOND / 2;
@@ -75,7 +75,7 @@
     pub picture: Picture,
     /// The store's revision that the records were read at, at least.
     pub epoch: u64,
-    /// A controller was absent from the rebuild: it alone may know of some jobs.
+    /// Others may know of jobs that the records lack.
     pub lacks_jobs: bool,
 }
 
@@ -148,6 +148,24 @@
     })
 }
 
+/// Writes inherited final states anew, as many as a transaction takes, and tells of those that stand now.
+/// Others do the same: what is written already stands as it is.
+pub fn write_inherited(
+    store: &mut impl FnMut(&StateCall) -> Result<StateReply, CallError>,
+    generation: &Generation,
+    records: &[(String, Record)],
+) -> Result<Option<Update>, CallError> {
+    let mut txn = Txn::default();
+    for (key, record) in records {
+        if let Some(value) = Json::from_text(&record.value) {
+            txn = txn.when(key, 0).write(key, value);
+        }
+    }
+    let call = StateCall::Txn(txn);
+    let reply = generation.from_store(store(&generation.to_store(&call))?);
+    Ok(Update::shown_by(&call, &reply))
+}
+
 /// Comes back with a store that may be worked with; asks again until there is one.
 pub fn open(
     access: &mut impl StateAccess,
@@ -176,6 +194,8 @@
     announced: Option<Micros>,
     /// Changes after this revision are published on the present lease.
     extras_after: Option<u64>,
+    /// This process has said that it has no history.
+    said_unvouched: bool,
     said: Option<(String, Micros)>,
 }
 
@@ -193,6 +213,7 @@
             lease: None,
             announced: None,
             extras_after: None,
+            said_unvouched: false,
             said: None,
         }
     }
@@ -230,14 +251,15 @@
 
     /// Reads the records of a generation that serves; `None` if some of them are missing.
     fn accept(&mut self, generation: Generation, compare: bool) -> Step<Option<Opened>> {
-        let picture = list_generation(self.access, &generation)?;
+        let mut picture = list_generation(self.access, &generation)?;
         let observed = observe(self.access)?;
         let still = observed.identity.as_ref();
         if still.map(|i| (&i.value, i.stamp)) != Some((&generation.identity, generation.stamp)) {
             return Err(Interrupted::Overtaken);
         }
         if let Some(history) = self.local.history.as_ref().filter(|_| compare)
-            && let Some(loss) = missing_records(&history.picture, picture.rows())
+            && let Some(loss) =
+                missing_records(&history.picture, generation.identity.base, picture.rows())
         {
             self.missing = Some(loss);
             return Ok(None);
@@ -246,10 +268,42 @@
             // The next look reads the records with what was contributed.
             return Ok(None);
         }
-        let lacks_jobs = !observed.absent.is_empty();
+        if !self.inherit(&mut picture, &generation, &observed) {
+            self.say("waits until the others have written all final states".into());
+            return Ok(None);
+        }
+        if self.local.history.is_none() && !self.said_unvouched {
+            let key = format!("{UNVOUCHED}{}", self.settings.node);
+            let txn = Txn::default().when(IDENTITY, generation.stamp);
+            self.commit(txn.write(key, Json::of(&generation.identity.generation)))?;
+            // If the key is gone at the next look, others have vouched for the records.
+            self.said_unvouched = true;
+            return Ok(None);
+        }
+        let lacks_jobs = observed.lacks_jobs(&self.settings.node);
         Ok(Some(Opened { generation, picture, epoch: observed.epoch, lacks_jobs }))
     }
 
+    /// Adds the final states that are not written yet to a generation's records; false if this process does
+    /// not know them all.
+    fn inherit(&self, picture: &mut Picture, generation: &Generation, observed: &Observed) -> bool {
+        let base = generation.identity.base;
+        let Some(history) = &self.local.history else { return observed.inheriting.is_none() };
+        if history.identity.generation == generation.identity.generation {
+            // What was inherited before this process was started anew, and is not written yet.
+            let inherited = history.picture.inherited(base, "");
+            picture.inherit(inherited.map(|(key, r)| (key.clone(), r.value.clone())), base);
+            return true;
+        }
+        let known_to = history.picture.revision();
+        if observed.inheriting.as_ref().is_some_and(|i| known_to < i.value.known_to) {
+            return false;
+        }
+        let over = history.picture.rows().iter().filter(|(key, _)| key.starts_with(OVER));
+        picture.inherit(over.map(|(key, r)| (key.clone(), r.value.clone())), base);
+        true
+    }
+
     /// Hands in what this process knows and the records of a newer generation lack; whether there was any.
     fn contribute(
         &mut self,
@@ -258,7 +312,7 @@
         observed: &Observed,
     ) -> Step<bool> {
         let history = self.local.history.as_ref();
-        let calls = history.map(|h| contribution::contribution(&h.picture, records));
+        let calls = history.map(|h| contribution::contribution(h, records, generation));
         let calls = calls.unwrap_or_default();
         for call in &calls {
             match self.access.call(&generation.to_store(call))? {
@@ -390,9 +444,13 @@
         let survivors = self.survivors(history, observed)?;
         let plan = plan(&picture, &survivors);
         let next = self.next_identity(history, observed, &survivors);
-        self.write_records(&plan, &survivors, &next, &fence)?;
+        let known_to = extras::common_revision(observed);
+        self.write_records(plan.changes(&survivors, &picture, known_to), &next, &fence)?;
         let served = Json::of(&next);
         let mut txn = Txn { conditions: fence, changes: Vec::new() };
+        if !survivors.same_line {
+            txn = txn.write(INHERITING, Json::of(&Inheriting { known_to }));
+        }
         let is_absent = |node: &&str| !observed.candidates.contains_key(*node);
         for node in picture.nodes_up().filter(is_absent) {
             let absent = AbsentNode { generation: next.generation };
@@ -494,12 +552,10 @@
     /// Writes the records in transactions that the store takes, no faster than it allows.
     fn write_records(
         &mut self,
-        plan: &Plan,
-        survivors: &Survivors,
+        changes: Vec<Change>,
         next: &Identity,
         fence: &[Condition],
     ) -> Step<()> {
-        let changes = plan.changes(survivors);
         let all = changes.len();
         let mut written = 0;
         for batch in batches(changes, self.settings.txn_ops) {
--- a/crates/quartzlever-recovery/src/rebuild/contribution.rs
+++ b/crates/quartzlever-recovery/src/rebuild/contribution.rs
@@ -5,14 +5,27 @@
 use quartzlever_wire::pages::{PAGES, page_of_key};
 use quartzlever_wire::state::{LIVE, OVER, StateCall, Txn};
 
+use crate::generation::Generation;
+use crate::history::History;
 use crate::picture::Picture;
 
-/// Jobs that the records lack, or show as live though they are over, each as a transaction.
-pub(super) fn contribution(known: &Picture, records: &Picture) -> Vec<StateCall> {
+/// Jobs that the records lack, or show as live though they are over, each as a transaction. Where the
+/// generation has a new line of revisions, final states are inherited instead, but for those of jobs that
+/// the records show as live.
+pub(super) fn contribution(
+    history: &History,
+    records: &Picture,
+    generation: &Generation,
+) -> Vec<StateCall> {
+    let known = &history.picture;
+    let inherits = generation.identity.base != history.identity.base;
     let over = known.rows().iter().filter_map(|(key, record)| {
         let job = key.strip_prefix(OVER).filter(|_| records.get(key).is_none())?;
         let live_key = format!("{LIVE}{job}");
         let live = records.get(&live_key);
+        if inherits && live.is_none() {
+            return None;
+        }
         let txn = Txn::default()
             .when(key, 0)
             .when(&live_key, live.map_or(0, |record| record.stamp))
--- a/crates/quartzlever/src/recovery.rs
+++ b/crates/quartzlever/src/recovery.rs
@@ -20,7 +20,7 @@
 use crate::clock::Clock;
 use crate::settings::Settings;
 use journal::Journal;
-use monitor::Monitor;
+use monitor::{Monitor, Pace};
 use state::{ClientAccess, GuardedState};
 
 pub use directory::{Directory, DirectoryError, OwnDirectory};
@@ -31,6 +31,9 @@
 /// the identity, its check after each renewal, and the witness.
 pub const REQUESTS_A_SECOND: f64 = 2.0;
 
+/// Share of the state service's changes that may write inherited final states.
+const RESTORE_SHARE: f64 = 0.25;
+
 /// What the operator has switched on.
 #[derive(Debug)]
 pub struct Recovery {
@@ -86,6 +89,10 @@
         suspects: AtomicBool::new(false),
         lacks_jobs: AtomicBool::new(opened.lacks_jobs),
     });
-    Monitor::start(state.clone(), own, settings.core.node.clone(), witness)?;
+    let core = &settings.core;
+    let rate = core.state_write_rps * RESTORE_SHARE / core.nodes.len() as f64;
+    let controllers = core.nodes.len();
+    let pace = Pace { txn_ops: core.txn_ops, rate, controllers };
+    Monitor::start(state.clone(), own, core.node.clone(), witness, pace)?;
     Ok(StateService::Guarded(state))
 }
--- a/crates/quartzlever/src/recovery/commands.rs
+++ b/crates/quartzlever/src/recovery/commands.rs
@@ -115,7 +115,8 @@
     let generation = Generation { identity: history.identity.clone(), stamp: 0 };
     let listed = list_generation(&mut access, &generation).map_err(|_| CommandError::NoAnswer)?;
     let same_line = matches!(verdict, Verdict::Intact(_));
-    let missing = missing_records(&history.picture, listed.rows()).filter(|_| same_line);
+    let missing = missing_records(&history.picture, history.identity.base, listed.rows())
+        .filter(|_| same_line);
     let reason = match (&verdict, &missing) {
         (Verdict::Lost(loss), _) | (_, Some(loss)) => format!("would rebuild: {loss}"),
         (Verdict::Intact(_), None) => "would not rebuild: the records are intact".into(),
--- a/crates/quartzlever/src/recovery/journal.rs
+++ b/crates/quartzlever/src/recovery/journal.rs
@@ -14,7 +14,7 @@
 use hdrhistogram::Histogram;
 use quartzlever_recovery::format::{LogEntry, Snapshot, WriteTimes};
 use quartzlever_recovery::identity::Identity;
-use quartzlever_recovery::picture::{Picture, Update};
+use quartzlever_recovery::picture::{Picture, Record, Update};
 
 use crate::clock::wall;
 use crate::recovery::directory::{Directory, LogFile, OwnDirectory, WriteError};
@@ -39,9 +39,14 @@
         picture: Picture,
         written: Sender<()>,
     },
-    IsKnown {
+    Get {
         key: String,
-        answer: Sender<bool>,
+        answer: Sender<Option<Record>>,
+    },
+    Inherited {
+        after: String,
+        most: usize,
+        answer: Sender<Vec<(String, Record)>>,
     },
     Picture {
         answer: Sender<Picture>,
@@ -121,11 +126,20 @@
         }
     }
 
-    pub fn is_known(&self, key: &str) -> bool {
-        let (answer, known) = bounded(1);
+    /// A record of the picture.
+    pub fn get(&self, key: &str) -> Option<Record> {
+        let (answer, record) = bounded(1);
         let key = key.to_owned();
-        let asked = self.requests.send(Request::IsKnown { key, answer });
-        asked.is_ok() && known.recv_timeout(PATIENCE).unwrap_or(false)
+        self.requests.send(Request::Get { key, answer }).ok()?;
+        record.recv_timeout(PATIENCE).ok()?
+    }
+
+    /// Inherited records that are not written yet, after a key; none if the journal is too slow to tell.
+    pub fn inherited(&self, after: &str, most: usize) -> Option<Vec<(String, Record)>> {
+        let (answer, records) = bounded(1);
+        let after = after.to_owned();
+        self.requests.send(Request::Inherited { after, most, answer }).ok()?;
+        records.recv_timeout(PATIENCE).ok()
     }
 
     /// The picture as it is now.
@@ -243,13 +257,21 @@
                 }
                 Request::Replace { picture, written } => {
                     if picture.revision() >= self.picture.revision() {
-                        self.picture = picture;
+                        let base = self.identity.base;
+                        let before = std::mem::replace(&mut self.picture, picture);
+                        let inherited = before.inherited(base, "");
+                        let inherited = inherited.map(|(key, r)| (key.clone(), r.value.clone()));
+                        self.picture.inherit(inherited, base);
                         replaced = true;
                     }
                     waiting.push(written);
                 }
-                Request::IsKnown { key, answer } => {
-                    let _ = answer.send(self.picture.get(&key).is_some());
+                Request::Get { key, answer } => {
+                    let _ = answer.send(self.picture.get(&key).cloned());
+                }
+                Request::Inherited { after, most, answer } => {
+                    let inherited = self.picture.inherited(self.identity.base, &after).take(most);
+                    let _ = answer.send(inherited.map(|(k, r)| (k.clone(), r.clone())).collect());
                 }
                 Request::Picture { answer } => {
                     let _ = answer.send(self.picture.clone());
--- a/crates/quartzlever/src/recovery/monitor.rs
+++ b/crates/quartzlever/src/recovery/monitor.rs
@@ -1,5 +1,6 @@
 //! The thread that looks for loss where nothing else would notice it.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -7,8 +8,10 @@
 
 use quartzlever_recovery::detection::{Loss, missing_records};
 use quartzlever_recovery::guard::GuardError;
-use quartzlever_recovery::identity::{IDENTITY, WITNESSES, Witness};
-use quartzlever_recovery::rebuild::{list_generation, observe};
+use quartzlever_recovery::identity::{
+    IDENTITY, INHERITING, Inheriting, Observed, Stamped, UNVOUCHED, WITNESSES, Witness,
+};
+use quartzlever_recovery::rebuild::{list_generation, observe, write_inherited};
 use quartzlever_wire::state::{StateCall, StateReply, Txn};
 use quartzlever_wire::{CallError, Json};
 
@@ -30,6 +33,19 @@
     looks: u64,
     witness: u64,
     audited: Instant,
+    /// Inherited final states up to this key were written, or seen to be.
+    restored_to: String,
+    pace: Pace,
+}
+
+/// What the settings say: what this controller may take of the store's changes for inherited final states.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    pub txn_ops: usize,
+    /// Changes a second.
+    pub rate: f64,
+    /// How many controllers there are by the settings.
+    pub controllers: usize,
 }
 
 impl Monitor {
@@ -38,10 +54,22 @@
         settings: RecoverySettings,
         node: String,
         witness: u64,
+        pace: Pace,
     ) -> std::io::Result<()> {
         let access = ClientAccess { client: state.client.clone(), clock: Clock::new() };
         let audited = Instant::now();
-        let mut monitor = Monitor { state, settings, node, access, looks: 0, witness, audited };
+        let restored_to = String::new();
+        let mut monitor = Monitor {
+            state,
+            settings,
+            node,
+            access,
+            looks: 0,
+            witness,
+            audited,
+            restored_to,
+            pace,
+        };
         thread::Builder::new()
             .name("monitor".into())
             .spawn(move || {
@@ -54,7 +82,10 @@
     }
 
     fn look(&mut self) {
-        let looked = self.check_identity().and_then(|()| {
+        let looked = self.check_identity().and_then(|observed| {
+            let is_alone = observed.unvouched.len() >= self.pace.controllers;
+            self.vouch(&observed.unvouched, is_alone)?;
+            self.restore(observed.inheriting)?;
             if self.looks.is_multiple_of(LOOKS_PER_WITNESS) {
                 self.write_witness()?;
             }
@@ -70,16 +101,80 @@
         }
     }
 
-    fn check_identity(&mut self) -> Result<(), GuardError> {
+    fn check_identity(&mut self) -> Result<Observed, GuardError> {
         let floor = self.state.guard.highest();
         let observed = observe(&mut self.access)?;
         self.state.guard.check(&observed, floor)?;
-        self.state.lacks_jobs.store(!observed.absent.is_empty(), Ordering::SeqCst);
+        self.state.lacks_jobs.store(observed.lacks_jobs(&self.node), Ordering::SeqCst);
         let found = observed.witnesses.get(&self.node).copied().unwrap_or(0);
         if found < self.witness {
             let written = self.witness;
             return Err(GuardError::Lost(Loss::WitnessWentBack { written, found }));
         }
+        Ok(observed)
+    }
+
+    /// Compares the records with the picture for controllers that came without a history, and removes
+    /// their keys. Where all came without one, nobody knows better than the store.
+    fn vouch(
+        &mut self,
+        unvouched: &BTreeMap<String, u64>,
+        nobody_knows: bool,
+    ) -> Result<(), GuardError> {
+        if unvouched.is_empty() || (unvouched.contains_key(&self.node) && !nobody_knows) {
+            return Ok(());
+        }
+        self.audit()?;
+        let mut txn = Txn::default().when(IDENTITY, self.state.guard.generation.stamp);
+        for (node, stamp) in unvouched {
+            let key = format!("{UNVOUCHED}{node}");
+            txn = txn.when(&key, *stamp).delete(key);
+        }
+        // Another controller may have been first.
+        self.state.client.call(&StateCall::Txn(txn))?;
+        Ok(())
+    }
+
+    /// Writes inherited final states for as long as a look takes, and says so when all are there.
+    fn restore(&mut self, inheriting: Option<Stamped<Inheriting>>) -> Result<(), GuardError> {
+        let Some(inheriting) = inheriting else { return Ok(()) };
+        let seconds = self.settings.check as f64 / 1e6;
+        let mut left = ((self.pace.rate * seconds).ceil() as usize).max(1);
+        while left > 0 {
+            let most = left.min(self.pace.txn_ops);
+            let Some(records) = self.state.journal.inherited(&self.restored_to, most) else {
+                return Ok(());
+            };
+            let Some((last, _)) = records.last() else {
+                return self.finish_restoring(&inheriting);
+            };
+            let last = last.clone();
+            left -= records.len();
+            let mut store = |call: &StateCall| self.state.client.call(call);
+            let generation = &self.state.guard.generation;
+            match write_inherited(&mut store, generation, &records)? {
+                Some(update) => self.state.journal.record(update),
+                // Another controller has written some of them; the watch will tell which.
+                None => return Ok(()),
+            }
+            self.restored_to = last;
+        }
+        Ok(())
+    }
+
+    /// Every final state was written by now, or another controller has written it. Those are seen by the
+    /// watch; whatever is inherited still is tried again, and when nothing is, the key goes.
+    fn finish_restoring(&mut self, inheriting: &Stamped<Inheriting>) -> Result<(), GuardError> {
+        self.restored_to.clear();
+        if self.state.journal.inherited("", 1).is_none_or(|left| !left.is_empty()) {
+            return Ok(());
+        }
+        let txn = Txn::default()
+            .when(IDENTITY, self.state.guard.generation.stamp)
+            .when(INHERITING, inheriting.stamp)
+            .delete(INHERITING);
+        self.state.client.call(&StateCall::Txn(txn))?;
+        tracing::info!("recovery: all final states are written");
         Ok(())
     }
 
@@ -115,7 +210,8 @@
         let listed = list_generation(&mut self.access, &self.state.guard.generation)?;
         let mut store = |call: &StateCall| self.state.client.call(call);
         self.state.guard.verify(&mut store)?;
-        match missing_records(&picture, listed.rows()) {
+        let base = self.state.guard.generation.identity.base;
+        match missing_records(&picture, base, listed.rows()) {
             Some(loss) => Err(GuardError::Lost(loss)),
             None => Ok(()),
         }
--- a/crates/quartzlever/src/recovery/state.rs
+++ b/crates/quartzlever/src/recovery/state.rs
@@ -11,10 +11,10 @@
 use quartzlever_recovery::StateAccess;
 use quartzlever_recovery::detection::Loss;
 use quartzlever_recovery::guard::{Guard, GuardError};
-use quartzlever_recovery::picture::Update;
+use quartzlever_recovery::picture::{Record, Update};
 use quartzlever_recovery::rebuild::list_generation;
-use quartzlever_wire::state::{LIVE, OVER, StateCall, StateReply};
-use quartzlever_wire::{CallError, Micros};
+use quartzlever_wire::state::{LIVE, OVER, Row, StateCall, StateReply};
+use quartzlever_wire::{CallError, Json, Micros};
 
 use crate::clock::{Clock, wall};
 use crate::recovery::journal::Journal;
@@ -50,8 +50,14 @@
 impl GuardedState {
     fn call(&self, call: &StateCall) -> Result<StateReply, CallError> {
         let call = &self.joined_to_picture(call);
+        if let Some(reply) = self.refused_by_inheritance(call) {
+            return Ok(reply);
+        }
         let mut store = |call: &StateCall| self.client.call(call);
-        match self.guard.call(&mut store, call, |key| self.journal.is_known(key)) {
+        match self.guard.call(&mut store, call, |key| self.is_written(key)) {
+            Ok(StateReply::Row(None)) if self.inherited(call).is_some() => {
+                Ok(StateReply::Row(self.inherited(call)))
+            }
             Ok(StateReply::Row(None)) if self.may_be_known_elsewhere(call) => {
                 Err(CallError::Unknown)
             }
@@ -72,6 +78,35 @@
         }
     }
 
+    /// Whether a record of the picture is in the store too, as far as the picture goes.
+    fn is_written(&self, key: &str) -> bool {
+        self.journal.get(key).is_some_and(|r| r.stamp > self.guard.generation.identity.base)
+    }
+
+    fn inherited_record(&self, key: &str) -> Option<Record> {
+        let base = self.guard.generation.identity.base;
+        let record = self.journal.get(key).filter(|_| base > 0 && key.starts_with(OVER))?;
+        (record.stamp <= base).then_some(record)
+    }
+
+    /// A final state that is not written yet, as the answer to a read of it.
+    fn inherited(&self, call: &StateCall) -> Option<Row> {
+        let StateCall::Get(key) = call else { return None };
+        let Record { value, stamp } = self.inherited_record(key)?;
+        Some(Row { path: key.clone(), v: Json::from_text(&value)?, stamp, charter: None })
+    }
+
+    /// A job is not accepted if it is over by a final state that is not written yet.
+    fn refused_by_inheritance(&self, call: &StateCall) -> Option<StateReply> {
+        let StateCall::Txn(txn) = call else { return None };
+        let absent = txn.conditions.iter().filter(|c| c.stamp == 0 && c.path.starts_with(OVER));
+        let over: Vec<String> = absent
+            .map(|condition| condition.path.clone())
+            .filter(|key| self.inherited_record(key).is_some())
+            .collect();
+        (!over.is_empty()).then_some(StateReply::Conflict(over))
+    }
+
     fn may_be_known_elsewhere(&self, call: &StateCall) -> bool {
         let of_job = |key: &String| key.starts_with(OVER) || key.starts_with(LIVE);
         matches!(call, StateCall::Get(key) if of_job(key)) && self.lacks_jobs.load(Ordering::SeqCst)
