--- a/crates/quartzlever-core/tests/world/sim.rs
+++ b/crates/quartzlever-core/tests/world/sim.rs
@@ -24,6 +24,8 @@
 pub const LEASE: Micros = 12 * SECOND;
 pub const CANCEL: Micros = 20 * SECOND;
 const STEP: Micros = 50_000;
+/// A worker gives up a report and turns to another node after this time.
+const UNANSWERED: Micros = 5 * SECOND;
 pub const START: Micros = 1_000 * SECOND;
 
 pub fn config(node: &str, nodes: &[&str]) -> Config {
@@ -128,6 +130,10 @@
     pub leases_lost: usize,
     /// Questions of users that were answered for good.
     pub answers: usize,
+    /// Reports that waited at a controller that stood still.
+    pub unread: usize,
+    /// Machines that never came up.
+    pub never_up: usize,
 }
 
 struct Watch {
@@ -196,6 +202,10 @@
     pub report_every: Micros,
     /// Tasks with odd numbers do not end on workers that join from now on.
     pub odd_tasks_wait: bool,
+    /// Jobs that were submitted with a mistake: their tasks fail on every machine.
+    mistaken: BTreeSet<String>,
+    /// So many of a hundred new machines never come up.
+    pub never_up: u32,
 }
 
 impl World {
@@ -251,6 +261,8 @@
             run_time: 3 * SECOND,
             report_every: cfg.workers.report,
             odd_tasks_wait: false,
+            mistaken: BTreeSet::new(),
+            never_up: 0,
         };
         for n in 0..names.len() {
             world.start(n);
@@ -332,6 +344,7 @@
         self.deaf.clear();
         (self.slow, self.watch_lag, self.held, self.cloud_down) = (0, 0, 0, false);
         self.workers.values_mut().for_each(|w| w.hung = false);
+        self.never_up = 0;
         if self.store.outage {
             self.store.end_outage(self.now);
         }
@@ -378,6 +391,22 @@
         self.workers.iter().filter(|(_, w)| on(w)).map(|(name, _)| name.clone()).collect()
     }
 
+    /// From now on the tasks of a job fail on every machine, or they no longer do.
+    pub fn set_mistaken(&mut self, job: &str, mistaken: bool) {
+        if mistaken {
+            self.mistaken.insert(job.to_owned());
+        } else {
+            self.mistaken.remove(job);
+        }
+        self.workers.values_mut().for_each(|w| w.mistaken = self.mistaken.clone());
+    }
+
+    /// How often tasks of a job were started, on the machines that there are now.
+    pub fn starts_of(&self, job: &str) -> usize {
+        let of_job = |w: &Worker| w.started.iter().filter(|(task, _)| task.job == job).count();
+        self.workers.values().map(of_job).sum()
+    }
+
     /// Lets time pass.
     pub fn run(&mut self, span: Micros) {
         let end = self.now + span;
@@ -454,10 +483,19 @@
                 self.next_report.insert(name, (next, self.now + SECOND));
                 continue;
             }
-            // Handed over at once, so that its answer is known before the next report.
             let id = self.request + 1;
             self.request = id;
             let command = Command::Report { id, report };
+            if self.frozen.contains(&node) {
+                // It waits there unread, and the worker turns to the next node in the end.
+                self.counts.unread += 1;
+                let life = self.lives[node];
+                self.post(STEP, Message::ToNode(node, life, Box::new(command)));
+                let next = (node + 1) % self.cores.len();
+                self.next_report.insert(name, (next, self.now + UNANSWERED));
+                continue;
+            }
+            // Handed over at once, so that its answer is known before the next report.
             let effects = match self.cores[node].as_mut() {
                 Some(core) => core.step(self.now, vec![command]),
                 None => Vec::new(),
--- a/crates/quartzlever-core/tests/world/sim/calls.rs
+++ b/crates/quartzlever-core/tests/world/sim/calls.rs
@@ -160,7 +160,12 @@
                 if let Some(rental) = rental.filter(|_| !self.workers.contains_key(host)) {
                     let mut worker = Worker::new(rental, LEASE, self.run_time, self.now);
                     worker.odd_tasks_wait = self.odd_tasks_wait;
+                    worker.mistaken = self.mistaken.clone();
                     self.workers.insert(host.clone(), worker);
+                    if self.never_up > 0 && self.rng.random_range(0..100) < self.never_up {
+                        self.counts.never_up += 1;
+                        continue;
+                    }
                     let first = self.rng.random_range(0..self.cores.len());
                     let at = self.now + self.boot;
                     self.next_report.insert(host.clone(), (first, at));
--- a/crates/quartzlever-standin/src/worker.rs
+++ b/crates/quartzlever-standin/src/worker.rs
@@ -35,6 +35,8 @@
     pub odd_tasks_wait: bool,
     /// Every task fails here.
     pub faulty: bool,
+    /// Jobs whose tasks fail wherever they run.
+    pub mistaken: BTreeSet<String>,
     /// Executes nothing and says nothing.
     pub hung: bool,
     /// Tasks that were started here, in order.
@@ -58,6 +60,7 @@
             warning_s: None,
             odd_tasks_wait: false,
             faulty: false,
+            mistaken: BTreeSet::new(),
             hung: false,
             started: Vec::new(),
             completed: Vec::new(),
@@ -85,10 +88,12 @@
             return;
         }
         let (endless, odd_tasks_wait) = (&self.endless, self.odd_tasks_wait);
+        let (faulty, mistaken) = (self.faulty, &self.mistaken);
         let waits =
             |task: &TaskId| endless.contains(&task.job) || (odd_tasks_wait && task.index % 2 == 1);
         for ((task, _), attempt) in self.attempts.iter_mut().filter(|(_, a)| a.exited.is_none()) {
-            if self.faulty && now >= attempt.started + SECOND / 2 {
+            let fails = faulty || mistaken.contains(&task.job);
+            if fails && now >= attempt.started + SECOND / 2 {
                 attempt.exited = Some(Cause::Error);
             } else if now >= attempt.started + self.run_time && !waits(task) {
                 attempt.exited = Some(Cause::Done);
