Failed tasks are weighed for and against the machine and the job; guests yield at once

Change: what failures say is one module (failures.rs): a machine is blamed when a job that failed there runs elsewhere, or when several jobs had time to be tried elsewhere; a job that failed on three machines and runs on none is tried with a task at a time, pauses double by rounds, and it neither stops, rents, holds machines nor is stolen. Idle-time work that saves its progress gives way as soon as anything else waits.

--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -684,8 +684,8 @@
             }
             self.open_barrier(name);
             let lines = self.parts.get_mut(name).map(|p| std::mem::take(&mut p.notes));
-            for line in lines.into_iter().flatten() {
-                self.note(Weight::Debug, || format!("part {name}: {line}"));
+            for (weight, line) in lines.into_iter().flatten() {
+                self.note(weight, || format!("part {name}: {line}"));
             }
             if self.sure() {
                 self.place(name);
--- a/crates/quartzlever-core/src/fleet/renting.rs
+++ b/crates/quartzlever-core/src/fleet/renting.rs
@@ -492,9 +492,9 @@
     /// Whether a job has failed on every machine that there is.
     fn is_welcome_nowhere(&self, job: &PartitionJob) -> bool {
         let usable = |machine: &Machine| {
-            !job.failed_on.contains(&machine.name) && machine.return_wanted.is_none()
+            !job.failures.includes(&machine.name) && machine.return_wanted.is_none()
         };
-        !job.failed_on.is_empty() && !self.machines.values().any(|machine| usable(machine))
+        !job.failures.is_empty() && !self.machines.values().any(|machine| usable(machine))
     }
 
     /// The cheapest offer for the tasks of a job that have no room yet.
--- a/crates/quartzlever-core/src/fleet/returning.rs
+++ b/crates/quartzlever-core/src/fleet/returning.rs
@@ -24,8 +24,6 @@
 const MOST_LATE: usize = 3;
 /// So many machines, or a tenth of them, may be deaf at once and are returned for it.
 const MOST_DEAF: usize = 2;
-/// Failures in a row that make a machine suspect.
-const SUSPECT_ERRORS: u32 = 2;
 /// Pace in thousandths of the usual from which a machine crawls, and over how many tasks.
 const CRAWL_PACE: u32 = 2200;
 const CRAWL_TASKS: usize = 3;
@@ -57,6 +55,11 @@
         !matches!(self, ReturnReason::FailsTasks | ReturnReason::Slow | ReturnReason::Idle)
     }
 
+    /// Whether the machine goes for something that it turned out not to be to blame for.
+    fn is_disproven(self, machine: &Machine, now: Micros) -> bool {
+        self == ReturnReason::FailsTasks && !machine.failures.speak_against_machine(now)
+    }
+
     /// Whether a fresh report shows that the reason has passed.
     fn ends_with_a_report(self) -> bool {
         matches!(self, ReturnReason::Silent | ReturnReason::Taken)
@@ -100,8 +103,6 @@
     deaf_returned: bool,
     /// Few reports are late; where many are, that is no machine's fault.
     few_late: bool,
-    /// Jobs that were done elsewhere, so that their failures are a machine's.
-    cleared: BTreeSet<String>,
     /// Machines that keep room for services.
     kept: BTreeSet<String>,
 }
@@ -120,7 +121,6 @@
         let deaf = machines().filter(|m| m.deaf(now, cfg.workers.report)).count();
         let is_late = |m: &&Machine| now.saturating_sub(m.heard) > cfg.late_report();
         let late = machines().map(|m| &**m).filter(is_late).count();
-        let cleared = part.jobs.iter().filter(|(_, job)| job.good > 0);
         ReturnRules {
             cfg,
             types,
@@ -130,7 +130,6 @@
             cut: part.fleet.cut_until.keys().cloned().collect(),
             deaf_returned: deaf <= MOST_DEAF.max(tenth),
             few_late: late <= MOST_LATE.max(tenth),
-            cleared: cleared.map(|(id, _)| id.clone()).collect(),
             kept: standby.iter().filter_map(|offer| part.standby_at(types, offer)).collect(),
         }
     }
@@ -180,7 +179,7 @@
             Some(ReturnReason::Deaf)
         } else if machine.warned_until.is_some_and(|t| now > t) && quiet > 2 * report {
             Some(ReturnReason::Taken)
-        } else if self.fails_tasks(machine) {
+        } else if machine.failures.speak_against_machine(now) {
             Some(ReturnReason::FailsTasks)
         } else if is_slow(machine) {
             Some(ReturnReason::Slow)
@@ -191,12 +190,6 @@
         }
     }
 
-    fn fails_tasks(&self, machine: &Machine) -> bool {
-        machine.errors >= SUSPECT_ERRORS
-            && (machine.failed_jobs.len() > 1
-                || machine.failed_jobs.iter().any(|job| self.cleared.contains(job)))
-    }
-
     fn is_idle(&self, machine: &Machine) -> bool {
         let life = idle_life(self.types, &machine.record, self.cfg.operator.idle_boots);
         machine.idle_since.is_some_and(|since| self.now.saturating_sub(since) > life)
@@ -297,7 +290,8 @@
         for machine in self.machines.values_mut().filter(|m| !m.returning) {
             let before = machine.return_wanted;
             let heard = rules.quiet(machine) < rules.cfg.workers.report;
-            let reason = before.or_else(|| rules.reason(machine));
+            let before_still = before.filter(|r| !r.is_disproven(machine, rules.now));
+            let reason = before_still.or_else(|| rules.reason(machine));
             machine.return_wanted = reason.filter(|r| !(heard && r.ends_with_a_report()));
             if machine.return_wanted != before {
                 changed.push(machine.name.clone());
--- a/crates/quartzlever-core/src/fleet/tests.rs
+++ b/crates/quartzlever-core/src/fleet/tests.rs
@@ -523,8 +523,9 @@
         part.fleet.refuse_spot(&["m", "x"], &["a", "b"], now + SECOND);
         let job = part.jobs.get_mut("req-1").expect("it is known");
         job.since = NOW;
-        (job.failures, job.failed_at) = (case.failed_on, NOW);
-        job.failed_on = (0..case.failed_on).map(|n| format!("gone-{n}")).collect();
+        for n in 0..case.failed_on {
+            job.failures.note(&format!("gone-{n}"), NOW, SECOND, NOW);
+        }
         for machine in part.machines.values_mut() {
             (machine.heard, machine.answered) = (now, now);
             machine.fenced = case.fenced;
--- a/crates/quartzlever-core/src/lib.rs
+++ b/crates/quartzlever-core/src/lib.rs
@@ -22,6 +22,7 @@
 mod config;
 mod diagnosis;
 mod engine;
+mod failures;
 pub mod fleet;
 pub mod free_room_index;
 pub mod jobs;
--- a/crates/quartzlever-core/src/machine.rs
+++ b/crates/quartzlever-core/src/machine.rs
@@ -8,6 +8,7 @@
 use quartzlever_wire::users::{JobSpec, Rank};
 use quartzlever_wire::workers::{Cause, Order, Report, TaskId, TaskPhase, TaskReport};
 
+use crate::failures::MachineFailures;
 use crate::fleet::ReturnReason;
 use crate::messages::Token;
 
@@ -98,6 +99,8 @@
     pub settled: bool,
     /// The command was handed to the worker's address at least once.
     pub sent: bool,
+    /// It is idle-time work that saves its progress when it is stopped, so that it loses next to nothing.
+    pub yields: bool,
     /// It is a replica of a service.
     pub service: bool,
     /// Since when its job may have been over, at the earliest.
@@ -152,9 +155,8 @@
     pub no_call_before: Micros,
     pub returning: bool,
     pub return_wanted: Option<ReturnReason>,
-    /// Failures in a row of jobs that failed nowhere else, and those jobs.
-    pub errors: u32,
-    pub failed_jobs: BTreeSet<String>,
+    /// Tasks that failed here since the last one that was done.
+    pub failures: MachineFailures,
     /// Run times of its last tasks against what their class usually takes, in thousandths.
     pub pace: Vec<u32>,
 }
@@ -183,8 +185,7 @@
             no_call_before: 0,
             returning: false,
             return_wanted: None,
-            errors: 0,
-            failed_jobs: BTreeSet::new(),
+            failures: MachineFailures::default(),
             pace: Vec::new(),
         }
     }
--- a/crates/quartzlever-core/src/partition.rs
+++ b/crates/quartzlever-core/src/partition.rs
@@ -14,17 +14,17 @@
 use quartzlever_wire::{Micros, Ranges, SECOND};
 
 use crate::config::Config;
+use crate::failures::{JobFailures, TASKS_ON_TRIAL};
 use crate::fleet::Fleet;
 use crate::free_room_index::FreeRoomIndex;
 use crate::machine::{Amounts, Machine, Slot, SlotKey};
+use crate::messages::Weight;
 
 /// Records by name, each in a place of its own: looking one up reads little memory, and where three
 /// controllers share a core, most of what a report cost was waiting for memory. The order is that
 /// of insertions and removals, so the same commands give the same effects.
 pub type Table<T> = IndexMap<String, Box<T>, BuildHasherDefault<DefaultHasher>>;
 
-/// A job that failed on so many machines and was never done is taken as mistaken itself.
-const MISTAKEN_AFTER: usize = 3;
 /// A machine that a job failed on is tried again after this time where nothing of the job runs.
 const FORGIVEN_AFTER: Micros = 20 * SECOND;
 
@@ -60,10 +60,8 @@
     /// When the submission was made, by the steady clock.
     pub since: Micros,
     pub due: Option<Micros>,
-    /// Failed attempts here: machines they failed on, and how many.
-    pub failed_on: BTreeSet<String>,
-    pub failures: u32,
-    pub failed_at: Micros,
+    /// Attempts that failed here.
+    pub failures: JobFailures,
     /// Tasks of the job that were done here.
     pub good: u32,
     pub no_start_before: Micros,
@@ -118,22 +116,31 @@
     /// A replica of the service has run for a while: it works, and earlier failures count no more.
     pub fn settles(&mut self) {
         self.good = self.good.max(1);
-        self.failures = 0;
-        self.failed_on.clear();
+        self.failures.forget();
     }
 
     /// Whether the job fails wherever it is tried. A service may do so after it has run well: what
     /// failed before that is forgotten by then.
     pub fn mistaken(&self) -> bool {
-        (self.good == 0 || self.service()) && self.failed_on.len() >= MISTAKEN_AFTER
+        (self.good == 0 || self.service()) && self.failures.speak_against_job()
+    }
+
+    /// How many of its ready tasks may be placed now: one that fails wherever it is tried is tried with
+    /// few at once, so that it costs the machines next to nothing until it is cancelled.
+    pub fn placeable(&self) -> u32 {
+        if self.mistaken() && !self.service() {
+            TASKS_ON_TRIAL.saturating_sub(self.located.len() as u32).min(self.ready.len())
+        } else {
+            self.ready.len()
+        }
     }
 
     /// When the machines that it failed on are tried again although it has not failed on as many as a
     /// mistaken job: nothing of it runs, and there may be no others to be had. Where all machines had
     /// failed for a while, a service stayed away for good after they were sound again.
     pub fn forgives_at(&self) -> Option<Micros> {
-        let waits = !self.failed_on.is_empty() && self.located.is_empty() && !self.mistaken();
-        waits.then(|| self.failed_at + FORGIVEN_AFTER)
+        let waits = !self.failures.is_empty() && self.located.is_empty() && !self.mistaken();
+        waits.then(|| self.failures.last() + FORGIVEN_AFTER)
     }
 
     /// Whether the work of this part on the job is over and recorded.
@@ -169,8 +176,8 @@
     pub barrier_open: bool,
     attempts: u64,
     pub fleet: Fleet,
-    /// Lines for the log at its most detailed, taken up with the next decisions.
-    pub notes: Vec<String>,
+    /// Lines for the log, taken up with the next decisions.
+    pub notes: Vec<(Weight, String)>,
     pub types: Option<Types>,
     /// Machines that have, or had, attempts of a job: the end of each job was looked for on every
     /// machine, a fourth of all work with 2,000 of them.
@@ -280,9 +287,7 @@
                 wants_write: false,
                 since,
                 due,
-                failed_on: BTreeSet::new(),
-                failures: 0,
-                failed_at: 0,
+                failures: JobFailures::default(),
                 good: 0,
                 no_start_before: 0,
                 stopped: Ranges::default(),
@@ -472,9 +477,10 @@
         self.machines.values().flat_map(|m| m.slots.values()).filter(|s| !s.exited())
     }
 
-    /// Ready tasks of this rank or above.
+    /// Ready tasks of this rank or above. Jobs that fail everywhere have none that anybody waits for.
     pub fn ready_count(&self, rank: Rank) -> u32 {
-        self.jobs.values().filter(|j| j.spec().rank <= rank).map(|j| j.ready.len()).sum()
+        let jobs = self.jobs.values().filter(|j| j.spec().rank <= rank && !j.mistaken());
+        jobs.map(|j| j.ready.len()).sum()
     }
 }
 
--- a/crates/quartzlever-core/src/placement.rs
+++ b/crates/quartzlever-core/src/placement.rs
@@ -188,6 +188,29 @@
 /// service yet, has the image or is fetching it, is cheap, and has little room left over.
 type Fit = (bool, usize, u8, bool, f64);
 
+/// Whose tasks may be stopped to make room for a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Victims {
+    /// Idle-time work that loses next to nothing: it gives way as soon as anything else waits. Left alone until
+    /// a start became too late, guests that filled all machines made two thirds of the deadlines be missed,
+    /// since saving, the image and the slowest task take their time after that.
+    Yielding,
+    /// All that the rank or the guarantee allows, once the start would come too late otherwise.
+    Any,
+}
+
+/// A job that makes room for its tasks, at one moment.
+struct Preemption<'a> {
+    spec: &'a JobSpec,
+    need: Amounts,
+    /// The teams whose unfinished work fits their guarantee.
+    inside: &'a BTreeSet<String>,
+    victims: Victims,
+    now: Micros,
+    /// Machines that were not heard of for so long are left alone.
+    quiet: Micros,
+}
+
 /// What it takes to make room on one machine.
 struct Stops {
     /// Work lost.
@@ -260,11 +283,13 @@
             return;
         }
         part.preempt_after = now + PREEMPT_PAUSE;
-        // Room that is being made already, and the lowest rank that could still give way.
-        let (mut coming, mut lowest) = (0.0, Rank::Prod);
+        // Room that is being made already, the lowest rank that could still give way, and whether any of it
+        // gives way at once.
+        let (mut coming, mut lowest, mut yields) = (0.0, Rank::Prod, false);
         for slot in part.live_slots() {
             if slot.wanted {
                 lowest = lowest.max(slot.rank);
+                yields |= slot.yields;
             } else {
                 coming += slot.need.cpus;
             }
@@ -273,55 +298,55 @@
         for id in part.short.clone() {
             let Some(job) = part.jobs.get(&id) else { continue };
             let urgency = urgency(&self.cfg, &self.run_times, job, now);
-            let from =
-                (job.since + PREEMPT_AFTER).max((urgency.latest + 1).saturating_sub(PREEMPT_AHEAD));
-            if now < from {
-                part.place_by(from);
-                continue;
-            }
+            let waited = job.since + PREEMPT_AFTER;
+            let pressing = waited.max((urgency.latest + 1).saturating_sub(PREEMPT_AHEAD));
+            let victims = if now < pressing { Victims::Yielding } else { Victims::Any };
             let (spec, need) = (job.spec().clone(), job.need());
             let all = f64::from(job.ready.len()) * need.cpus;
+            if victims == Victims::Yielding {
+                let soonest = if yields { waited } else { pressing };
+                part.place_by(if now < soonest { soonest } else { pressing });
+                if now < soonest {
+                    continue;
+                }
+            }
             let promised = f64::min(coming, all);
             coming -= promised;
-            let mut wanted = ((all - promised) / need.cpus.max(1e-6)).ceil() as u32;
+            let wanted = ((all - promised) / need.cpus.max(1e-6)).ceil() as u32;
             if wanted == 0 {
                 continue;
             }
             part.place_by(now + PREEMPT_PAUSE);
-            if lowest <= spec.rank && !inside.contains(&spec.team) {
-                // Nothing here gives way to it.
-                part.pressed = true;
-                continue;
-            }
-            let mut offers = part.all_stops(&inside, &spec, &need, now, quiet);
-            while wanted > 0 {
-                let Some(Stops { gain, machine, attempts, .. }) = offers.pop() else {
-                    part.pressed = true;
-                    break;
-                };
+            let gives_way = lowest > spec.rank || inside.contains(&spec.team);
+            let asks = Preemption { spec: &spec, need, inside: &inside, victims, now, quiet };
+            let stopped =
+                if gives_way { part.make_room(&asks, wanted) } else { Stopped::nothing(wanted) };
+            // Only what should start by now has others look for room elsewhere.
+            part.pressed |= stopped.lacking > 0 && victims == Victims::Any;
+            for (machine, count) in stopped.on {
+                let text = format!("part {name}: stops {count} on {machine} for {id}");
                 if self.cfg.notes >= Weight::Info {
-                    let count = attempts.len();
-                    let text = format!("part {name}: stops {count} on {machine} for {id}");
                     self.out.push(Effect::Note { weight: Weight::Info, text });
                 }
-                for key in attempts {
-                    if let Some(job) = part.jobs.get_mut(&key.0.job) {
-                        job.stopped.insert(key.0.index);
-                        let leeway = job.record.job.save_s;
-                        part.stop(&machine, &key, leeway);
-                    }
-                }
-                wanted -= gain.min(wanted);
-                // The machine may have more to give.
-                if let Some(more) = part.stops_on(&inside, &machine, &spec, &need, now, quiet) {
-                    let at = offers.partition_point(|o| o.lost > more.lost);
-                    offers.insert(at, more);
-                }
             }
         }
     }
 }
 
+/// What was stopped for a job.
+struct Stopped {
+    /// How many attempts on which machines.
+    on: Vec<(String, usize)>,
+    /// Tasks for which no room could be made.
+    lacking: u32,
+}
+
+impl Stopped {
+    fn nothing(lacking: u32) -> Self {
+        Stopped { on: Vec::new(), lacking }
+    }
+}
+
 impl PartitionJob {
     /// Whether the job has waited so long that higher ranks stop it no more.
     fn aged(&self, now: Micros) -> bool {
@@ -352,7 +377,7 @@
         let begun = !self.located.is_empty()
             || !self.finished.is_empty()
             || !self.record.finished.is_empty();
-        !begun && now.saturating_sub(self.since) > STARVED_AFTER
+        !begun && !self.mistaken() && now.saturating_sub(self.since) > STARVED_AFTER
     }
 }
 
@@ -394,6 +419,11 @@
             self.place_by(job.no_start_before);
             return false;
         }
+        if job.mistaken() {
+            self.try_to_clear(cfg, id, now);
+            self.place_by(now + SECOND);
+        }
+        let Some(job) = self.jobs.get(id) else { return false };
         let forgives_at = job.forgives_at();
         if let Some(at) = forgives_at.filter(|at| *at > now) {
             self.place_by(at);
@@ -413,7 +443,8 @@
             let machine = self.machines.get(host).filter(|_| kept.is_none_or(|k| k != host))?;
             let fits = machine.open(now, quiet)
                 && machine.room.fits(&need)
-                && (again || !job.failed_on.contains(host));
+                && (again || !job.failures.includes(host))
+                && !machine.failures.in_doubt(now);
             fits.then(|| {
                 let image = if machine.images.contains(&spec.image) {
                     0
@@ -424,7 +455,7 @@
                 };
                 let beside = beside.get(host).copied().unwrap_or(0);
                 let left = machine.room.cpus - need.cpus;
-                (machine.errors > 0, beside, image, !machine.record.spot, left)
+                (machine.failures.is_suspect(), beside, image, !machine.record.spot, left)
             })
         };
         let hosts: Vec<(Fit, String)> = match only {
@@ -445,7 +476,8 @@
         };
         let bound = spec.one_zone || spec.spread;
         let allowance = self.team_allowance(cfg, spec, &need);
-        let mut left = allowance.min(job.ready.len());
+        let mut left = allowance.min(job.placeable());
+        let on_trial = job.mistaken() && !service;
         let rounds = if service { left } else { 1 };
         for (_, host) in (0..rounds).flat_map(|_| &hosts) {
             if left == 0 {
@@ -464,8 +496,8 @@
             }
             self.refresh(host);
         }
-        // What only the team's limit keeps back asks for no room.
-        allowance > 0 && left > 0
+        // What only the team's limit keeps back asks for no room, nor does a job that fails everywhere.
+        allowance > 0 && left > 0 && !on_trial
     }
 
     /// Keeps one machine for the job that has waited longest beyond its time to begin, until one
@@ -490,7 +522,7 @@
                 .filter(|(host, m)| {
                     let kind = self.types.as_ref().and_then(|t| t.get(&m.record.kind));
                     m.usable()
-                        && !job.failed_on.contains(*host)
+                        && !job.failures.includes(host)
                         && offer_allowed(spec, &m.record.kind, &m.record.zone, m.record.spot)
                         && kind.is_some_and(|k| Amounts::of_type(k).fits(&need))
                 })
@@ -567,33 +599,44 @@
         }
     }
 
+    /// Stops what costs the least, until so many tasks of a job have room.
+    fn make_room(&mut self, asks: &Preemption, mut wanted: u32) -> Stopped {
+        let mut stopped = Stopped::nothing(0);
+        let mut offers = self.all_stops(asks);
+        while wanted > 0 {
+            let Some(Stops { gain, machine, attempts, .. }) = offers.pop() else { break };
+            stopped.on.push((machine.clone(), attempts.len()));
+            for key in attempts {
+                if let Some(job) = self.jobs.get_mut(&key.0.job) {
+                    job.stopped.insert(key.0.index);
+                    let leeway = job.record.job.save_s;
+                    self.stop(&machine, &key, leeway);
+                }
+            }
+            wanted -= gain.min(wanted);
+            // The machine may have more to give.
+            if let Some(more) = self.stops_on(asks, &machine) {
+                let at = offers.partition_point(|o| o.lost > more.lost);
+                offers.insert(at, more);
+            }
+        }
+        stopped.lacking = wanted;
+        stopped
+    }
+
     /// All ways to make room for tasks of the job on one machine each, the dearest first.
-    fn all_stops(
-        &self,
-        inside: &BTreeSet<String>,
-        spec: &JobSpec,
-        need: &Amounts,
-        now: Micros,
-        quiet: Micros,
-    ) -> Vec<Stops> {
-        let each = self.machines.keys();
+    fn all_stops(&self, asks: &Preemption) -> Vec<Stops> {
         let mut all: Vec<Stops> =
-            each.filter_map(|m| self.stops_on(inside, m, spec, need, now, quiet)).collect();
+            self.machines.keys().filter_map(|host| self.stops_on(asks, host)).collect();
         all.sort_by(|a, b| b.lost.total_cmp(&a.lost));
         all
     }
 
     /// The attempts to stop on a machine so that a task of the job fits there, at the least lost
     /// work; none if that cannot be had.
-    fn stops_on(
-        &self,
-        inside: &BTreeSet<String>,
-        host: &str,
-        spec: &JobSpec,
-        need: &Amounts,
-        now: Micros,
-        quiet: Micros,
-    ) -> Option<Stops> {
+    fn stops_on(&self, asks: &Preemption, host: &str) -> Option<Stops> {
+        let Preemption { spec, need, inside, victims, now, quiet } = asks;
+        let (now, quiet) = (*now, *quiet);
         let machine = self.machines.get(host).filter(|m| m.open(now, quiet))?;
         let record = &machine.record;
         let kind = self.types.as_ref()?.get(&record.kind)?;
@@ -611,7 +654,8 @@
                     && !s.team.is_empty()
                     && !inside.contains(&s.team);
                 let sheltered = self.jobs.get(&k.0.job).is_some_and(|j| j.sheltered(now));
-                s.wanted && !s.exited() && ((lower && !sheltered) || borrowed)
+                let asked = *victims == Victims::Any || s.yields;
+                s.wanted && !s.exited() && asked && ((lower && !sheltered) || borrowed)
             })
             .map(|(k, s)| {
                 let ran = s.running_since.map_or(0, |t| now.saturating_sub(t));
--- a/crates/quartzlever-core/src/placement/tests.rs
+++ b/crates/quartzlever-core/src/placement/tests.rs
@@ -99,6 +99,37 @@
     }
 }
 
+/// Idle-time work that saves its progress gives way as soon as anything else waits. It was left alone until a start
+/// became too late, and guests that had filled all machines made most deadlines be missed.
+#[test]
+fn idle_time_work_that_loses_nothing_gives_way_at_once() {
+    use quartzlever_wire::SECOND;
+    // (rank that runs, its checkpoints, rank that comes, how many give way long before it presses)
+    for (runs, checkpoint_s, comes, stopped) in [
+        (Rank::BestEffort, 30.0, Rank::Standard, 1),
+        (Rank::BestEffort, 30.0, Rank::Urgent, 1),
+        (Rank::BestEffort, 30.0, Rank::BestEffort, 0),
+        (Rank::BestEffort, 0.0, Rank::Standard, 0),
+        (Rank::Standard, 30.0, Rank::Urgent, 0),
+    ] {
+        let mut core = core();
+        machines(&mut core, &[("n-1", "m", "a", false)]);
+        let guest = JobSpec { cpus: 4.0, rank: runs, checkpoint_s, ..spec(2) };
+        queue_job(&mut core, &guest, 10);
+        let other = JobSpec { id: "req-2".into(), cpus: 4.0, rank: comes, ..spec(1) };
+        queue_job(&mut core, &JobSpec { due_s: Some(600.0), ..other }, 11);
+        core.now = NOW + SECOND;
+        let part = core.parts.get_mut("one").expect("it is held");
+        part.place_wanted = true;
+        core.place("one");
+        let part = &core.parts["one"];
+        let unwanted = part.machines["n-1"].slots.values().filter(|s| !s.wanted).count();
+        assert_eq!(unwanted, stopped, "{runs:?} {checkpoint_s} {comes:?}");
+        // It goes on where there is room, and nobody is asked for help before it presses.
+        assert!(!part.pressed, "{runs:?} {checkpoint_s} {comes:?}");
+    }
+}
+
 #[test]
 fn a_team_stays_within_its_limit_whatever_may_be_on_machines() {
     // (barrier open, an attempt of a forgotten job about, how many of eight tasks start that take
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -2,12 +2,13 @@
 
 use quartzlever_wire::users::Rank;
 use quartzlever_wire::workers::{
-    Cause, Order, Orders, Report, TaskPhase, TaskReport, WorkerCall, WorkerReply,
+    Cause, Order, Orders, Report, TaskId, TaskPhase, TaskReport, WorkerCall, WorkerReply,
 };
 use quartzlever_wire::{CallError, Micros, SECOND, micros_from_secs};
 
 use crate::config::Config;
 use crate::engine::{CONTACT_LOST, Core, STARTING, WorkerWait};
+use crate::failures::MachineFailures;
 use crate::machine::{Amounts, Direct, Machine, Slot, SlotKey};
 use crate::messages::{Answer, Effect, RequestId, Weight};
 use crate::partition::{Partition, PartitionJob, Place};
@@ -27,11 +28,6 @@
 /// A replica that has run for so long works, whatever ended it.
 const SETTLED_AFTER: Micros = 30 * SECOND;
 
-/// How long a job waits that has failed so often.
-fn pause_after(failures: u32) -> Micros {
-    (SECOND / 2) << failures.min(6)
-}
-
 /// Run times of a machine's last tasks that are kept.
 const REMEMBERED_PACES: usize = 8;
 
@@ -39,6 +35,8 @@
 struct EndedAttempt<'a> {
     host: &'a str,
     seen: &'a TaskReport,
+    /// When its start was decided.
+    placed: Micros,
     /// For how long it ran, if it was ever seen to run.
     ran: Option<Micros>,
     class: String,
@@ -51,8 +49,8 @@
     if ended.ran.is_some_and(|ran| ran > SETTLED_AFTER) {
         job.settles();
     } else {
-        job.failures += 1;
-        job.no_start_before = now + pause_after(job.failures);
+        job.failures.note_round(ended.placed, now);
+        job.no_start_before = now + job.failures.pause();
     }
 }
 
@@ -590,6 +588,7 @@
         let ended = EndedAttempt {
             host,
             seen,
+            placed: slot.since,
             ran: slot.running_since.map(|since| now.saturating_sub(since)),
             class: slot.class.clone(),
             expect: slot.expect,
@@ -607,11 +606,12 @@
             if cfg.notes >= Weight::Debug {
                 let placed = (now - slot.since) / 1000;
                 let since = self.jobs.get(&task.job).map_or(0, |j| (now - j.since) / 1000);
-                self.notes.push(format!(
+                let line = format!(
                     "{task} of {} runs on {host}, {placed} ms after its placement, {since} ms \
                      after its submission",
                     slot.class
-                ));
+                );
+                self.notes.push((Weight::Debug, line));
             }
         }
         if let Some(job) = self.jobs.get_mut(&task.job).filter(|j| j.service()) {
@@ -651,8 +651,7 @@
     fn task_done(&mut self, run_times: &mut RunTimes, ended: &EndedAttempt, now: Micros) {
         let task = &ended.seen.task;
         if let Some(machine) = self.machines.get_mut(ended.host) {
-            machine.errors = 0;
-            machine.failed_jobs.clear();
+            machine.failures.forget();
             if let Some(ran) = ended.ran.filter(|_| ended.expect > 0) {
                 let pace = (ran.saturating_mul(1000) / ended.expect).min(1_000_000) as u32;
                 machine.pace.push(run_times.relative(&ended.class, pace));
@@ -662,7 +661,11 @@
                 }
             }
         }
+        let is_first = self.jobs.get(&task.job).is_some_and(|job| job.good == 0);
         self.finish(&task.job, task.index, now);
+        if is_first {
+            self.job_runs_well(&task.job);
+        }
         if let Some(job) = self.jobs.get_mut(&task.job)
             && job.located.get(&task.index).is_some_and(|p| p.attempt == ended.seen.attempt)
         {
@@ -673,29 +676,58 @@
     fn attempt_failed(&mut self, ended: &EndedAttempt, now: Micros) {
         let id = &ended.seen.task.job;
         let Some(job) = self.jobs.get_mut(id) else { return };
-        job.failures += 1;
-        job.failed_at = now;
-        job.failed_on.insert(ended.host.to_owned());
-        if job.failed_on.len() > 1 {
+        let was_mistaken = job.mistaken();
+        job.failures.note(ended.host, ended.placed, ended.ran.unwrap_or(0), now);
+        let (runs_well, several) = (job.good > 0, job.failures.on_several());
+        if several {
             // A mistaken job fails everywhere: it must not hammer the machines.
-            job.no_start_before = now + pause_after(job.failures);
-            // A job that fails on other machines too says nothing of the first.
-            let hosts = job.failed_on.clone();
-            self.acquit(id, &hosts);
-        } else if let Some(machine) = self.machines.get_mut(ended.host) {
-            machine.errors += 1;
-            machine.failed_jobs.insert(id.clone());
+            job.no_start_before = now + job.failures.pause();
+        }
+        if job.mistaken() && !was_mistaken {
+            let line = format!(
+                "{id} fails on every machine that it is tried on; it is tried with a task at a time"
+            );
+            self.notes.push((Weight::Info, line));
+        }
+        if let Some(machine) = self.machines.get_mut(ended.host) {
+            machine.failures.note(id, runs_well, several, now);
+        }
+        if several && !runs_well {
+            // It says nothing of the machines that it failed on before either.
+            self.tell_machines(id, |failures| failures.failed_elsewhere(id));
         }
     }
 
-    /// Takes back what a job's failures said of machines.
-    fn acquit(&mut self, job: &str, hosts: &std::collections::BTreeSet<String>) {
-        for host in hosts {
-            if let Some(machine) = self.machines.get_mut(host)
-                && machine.failed_jobs.remove(job)
-                && machine.failed_jobs.is_empty()
-            {
-                machine.errors = 0;
+    /// Whether an attempt of a job that failed everywhere has shown by now that it runs.
+    pub(crate) fn try_to_clear(&mut self, cfg: &Config, id: &str, now: Micros) {
+        let Some(job) = self.jobs.get_mut(id).filter(|job| job.mistaken()) else { return };
+        // A report may show a start or a failure an interval late.
+        let margin = cfg.workers.report * 2;
+        for (index, place) in &job.located {
+            let key = (TaskId { job: id.to_owned(), index: *index }, place.attempt);
+            let slot = self.machines.get(&place.machine).and_then(|m| m.slots.get(&key));
+            let since = slot.filter(|slot| !slot.exited()).and_then(|slot| slot.running_since);
+            if let Some(since) = since {
+                job.failures.runs(now.saturating_sub(since), margin);
+            }
+        }
+        if !job.mistaken() {
+            self.job_runs_well(id);
+        }
+    }
+
+    /// A job that may have failed on some machines has run well on another.
+    fn job_runs_well(&mut self, id: &str) {
+        self.tell_machines(id, |failures| failures.runs_elsewhere(id));
+        self.place_wanted = true;
+    }
+
+    /// Tells the machines that a job failed on what has become of it elsewhere.
+    fn tell_machines(&mut self, id: &str, tell: impl Fn(&mut MachineFailures)) {
+        let Some(job) = self.jobs.get(id) else { return };
+        for host in job.failures.machines() {
+            if let Some(machine) = self.machines.get_mut(host) {
+                tell(&mut machine.failures);
             }
         }
     }
@@ -739,6 +771,7 @@
         self.need = Amounts::of_job(job);
         self.rank = job.rank;
         self.service = job.is_service();
+        self.yields = job.rank == Rank::BestEffort && job.checkpoint_s > 0.0;
         self.team.clone_from(&job.team);
         self.class.clone_from(&job.class);
         self.image.clone_from(&job.image);
@@ -765,6 +798,7 @@
             settled: false,
             sent: false,
             service: false,
+            yields: false,
             over_since: None,
             patient: false,
             kill_sent: None,
--- a/crates/quartzlever-core/src/stealing.rs
+++ b/crates/quartzlever-core/src/stealing.rs
@@ -235,7 +235,7 @@
 
     /// How long a part's queue is.
     fn load_of(&self, part: &Partition) -> Load {
-        let jobs = part.jobs.values().filter(|j| !j.ready.is_empty());
+        let jobs = part.jobs.values().filter(|j| !j.ready.is_empty() && !j.mistaken());
         let work = jobs.map(|j| {
             let each = self.run_times.expect(j.spec()) as f64 / 1e6 * j.spec().cpus;
             f64::from(j.ready.len()) * each
@@ -664,6 +664,8 @@
         && spec.rank <= rank
         && !job.doubtful
         && !job.ready.is_empty()
+        // Elsewhere it would fail on as many machines again.
+        && !job.mistaken()
         && !cfg.limited(&spec.team)
         && !spec.one_zone
         && !spec.spread
