Machines on their way are waited for by one policy; kinds that come late are asked for last

Need: how long a machine is waited for stood in three places, kinds that came late were asked for again as if nothing were, and of more than a hundred machines given up at once all but a hundred were forgotten until the cloud's list showed them as strays.

Change: fleet/arrivals.rs decides with its reasons when a machine is late for services, not counted on, or returned; a kind of which three are late and none came in time since counts as 1.4 times as dear; what one request cannot return goes with the next. The log tells once of late machines.

--- a/crates/quartzlever-core/src/claims.rs
+++ b/crates/quartzlever-core/src/claims.rs
@@ -517,7 +517,7 @@
                 part.add_machine(&host, record.clone(), true, now);
             }
             for part in self.parts.values_mut().filter(|p| p.name != record.part) {
-                part.fleet.arrived(&host);
+                part.fleet.arrivals.arrived(&host, part.types.as_deref(), now);
             }
             self.claim_settled(key, &host);
         }
--- a/crates/quartzlever-core/src/fleet.rs
+++ b/crates/quartzlever-core/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The machines of a partition: what is known of the cloud, and who decides about renting and
 //! returning.
 
+mod arrivals;
 mod renting;
 mod returning;
 
@@ -16,6 +17,7 @@
 use crate::messages::Lane;
 use crate::partition::Types;
 
+pub use arrivals::{Arrivals, Expected};
 pub use returning::ReturnReason;
 
 const TICK: Micros = SECOND / 2;
@@ -63,15 +65,6 @@
     }
 }
 
-/// A rented machine that has not reported yet.
-#[derive(Clone, Debug)]
-pub struct Expected {
-    pub kind: String,
-    pub zone: String,
-    pub spot: bool,
-    pub since: Micros,
-}
-
 /// A kind of machine that can be asked for: type, zone, spot.
 type Offer = (String, String, bool);
 
@@ -113,7 +106,8 @@
 /// The fleet side of a part.
 #[derive(Debug, Default)]
 pub struct Fleet {
-    pub expected: BTreeMap<String, Expected>,
+    /// Rented machines that have not reported yet.
+    pub arrivals: Arrivals,
     /// Machines that were returned; late reports of them claim nothing.
     pub gone: Gone,
     hires: BTreeMap<String, OpenHire>,
@@ -125,11 +119,6 @@
 }
 
 impl Fleet {
-    /// A machine has reported, to this part or to another.
-    pub fn arrived(&mut self, host: &str) {
-        self.expected.remove(host);
-    }
-
     /// The cloud has refused spot machines of these types in these zones.
     #[cfg(test)]
     pub(crate) fn refuse_spot(&mut self, types: &[&str], zones: &[&str], until: Micros) {
@@ -142,7 +131,7 @@
 
     /// Whether no machine is rented that has not reported yet, and none is asked for.
     pub fn is_nothing_coming(&self) -> bool {
-        self.expected.is_empty() && self.hires.is_empty()
+        self.arrivals.is_empty() && self.hires.is_empty()
     }
 }
 
@@ -251,7 +240,7 @@
                 continue;
             }
             let claimed = self.cache.hosts.contains_key(&rental.name);
-            let expected = self.parts.values().any(|p| p.fleet.expected.contains_key(&rental.name));
+            let expected = self.parts.values().any(|p| p.fleet.arrivals.contains(&rental.name));
             let boot =
                 self.types.as_ref().and_then(|t| t.get(&rental.kind)).map_or(60.0, |t| t.ready_s);
             let old = rental.held_s > 4.0 * boot + 60.0;
@@ -264,7 +253,7 @@
         if !strays.is_empty() {
             for part in self.parts.values_mut() {
                 for host in &strays {
-                    part.fleet.expected.remove(host);
+                    part.fleet.arrivals.forget(host);
                 }
             }
             self.cloud_call(
--- a/crates/quartzlever-core/src/fleet/renting.rs
+++ b/crates/quartzlever-core/src/fleet/renting.rs
@@ -28,11 +28,11 @@
 const GIVEN_WAY: Micros = 2 * SECOND;
 /// An offer counts as cheap up to this many times the lowest price for the job.
 const CHEAP: f64 = 1.5;
-/// A machine for services that has not come up after so many usual boots is not waited for.
-const OVERDUE_BOOTS: f64 = 1.2;
-/// A machine that has not come up after so many usual boots, and this much more, is not counted on.
-const COUNTED_ON_BOOTS: f64 = 1.8;
-const COUNTED_ON_MORE: Micros = 3 * SECOND;
+/// Most machines are up after so many usual boots.
+const USUAL_BOOTS: f64 = 1.2;
+/// A kind of machine that comes late lately counts as this much dearer: others are tried first, as long as they are
+/// about as cheap, and where all are late they are asked for as usual.
+const LATE_DEARER: f64 = 1.4;
 /// A machine that a job needs to begin at all is up by then: jobs have to begin within four minutes, and
 /// its claim and the image take a while.
 const UP_WITHIN: Micros = 230 * SECOND;
@@ -45,15 +45,6 @@
 /// Machines in excess of this many are not rented in one round.
 const MOST_PER_ROUND: u32 = 150;
 
-impl Expected {
-    /// Whether it should have come up by now. Some machines take several times as long as others, or
-    /// never come up: for a service another one is asked for meanwhile.
-    fn is_overdue(&self, types: &BTreeMap<String, MachineType>, now: Micros) -> bool {
-        let boot = types.get(&self.kind).map_or(0.0, |kind| kind.ready_s);
-        now.saturating_sub(self.since) > micros_from_secs(OVERDUE_BOOTS * boot)
-    }
-}
-
 /// Room of one kind that will be there or could be rented.
 struct Bin {
     offer: Offer,
@@ -73,6 +64,8 @@
     lowest: f64,
     /// Work ahead in the queue, in processor-seconds; what runs counts by what is left of it.
     ahead: f64,
+    /// Kinds of machines that come late lately.
+    late: Vec<Offer>,
 }
 
 impl Supply {
@@ -144,7 +137,7 @@
         supply: &Supply,
     ) -> bool {
         let spec = job.spec();
-        let boot = micros_from_secs(OVERDUE_BOOTS * kind.ready_s);
+        let boot = micros_from_secs(USUAL_BOOTS * kind.ready_s);
         let up_at = self.now.saturating_sub(job.since) + boot;
         let must_begin = job.is_starved(self.now) && up_at >= UP_WITHIN && !begins;
         spec.spot
@@ -313,7 +306,7 @@
                             spot: hire.spot,
                             since,
                         };
-                        part.fleet.expected.insert(host.clone(), expected);
+                        part.fleet.arrivals.expect(host, expected);
                     }
                 }
                 for host in &hosts {
@@ -375,9 +368,9 @@
         self.standby_at(types, offer).is_some()
             || self
                 .fleet
-                .expected
-                .values()
-                .any(|e| coming(&e.zone, e.spot) && !e.is_overdue(types, now))
+                .arrivals
+                .iter()
+                .any(|e| coming(&e.zone, e.spot) && !e.is_too_late_for_services(types, now))
             || self.fleet.hires.values().any(|h| coming(&h.hire.zone, h.hire.spot))
     }
 
@@ -430,7 +423,8 @@
                 // aim, and only as many as it takes: one machine serves several waves.
                 cheap_only = last_start <= latest;
             }
-            let Some(offer) = self.cheapest(cfg, types, job, &unplaced, now, cheap_only) else {
+            let Some(offer) = self.cheapest(market, job, &unplaced, &supply.late, cheap_only)
+            else {
                 break;
             };
             let Some(kind) = types.get(&offer.0) else { break };
@@ -462,15 +456,11 @@
                 _ => supply.add_offer(&record.kind, &record.zone, record.spot),
             }
         }
-        for expected in self.fleet.expected.values() {
+        for expected in self.fleet.arrivals.iter().filter(|e| !e.is_late(types, now)) {
             let Some(kind) = types.get(&expected.kind) else { continue };
-            // One that is long overdue is not counted on.
-            let overdue = micros_from_secs(COUNTED_ON_BOOTS * kind.ready_s) + COUNTED_ON_MORE;
-            if now.saturating_sub(expected.since) < overdue {
-                let offer = (expected.kind.clone(), expected.zone.clone(), expected.spot);
-                supply.add_coming(kind, offer);
-            }
+            supply.add_coming(kind, expected.offer());
         }
+        supply.late = self.fleet.arrivals.late_offers(types, now);
         for OpenHire { hire, .. } in self.fleet.hires.values() {
             let Some(kind) = types.get(&hire.kind) else { continue };
             for _ in 0..hire.count {
@@ -500,13 +490,13 @@
     /// The cheapest offer for the tasks of a job that have no room yet.
     fn cheapest(
         &self,
-        cfg: &Config,
-        types: &BTreeMap<String, MachineType>,
+        market: &Market,
         job: &PartitionJob,
         unplaced: &Unplaced,
-        now: Micros,
+        late: &[Offer],
         cheap_only: bool,
     ) -> Option<Offer> {
+        let Market { cfg, types, now, .. } = *market;
         let spec = job.spec();
         let need = job.need();
         let mut best: Option<(f64, Offer)> = None;
@@ -529,7 +519,8 @@
                     }
                     // At the same price the holder's own zone: reports take the shorter way.
                     let far = if *zone == cfg.zone { 1.0 } else { 1.01 };
-                    let cost = price(kind, spot) / f64::from(count) * far;
+                    let late = if late.contains(&offer) { LATE_DEARER } else { 1.0 };
+                    let cost = price(kind, spot) / f64::from(count) * far * late;
                     // A moment without a replica is dearer than a machine.
                     let cost = if spec.is_service() { kind.ready_s * 1e3 + cost } else { cost };
                     if cost.is_finite() && best.as_ref().is_none_or(|b| cost < b.0) {
--- a/crates/quartzlever-core/src/fleet/returning.rs
+++ b/crates/quartzlever-core/src/fleet/returning.rs
@@ -13,7 +13,7 @@
 use crate::engine::Core;
 use crate::machine::Machine;
 use crate::messages::Weight;
-use crate::partition::{Partition, Types};
+use crate::partition::Partition;
 
 /// So many machines of a zone fall silent together only when the zone is cut off.
 const CUT_MACHINES: usize = 3;
@@ -216,13 +216,23 @@
         let rules = ReturnRules::new(&self.cfg, &types, part, &standby, attentive, now);
         part.mark_returns(&rules);
         let mut hosts = part.marked_machines();
-        hosts.extend(part.take_overdue(&types, now, attentive, self.cfg.workers.report));
         hosts.truncate(MOST_PER_RETURN);
-        if hosts.is_empty() {
-            return;
+        // After standing still, their reports may wait unread.
+        if now.saturating_sub(attentive) > 2 * self.cfg.workers.report {
+            let room = MOST_PER_RETURN - hosts.len();
+            hosts.extend(part.fleet.arrivals.take_given_up(&types, now, room));
         }
+        let late = part.fleet.arrivals.news(&types, now);
         let reasons = part.begin_return(&hosts);
         let part = Some((name.to_owned(), part.term));
+        if let Some((late, all)) = late {
+            self.note(Weight::Info, || {
+                format!("part {name}: {late} of {all} machines on their way are late")
+            });
+        }
+        if hosts.is_empty() {
+            return;
+        }
         self.note(Weight::Info, || format!("part {name}: returns {}", reasons.join(", ")));
         self.cloud_call(CloudCall::Return(hosts.clone()), CloudWork::Return { part, hosts });
     }
@@ -311,28 +321,6 @@
         machines.map(|m| m.name.clone()).collect()
     }
 
-    /// Rented machines that should have come up long ago; they are not expected any more.
-    fn take_overdue(
-        &mut self,
-        types: &Types,
-        now: Micros,
-        attentive: Micros,
-        report: Micros,
-    ) -> Vec<String> {
-        let listened = now.saturating_sub(attentive) > 2 * report;
-        let is_overdue = |kind: &str, since: Micros| {
-            let boot = types.get(kind).map_or(60.0, |kind| kind.ready_s);
-            now.saturating_sub(since) > micros_from_secs(3.0 * boot) + 20 * SECOND
-        };
-        let expected = self.fleet.expected.iter();
-        let late: Vec<String> = expected
-            .filter(|(_, e)| listened && is_overdue(&e.kind, e.since))
-            .map(|(host, _)| host.clone())
-            .collect();
-        self.fleet.expected.retain(|host, _| !late.contains(host));
-        late
-    }
-
     /// Marks machines as being returned; gives each with its reason, for the log.
     fn begin_return(&mut self, hosts: &[String]) -> Vec<String> {
         let mut reasons = Vec::new();
--- a/crates/quartzlever-core/src/fleet/tests.rs
+++ b/crates/quartzlever-core/src/fleet/tests.rs
@@ -405,7 +405,7 @@
         let part = core.parts.get_mut("one").expect("it is held");
         let expected =
             Expected { kind: "m".into(), zone: "a".into(), spot: false, since: NOW - boot };
-        part.fleet.expected.insert("n-7".into(), expected);
+        part.fleet.arrivals.expect("n-7", expected);
         let offer = ("m".to_owned(), "a".to_owned(), false);
         assert_eq!(part.has_standby(&types, &offer, NOW), counted, "{boots} boots");
     }
--- a/crates/quartzlever-core/src/partition.rs
+++ b/crates/quartzlever-core/src/partition.rs
@@ -428,7 +428,7 @@
     /// Adds a claimed machine. `ours` says that it was claimed under this very term, so no
     /// earlier holder ever commanded it.
     pub fn add_machine(&mut self, name: &str, record: HostRecord, ours: bool, now: Micros) {
-        self.fleet.arrived(name);
+        self.fleet.arrivals.arrived(name, self.types.as_deref(), now);
         let machine = self
             .machines
             .entry(name.to_owned())
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -119,7 +119,7 @@
             return self.later(id, 503, "not entitled");
         }
         let (part_name, term) = (part.name.clone(), part.term);
-        if part.fleet.expected.contains_key(&report.host) {
+        if part.fleet.arrivals.contains(&report.host) {
             return self.want_claim(id, report, &part_name, term);
         }
         // Nobody here knows of it: a late copy of a report must not claim anew a machine that
--- a/crates/quartzlever-core/src/reports/tests.rs
+++ b/crates/quartzlever-core/src/reports/tests.rs
@@ -224,7 +224,7 @@
         core.lease.next = NOW + 900 * SECOND;
         if let Some(part) = core.parts.get_mut("one").filter(|_| expected) {
             let machine = Expected { kind: "m".into(), zone: "a".into(), spot: true, since: NOW };
-            part.fleet.expected.insert("n-9".into(), machine);
+            part.fleet.arrivals.expect("n-9", machine);
         }
         let first = Command::Report { id: 1, report: report_from("n-9", 1, 1, 0, &[]) };
         let mut effects = core.step(NOW, vec![first]);
