The log tells of a controller that stood still, and of a state service out of reach

Need: on-call people saw controllers go quiet, or be turned away by the state service alone, with no word in the logs.

Change: one line each when a controller goes on after more than four seconds, when the state service has not answered for four seconds, when it answers others only, and when it is back; a peer's late word that it reaches it counts for nothing.

Result: test of the lines, once each.

--- a/crates/quartzlever-core/src/engine.rs
+++ b/crates/quartzlever-core/src/engine.rs
@@ -153,6 +153,8 @@
     /// When a peer last said that it is reached from there while it is not from here.
     pub alone: Option<Micros>,
     asked: Micros,
+    /// The log was told that it is out of reach.
+    told: bool,
 }
 
 /// The state service counts as out of reach after this time; a lease is renewed more often.
@@ -369,8 +371,7 @@
             Command::Peer { id, request } => self.peer_request(id, request),
             Command::State { token, result } => {
                 if result.is_ok() {
-                    self.contact.heard = self.now;
-                    self.contact.alone = None;
+                    self.contact_made();
                 }
                 self.learn_limits(token, &result);
                 if let Some(waiting) = self.state_waits.remove(&token) {
@@ -571,6 +572,28 @@
         }
     }
 
+    /// The state service has answered.
+    fn contact_made(&mut self) {
+        let silent = self.now.saturating_sub(self.contact.heard) / SECOND;
+        self.contact.heard = self.now;
+        self.contact.alone = None;
+        if std::mem::take(&mut self.contact.told) {
+            self.note(Weight::Info, || {
+                format!("the state service answers again, after {silent} s without an answer")
+            });
+        }
+    }
+
+    /// A peer reaches the state service while this node does not.
+    pub(crate) fn peer_reaches_state(&mut self) {
+        // A late answer says nothing of the present.
+        if self.contact.told && self.contact.alone.replace(self.now).is_none() {
+            self.note(Weight::Info, || {
+                "the state service answers others and not this controller".into()
+            });
+        }
+    }
+
     /// Asks the peers, while the state service gives no answer, whether they reach it.
     fn keep_contact(&mut self) {
         let now = self.now;
@@ -578,6 +601,11 @@
             return;
         }
         self.contact.asked = now;
+        if !std::mem::replace(&mut self.contact.told, true) {
+            self.note(Weight::Info, || {
+                format!("the state service has not answered for {} s", CONTACT_LOST / SECOND)
+            });
+        }
         for node in self.cfg.nodes.clone() {
             if node != self.cfg.node {
                 self.ask_peer(&node, PeerRequest::Contact, crate::stealing::PeerWork::Contact);
--- a/crates/quartzlever-core/src/engine/tests.rs
+++ b/crates/quartzlever-core/src/engine/tests.rs
@@ -38,6 +38,55 @@
     }
 }
 
+/// Lines for the log among effects.
+fn lines(effects: &[Effect]) -> Vec<&str> {
+    fn line(effect: &Effect) -> Option<&str> {
+        match effect {
+            Effect::Note { text, .. } => Some(text),
+            _ => None,
+        }
+    }
+    effects.iter().filter_map(line).collect()
+}
+
+/// The log tells once that the state service is out of reach, whether it is for others as well, and once that it is
+/// back; a peer's word that comes after that counts for nothing.
+#[test]
+fn the_log_tells_once_of_a_state_service_that_is_out_of_reach() {
+    use quartzlever_wire::peers::{PeerAnswer, PeerRequest};
+    let mut core = core();
+    core.cfg.notes = Weight::Info;
+    core.cache.loaded = true;
+    core.contact.heard = NOW;
+    assert!(lines(&core.step(NOW + 3 * SECOND, Vec::new())).is_empty());
+    let effects = core.step(NOW + 5 * SECOND, Vec::new());
+    assert_eq!(lines(&effects), ["the state service has not answered for 4 s"]);
+    let token = effects.iter().find_map(|effect| match effect {
+        Effect::Peer { token, request: PeerRequest::Contact, .. } => Some(*token),
+        _ => None,
+    });
+    let reached = |token| {
+        let result = Ok(PeerAnswer::Contact { reached: true });
+        vec![Command::Asked { token, result }]
+    };
+    let effects = core.step(NOW + 5 * SECOND, reached(token.expect("a peer is asked")));
+    assert_eq!(lines(&effects), ["the state service answers others and not this controller"]);
+    let effects = core.step(NOW + 7 * SECOND, Vec::new());
+    assert!(lines(&effects).is_empty(), "once");
+    let late = effects.iter().find_map(|effect| match effect {
+        Effect::Peer { token, request: PeerRequest::Contact, .. } => Some(*token),
+        _ => None,
+    });
+    let token = 1 << 40;
+    core.state_waits.insert(token, crate::engine::Waiting::Nothing);
+    let answer = Command::State { token, result: Ok(StateReply::Renewed) };
+    let effects = core.step(NOW + 9 * SECOND, vec![answer]);
+    let back = "the state service answers again, after 9 s without an answer";
+    assert!(lines(&effects).contains(&back), "{:?}", lines(&effects));
+    core.step(NOW + 9 * SECOND, reached(late.expect("a peer is asked again")));
+    assert!(core.contact.alone.is_none(), "a late word");
+}
+
 #[test]
 fn a_controller_that_is_behind_keeps_its_hold_and_its_machines() {
     // Seconds between two steps for 30 s, with the answer to each call only in the next step.
--- a/crates/quartzlever-core/src/stealing.rs
+++ b/crates/quartzlever-core/src/stealing.rs
@@ -317,7 +317,7 @@
             }
             PeerWork::Contact => {
                 if let Ok(PeerAnswer::Contact { reached: true }) = result {
-                    self.contact.alone = Some(self.now);
+                    self.peer_reaches_state();
                 }
             }
             PeerWork::Count { round, node } => {
--- a/crates/quartzlever/src/node.rs
+++ b/crates/quartzlever/src/node.rs
@@ -28,6 +28,8 @@
 const TICK: Duration = Duration::from_millis(200);
 /// A loop that took longer than this did not listen meanwhile.
 const STOOD_STILL: Micros = 1_000_000;
+/// The log is told of longer ones: shorter ones come with a processor that is short.
+const STILL_TOLD: Micros = 4_000_000;
 /// As long, and some of those who ask may have given up.
 const LATE: Micros = 400_000;
 /// Users and workers are served once the state service has been read, or else after this time, to
@@ -340,7 +342,11 @@
         incoming.questions.try_iter().take(QUESTION_BATCH).for_each(&mut take);
         incoming.submissions.try_iter().take(SUBMISSION_BATCH).for_each(&mut take);
         waiting.give_up(now);
-        behind |= now - last > STOOD_STILL || incoming.first.len() > BATCH;
+        let still = now - last;
+        if still > STILL_TOLD {
+            tracing::info!("stood still for {:.1} s", still as f64 / 1e6);
+        }
+        behind |= still > STOOD_STILL || incoming.first.len() > BATCH;
         last = now;
         if now >= tick_at {
             ticked = Some(now);
