Room that is made for a task is kept for it, and not taken by the lower work that made it

Cause: guests that were stopped for a wide task ended one after the other, and what each left was given to waiting guests at once.

Change: the machine keeps the room from work of lower rank for ten seconds, or until nothing of that rank waits.

The test fails without it.

--- a/crates/quartzlever-core/src/machine.rs
+++ b/crates/quartzlever-core/src/machine.rs
@@ -116,6 +116,13 @@
     }
 }
 
+/// Room that is being made on a machine for work of a rank: work of lower rank stays out of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RoomInTheMaking {
+    pub rank: Rank,
+    pub until: Micros,
+}
+
 /// Names an attempt on a machine.
 pub type SlotKey = (TaskId, u64);
 
@@ -157,6 +164,8 @@
     pub return_wanted: Option<ReturnReason>,
     /// Tasks that failed here since the last one that was done.
     pub failures: MachineFailures,
+    /// Room that is being made here by stopping others.
+    pub making_room: Option<RoomInTheMaking>,
     /// Run times of its last tasks against what their class usually takes, in thousandths.
     pub pace: Vec<u32>,
 }
@@ -186,6 +195,7 @@
             returning: false,
             return_wanted: None,
             failures: MachineFailures::default(),
+            making_room: None,
             pace: Vec::new(),
         }
     }
@@ -265,6 +275,11 @@
         self.usable() && now.saturating_sub(self.heard) < quiet
     }
 
+    /// Whether room is being made here for more urgent work than of this rank.
+    pub fn keeps_room_from(&self, rank: Rank, now: Micros) -> bool {
+        self.making_room.is_some_and(|room| now < room.until && rank > room.rank)
+    }
+
     /// What is free, counting everything that may be on the machine as taken.
     pub fn free(&self, total: Amounts) -> Amounts {
         let mut free = total;
--- a/crates/quartzlever-core/src/partition.rs
+++ b/crates/quartzlever-core/src/partition.rs
@@ -200,6 +200,8 @@
     pub short_least: f64,
     /// A machine kept for the first task of a job that has waited too long to begin.
     pub kept_for: Option<(String, String)>,
+    /// Machines on which room is being made.
+    pub making_room: BTreeSet<String>,
     /// Tasks should start now, and no room can be made for them here.
     pub pressed: bool,
 }
@@ -230,6 +232,7 @@
             short: Vec::new(),
             short_least: f64::INFINITY,
             kept_for: None,
+            making_room: BTreeSet::new(),
             pressed: false,
         }
     }
--- a/crates/quartzlever-core/src/placement.rs
+++ b/crates/quartzlever-core/src/placement.rs
@@ -10,7 +10,7 @@
 
 use crate::config::{Config, Objective};
 use crate::engine::Core;
-use crate::machine::{Amounts, Slot, SlotKey};
+use crate::machine::{Amounts, RoomInTheMaking, Slot, SlotKey};
 use crate::messages::{Effect, Weight};
 use crate::partition::{Partition, PartitionJob, Place};
 
@@ -21,6 +21,8 @@
 const PREEMPT_AHEAD: Micros = 5 * SECOND / 2;
 /// Lost work that stopping a task again counts for on top of what is lost.
 const STOPPED_AGAIN: Micros = 4 * SECOND;
+/// Room that was made is kept for what it was made for so long: the tasks there save, end and are reported.
+const ROOM_KEPT_FOR: Micros = 10 * SECOND;
 /// Room that frees by itself, or a thief, gets this long first.
 const PREEMPT_AFTER: Micros = SECOND / 5;
 /// A job that has not begun by then begins next; users expect that within four minutes.
@@ -252,6 +254,7 @@
                 part.short.push(id);
             }
         }
+        part.open_made_room(now);
         self.preempt(name);
     }
 
@@ -444,7 +447,8 @@
             let fits = machine.open(now, quiet)
                 && machine.room.fits(&need)
                 && (again || !job.failures.includes(host))
-                && !machine.failures.in_doubt(now);
+                && !machine.failures.in_doubt(now)
+                && !machine.keeps_room_from(spec.rank, now);
             fits.then(|| {
                 let image = if machine.images.contains(&spec.image) {
                     0
@@ -606,6 +610,7 @@
         while wanted > 0 {
             let Some(Stops { gain, machine, attempts, .. }) = offers.pop() else { break };
             stopped.on.push((machine.clone(), attempts.len()));
+            self.keep_room_for(asks.spec.rank, &machine, asks.now);
             for key in attempts {
                 if let Some(job) = self.jobs.get_mut(&key.0.job) {
                     job.stopped.insert(key.0.index);
@@ -624,6 +629,34 @@
         stopped
     }
 
+    /// Keeps the room that is being made on a machine for work of a rank, or above. The first tasks to end there
+    /// left room for lower work at once, so that a task which needs all of it waited for a minute, and the
+    /// lower work was stopped six times over.
+    fn keep_room_for(&mut self, rank: Rank, host: &str, now: Micros) {
+        let Some(machine) = self.machines.get_mut(host) else { return };
+        let rank = machine.making_room.map_or(rank, |room| room.rank.min(rank));
+        machine.making_room = Some(RoomInTheMaking { rank, until: now + ROOM_KEPT_FOR });
+        self.making_room.insert(host.to_owned());
+    }
+
+    /// Opens made room to everybody where nothing waits any more that it was made for.
+    fn open_made_room(&mut self, now: Micros) {
+        if self.making_room.is_empty() {
+            return;
+        }
+        let waiting = self.short.iter().filter_map(|id| self.jobs.get(id)).map(|j| j.spec().rank);
+        let most_urgent = waiting.min();
+        let machines = &mut self.machines;
+        self.making_room.retain(|host| {
+            let Some(machine) = machines.get_mut(host) else { return false };
+            let awaited = |room: &RoomInTheMaking| {
+                now < room.until && most_urgent.is_some_and(|rank| rank <= room.rank)
+            };
+            machine.making_room = machine.making_room.filter(awaited);
+            machine.making_room.is_some()
+        });
+    }
+
     /// All ways to make room for tasks of the job on one machine each, the dearest first.
     fn all_stops(&self, asks: &Preemption) -> Vec<Stops> {
         let mut all: Vec<Stops> =
--- a/crates/quartzlever-core/src/placement/tests.rs
+++ b/crates/quartzlever-core/src/placement/tests.rs
@@ -222,3 +222,40 @@
         assert_eq!(placed(&core, "req-1").len(), large, "{age}: begins");
     }
 }
+
+/// Four small guests make room for one wide task, and end one after the other: none of the room that they
+/// leave goes to the guests that wait. It did, and the wide task waited for a minute while guests
+/// were stopped and started six times over.
+#[test]
+fn room_that_is_made_is_kept_for_what_it_was_made_for() {
+    use quartzlever_wire::SECOND;
+    let mut core = core();
+    machines(&mut core, &[("n-1", "m", "a", false)]);
+    let guest = JobSpec { rank: Rank::BestEffort, checkpoint_s: 30.0, save_s: 3.0, ..spec(20) };
+    queue_job(&mut core, &guest, 10);
+    let wide = JobSpec { id: "req-2".into(), cpus: 8.0, due_s: Some(600.0), ..spec(1) };
+    queue_job(&mut core, &wide, 11);
+    let place = |core: &mut Core, now| {
+        core.now = now;
+        core.parts.get_mut("one").expect("it is held").place_wanted = true;
+        core.place("one");
+    };
+    place(&mut core, NOW + SECOND);
+    let stopped = |core: &Core| -> Vec<crate::machine::SlotKey> {
+        let slots = &core.parts["one"].machines["n-1"].slots;
+        slots.iter().filter(|(_, s)| !s.wanted).map(|(key, _)| key.clone()).collect()
+    };
+    let keys = stopped(&core);
+    assert_eq!(keys.len(), 4, "all that is on the machine");
+    for (n, key) in keys.iter().enumerate() {
+        assert_eq!(placed(&core, &wide.id), [], "{n} have ended");
+        let part = core.parts.get_mut("one").expect("it is held");
+        part.machines["n-1"].slots.remove(key);
+        part.requeue(&key.0, key.1);
+        part.refresh("n-1");
+        core.fill("one", "n-1");
+        place(&mut core, NOW + 2 * SECOND + n as u64 * SECOND / 5);
+    }
+    assert_eq!(placed(&core, &wide.id), [("n-1".to_owned(), 1)]);
+    assert_eq!(placed(&core, &guest.id), [], "no guest took what was left meanwhile");
+}
