Idle-time work that saves its progress counts as old after ten minutes, not four

Cause: any job of four minutes queued with urgent work and was not stopped any more, idle-time work too.

Change: idle-time work that saves its progress gets on in whatever time is left, and counts as old after ten minutes; that jobs begin within four minutes stays as it was.

--- a/crates/quartzlever-core/src/partition.rs
+++ b/crates/quartzlever-core/src/partition.rs
@@ -85,6 +85,11 @@
         self.record.job.is_service()
     }
 
+    /// Whether it is idle-time work that saves its progress when it is stopped, so that it loses next to nothing.
+    pub fn yields(&self) -> bool {
+        yields(&self.record.job)
+    }
+
     /// All tasks that this part answers for, as far as it knows.
     fn known(&self) -> Ranges {
         let mut all = self.ready.union(&self.held);
@@ -155,6 +160,11 @@
     }
 }
 
+/// Whether tasks of a job give way to any other work at next to no loss.
+pub fn yields(job: &JobSpec) -> bool {
+    job.rank == Rank::BestEffort && job.checkpoint_s > 0.0
+}
+
 /// Machine types by name, shared by all parts of a process.
 pub type Types = Arc<BTreeMap<String, MachineType>>;
 
--- a/crates/quartzlever-core/src/placement.rs
+++ b/crates/quartzlever-core/src/placement.rs
@@ -31,6 +31,10 @@
 const SHELTERED: usize = 4;
 /// A job that old is not stopped for higher ranks, and queues with urgent ones.
 const AGED_AFTER: Micros = 240 * SECOND;
+/// Idle-time work that saves its progress gets on in whatever time is left, so it is as old as this before it counts as
+/// old. With the time of all other work, guests that were four minutes old filled the machines for good, and
+/// jobs with deadlines waited until they were four minutes old themselves.
+const IDLE_TIME_AGED_AFTER: Micros = 600 * SECOND;
 /// Shortest time between two placements of a part's whole queue, and between two looks at all
 /// machines for work to stop: with hundreds of machines both cost more than a report may.
 const PLACE_PAUSE: Micros = SECOND / 10;
@@ -353,7 +357,8 @@
 impl PartitionJob {
     /// Whether the job has waited so long that higher ranks stop it no more.
     fn aged(&self, now: Micros) -> bool {
-        now.saturating_sub(self.since) > AGED_AFTER
+        let after = if self.yields() { IDLE_TIME_AGED_AFTER } else { AGED_AFTER };
+        now.saturating_sub(self.since) > after
     }
 
     /// Whether higher ranks leave its tasks alone: so does a job whose first tasks begin late. As
--- a/crates/quartzlever-core/src/placement/tests.rs
+++ b/crates/quartzlever-core/src/placement/tests.rs
@@ -259,3 +259,35 @@
     assert_eq!(placed(&core, &wide.id), [("n-1".to_owned(), 1)]);
     assert_eq!(placed(&core, &guest.id), [], "no guest took what was left meanwhile");
 }
+
+/// Idle-time work that saves its progress waits for idle time, whatever its age, as long as it has begun. When guests of
+/// four minutes queued with urgent work and were not stopped any more, they filled the machines, and jobs with
+/// deadlines waited until they were as old.
+#[test]
+fn old_idle_time_work_does_not_go_before_deadlines() {
+    use quartzlever_wire::SECOND;
+    // (rank of the old job, its checkpoints, seconds since it came, it has begun; who is first)
+    for (rank, checkpoint_s, age, begun, first) in [
+        (Rank::BestEffort, 30.0, 250, true, "req-2"),
+        (Rank::BestEffort, 30.0, 590, true, "req-2"),
+        (Rank::BestEffort, 30.0, 610, true, "req-1"),
+        (Rank::BestEffort, 30.0, 160, false, "req-1"),
+        (Rank::BestEffort, 0.0, 250, true, "req-1"),
+        (Rank::Standard, 30.0, 250, true, "req-1"),
+    ] {
+        let mut core = core();
+        core.wall_offset = Some(0);
+        let old = JobSpec { rank, checkpoint_s, ..spec(4) };
+        absorb_job(&mut core, &old, 10, NOW - age * SECOND);
+        let fresh = JobSpec { id: "req-2".into(), due_s: Some(60.0), ..spec(2) };
+        absorb_job(&mut core, &fresh, 11, NOW);
+        let job = core.parts.get_mut("one").and_then(|p| p.jobs.get_mut("req-1"));
+        if let Some(job) = job.filter(|_| begun) {
+            job.finished.insert(0);
+            job.ready.remove(0);
+        }
+        let order = core.parts["one"].queue_order(&core.cfg, &core.run_times, NOW);
+        let found = order.first().map(String::as_str);
+        assert_eq!(found, Some(first), "{rank:?} {checkpoint_s} {age} {begun}");
+    }
+}
--- a/crates/quartzlever-core/src/reports.rs
+++ b/crates/quartzlever-core/src/reports.rs
@@ -11,7 +11,7 @@
 use crate::failures::MachineFailures;
 use crate::machine::{Amounts, Direct, Machine, Slot, SlotKey};
 use crate::messages::{Answer, Effect, RequestId, Weight};
-use crate::partition::{Partition, PartitionJob, Place};
+use crate::partition::{Partition, PartitionJob, Place, yields};
 use crate::placement::RunTimes;
 
 /// Wait after a direct call that brought nothing.
@@ -771,7 +771,7 @@
         self.need = Amounts::of_job(job);
         self.rank = job.rank;
         self.service = job.is_service();
-        self.yields = job.rank == Rank::BestEffort && job.checkpoint_s > 0.0;
+        self.yields = yields(job);
         self.team.clone_from(&job.team);
         self.class.clone_from(&job.class);
         self.image.clone_from(&job.image);
