Made room is kept only where what gives way takes time to end

Cause: room was also kept where tasks are killed at once and end together, which needs no keeping and may hold back others.

--- a/crates/quartzlever-core/src/placement.rs
+++ b/crates/quartzlever-core/src/placement.rs
@@ -615,7 +615,9 @@
         while wanted > 0 {
             let Some(Stops { gain, machine, attempts, .. }) = offers.pop() else { break };
             stopped.on.push((machine.clone(), attempts.len()));
-            self.keep_room_for(asks.spec.rank, &machine, asks.now);
+            if self.takes_time_to_end(&machine, &attempts) {
+                self.keep_room_for(asks.spec.rank, &machine, asks.now);
+            }
             for key in attempts {
                 if let Some(job) = self.jobs.get_mut(&key.0.job) {
                     job.stopped.insert(key.0.index);
@@ -634,6 +636,13 @@
         stopped
     }
 
+    /// Whether some of these attempts save before they end, so that they end one after the other.
+    fn takes_time_to_end(&self, host: &str, attempts: &[SlotKey]) -> bool {
+        let slots = self.machines.get(host).map(|machine| &machine.slots);
+        let slots = attempts.iter().filter_map(|key| slots.and_then(|slots| slots.get(key)));
+        slots.into_iter().any(|slot| slot.yields)
+    }
+
     /// Keeps the room that is being made on a machine for work of a rank, or above. The first tasks to end there
     /// left room for lower work at once, so that a task which needs all of it waited for a minute, and the
     /// lower work was stopped six times over.
