A worker's lease is not renewed while a cancelled job's task may still start

Cause: an action allowed on one path and bounded on another. A `run` sent by a direct call of unknown outcome may arrive minutes late. If the job is cancelled meanwhile, the worker never lists the attempt, no kill can reach it, and only the end of the worker's lease or the termination of its machine keeps the late command from starting it. The leader went on answering the machine's heartbeats with 200, which renews the lease, and relied on the cloud alone. With the cloud down, refusing or throttled, or the leader's authority gone before it was called, the late command started the task after cancel_s.

Why this works: a renewal keeps such an attempt alive for a lease, just as it does for a job whose cancellation the view does not show yet. So the same bound holds: `Permit::renew_lease` refuses a renewal once the earliest end of the attempt's job is older than the greatest age of the view (cancel - lease - drift - margin), and the answer carries that deadline. An attempt that the heartbeat lists does not count, since the same answer kills it. The machine gets no more tasks meanwhile; a new incarnation, its termination, or the attempt showing up ends the refusal.

The right to act is decided in `leadership::authority` alone: calls to workers and answers to heartbeats need a `Permit`, which only it creates; refusals are typed. The events `renewal_refused` and `renewal_resumed` name the attempt.

--- a/crates/quartzlever-core/src/autoscaling/cloud.rs
+++ b/crates/quartzlever-core/src/autoscaling/cloud.rs
@@ -130,7 +130,8 @@
     /// Calls the cloud. A call that terminates machines is sent only while this process certainly
     /// holds its lease.
     pub(super) fn call_cloud(&mut self, call: CloudCall, pending: PendingCloudCall) {
-        self.outbox.call_cloud(call, pending, self.lease.valid_until());
+        let deadline = self.authority().termination_deadline();
+        self.outbox.call_cloud(call, pending, deadline);
     }
 
     /// Passes a reply of the cloud to the handler of its call.
--- a/crates/quartzlever-core/src/events.rs
+++ b/crates/quartzlever-core/src/events.rs
@@ -13,6 +13,7 @@
 use quartzlever_wire::fields::Fields;
 
 use crate::autoscaling::ScaleInReason;
+use crate::calls::AttemptKey;
 
 const MICROS_PER_MILLISECOND: Micros = 1_000;
 
@@ -93,6 +94,20 @@
         /// Number of pending machines, including the late ones.
         pending: usize,
     },
+    /// A worker's lease is no longer renewed: an attempt of a job that ended long ago may still
+    /// start on its machine, and the expiry of the lease prevents that.
+    RenewalRefused {
+        partition: String,
+        term: u64,
+        /// Age of the view of the jobs, in microseconds.
+        view_age: Micros,
+        machine: String,
+        attempt: AttemptKey,
+        /// Longest possible time since the end of the attempt's job, in microseconds.
+        since_end: Micros,
+    },
+    /// A worker's lease is renewed again after [`LogEvent::RenewalRefused`].
+    RenewalResumed { partition: String, term: u64, machine: String },
     /// Machines are terminated.
     MachinesTerminated { partition: String, machines: Vec<TerminatedMachine> },
     /// Tasks on a machine are preempted for tasks of a more urgent job.
@@ -202,6 +217,8 @@
             | LogEvent::MachinesRequested { .. }
             | LogEvent::NoCapacity { .. }
             | LogEvent::MachinesLate { .. }
+            | LogEvent::RenewalRefused { .. }
+            | LogEvent::RenewalResumed { .. }
             | LogEvent::MachinesTerminated { .. }
             | LogEvent::TasksPreempted { .. }
             | LogEvent::TasksStolen { .. }
@@ -229,6 +246,8 @@
             LogEvent::MachinesRequested { .. } => "machines_requested",
             LogEvent::NoCapacity { .. } => "no_capacity",
             LogEvent::MachinesLate { .. } => "machines_late",
+            LogEvent::RenewalRefused { .. } => "renewal_refused",
+            LogEvent::RenewalResumed { .. } => "renewal_resumed",
             LogEvent::MachinesTerminated { .. } => "machines_returned",
             LogEvent::TasksPreempted { .. } => "tasks_preempted",
             LogEvent::TasksStolen { .. } => "tasks_stolen",
@@ -283,6 +302,20 @@
             LogEvent::MachinesLate { partition, late, pending } => {
                 fields.field("partition", partition).field("late", late).field("awaited", pending)
             }
+            LogEvent::RenewalRefused { partition, term, view_age, machine, attempt, since_end } => {
+                fields
+                    .field("partition", partition)
+                    .field("term", term)
+                    .field("view_age_ms", milliseconds(*view_age))
+                    .field("machine", machine)
+                    .field("job", &attempt.task.job)
+                    .field("task", attempt.task.index)
+                    .field("attempt", attempt.attempt)
+                    .field("since_end_ms", milliseconds(*since_end))
+            }
+            LogEvent::RenewalResumed { partition, term, machine } => {
+                fields.field("partition", partition).field("term", term).field("machine", machine)
+            }
             LogEvent::MachinesTerminated { partition, machines } => fields
                 .field("partition", partition)
                 .field("count", machines.len())
--- a/crates/quartzlever-core/src/events/tests.rs
+++ b/crates/quartzlever-core/src/events/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the names, levels and fields of the events.
 
+use quartzlever_wire::workers::TaskId;
+
 use super::*;
 
 /// Checks the level of each event and its name and fields as they appear in the log.
@@ -85,6 +87,31 @@
             LogLevel::Info,
             "machines_late partition=one late=2 awaited=5",
         ),
+        (
+            LogEvent::RenewalRefused {
+                partition: partition.clone(),
+                term,
+                view_age: duration,
+                machine: machine.clone(),
+                attempt: AttemptKey {
+                    task: TaskId { job: job.clone(), index: 3 },
+                    attempt: 20_971_521,
+                },
+                since_end: 27_000_999,
+            },
+            LogLevel::Info,
+            "renewal_refused partition=one term=5 view_age_ms=4200 machine=n-1 job=req-1 task=3 \
+             attempt=20971521 since_end_ms=27000",
+        ),
+        (
+            LogEvent::RenewalResumed {
+                partition: partition.clone(),
+                term,
+                machine: machine.clone(),
+            },
+            LogLevel::Info,
+            "renewal_resumed partition=one term=5 machine=n-1",
+        ),
         (
             LogEvent::MachinesTerminated {
                 partition: partition.clone(),
--- a/crates/quartzlever-core/src/leadership/authority/tests.rs
+++ b/crates/quartzlever-core/src/leadership/authority/tests.rs
@@ -31,8 +31,53 @@
         ("a view from the time of the renewal", renewed(), NOW + 20 * SECOND, until),
     ] {
         let authority = Authority::new(&lease, view_as_of, &config);
-        assert_eq!(authority.expires_at(), expires_at, "{name}");
-        assert!(!authority.is_valid(expires_at), "{name}");
-        assert_eq!(authority.is_valid(expires_at.saturating_sub(1)), expires_at > 0, "{name}");
+        assert!(authority.permit(5, expires_at).is_err(), "{name}");
+        let permit = authority.permit(5, expires_at.saturating_sub(1));
+        let deadline = permit.map_or(0, Permit::deadline);
+        assert_eq!(deadline, expires_at, "{name}");
+    }
+}
+
+#[test]
+fn a_lease_is_renewed_only_while_its_expiry_ends_every_attempt_in_time() {
+    let mut config = core().config;
+    config.workers.cancel = 40 * SECOND;
+    let max_view_age = config.max_view_age();
+    let lease = Lease::held(1, NOW + 900 * SECOND);
+    let view_as_of = NOW + 20 * SECOND;
+    let now = NOW + 21 * SECOND;
+    let permit = Authority::new(&lease, view_as_of, &config).permit(5, now);
+    let deadline = view_as_of + max_view_age;
+    let too_old = now - max_view_age;
+    // (earliest end of an attempt's job, expected deadline of the renewal or refusal)
+    for (ended_at, expected) in [
+        (None, Ok(deadline)),
+        (Some(view_as_of), Ok(deadline)),
+        (Some(view_as_of + 1), Ok(deadline)),
+        (Some(NOW + 1), Ok(NOW + 1 + max_view_age)),
+        (Some(too_old + 1), Ok(now + 1)),
+        (Some(too_old), Err(Refusal::EndNotConfirmed { age: max_view_age })),
+        (Some(0), Err(Refusal::EndNotConfirmed { age: now })),
+    ] {
+        let renewal = permit.and_then(|permit| permit.renew_lease(ended_at, now));
+        assert_eq!(renewal.map(Permit::deadline), expected, "{ended_at:?}");
+    }
+}
+
+#[test]
+fn a_heartbeat_is_handled_only_with_loaded_records_and_without_a_later_term() {
+    let config = core().config;
+    let authority = Authority::new(&Lease::held(1, NOW + SECOND), NOW, &config);
+    // (whether the records are loaded, the worker's fencing token, the expected refusal)
+    for (is_loaded, fencing_token, refusal) in [
+        (true, 4, None),
+        (true, 5, None),
+        (true, 6, Some(Refusal::LaterTerm { fencing_token: 6 })),
+        (false, 5, Some(Refusal::NotLoaded)),
+    ] {
+        let context = HeartbeatContext { term: 5, is_loaded, fencing_token };
+        assert_eq!(authority.permit_heartbeat(context, NOW).err(), refusal);
+        let expired = authority.permit_heartbeat(context, NOW + SECOND);
+        assert_eq!(expired.err(), Some(Refusal::LeaseExpired));
     }
 }
--- a/crates/quartzlever-core/src/leadership/reachability.rs
+++ b/crates/quartzlever-core/src/leadership/reachability.rs
@@ -30,6 +30,7 @@
 use crate::calls::{PendingStoreCall, PendingWorkerCall};
 use crate::config::Config;
 use crate::events::LogEvent;
+use crate::leadership::authority::Permit;
 use crate::messages::{CallPriority, LogLevel};
 use crate::outbox::Outbox;
 use crate::store::parse;
@@ -255,14 +256,14 @@
     }
 
     /// Probes one of the home partition's machines, chosen at random, once per [`PROBE_INTERVAL`]
-    /// while this node is cut off from the workers and the backoff has ended. The call is not sent
-    /// after `until`.
+    /// while this node is cut off from the workers and the backoff has ended. The call needs
+    /// `permit`.
     pub fn poll_probe<'a>(
         &mut self,
         now: Micros,
         config: &Config,
         machines: impl Iterator<Item = (&'a String, &'a MachineRecord)>,
-        until: Micros,
+        permit: Permit,
         rng: &mut SmallRng,
         outbox: &mut Outbox,
     ) {
@@ -282,7 +283,7 @@
             probe: true,
             ..PendingWorkerCall::default()
         };
-        outbox.call_worker(record.address.clone(), WorkerCall::Status, pending, until);
+        outbox.call_worker(record.address.clone(), WorkerCall::Status, pending, permit);
     }
 
     /// Handles the outcome of a probe: whether the machine answered.
--- a/crates/quartzlever-core/src/leadership/reachability/tests.rs
+++ b/crates/quartzlever-core/src/leadership/reachability/tests.rs
@@ -115,8 +115,8 @@
     let mut rng = SmallRng::seed_from_u64(1);
     let mut outbox = Outbox::new(LogLevel::Error, NOW);
     let mut probe = |reachability: &mut Reachability, now, machines: &MachineRecords| {
-        let until = NOW + 99 * SECOND;
-        reachability.poll_probe(now, &config, machines.iter(), until, &mut rng, &mut outbox);
+        let permit = Permit::until(NOW + 99 * SECOND);
+        reachability.poll_probe(now, &config, machines.iter(), permit, &mut rng, &mut outbox);
         let address = |effect| match effect {
             Effect::Worker { address, call: WorkerCall::Status, .. } => Some(address),
             _ => None,
--- a/crates/quartzlever-core/src/machines/commands.rs
+++ b/crates/quartzlever-core/src/machines/commands.rs
@@ -14,6 +14,7 @@
 
 use crate::calls::PendingWorkerCall;
 use crate::config::Config;
+use crate::leadership::authority::Permit;
 use crate::machines::attempt::{Attempt, AttemptKey, DirectCommand};
 use crate::machines::call_queue::CallLimits;
 use crate::machines::machine::Machine;
@@ -146,13 +147,12 @@
 }
 
 impl Partition {
-    /// Calls workers that have urgent commands or must be fenced. The calls are not sent after
-    /// `until`.
+    /// Calls workers that have urgent commands or must be fenced.
     pub(crate) fn call_workers(
         &mut self,
         config: &Config,
         now: Micros,
-        until: Micros,
+        permit: Permit,
         outbox: &mut Outbox,
     ) {
         if !self.is_loaded() {
@@ -164,7 +164,7 @@
             in_flight: outbox.worker_calls_in_flight(),
         };
         for machine in self.call_queue.due(&self.machines, limits, now) {
-            self.call_worker(&machine, now, until, outbox);
+            self.call_worker(&machine, now, permit, outbox);
         }
     }
 
@@ -190,7 +190,7 @@
         &mut self,
         config: &Config,
         now: Micros,
-        until: Micros,
+        permit: Permit,
         outbox: &mut Outbox,
     ) {
         if !self.is_loaded() {
@@ -210,12 +210,12 @@
             .take(MAX_WORKER_CALLS.saturating_sub(outbox.worker_calls_in_flight()))
             .collect();
         for machine in to_probe {
-            self.call_worker(&machine, now, until, outbox);
+            self.call_worker(&machine, now, permit, outbox);
         }
     }
 
     /// Calls a worker with its commands, or only for its status while its incarnation is unknown.
-    fn call_worker(&mut self, name: &str, now: Micros, until: Micros, outbox: &mut Outbox) {
+    fn call_worker(&mut self, name: &str, now: Micros, permit: Permit, outbox: &mut Outbox) {
         let Some(machine) = self.machines.get_mut(name) else { return };
         let address = machine.record.address.clone();
         let mut run_attempts = Vec::new();
@@ -237,7 +237,7 @@
             run_attempts,
             ..PendingWorkerCall::default()
         };
-        let call_id = outbox.call_worker(address, call, pending, until);
+        let call_id = outbox.call_worker(address, call, pending, permit);
         if let Some(machine) = self.machines.get_mut(name) {
             machine.call = Some(call_id);
         }
--- a/crates/quartzlever-core/src/machines/heartbeats.rs
+++ b/crates/quartzlever-core/src/machines/heartbeats.rs
@@ -5,8 +5,12 @@
 
 use std::collections::BTreeMap;
 
+use quartzlever_wire::Micros;
 use quartzlever_wire::workers::Heartbeat;
 
+use crate::events::LogEvent;
+use crate::leadership::authority::{HeartbeatContext, Permit, Refusal};
+use crate::machines::machine::UnconfirmedEnd;
 use crate::machines::ownership::PartitionTerm;
 use crate::partition::Partition;
 use crate::store::cache::Cache;
@@ -109,11 +113,62 @@
 }
 
 impl Partition {
-    /// Reports whether this leader may answer the heartbeat of one of its machines.
-    pub(crate) fn is_entitled_to_answer(&self, heartbeat: &Heartbeat) -> bool {
-        // A later fencing token means that a later term has begun, even if the watch has not
-        // reported it yet.
-        self.is_loaded() && heartbeat.fencing_token <= self.term
+    /// Returns what the answer to a heartbeat of one of the partition's machines depends on.
+    pub(crate) fn heartbeat_context(&self, heartbeat: &Heartbeat) -> HeartbeatContext {
+        HeartbeatContext {
+            term: self.term,
+            is_loaded: self.is_loaded(),
+            fencing_token: heartbeat.fencing_token,
+        }
+    }
+
+    /// Decides whether the worker's lease may be renewed by the answer to this heartbeat, which has
+    /// been applied already. A machine whose lease is not renewed gets no more tasks. `is_newer`
+    /// says whether the heartbeat was newer than the known state; any other may be a late copy and
+    /// leaves the machine as it is.
+    pub(crate) fn permit_renewal(
+        &mut self,
+        permit: Permit,
+        heartbeat: &Heartbeat,
+        is_newer: bool,
+        now: Micros,
+    ) -> Result<Permit, Refusal> {
+        let unconfirmed =
+            self.machines.get(&heartbeat.machine).and_then(|m| m.unconfirmed_end(heartbeat));
+        let renewal = permit.renew_lease(unconfirmed.as_ref().map(|end| end.ended_at), now);
+        if is_newer {
+            self.record_renewal(permit, heartbeat, unconfirmed, renewal.is_ok(), now);
+        }
+        renewal
+    }
+
+    /// Records whether a machine's lease is renewed, and logs when that changes.
+    fn record_renewal(
+        &mut self,
+        permit: Permit,
+        heartbeat: &Heartbeat,
+        unconfirmed: Option<UnconfirmedEnd>,
+        is_renewed: bool,
+        now: Micros,
+    ) {
+        let Some(machine) = self.machines.get_mut(&heartbeat.machine) else { return };
+        if machine.is_lease_renewed == is_renewed {
+            return;
+        }
+        machine.is_lease_renewed = is_renewed;
+        let (partition, machine) = (self.name.clone(), machine.name.clone());
+        self.refresh_machine(&machine);
+        self.log_events.push(match unconfirmed.filter(|_| !is_renewed) {
+            Some(end) => LogEvent::RenewalRefused {
+                partition,
+                term: permit.term(),
+                view_age: permit.view_age(),
+                machine,
+                attempt: end.attempt,
+                since_end: now.saturating_sub(end.ended_at),
+            },
+            None => LogEvent::RenewalResumed { partition, term: permit.term(), machine },
+        });
     }
 }
 
--- a/crates/quartzlever-core/src/machines/machine.rs
+++ b/crates/quartzlever-core/src/machines/machine.rs
@@ -16,6 +16,15 @@
 /// Consecutive unacknowledged heartbeats after which a machine counts as ignoring commands.
 const MIN_UNACKNOWLEDGED_HEARTBEATS: u32 = 2;
 
+/// An attempt of an ended job that may still start on a machine although the worker does not list
+/// it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct UnconfirmedEnd {
+    pub attempt: AttemptKey,
+    /// Earliest time at which the job may have ended.
+    pub ended_at: Micros,
+}
+
 /// A claimed machine of a partition.
 #[derive(Clone, Debug)]
 pub struct Machine {
@@ -34,6 +43,9 @@
     /// When a heartbeat was last answered with status 200. The worker's lease runs from when it
     /// sent that heartbeat, which is earlier.
     pub last_answered_at: Micros,
+    /// Whether answers to the machine's heartbeats renew the worker's lease. They do not while an
+    /// attempt of a job that ended long ago may still start on the machine.
+    pub is_lease_renewed: bool,
     pub idle_since: Option<Micros>,
     /// The approximate time at which the cloud reclaims the spot instance, if it gave notice.
     pub spot_reclaim_at: Option<Micros>,
@@ -74,6 +86,7 @@
             verified: false,
             last_heartbeat_at: now,
             last_answered_at: now,
+            is_lease_renewed: true,
             idle_since: Some(now),
             spot_reclaim_at: None,
             attempts: BTreeMap::new(),
@@ -96,6 +109,7 @@
     pub fn is_usable(&self) -> bool {
         self.fenced
             && self.incarnation > 0
+            && self.is_lease_renewed
             && !self.scaling_in
             && self.scale_in_reason.is_none()
             && self.spot_reclaim_at.is_none()
@@ -121,6 +135,25 @@
         })
     }
 
+    /// Returns, of the unwanted attempts of ended jobs that the answer to this heartbeat cannot end,
+    /// the one whose job may have ended first. An attempt that the heartbeat lists is killed by the
+    /// answer that renews the lease; one that it does not list may still be started by a command
+    /// in flight.
+    pub(crate) fn unconfirmed_end(&self, heartbeat: &Heartbeat) -> Option<UnconfirmedEnd> {
+        self.attempts
+            .iter()
+            .filter(|(key, attempt)| {
+                !attempt.wanted
+                    && !attempt.has_exited()
+                    && !heartbeat.contains_attempt(&key.task, key.attempt)
+            })
+            .filter_map(|(key, attempt)| {
+                let ended_at = attempt.job_terminal_since?;
+                Some(UnconfirmedEnd { attempt: key.clone(), ended_at })
+            })
+            .min_by_key(|end| end.ended_at)
+    }
+
     /// Reports whether the machine sends heartbeats but does not act on the answers to them.
     pub fn ignores_commands(&self, now: Micros, heartbeat_interval: Micros) -> bool {
         self.unacknowledged_heartbeats >= MIN_UNACKNOWLEDGED_HEARTBEATS
--- a/crates/quartzlever-core/src/machines/presence.rs
+++ b/crates/quartzlever-core/src/machines/presence.rs
@@ -8,10 +8,11 @@
 
 use std::collections::HashMap;
 
+use quartzlever_wire::CallError;
 use quartzlever_wire::workers::{Heartbeat, WorkerCall, WorkerReply};
-use quartzlever_wire::{CallError, Micros};
 
 use crate::calls::PendingWorkerCall;
+use crate::leadership::authority::Permit;
 use crate::machines::ownership::PartitionTerm;
 use crate::messages::RequestId;
 use crate::outbox::Outbox;
@@ -45,14 +46,14 @@
 
 impl PresenceChecks {
     /// Asks the machine that sent this heartbeat for its status, on behalf of a partition. The call
-    /// is not sent after `until`. The request is rejected if a check of the machine is in flight
+    /// needs `permit`. The request is rejected if a check of the machine is in flight
     /// already, or too many checks are.
     pub fn begin(
         &mut self,
         id: RequestId,
         heartbeat: Heartbeat,
         owner: PartitionTerm,
-        until: Micros,
+        permit: Permit,
         outbox: &mut Outbox,
     ) {
         if self.in_flight.contains_key(&heartbeat.machine)
@@ -69,7 +70,7 @@
             confirms_presence: true,
             ..PendingWorkerCall::default()
         };
-        outbox.call_worker(address, WorkerCall::Status, pending, until);
+        outbox.call_worker(address, WorkerCall::Status, pending, permit);
     }
 
     /// Ends the check of a machine with the result of its status call; `None` if no check is in
--- a/crates/quartzlever-core/src/machines/presence/tests.rs
+++ b/crates/quartzlever-core/src/machines/presence/tests.rs
@@ -4,6 +4,7 @@
 use quartzlever_wire::workers::{WorkerCall, WorkerReply};
 
 use super::{MAX_PRESENCE_CHECKS, PresenceChecks, PresenceOutcome};
+use crate::leadership::authority::Permit;
 use crate::machines::ownership::PartitionTerm;
 use crate::messages::{Effect, LogLevel};
 use crate::outbox::Outbox;
@@ -12,7 +13,7 @@
 fn begin(checks: &mut PresenceChecks, outbox: &mut Outbox, id: u64, machine: &str) -> Vec<Effect> {
     let heartbeat = heartbeat_from(machine, 1, 1, 0, &[]);
     let owner = PartitionTerm { partition: "one".into(), term: 5 };
-    checks.begin(id, heartbeat, owner, NOW + 1, outbox);
+    checks.begin(id, heartbeat, owner, Permit::until(NOW + 1), outbox);
     outbox.take_effects()
 }
 
--- a/crates/quartzlever-core/src/outbox.rs
+++ b/crates/quartzlever-core/src/outbox.rs
@@ -8,13 +8,14 @@
 use quartzlever_wire::cloud::CloudCall;
 use quartzlever_wire::peers::{PeerAnswer, PeerRequest};
 use quartzlever_wire::store::{Change, StoreCall};
-use quartzlever_wire::workers::WorkerCall;
+use quartzlever_wire::workers::{WorkerCall, WorkerCommands};
 use quartzlever_wire::{Micros, SECOND};
 
 use crate::calls::{
     PendingCloudCall, PendingPeerCall, PendingStoreCall, PendingWorkerCall, TransactionSize,
 };
 use crate::events::{LogEvent, RejectionCount};
+use crate::leadership::authority::Permit;
 use crate::messages::{Answer, CallId, CallPriority, Effect, LogLevel, RequestId};
 
 /// Minimum time between two log events about rejected requests.
@@ -89,17 +90,18 @@
         self.effects.push(Effect::Cloud { call_id, call, deadline });
     }
 
-    /// Calls a worker; from `deadline` on the call is not sent any more. Returns the id of the
-    /// call.
+    /// Calls a worker, unless the permit is void by the time the call would be sent. Returns the id
+    /// of the call.
     pub fn call_worker(
         &mut self,
         address: String,
         call: WorkerCall,
         pending: PendingWorkerCall,
-        deadline: Micros,
+        permit: Permit,
     ) -> CallId {
         let call_id = self.next_call_id();
         self.worker_calls.insert(call_id, pending);
+        let deadline = permit.deadline();
         self.effects.push(Effect::Worker { call_id, address, call, deadline });
         call_id
     }
@@ -121,14 +123,15 @@
         self.effects.push(Effect::Answer { id, status, body, retry_after_s: None, deadline: None });
     }
 
-    /// Answers an HTTP request with 200. From `deadline` on, a 503 is sent instead.
-    pub fn answer_until(&mut self, id: RequestId, body: Answer, deadline: Micros) {
+    /// Answers a heartbeat with 200, which renews the worker's lease. Once the permit is void, a
+    /// 503 is sent instead.
+    pub fn answer_heartbeat(&mut self, id: RequestId, commands: WorkerCommands, permit: Permit) {
         self.effects.push(Effect::Answer {
             id,
             status: 200,
-            body,
+            body: Answer::WorkerCommands(commands),
             retry_after_s: None,
-            deadline: Some(deadline),
+            deadline: Some(permit.deadline()),
         });
     }
 
--- a/crates/quartzlever-core/src/router/heartbeats.rs
+++ b/crates/quartzlever-core/src/router/heartbeats.rs
@@ -5,6 +5,7 @@
 
 use super::{Core, STARTING};
 use crate::calls::PendingWorkerCall;
+use crate::leadership::authority::Refusal;
 use crate::machines::commands::DirectCallOutcome;
 use crate::machines::heartbeats::{Claimant, HeartbeatRoute, OwnershipView};
 use crate::machines::ownership::PartitionTerm;
@@ -68,10 +69,12 @@
         match claimant {
             Claimant::NotEntitled => self.outbox.reject_retryable(id, 503, "not entitled"),
             Claimant::Expected(owner) => self.request_ownership(id, heartbeat, owner),
-            Claimant::Unexpected(owner) => {
-                let until = self.authority_expires_at();
-                self.presence_checks.begin(id, heartbeat, owner, until, &mut self.outbox);
-            }
+            Claimant::Unexpected(owner) => match self.permit(owner.term) {
+                Ok(permit) => {
+                    self.presence_checks.begin(id, heartbeat, owner, permit, &mut self.outbox);
+                }
+                Err(refusal) => self.refuse_heartbeat(id, refusal),
+            },
         }
     }
 
@@ -103,48 +106,54 @@
 
     /// Applies a heartbeat from a machine of a partition led here, and answers it with commands.
     fn handle_own_heartbeat(&mut self, id: RequestId, name: &str, heartbeat: &Heartbeat) {
-        let now = self.now;
-        if !self.may_act() {
-            return self.outbox.reject_retryable(id, 503, "not entitled");
-        }
-        let until = self.authority_expires_at();
-        let Some(partition) =
-            self.partitions.get_mut(name).filter(|p| p.is_entitled_to_answer(heartbeat))
-        else {
-            return self.outbox.reject_retryable(id, 503, "not entitled");
+        let (now, authority) = (self.now, self.authority());
+        let Some(partition) = self.partitions.get_mut(name) else { return };
+        let permit = match authority.permit_heartbeat(partition.heartbeat_context(heartbeat), now) {
+            Ok(permit) => permit,
+            Err(refusal) => return self.refuse_heartbeat(id, refusal),
         };
         let (run_times, source) = (&mut self.run_times, StatusSource::Heartbeat);
         let is_newer = partition.apply_heartbeat(&self.config, run_times, heartbeat, source, now);
+        let renewal = partition.permit_renewal(permit, heartbeat, is_newer, now);
         self.complete_recovery(name);
         self.place_ready_tasks(name);
         self.place_on_machine(name, &heartbeat.machine);
+        let permit = match renewal {
+            Ok(permit) => permit,
+            Err(refusal) => return self.refuse_heartbeat(id, refusal),
+        };
         let cache = &self.cache;
         let Some(partition) = self.partitions.get_mut(name) else { return };
         let is_terminal = |job: &str| !cache.is_active_job(job);
         match partition.heartbeat_answer(heartbeat, is_newer, is_terminal, now) {
-            Some(commands) => {
-                self.outbox.answer_until(id, Answer::WorkerCommands(commands), until);
-            }
+            Some(commands) => self.outbox.answer_heartbeat(id, commands, permit),
             None => self.outbox.reject_retryable(id, 503, "not entitled"),
         }
     }
 
+    /// Rejects a heartbeat, so that the worker's lease is not renewed.
+    fn refuse_heartbeat(&mut self, id: RequestId, refusal: Refusal) {
+        self.outbox.reject_retryable(id, 503, refusal.reason());
+    }
+
     /// Checks all machines of a partition: those silent for a full lease are taken as empty, and
     /// those that run service replicas and are late with a heartbeat are probed.
     pub(super) fn check_machines(&mut self, name: &str) {
-        let (now, may_act, until) = (self.now, self.may_act(), self.authority_expires_at());
+        let (now, authority) = (self.now, self.authority());
         let Some(partition) = self.partitions.get_mut(name) else { return };
         partition.expire_silent_machines(&self.config, now);
-        if may_act {
-            partition.probe_late_service_machines(&self.config, now, until, &mut self.outbox);
+        if let Ok(permit) = authority.permit(partition.term, now) {
+            partition.probe_late_service_machines(&self.config, now, permit, &mut self.outbox);
         }
     }
 
     /// Sends the due calls to workers of a partition.
     pub(super) fn call_workers(&mut self, name: &str) {
-        let until = self.authority_expires_at();
-        if let Some(partition) = self.partitions.get_mut(name) {
-            partition.call_workers(&self.config, self.now, until, &mut self.outbox);
+        let (now, authority) = (self.now, self.authority());
+        if let Some(partition) = self.partitions.get_mut(name)
+            && let Ok(permit) = authority.permit(partition.term, now)
+        {
+            partition.call_workers(&self.config, now, permit, &mut self.outbox);
         }
     }
 
--- a/crates/quartzlever-core/src/router/heartbeats/tests.rs
+++ b/crates/quartzlever-core/src/router/heartbeats/tests.rs
@@ -80,3 +80,83 @@
         assert_eq!(answer, Some(status), "{silent} s, {leader}");
     }
 }
+
+#[test]
+fn the_lease_of_a_machine_is_not_renewed_while_an_old_cancelled_attempt_may_still_start_there() {
+    use crate::machines::attempt::DirectCommand;
+    let may_start = DirectCommand::OutcomeUnknown;
+    // (whether a start command is in flight, whether the heartbeat lists the attempt, seconds since
+    // the end of the job, status of the answer, whether it kills the attempt)
+    for (command, listed, since_end, status, kills) in [
+        (may_start, false, 20, 200, false),
+        (may_start, false, 27, 503, false),
+        (may_start, false, 200, 503, false),
+        (may_start, true, 27, 200, true),
+        (DirectCommand::Settled, false, 27, 200, false),
+    ] {
+        let mut core = core();
+        (core.config.workers.lease, core.config.workers.cancel) = (34 * SECOND, 64 * SECOND);
+        make_machine_usable(&mut core);
+        queue_tasks(&mut core, 1, Priority::Urgent, 1.0);
+        let Some(partition) = core.partitions.get_mut("one") else { unreachable!() };
+        partition.start_task("req-1", 0, "n-1", NOW);
+        let attempt = partition.jobs["req-1"].assignments[&0].attempt;
+        partition.drop_job("req-1", NOW);
+        let Some(machine) = partition.machines.get_mut("n-1") else { unreachable!() };
+        machine.attempts.values_mut().for_each(|state| state.direct_command = command);
+        let now = NOW + since_end * SECOND;
+        core.cache.set_view_as_of(now);
+        let heartbeat = heartbeat_of_one(2, listed.then_some(attempt));
+        let effects = core.step(now, vec![Command::Heartbeat { id: 4, heartbeat }]);
+        let answer = effects.iter().find_map(|effect| match effect {
+            Effect::Answer { id: 4, status, body, deadline, .. } => {
+                Some((*status, body.clone(), *deadline))
+            }
+            _ => None,
+        });
+        let Some((answered, body, deadline)) = answer else { panic!("no answer") };
+        let name = format!("{command:?}, listed {listed}, {since_end} s");
+        assert_eq!(answered, status, "{name}");
+        let is_kill = |command: &WorkerCommand| matches!(command, WorkerCommand::Kill { .. });
+        let killed =
+            matches!(&body, Answer::WorkerCommands(answer) if answer.commands.iter().any(is_kill));
+        assert_eq!(killed, kills, "{name}");
+        if status == 200 && command == may_start && !listed {
+            let last_renewal_at = NOW + core.config.max_view_age();
+            assert_eq!(deadline, Some(last_renewal_at), "{name}: sent too late");
+        }
+        let machine = &core.partitions["one"].machines["n-1"];
+        assert_eq!(machine.is_usable(), status == 200, "{name}: gets tasks");
+    }
+}
+
+#[test]
+fn a_lease_is_renewed_again_once_the_end_of_the_attempt_is_confirmed() {
+    use crate::machines::attempt::DirectCommand;
+    let mut core = core();
+    (core.config.workers.lease, core.config.workers.cancel) = (34 * SECOND, 64 * SECOND);
+    make_machine_usable(&mut core);
+    queue_tasks(&mut core, 1, Priority::Urgent, 1.0);
+    let Some(partition) = core.partitions.get_mut("one") else { unreachable!() };
+    partition.start_task("req-1", 0, "n-1", NOW);
+    partition.drop_job("req-1", NOW);
+    let Some(machine) = partition.machines.get_mut("n-1") else { unreachable!() };
+    machine
+        .attempts
+        .values_mut()
+        .for_each(|state| state.direct_command = DirectCommand::OutcomeUnknown);
+    let mut status_of = |second: u64, heartbeat| {
+        core.cache.set_view_as_of(NOW + second * SECOND);
+        let effects =
+            core.step(NOW + second * SECOND, vec![Command::Heartbeat { id: second, heartbeat }]);
+        effects.iter().find_map(|effect| match effect {
+            Effect::Answer { id, status, .. } if *id == second => Some(*status),
+            _ => None,
+        })
+    };
+    assert_eq!(status_of(27, idle_heartbeat("n-1", 2, 5)), Some(503));
+    assert_eq!(status_of(28, idle_heartbeat("n-1", 3, 5)), Some(503));
+    // The lease has expired, and a late start command names an incarnation that is over.
+    assert_eq!(status_of(62, heartbeat_from("n-1", 2, 4, 5, &[])), Some(200));
+    assert!(core.partitions["one"].machines["n-1"].is_usable());
+}
--- a/crates/quartzlever-core/src/router/leadership.rs
+++ b/crates/quartzlever-core/src/router/leadership.rs
@@ -8,7 +8,7 @@
 use quartzlever_wire::{CallError, Micros};
 
 use crate::events::LogEvent;
-use crate::leadership::authority::Authority;
+use crate::leadership::authority::{Authority, Permit, Refusal};
 use crate::leadership::lease::LeaseOutcome;
 use crate::leadership::partition_keys::{
     AcquireOutcome, HeldKey, KeyContext, KeyDecision, ReleaseOutcome,
@@ -25,18 +25,19 @@
         self.lease.is_held(self.now)
     }
 
-    fn authority(&self) -> Authority {
+    /// Returns what the right to act rests on at present.
+    pub(crate) fn authority(&self) -> Authority {
         Authority::new(&self.lease, self.cache.view_as_of(), &self.config)
     }
 
-    /// Returns the time until which this process may act for its partitions.
-    pub(crate) fn authority_expires_at(&self) -> Micros {
-        self.authority().expires_at()
+    /// Returns the permit to act for a partition led here under `term`, or for none with term 0.
+    pub(crate) fn permit(&self, term: u64) -> Result<Permit, Refusal> {
+        self.authority().permit(term, self.now)
     }
 
     /// Reports whether this process may act for its partitions.
     pub(crate) fn may_act(&self) -> bool {
-        self.authority().is_valid(self.now)
+        self.permit(0).is_ok()
     }
 
     /// Handles the reply to the request for a lease that was sent at `sent`.
--- a/crates/quartzlever-core/src/router/reachability.rs
+++ b/crates/quartzlever-core/src/router/reachability.rs
@@ -19,15 +19,14 @@
             return;
         }
         self.notify_machines_seen();
-        if self.may_act() {
+        if let Ok(permit) = self.permit(0) {
             self.give_up_unreachable_partitions();
-            let until = self.authority_expires_at();
             let groups = self.cache.groups().values();
             self.reachability.poll_probe(
                 self.now,
                 &self.config,
                 groups.flat_map(|group| group.record.iter()),
-                until,
+                permit,
                 &mut self.rng,
                 &mut self.outbox,
             );
--- a/crates/quartzlever-core/tests/simulation/fault_combinations.rs
+++ b/crates/quartzlever-core/tests/simulation/fault_combinations.rs
@@ -279,6 +279,29 @@
             c.delayed_commands > 20 && c.delayed_executed > 4 && r.cancellations >= 50
         },
     },
+    FaultCombination {
+        name: "jobs are cancelled while their start commands are delayed and the cloud is down",
+        first_seed: 0x2d61_90c4_7be3_f158,
+        adjust_config: unchanged,
+        inject: |w| {
+            w.run_time = 40 * SECOND;
+            submit(w, 90, 3, |_, _| {});
+            w.run(6 * SECOND);
+            w.command_delay = 24 * SECOND;
+            w.cloud_down = true;
+            for k in 0..14 {
+                submit(w, k, 1, |_, s| {
+                    s.priority = Priority::Urgent;
+                    s.due_s = Some(3.2);
+                });
+                w.cancel_until_confirmed(k as usize % 3, &job(k, 1).id);
+            }
+            w.run(26 * SECOND);
+        },
+        took_effect: |c, r| {
+            c.delayed_commands > 20 && c.delayed_refused > 0 && r.cancellations >= 50
+        },
+    },
     FaultCombination {
         name: "unanswered transactions are executed after newer ones",
         first_seed: 0xa1ac_8dd4_06fb_9b23,
--- a/crates/quartzlever-core/tests/simulation/main.rs
+++ b/crates/quartzlever-core/tests/simulation/main.rs
@@ -2,6 +2,7 @@
 //! workers and users fail in every way that the protocol allows, and a checker looks for broken
 //! rules.
 
+mod cancellations;
 mod combination;
 mod fault_combinations;
 mod large_fleet;
