A machine marked as slow or idle is terminated at once for an urgent reason

Cause: a mark that is set stays. A machine marked as slow, idle or failing tasks waits for its tasks to end, and no other reason was looked for meanwhile. An attempt that nothing can confirm as ended never ends, so the machine was kept for ever; the same for one that fell silent after its mark.

Evidence: `a_machine_marked_for_a_later_termination_is_still_terminated_for_an_urgent_reason` failed before with "Some(Slow), 40 s: left false, right true".

Why this works: a mark for a termination that waits gives way to a reason that terminates at once; a mark of that second kind stays as it was.

--- a/crates/quartzlever-core/src/autoscaling/scale_in.rs
+++ b/crates/quartzlever-core/src/autoscaling/scale_in.rs
@@ -158,7 +158,7 @@
             let before = machine.scale_in_reason;
             let recently_seen = rules.silence(machine) < rules.config.workers.heartbeat_interval;
             let still_valid = before.filter(|r| !r.is_disproven(machine, rules.now));
-            let reason = still_valid.or_else(|| rules.reason(machine));
+            let reason = rules.reason_with_mark(machine, still_valid);
             machine.scale_in_reason =
                 reason.filter(|r| !(recently_seen && r.is_cleared_by_heartbeat()));
             if machine.scale_in_reason != before {
--- a/crates/quartzlever-core/src/autoscaling/scale_in/reasons.rs
+++ b/crates/quartzlever-core/src/autoscaling/scale_in/reasons.rs
@@ -177,6 +177,22 @@
         REASONS.iter().find(|(_, applies)| applies(self, machine)).map(|(reason, _)| *reason)
     }
 
+    /// Returns the reason for terminating a machine that is already marked for `mark`. A mark stays,
+    /// but one whose termination waits for the machine's tasks gives way to a reason to terminate
+    /// the machine at once: a task that never ends would put the termination off for ever.
+    pub fn reason_with_mark(
+        &self,
+        machine: &Machine,
+        mark: Option<ScaleInReason>,
+    ) -> Option<ScaleInReason> {
+        match mark {
+            Some(kept) if kept.is_immediate() => Some(kept),
+            kept => {
+                self.reason(machine).filter(|found| kept.is_none() || found.is_immediate()).or(kept)
+            }
+        }
+    }
+
     /// Reports whether this node has listened for long enough to have received a heartbeat from
     /// every machine.
     fn has_listened(&self) -> bool {
