--- a/crates/quartzlever-core/src/autoscaling/scale_in.rs
+++ b/crates/quartzlever-core/src/autoscaling/scale_in.rs
@@ -96,6 +96,10 @@
         let Some(partition) = self.partition_at_term(name, term) else { return };
         if !matches!(result, Ok(CloudReply::ScaledIn)) {
             partition.fleet.delay_scale_in_until(now + 2 * RETRY_DELAY);
+            let (partition_name, count) = (name.to_owned(), machines.len());
+            partition
+                .log_events
+                .push(LogEvent::TerminationFailed { partition: partition_name, count });
             for machine_name in machines {
                 if let Some(machine) = partition.machines.get_mut(&machine_name) {
                     machine.scaling_in = false;
--- a/crates/quartzlever-core/src/autoscaling/tests.rs
+++ b/crates/quartzlever-core/src/autoscaling/tests.rs
@@ -589,7 +589,7 @@
         queue_tasks(&mut core, 1, Priority::Urgent, 1.0);
         let Some(partition) = core.partitions.get_mut("one") else { unreachable!() };
         partition.start_task("req-1", 0, "n-1", NOW);
-        partition.drop_job("req-1", NOW);
+        partition.drop_job("req-1", NOW, NOW);
         let Some(machine) = partition.machines.get_mut("n-1") else { unreachable!() };
         machine.scale_in_reason = marked;
         machine
--- a/crates/quartzlever-core/src/events.rs
+++ b/crates/quartzlever-core/src/events.rs
@@ -14,6 +14,7 @@
 
 use crate::autoscaling::ScaleInReason;
 use crate::calls::AttemptKey;
+use crate::leadership::authority::Refusal;
 
 const MICROS_PER_MILLISECOND: Micros = 1_000;
 
@@ -159,6 +160,32 @@
     StoreThrottled,
     /// All controllers understand a new cluster version, which is in force from now on.
     ClusterVersionRaised { version: u32 },
+    /// This process may no longer act for its partitions.
+    AuthorityLost {
+        reason: Refusal,
+        /// Number of partitions that this process leads.
+        partitions: usize,
+        /// Age of the view of the jobs, in microseconds.
+        view_age: Micros,
+    },
+    /// This process may act again, or for the first time.
+    AuthorityGained { partitions: usize, view_age: Micros },
+    /// This process has committed the cancellation of a job and confirmed it to a user.
+    CancellationCommitted { job: String },
+    /// A leader learned that a job has ended while attempts of it may run on machines.
+    EndedJobSeen {
+        partition: String,
+        term: u64,
+        job: String,
+        /// Number of attempts that have to end.
+        attempts: usize,
+        /// Longest possible time since the end of the job, in microseconds.
+        since_end: Micros,
+    },
+    /// The cloud has not confirmed the termination of machines, which is requested again.
+    TerminationFailed { partition: String, count: usize },
+    /// Something happened that must never happen; a fault of the program.
+    InvariantViolated(Box<InvariantViolation>),
     /// `workers.cancel_s` is too short for `workers.lease_s`: lease expiry alone does not end the
     /// tasks on unreachable machines in time.
     CancelTooShortForLease {
@@ -169,6 +196,39 @@
     },
 }
 
+/// An invariant that is checked at run time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Invariant {
+    /// No `run` is sent for a job that the view shows as ended.
+    NoRunOfEndedJob,
+    /// No lease is renewed that keeps an attempt of a job alive beyond the time in which it has to
+    /// end.
+    NoRenewalForOverdueAttempt,
+}
+
+impl Display for Invariant {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Invariant::NoRunOfEndedJob => "no_run_of_ended_job",
+            Invariant::NoRenewalForOverdueAttempt => "no_renewal_for_overdue_attempt",
+        })
+    }
+}
+
+/// A violated invariant, with what is needed to trace it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InvariantViolation {
+    pub invariant: Invariant,
+    pub partition: String,
+    pub term: u64,
+    /// Age of the view of the jobs, in microseconds.
+    pub view_age: Micros,
+    pub machine: String,
+    pub attempt: AttemptKey,
+    /// When the attempt was placed, or when its job may have ended, on the monotonic clock.
+    pub since: Option<Micros>,
+}
+
 /// The number of requests rejected for one reason; displayed as `status:reason:count`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RejectionCount {
@@ -198,6 +258,7 @@
             LogEvent::UnreadableRecord { .. }
             | LogEvent::TransactionTooLarge { lowered: true, .. }
             | LogEvent::StoreThrottled
+            | LogEvent::InvariantViolated(_)
             | LogEvent::CancelTooShortForLease { .. } => LogLevel::Error,
             LogEvent::TaskRunning { .. } | LogEvent::TransactionTooLarge { lowered: false, .. } => {
                 LogLevel::Debug
@@ -219,6 +280,11 @@
             | LogEvent::MachinesLate { .. }
             | LogEvent::RenewalRefused { .. }
             | LogEvent::RenewalResumed { .. }
+            | LogEvent::AuthorityLost { .. }
+            | LogEvent::AuthorityGained { .. }
+            | LogEvent::CancellationCommitted { .. }
+            | LogEvent::EndedJobSeen { .. }
+            | LogEvent::TerminationFailed { .. }
             | LogEvent::MachinesTerminated { .. }
             | LogEvent::TasksPreempted { .. }
             | LogEvent::TasksStolen { .. }
@@ -256,6 +322,12 @@
             LogEvent::TransactionTooLarge { .. } => "transaction_too_large",
             LogEvent::StoreThrottled => "store_throttled",
             LogEvent::ClusterVersionRaised { .. } => "cluster_version_raised",
+            LogEvent::AuthorityLost { .. } => "authority_lost",
+            LogEvent::AuthorityGained { .. } => "authority_gained",
+            LogEvent::CancellationCommitted { .. } => "cancellation_committed",
+            LogEvent::EndedJobSeen { .. } => "ended_job_seen",
+            LogEvent::TerminationFailed { .. } => "termination_failed",
+            LogEvent::InvariantViolated(_) => "invariant_violated",
             LogEvent::CancelTooShortForLease { .. } => "cancel_too_short_for_lease",
         }
     }
@@ -359,6 +431,33 @@
                 .field("changes_limit", changes_limit)
                 .field("value_bytes_limit", value_bytes_limit),
             LogEvent::ClusterVersionRaised { version } => fields.field("version", version),
+            LogEvent::AuthorityLost { reason, partitions, view_age } => fields
+                .field("reason", reason)
+                .field("partitions", partitions)
+                .field("view_age_ms", milliseconds(*view_age)),
+            LogEvent::AuthorityGained { partitions, view_age } => {
+                fields.field("partitions", partitions).field("view_age_ms", milliseconds(*view_age))
+            }
+            LogEvent::CancellationCommitted { job } => fields.field("job", job),
+            LogEvent::EndedJobSeen { partition, term, job, attempts, since_end } => fields
+                .field("partition", partition)
+                .field("term", term)
+                .field("job", job)
+                .field("attempts", attempts)
+                .field("since_end_ms", milliseconds(*since_end)),
+            LogEvent::TerminationFailed { partition, count } => {
+                fields.field("partition", partition).field("count", count)
+            }
+            LogEvent::InvariantViolated(violation) => fields
+                .field("invariant", violation.invariant)
+                .field("partition", &violation.partition)
+                .field("term", violation.term)
+                .field("view_age_ms", milliseconds(violation.view_age))
+                .field("machine", &violation.machine)
+                .field("job", &violation.attempt.task.job)
+                .field("task", violation.attempt.task.index)
+                .field("attempt", violation.attempt.attempt)
+                .field("since_ms", milliseconds(violation.since.unwrap_or(0))),
             LogEvent::CancelTooShortForLease { cancel, lease } => fields
                 .field("setting", "workers.cancel_s")
                 .field("cancel_ms", milliseconds(*cancel))
--- a/crates/quartzlever-core/src/events/tests.rs
+++ b/crates/quartzlever-core/src/events/tests.rs
@@ -112,6 +112,58 @@
             LogLevel::Info,
             "renewal_resumed partition=one term=5 machine=n-1",
         ),
+        (
+            LogEvent::AuthorityLost {
+                reason: Refusal::ViewTooOld { age: duration },
+                partitions: 2,
+                view_age: duration,
+            },
+            LogLevel::Info,
+            "authority_lost reason=view_too_old partitions=2 view_age_ms=4200",
+        ),
+        (
+            LogEvent::AuthorityGained { partitions: 0, view_age: 99_999 },
+            LogLevel::Info,
+            "authority_gained partitions=0 view_age_ms=99",
+        ),
+        (
+            LogEvent::CancellationCommitted { job: job.clone() },
+            LogLevel::Info,
+            "cancellation_committed job=req-1",
+        ),
+        (
+            LogEvent::EndedJobSeen {
+                partition: partition.clone(),
+                term,
+                job: job.clone(),
+                attempts: 7,
+                since_end: duration,
+            },
+            LogLevel::Info,
+            "ended_job_seen partition=one term=5 job=req-1 attempts=7 since_end_ms=4200",
+        ),
+        (
+            LogEvent::TerminationFailed { partition: partition.clone(), count: 3 },
+            LogLevel::Info,
+            "termination_failed partition=one count=3",
+        ),
+        (
+            LogEvent::InvariantViolated(Box::new(InvariantViolation {
+                invariant: Invariant::NoRunOfEndedJob,
+                partition: partition.clone(),
+                term,
+                view_age: duration,
+                machine: machine.clone(),
+                attempt: AttemptKey {
+                    task: TaskId { job: job.clone(), index: 3 },
+                    attempt: 20_971_521,
+                },
+                since: Some(duration),
+            })),
+            LogLevel::Error,
+            "invariant_violated invariant=no_run_of_ended_job partition=one term=5 \
+             view_age_ms=4200 machine=n-1 job=req-1 task=3 attempt=20971521 since_ms=4200",
+        ),
         (
             LogEvent::MachinesTerminated {
                 partition: partition.clone(),
--- a/crates/quartzlever-core/src/leadership/authority.rs
+++ b/crates/quartzlever-core/src/leadership/authority.rs
@@ -52,7 +52,7 @@
 
 /// Why an action is not allowed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Refusal {
+pub enum Refusal {
     /// The process has no lease.
     NoLease,
     /// The lease may have expired.
@@ -89,7 +89,7 @@
         if self.view_as_of < self.lease_regained_at {
             return Err(Refusal::ViewPredatesLease);
         }
-        let view_age = now.saturating_sub(self.view_as_of);
+        let view_age = self.view_age(now);
         let view_valid_until = self.view_as_of + self.max_view_age;
         if now >= lease_valid_until {
             return Err(Refusal::LeaseExpired);
@@ -120,6 +120,11 @@
         Ok(permit)
     }
 
+    /// Returns the age of the view.
+    pub fn view_age(self, now: Micros) -> Micros {
+        now.saturating_sub(self.view_as_of)
+    }
+
     /// Returns the time from which the cloud must not be asked to terminate machines: a later
     /// leader may use them once the lease has expired.
     pub fn termination_deadline(self) -> Micros {
@@ -143,6 +148,12 @@
         Ok(Permit { deadline: self.deadline.min(last_renewal_at), ..self })
     }
 
+    /// Returns the time before which a job must not have ended for an attempt of it that a renewal
+    /// at `now` keeps alive.
+    pub fn earliest_end(self, now: Micros) -> Micros {
+        now.saturating_sub(self.max_view_age)
+    }
+
     /// Returns the term of the partition for which the permit was given; 0 if for none.
     pub fn term(self) -> u64 {
         self.term
--- a/crates/quartzlever-core/src/machines.rs
+++ b/crates/quartzlever-core/src/machines.rs
@@ -7,6 +7,7 @@
 //! - `reconciliation`, `attempt_outcomes`: processing of worker statuses and of ended attempts.
 //! - `call_queue`, `commands`: the workers to call, and the commands in calls and heartbeat
 //!   answers.
+//! - `invariants`: run-time checks of the commands.
 //! - `ownership`: the machines' records in the store.
 //! - `failures`: attribution of task failures to a job or to a machine.
 
@@ -16,6 +17,7 @@
 pub(crate) mod commands;
 pub(crate) mod failures;
 pub(crate) mod heartbeats;
+mod invariants;
 pub mod machine;
 mod membership;
 pub(crate) mod ownership;
--- a/crates/quartzlever-core/src/machines/commands.rs
+++ b/crates/quartzlever-core/src/machines/commands.rs
@@ -23,6 +23,7 @@
 use crate::outbox::Outbox;
 use crate::partition::Partition;
 use crate::scheduling::RunTimes;
+use crate::store::cache::Cache;
 
 /// Delay before the next direct call to a machine after one that failed.
 const CALL_RETRY_DELAY: Micros = 3 * SECOND;
@@ -153,6 +154,7 @@
         config: &Config,
         now: Micros,
         permit: Permit,
+        view: &Cache,
         outbox: &mut Outbox,
     ) {
         if !self.is_loaded() {
@@ -164,7 +166,7 @@
             in_flight: outbox.worker_calls_in_flight(),
         };
         for machine in self.call_queue.due(&self.machines, limits, now) {
-            self.call_worker(&machine, now, permit, outbox);
+            self.call_worker(&machine, now, permit, view, outbox);
         }
     }
 
@@ -191,6 +193,7 @@
         config: &Config,
         now: Micros,
         permit: Permit,
+        view: &Cache,
         outbox: &mut Outbox,
     ) {
         if !self.is_loaded() {
@@ -210,12 +213,20 @@
             .take(MAX_WORKER_CALLS.saturating_sub(outbox.worker_calls_in_flight()))
             .collect();
         for machine in to_probe {
-            self.call_worker(&machine, now, permit, outbox);
+            self.call_worker(&machine, now, permit, view, outbox);
         }
     }
 
     /// Calls a worker with its commands, or only for its status while its incarnation is unknown.
-    fn call_worker(&mut self, name: &str, now: Micros, permit: Permit, outbox: &mut Outbox) {
+    /// A `run` of a job that `view` shows as ended is not sent.
+    fn call_worker(
+        &mut self,
+        name: &str,
+        now: Micros,
+        permit: Permit,
+        view: &Cache,
+        outbox: &mut Outbox,
+    ) {
         let Some(machine) = self.machines.get_mut(name) else { return };
         let address = machine.record.address.clone();
         let mut run_attempts = Vec::new();
@@ -224,11 +235,9 @@
         } else {
             run_attempts = machine.record_direct_commands(now);
             let incarnation = Some(machine.incarnation);
-            WorkerCall::Command(WorkerCommands {
-                fencing_token: self.term,
-                incarnation,
-                commands: self.commands_for(name, false),
-            })
+            let mut commands = self.commands_for(name, false);
+            self.remove_runs_of_ended_jobs(name, &mut commands, permit, view);
+            WorkerCall::Command(WorkerCommands { fencing_token: self.term, incarnation, commands })
         };
         let pending = PendingWorkerCall {
             partition: self.name.clone(),
@@ -279,24 +288,27 @@
     }
 
     /// Returns the answer to a heartbeat; `None` if the partition does not have the machine.
-    /// `is_newer` says whether the heartbeat was newer than the known state, and `is_terminal`
-    /// reports whether a job has ended.
+    /// `is_newer` says whether the heartbeat was newer than the known state, `permit` allows the
+    /// renewal of the worker's lease, and `view` shows which jobs are active.
     pub(crate) fn heartbeat_answer(
         &mut self,
         heartbeat: &Heartbeat,
         is_newer: bool,
-        is_terminal: impl Fn(&str) -> bool,
+        permit: Permit,
+        view: &Cache,
         now: Micros,
     ) -> Option<WorkerCommands> {
         let machine = self.machines.get_mut(&heartbeat.machine)?;
         // The worker drops an answer that comes too late. Its lease is taken as renewed all the
         // same, which is the safe assumption.
         machine.last_answered_at = now;
-        let commands = if is_newer {
+        let mut commands = if is_newer {
             self.commands_for(&heartbeat.machine, true)
         } else {
-            self.kills_for(heartbeat, is_terminal)
+            self.kills_for(heartbeat, |job| !view.is_active_job(job))
         };
+        self.remove_runs_of_ended_jobs(&heartbeat.machine, &mut commands, permit, view);
+        self.check_renewal(&heartbeat.machine, &commands, permit, permit.earliest_end(now));
         Some(WorkerCommands { fencing_token: self.term, incarnation: None, commands })
     }
 
--- a/crates/quartzlever-core/src/machines/commands/tests.rs
+++ b/crates/quartzlever-core/src/machines/commands/tests.rs
@@ -4,6 +4,7 @@
 use crate::machines::attempt::{Attempt, AttemptKey, DirectCommand};
 use crate::machines::machine::Machine;
 use crate::outbox::Outbox;
+use crate::store::cache::Cache;
 use crate::testing::*;
 
 #[test]
@@ -285,7 +286,13 @@
         let partition = core.partitions.get_mut("one").expect("partition one is led here");
         partition.start_task("req-1", 0, "n-1", NOW);
         let mut outbox = Outbox::new(LogLevel::Info, NOW);
-        partition.call_workers(&config, NOW, Permit::until(NOW + 1), &mut outbox);
+        partition.call_workers(
+            &config,
+            NOW,
+            Permit::until(NOW + 1),
+            &Cache::default(),
+            &mut outbox,
+        );
         let effects = outbox.take_effects();
         let [Effect::Worker { call_id, deadline, .. }] = &effects[..] else {
             panic!("{effects:?}")
--- /dev/null
+++ b/crates/quartzlever-core/src/machines/invariants.rs
@@ -0,0 +1,86 @@
+//! Run-time checks of what must hold for every command sent to a worker, whatever decided on it.
+//!
+//! A violation is an error event, on which every test harness fails. The process goes on, without
+//! the command that must not be sent.
+
+use quartzlever_wire::Micros;
+use quartzlever_wire::workers::{TaskId, WorkerCommand};
+
+use crate::events::{Invariant, InvariantViolation, LogEvent};
+use crate::leadership::authority::Permit;
+use crate::machines::attempt::AttemptKey;
+use crate::partition::Partition;
+use crate::store::cache::Cache;
+
+impl Partition {
+    /// Removes from the commands for a machine each `run` of a job that `view` shows as ended, and
+    /// reports it.
+    pub(super) fn remove_runs_of_ended_jobs(
+        &mut self,
+        machine: &str,
+        commands: &mut Vec<WorkerCommand>,
+        permit: Permit,
+        view: &Cache,
+    ) {
+        commands.retain(|command| {
+            let WorkerCommand::Run { task, attempt } = command else { return true };
+            if !view.shows_as_ended(&task.job) {
+                return true;
+            }
+            let key = AttemptKey { task: task.clone(), attempt: *attempt };
+            let placed_at = self
+                .machines
+                .get(machine)
+                .and_then(|m| m.attempts.get(&key))
+                .map(|attempt| attempt.placed_at);
+            self.log_events.push(LogEvent::InvariantViolated(Box::new(InvariantViolation {
+                invariant: Invariant::NoRunOfEndedJob,
+                partition: self.name.clone(),
+                term: permit.term(),
+                view_age: permit.view_age(),
+                machine: machine.to_owned(),
+                attempt: key,
+                since: placed_at,
+            })));
+            false
+        });
+    }
+
+    /// Reports each attempt of a job that ended before `ended_before` which a renewal of the
+    /// machine's lease keeps alive, because the commands that go with it do not kill it.
+    pub(super) fn check_renewal(
+        &mut self,
+        machine: &str,
+        commands: &[WorkerCommand],
+        permit: Permit,
+        ended_before: Micros,
+    ) {
+        let Some(state) = self.machines.get(machine) else { return };
+        let is_killed = |task: &TaskId, attempt: u64| {
+            commands.iter().any(|command| {
+                matches!(command, WorkerCommand::Kill { task: t, attempt: a, .. }
+                    if t == task && *a == attempt)
+            })
+        };
+        for (key, attempt) in &state.attempts {
+            if attempt.wanted || attempt.has_exited() || is_killed(&key.task, key.attempt) {
+                continue;
+            }
+            let Some(ended_at) = attempt.job_terminal_since.filter(|at| *at < ended_before) else {
+                continue;
+            };
+            self.log_events.push(LogEvent::InvariantViolated(Box::new(InvariantViolation {
+                invariant: Invariant::NoRenewalForOverdueAttempt,
+                partition: self.name.clone(),
+                term: permit.term(),
+                view_age: permit.view_age(),
+                machine: machine.to_owned(),
+                attempt: key.clone(),
+                since: Some(ended_at),
+            })));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/quartzlever-core/src/machines/invariants/tests.rs
@@ -0,0 +1,65 @@
+//! Tests that violated invariants are reported, and that a command that must not be sent is not.
+
+use crate::events::{Invariant, LogEvent};
+use crate::leadership::authority::Permit;
+use crate::partition::Partition;
+use crate::store::cache::Cache;
+use crate::testing::*;
+
+/// Returns partition "one" with a task of job "req-1" placed on machine "n-1", and its attempt.
+fn partition_with_attempt() -> (Partition, u64) {
+    let mut core = core();
+    make_machine_usable(&mut core);
+    queue_tasks(&mut core, 1, Priority::Urgent, 1.0);
+    let Some(mut partition) = core.partitions.remove("one") else { unreachable!() };
+    partition.start_task("req-1", 0, "n-1", NOW);
+    let attempt = partition.jobs["req-1"].assignments[&0].attempt;
+    (partition, attempt)
+}
+
+fn violated(partition: &Partition) -> Vec<Invariant> {
+    let violation = |event: &LogEvent| match event {
+        LogEvent::InvariantViolated(violation) => Some(violation.invariant),
+        _ => None,
+    };
+    partition.log_events.iter().filter_map(violation).collect()
+}
+
+#[test]
+fn no_task_of_an_ended_job_is_started() {
+    for is_ended in [false, true] {
+        let mut view = Cache::default();
+        view.set_loaded(is_ended);
+        let (mut partition, _) = partition_with_attempt();
+        let permit = Permit::until(NOW + SECOND);
+        let heartbeat = heartbeat_of_one(2, None);
+        let answer = partition.heartbeat_answer(&heartbeat, true, permit, &view, NOW);
+        let runs = answer.map_or(0, |answer| answer.commands.len());
+        assert_eq!(runs, usize::from(!is_ended));
+        let expected = if is_ended { vec![Invariant::NoRunOfEndedJob] } else { Vec::new() };
+        assert_eq!(violated(&partition), expected);
+    }
+}
+
+#[test]
+fn a_renewal_that_keeps_an_overdue_attempt_alive_is_reported() {
+    // (when the job ended, whether the answer kills the attempt, whether that is a violation)
+    for (ended_at, killed, expected) in [
+        (NOW - SECOND, false, true),
+        (NOW - SECOND, true, false),
+        (NOW, false, false),
+        (NOW + SECOND, false, false),
+    ] {
+        let (mut partition, attempt) = partition_with_attempt();
+        partition.drop_job("req-1", ended_at, NOW);
+        let kill = WorkerCommand::Kill {
+            task: TaskId { job: "req-1".into(), index: 0 },
+            attempt,
+            leeway_s: 0.0,
+        };
+        let commands = if killed { vec![kill] } else { Vec::new() };
+        partition.check_renewal("n-1", &commands, Permit::until(NOW + SECOND), NOW);
+        let reported = violated(&partition) == [Invariant::NoRenewalForOverdueAttempt];
+        assert_eq!(reported, expected, "{ended_at}, killed {killed}");
+    }
+}
--- a/crates/quartzlever-core/src/partition.rs
+++ b/crates/quartzlever-core/src/partition.rs
@@ -164,7 +164,7 @@
 
     /// Removes a job that has ended, at `since` at the earliest, and marks its remaining attempts
     /// on machines as unwanted.
-    pub fn drop_job(&mut self, id: &str, since: Micros) {
+    pub fn drop_job(&mut self, id: &str, since: Micros, now: Micros) {
         if self.jobs.swap_remove(id).is_none() {
             // Its attempts on machines, if any, are already unwanted.
             return;
@@ -173,6 +173,7 @@
             |index, attempt| AttemptKey { task: TaskId { job: id.to_owned(), index }, attempt };
         let (first, last) = (key(0, 0), key(u32::MAX, u64::MAX));
         let all = (Bound::Included(&first), Bound::Included(&last));
+        let mut active_attempts = 0;
         for name in self.machines_by_job.remove(id).into_iter().flatten() {
             let Some(machine) = self.machines.get_mut(&name) else { continue };
             for (_, attempt) in machine.attempts.range_mut::<AttemptKey, _>(all) {
@@ -183,9 +184,19 @@
                 } else {
                     attempt.job_terminal_since.get_or_insert(since);
                     self.call_queue.add_urgent(name.clone());
+                    active_attempts += 1;
                 }
             }
         }
+        if active_attempts > 0 {
+            self.log_events.push(LogEvent::EndedJobSeen {
+                partition: self.name.clone(),
+                term: self.term,
+                job: id.to_owned(),
+                attempts: active_attempts,
+                since_end: now.saturating_sub(since),
+            });
+        }
     }
 
     /// Notes that a task is done; it counts as finished once the job's record says so.
--- a/crates/quartzlever-core/src/router.rs
+++ b/crates/quartzlever-core/src/router.rs
@@ -85,6 +85,8 @@
     next_machine_check_at: Micros,
     next_job_write_at: Micros,
     next_group_write_at: Micros,
+    /// Whether this process could act in the previous step.
+    pub(crate) was_acting: bool,
 }
 
 /// Minimum time between two checks of all machines.
@@ -132,6 +134,7 @@
             next_machine_check_at: 0,
             next_job_write_at: 0,
             next_group_write_at: 0,
+            was_acting: false,
             config,
         };
         if !core.config.leases_meet_cancel() {
@@ -178,6 +181,7 @@
         if affects_leadership {
             self.poll_leadership();
         }
+        self.log_authority_change();
         self.decide();
         self.poll_lookups();
         self.outbox.take_effects()
--- a/crates/quartzlever-core/src/router/heartbeats.rs
+++ b/crates/quartzlever-core/src/router/heartbeats.rs
@@ -124,8 +124,7 @@
         };
         let cache = &self.cache;
         let Some(partition) = self.partitions.get_mut(name) else { return };
-        let is_terminal = |job: &str| !cache.is_active_job(job);
-        match partition.heartbeat_answer(heartbeat, is_newer, is_terminal, now) {
+        match partition.heartbeat_answer(heartbeat, is_newer, permit, cache, now) {
             Some(commands) => self.outbox.answer_heartbeat(id, commands, permit),
             None => self.outbox.reject_retryable(id, 503, "not entitled"),
         }
@@ -143,7 +142,8 @@
         let Some(partition) = self.partitions.get_mut(name) else { return };
         partition.expire_silent_machines(&self.config, now);
         if let Ok(permit) = authority.permit(partition.term, now) {
-            partition.probe_late_service_machines(&self.config, now, permit, &mut self.outbox);
+            let (cache, outbox) = (&self.cache, &mut self.outbox);
+            partition.probe_late_service_machines(&self.config, now, permit, cache, outbox);
         }
     }
 
@@ -153,7 +153,8 @@
         if let Some(partition) = self.partitions.get_mut(name)
             && let Ok(permit) = authority.permit(partition.term, now)
         {
-            partition.call_workers(&self.config, now, permit, &mut self.outbox);
+            let (cache, outbox) = (&self.cache, &mut self.outbox);
+            partition.call_workers(&self.config, now, permit, cache, outbox);
         }
     }
 
--- a/crates/quartzlever-core/src/router/heartbeats/tests.rs
+++ b/crates/quartzlever-core/src/router/heartbeats/tests.rs
@@ -101,7 +101,7 @@
         let Some(partition) = core.partitions.get_mut("one") else { unreachable!() };
         partition.start_task("req-1", 0, "n-1", NOW);
         let attempt = partition.jobs["req-1"].assignments[&0].attempt;
-        partition.drop_job("req-1", NOW);
+        partition.drop_job("req-1", NOW, NOW);
         let Some(machine) = partition.machines.get_mut("n-1") else { unreachable!() };
         machine.attempts.values_mut().for_each(|state| state.direct_command = command);
         let now = NOW + since_end * SECOND;
@@ -139,7 +139,7 @@
     queue_tasks(&mut core, 1, Priority::Urgent, 1.0);
     let Some(partition) = core.partitions.get_mut("one") else { unreachable!() };
     partition.start_task("req-1", 0, "n-1", NOW);
-    partition.drop_job("req-1", NOW);
+    partition.drop_job("req-1", NOW, NOW);
     let Some(machine) = partition.machines.get_mut("n-1") else { unreachable!() };
     machine
         .attempts
--- a/crates/quartzlever-core/src/router/job_records.rs
+++ b/crates/quartzlever-core/src/router/job_records.rs
@@ -54,7 +54,7 @@
         // The view still showed the job as active, so it ended no earlier than that view was read.
         let since = self.cache.view_as_of().min(self.now);
         for partition in self.partitions.values_mut() {
-            partition.drop_job(id, since);
+            partition.drop_job(id, since, self.now);
         }
     }
 
--- a/crates/quartzlever-core/src/router/leadership.rs
+++ b/crates/quartzlever-core/src/router/leadership.rs
@@ -40,6 +40,20 @@
         self.permit(0).is_ok()
     }
 
+    /// Logs when this process begins or ceases to be allowed to act.
+    pub(super) fn log_authority_change(&mut self) {
+        let permit = self.permit(0);
+        if permit.is_ok() == std::mem::replace(&mut self.was_acting, permit.is_ok()) {
+            return;
+        }
+        let partitions = self.partitions.len();
+        let view_age = self.authority().view_age(self.now);
+        self.outbox.log(LogLevel::Info, || match permit {
+            Ok(_) => LogEvent::AuthorityGained { partitions, view_age },
+            Err(reason) => LogEvent::AuthorityLost { reason, partitions, view_age },
+        });
+    }
+
     /// Handles the reply to the request for a lease that was sent at `sent`.
     pub(crate) fn lease_granted(&mut self, sent: Micros, result: &Result<StoreReply, CallError>) {
         let outcome = self.lease.granted(self.now, sent, &self.config, result);
--- a/crates/quartzlever-core/src/router/store_changes.rs
+++ b/crates/quartzlever-core/src/router/store_changes.rs
@@ -189,7 +189,7 @@
                 .map(|(id, _)| id.clone())
                 .collect();
             for id in ended {
-                partition.drop_job(&id, now);
+                partition.drop_job(&id, now, now);
             }
             let name = partition.name.clone();
             for (machine, record) in self.cache.machines_of(&name) {
--- a/crates/quartzlever-core/src/router/user_requests.rs
+++ b/crates/quartzlever-core/src/router/user_requests.rs
@@ -259,6 +259,8 @@
             CancelOutcome::Committed => {
                 self.notify_cancelled(&job, done);
                 self.job_terminated(&job, cancelled_state(done));
+                self.outbox
+                    .log(LogLevel::Info, || LogEvent::CancellationCommitted { job: job.clone() });
                 self.answer_phase(id, 200, &job, JobPhase::Cancelled);
             }
             CancelOutcome::ReadAgain => {
--- a/crates/quartzlever-core/src/scheduling/reservations/tests.rs
+++ b/crates/quartzlever-core/src/scheduling/reservations/tests.rs
@@ -30,7 +30,7 @@
         );
         // The first task ends.
         if let Some(partition) = core.partitions.get_mut("one") {
-            partition.drop_job("req-7", NOW);
+            partition.drop_job("req-7", NOW, NOW);
             partition.requeue_attempts_of("n-1");
             partition.placement_wanted = true;
         }
--- a/crates/quartzlever-core/src/store/cache.rs
+++ b/crates/quartzlever-core/src/store/cache.rs
@@ -296,6 +296,12 @@
         self.active_jobs.contains_key(job) || self.unreadable_jobs.contains(job)
     }
 
+    /// Reports whether the cache shows that a job has ended. Nothing is known while the cache is not
+    /// loaded.
+    pub fn shows_as_ended(&self, job: &str) -> bool {
+        self.loaded && !self.is_active_job(job)
+    }
+
     /// Reports whether a job's record is cached at `mod_revision` or later.
     pub fn is_active_job_known(&self, job: &str, mod_revision: u64) -> bool {
         self.active_jobs.get(job).is_some_and(|known| known.mod_revision >= mod_revision)
--- a/crates/quartzlever-core/src/testing.rs
+++ b/crates/quartzlever-core/src/testing.rs
@@ -96,6 +96,7 @@
     core.types = Some(Arc::new(BTreeMap::from([("m".into(), machine_type)])));
     core.lease = Lease::held(1, NOW + 1_000 * SECOND);
     core.cache.set_view_as_of(NOW);
+    core.was_acting = true;
     let mut partition = Partition::new("one", 5, core.types.clone(), NOW);
     (partition.loaded, partition.recovery_complete) = (true, true);
     let record = MachineRecord {
--- a/crates/quartzlever-core/tests/simulation/sim.rs
+++ b/crates/quartzlever-core/tests/simulation/sim.rs
@@ -8,7 +8,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use quartzlever_core::{Command, Config, Core, Effect, LogLevel, Operator, Team, WorkerTimes};
+use quartzlever_core::{
+    Command, Config, Core, Effect, LogEvent, LogLevel, Operator, Team, WorkerTimes,
+};
 use quartzlever_testkit::jobs;
 use quartzlever_testkit::rules::{MachineTasks, RuleChecker, TeamLimit, UserRequest};
 use quartzlever_testkit::{Cloud, Store, Worker};
--- a/crates/quartzlever-core/tests/simulation/sim/calls.rs
+++ b/crates/quartzlever-core/tests/simulation/sim/calls.rs
@@ -419,6 +419,10 @@
                 self.answers.insert(id, (status, body));
             }
             Effect::Terminate { reason } => self.exit_reason = Some(reason),
+            Effect::Log(event @ LogEvent::InvariantViolated(_)) => {
+                let violation = format!("{} at {} ms: {event}", event.name(), self.now / 1000);
+                self.rules.violations.push(violation);
+            }
             Effect::Log(_) | Effect::SetRateShare(_) => {}
         }
     }
