An unreadable final state ends its job and is logged

Bad input, not seen in operation: a job whose `over/` record does not parse. The watch event was ignored without a word. The cache no longer had the job, since the deletion of `live/` came with it, but the partition kept it: its tasks ran on, and more were started. Now the deletion of the active record drops the job from the partitions as well, so its attempts are killed, and the log has `unreadable_record` with the key. With a readable record nothing changes: the final state in the same answer dropped the job already.

The row of `a_write_is_classified_by_its_key_and_skipped_if_already_applied` that expected such a record to be skipped now expects the new event, which is stricter. `a_job_with_an_unreadable_final_state_is_dropped` failed before.

--- a/crates/quartzlever-core/src/router/job_records.rs
+++ b/crates/quartzlever-core/src/router/job_records.rs
@@ -51,6 +51,11 @@
     pub(crate) fn job_terminated(&mut self, id: &str, terminal: TerminalJobRecord) {
         self.terminal_jobs.insert(id, terminal);
         self.cache.remove_active_job(id);
+        self.drop_from_partitions(id);
+    }
+
+    /// Drops a job that has ended from the partitions led here.
+    pub(crate) fn drop_from_partitions(&mut self, id: &str) {
         // The view still showed the job as active, so it ended no earlier than that view was read.
         let since = self.cache.view_as_of().min(self.now);
         for partition in self.partitions.values_mut() {
--- a/crates/quartzlever-core/src/router/store_changes.rs
+++ b/crates/quartzlever-core/src/router/store_changes.rs
@@ -104,6 +104,12 @@
             StoreEvent::Job(entry) => self.apply_job_record(&entry),
             StoreEvent::JobDeleted { id, mod_revision } => {
                 self.cache.remove_deleted_job(&id, mod_revision);
+                if !self.cache.is_active_job(&id) {
+                    self.drop_from_partitions(&id);
+                }
+            }
+            StoreEvent::UnreadableFinalState { key } => {
+                self.outbox.log(LogLevel::Error, || LogEvent::unreadable(&key));
             }
             StoreEvent::JobTerminated { id, record } => self.job_terminated(&id, record),
             StoreEvent::Page(entry) => self.apply_page_record(&entry),
--- a/crates/quartzlever-core/src/router/store_changes/tests.rs
+++ b/crates/quartzlever-core/src/router/store_changes/tests.rs
@@ -125,3 +125,22 @@
         assert!(core.cache.active_job("req-1").is_some(), "a job stays known");
     }
 }
+
+/// A job whose final state cannot be parsed has ended: its tasks are stopped, and none is started.
+#[test]
+fn a_job_with_an_unreadable_final_state_is_dropped() {
+    let mut core = core_with_leaders(100);
+    core.outbox.set_log_level(LogLevel::Error);
+    core.reconcile_job(record_of(1, 4, "one"), 10);
+    core.cache.set_revision(10);
+    core.watch.set_number(1);
+    let log = vec![
+        Event::Delete { delete: "live/req-1".into(), mod_revision: 11 },
+        Event::Write { write: "over/req-1".into(), v: Json::of(&"no record"), mod_revision: 11 },
+    ];
+    core.watch_replied(1, NOW, Ok(StoreReply::Watched(WatchAnswer { revision: 11, log })));
+    let is_logged = |effect: &Effect| matches!(effect, Effect::Log(LogEvent::UnreadableRecord { key }) if key == "over/req-1");
+    assert!(core.outbox.take_effects().iter().any(is_logged));
+    assert!(!core.partitions["one"].jobs.contains_key("req-1"));
+    assert!(!core.cache.is_active_job("req-1"));
+}
--- a/crates/quartzlever-core/src/store/event.rs
+++ b/crates/quartzlever-core/src/store/event.rs
@@ -47,6 +47,11 @@
         id: String,
         record: TerminalJobRecord,
     },
+    /// A final state that cannot be parsed. Its job has ended all the same, as the deletion of the
+    /// active record shows.
+    UnreadableFinalState {
+        key: String,
+    },
     /// A page of the finished tasks of a job.
     Page(KeyValue),
     PageDeleted {
@@ -66,8 +71,7 @@
 impl StoreEvent {
     /// Classifies an event of a watch. Returns `None` if it has no effect: its revision is not
     /// after `known_revision`, the revision of the cache before the watch replied, its record has
-    /// already been applied, its key is unknown, or it is an unreadable record of a partition or of
-    /// a final state.
+    /// already been applied, its key is unknown, or it is an unreadable record of a partition.
     pub fn from_watch(
         event: Event,
         known_revision: u64,
@@ -118,8 +122,10 @@
             Some(StoreEvent::MachinesSeen(entry))
         } else {
             let id = entry.key.strip_prefix(TERMINAL_JOB_PREFIX)?.to_owned();
-            let record = parse::<TerminalJobRecord>(&entry)?;
-            Some(StoreEvent::JobTerminated { id, record })
+            Some(match parse::<TerminalJobRecord>(&entry) {
+                Some(record) => StoreEvent::JobTerminated { id, record },
+                None => StoreEvent::UnreadableFinalState { key: entry.key },
+            })
         }
     }
 
--- a/crates/quartzlever-core/src/store/event/tests.rs
+++ b/crates/quartzlever-core/src/store/event/tests.rs
@@ -39,7 +39,7 @@
         ("live/req-3", &unreadable, 11, ""),
         ("over/req-3", &terminal, 11, ""),
         ("over/req-2", &terminal, 11, "JobTerminated"),
-        ("over/req-2", &unreadable, 11, ""),
+        ("over/req-2", &unreadable, 11, "UnreadableFinalState"),
         ("cluster/version", &unreadable, 9, "Cluster"),
         ("unknown/one", &unreadable, 9, ""),
     ] {
