--- a/crates/quartzlever-core/tests/simulation/large_fleet.rs
+++ b/crates/quartzlever-core/tests/simulation/large_fleet.rs
@@ -2,7 +2,7 @@
 
 use quartzlever_core::Config;
 use quartzlever_wire::SECOND;
-use quartzlever_wire::users::JobSpec;
+use quartzlever_wire::users::{JobSpec, Priority};
 
 use crate::sim::{Simulation, job};
 
@@ -58,3 +58,42 @@
         assert_eq!((status, &body["phase"]), (200, &"done".into()), "{body}");
     }
 }
+
+/// At production size, hundreds of start commands of cancelled jobs are on their way at once while
+/// the cloud terminates nothing, and the leaders change: no task of these jobs outlives `cancel_s`.
+#[test]
+fn cancelled_jobs_end_in_time_on_more_than_4000_machines_without_the_cloud() {
+    let mut simulation = Simulation::with(4_201, NODES, large_fleet_config);
+    simulation.cloud.max_machines = MACHINES;
+    simulation.run_time = 90 * SECOND;
+    simulation.run(3 * SECOND);
+    for number in 0..JOBS {
+        let spec = JobSpec { cpus: 5.0, ..machine_filling_job(number) };
+        let node = number as usize % NODES.len();
+        assert_eq!(simulation.submit_until_accepted(node, &spec), 201);
+    }
+    simulation.run(35 * SECOND);
+    let busy = simulation.workers.values().filter(|w| !w.running().is_empty()).count();
+    assert!(busy > 4_000, "only {busy} machines run tasks");
+
+    simulation.command_delay = 24 * SECOND;
+    simulation.cloud_down = true;
+    for number in JOBS..3 * JOBS {
+        let spec = JobSpec {
+            priority: Priority::Urgent,
+            due_s: Some(3.2),
+            ..job(number, MACHINES as u32 / JOBS)
+        };
+        let node = number as usize % NODES.len();
+        assert_eq!(simulation.submit_until_accepted(node, &spec), 201);
+        assert!(simulation.cancel_until_confirmed(node, &spec.id).is_some());
+    }
+    simulation.run(12 * SECOND);
+    simulation.restart(0, SECOND / 5);
+    simulation.run(20 * SECOND);
+    let counts = simulation.counts;
+    assert!(counts.delayed_commands > 300, "{counts:?}");
+    assert!(counts.delayed_executed + counts.delayed_refused > 100, "{counts:?}");
+    assert!(simulation.rules.cancellations >= 2 * JOBS as usize);
+    assert_eq!(simulation.rules.violations, Vec::<String>::new());
+}
