--- a/crates/quartzlever-testkit/src/fleet.rs
+++ b/crates/quartzlever-testkit/src/fleet.rs
@@ -1,9 +1,11 @@
-//! A few fake workers on loopback ports, all under one lock, with a [`RuleChecker`] that observes
-//! the whole fleet after each change. For thousands of workers see [`crate::worker_fleet`].
+//! Up to a few hundred fake workers, all under one lock, with a [`RuleChecker`] that observes the
+//! whole fleet after each change. For thousands of workers see [`crate::worker_fleet`].
+//!
+//! Each worker has a loopback address of its own, all of them served by one listener.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -15,14 +17,17 @@
 use serde_json::{Value, json};
 use tiny_http::Request;
 
-use crate::http::{read_body, respond, serve, serve_cloud, test_time};
+use crate::http::{read_body, respond, serve_at, serve_cloud, test_time};
 use crate::rules::{MachineTasks, RuleChecker};
+use crate::worker_fleet::{loopback_address, machine_number};
 use crate::{Cloud, Worker};
 
 /// Time after which a worker gives up on an unanswered heartbeat.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(4);
-/// Threads that serve calls to the port of one worker.
-const WORKER_THREADS: usize = 2;
+/// Threads that serve calls to the workers.
+const WORKER_THREADS: usize = 24;
+/// Stack size in bytes of the thread that sends a worker's heartbeats.
+const HEARTBEAT_STACK_BYTES: usize = 256 * 1024;
 
 /// Timing of the workers of a fleet.
 #[derive(Clone, Copy, Debug)]
@@ -37,6 +42,39 @@
     pub run_time: Micros,
 }
 
+/// How long a request to a deaf worker stays open without an answer; longer than any caller waits.
+const UNANSWERED_FOR: Duration = Duration::from_secs(4);
+/// Interval at which a hung worker is checked for whether it has resumed.
+const RESUME_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// A fault of a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorkerFault {
+    /// It does nothing and reads nothing. What was sent to it waits until it resumes.
+    Hung,
+    /// Its heartbeats arrive, but neither answers nor calls reach it.
+    Deaf,
+    /// Its heartbeats reach no controller, while calls reach it.
+    Mute,
+    /// Calls to its address are executed later by this time, when the caller no longer waits.
+    CallsLate(Duration),
+}
+
+/// Counts of what the faults of workers have affected, for tests to check that they took effect.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct WorkerFaultCounts {
+    /// Heartbeats that a mute worker did not get through.
+    pub lost_heartbeats: usize,
+    /// Answers and calls that did not reach a deaf worker.
+    pub unheard: usize,
+    /// Calls that were executed late, by a hung worker or for [`WorkerFault::CallsLate`].
+    pub executed_late: usize,
+    /// Late calls that were refused, since the incarnation or the fencing token no longer matched.
+    pub refused_late: usize,
+    /// Worker leases that expired while tasks ran.
+    pub expired_leases: usize,
+}
+
 /// Names and API addresses of the controllers that workers send heartbeats to.
 pub type Controllers = Arc<Mutex<Vec<(String, SocketAddr)>>>;
 
@@ -51,6 +89,13 @@
     observed_starts: BTreeMap<String, usize>,
     /// Per worker, the number of completed tasks that the checker has seen.
     observed_completions: BTreeMap<String, usize>,
+    /// Workers with a fault.
+    faults: BTreeMap<String, WorkerFault>,
+    fault_counts: WorkerFaultCounts,
+    /// The machine at each address, also after its termination.
+    machines_by_address: BTreeMap<String, String>,
+    /// Port of the listener that serves all workers, once there is one.
+    port: Option<u16>,
 }
 
 /// The workers of a test and the rule checker that observes them.
@@ -76,6 +121,10 @@
             terminated: BTreeSet::new(),
             observed_starts: BTreeMap::new(),
             observed_completions: BTreeMap::new(),
+            faults: BTreeMap::new(),
+            fault_counts: WorkerFaultCounts::default(),
+            machines_by_address: BTreeMap::new(),
+            port: None,
         };
         Arc::new(Fleet { state: Mutex::new(state), controllers, behaviour, start })
     }
@@ -103,9 +152,7 @@
     fn update<T>(&self, change: impl FnOnce(&mut State, Micros) -> T) -> T {
         let mut state = self.lock();
         let now = test_time(self.start);
-        for worker in state.workers.values_mut() {
-            worker.advance_to(now);
-        }
+        state.advance_to(now);
         state.observe_completions();
         let result = change(&mut state, now);
         state.observe_machines_and_starts(now);
@@ -139,6 +186,35 @@
         state.workers.values().map(|w| w.running().iter().filter(of_job).count()).sum()
     }
 
+    /// Returns the names of all machines.
+    pub fn machines(&self) -> Vec<String> {
+        self.lock().workers.keys().cloned().collect()
+    }
+
+    /// Begins a fault of these machines in place of a previous one, or ends it.
+    pub fn set_fault(&self, machines: &[String], fault: Option<WorkerFault>) {
+        self.update(|state, _| {
+            for machine in machines {
+                match fault {
+                    Some(fault) => state.faults.insert(machine.clone(), fault),
+                    None => state.faults.remove(machine),
+                };
+                if let Some(worker) = state.workers.get_mut(machine) {
+                    worker.hung = fault == Some(WorkerFault::Hung);
+                }
+            }
+        });
+    }
+
+    /// Returns what the faults of workers have affected so far.
+    pub fn fault_counts(&self) -> WorkerFaultCounts {
+        self.lock().fault_counts
+    }
+
+    fn fault_of(&self, machine: &str) -> Option<WorkerFault> {
+        self.lock().faults.get(machine).copied()
+    }
+
     /// Makes one machine that runs tasks fail permanently, if there is one.
     pub fn fail_busy_machine(&self) {
         self.update(|state, _| {
@@ -157,18 +233,44 @@
     }
 
     fn start_worker(self: Arc<Self>, instance: Instance) {
-        thread::spawn(move || {
-            // A worker that cannot open its port counts as a machine that never starts.
-            let _ = self.serve_worker(instance);
+        let thread = thread::Builder::new().stack_size(HEARTBEAT_STACK_BYTES);
+        // A worker that cannot be started counts as a machine that never comes up.
+        let _ = thread.spawn(move || {
+            let _ = self.run_worker(instance);
         });
     }
 
-    /// Serves a worker at a new port and sends its heartbeats until the worker is removed.
-    fn serve_worker(self: Arc<Self>, mut instance: Instance) -> io::Result<()> {
+    /// Returns the port of the listener that serves all workers, and opens it for the first one.
+    fn listener_port(self: &Arc<Self>) -> io::Result<u16> {
+        let mut state = self.lock();
+        if let Some(port) = state.port {
+            return Ok(port);
+        }
+        let fleet = self.clone();
+        let any_address = (Ipv4Addr::UNSPECIFIED, 0).into();
+        let address =
+            serve_at(any_address, WORKER_THREADS, move |request| fleet.dispatch_request(request))?;
+        state.port = Some(address.port());
+        Ok(address.port())
+    }
+
+    /// Passes a request on to the worker at the address to which it was sent.
+    fn dispatch_request(self: &Arc<Self>, request: Request) {
+        let host = request.headers().iter().find(|header| header.field.equiv("Host"));
+        let machine =
+            host.and_then(|host| self.lock().machines_by_address.get(host.value.as_str()).cloned());
+        match machine {
+            Some(machine) => self.handle_request(&machine, request),
+            None => drop(request),
+        }
+    }
+
+    /// Adds a worker and sends its heartbeats until the worker is removed.
+    fn run_worker(self: Arc<Self>, mut instance: Instance) -> io::Result<()> {
         let machine = instance.name.clone();
-        let (fleet, name) = (self.clone(), machine.clone());
-        let address = serve(WORKER_THREADS, move |request| fleet.handle_request(&name, request))?;
-        instance.address = address.to_string();
+        let port = self.listener_port()?;
+        instance.address = format!("{}:{port}", loopback_address(machine_number(&machine)));
+        self.lock().machines_by_address.insert(instance.address.clone(), machine.clone());
         self.update(|state, now| {
             let mut worker =
                 Worker::new(instance, self.behaviour.lease, self.behaviour.run_time, now);
@@ -181,8 +283,34 @@
         Ok(())
     }
 
-    /// Handles a request to a worker's own address.
-    fn handle_request(&self, machine: &str, mut request: Request) {
+    /// Handles a request to a worker's own address, as the fault of the worker requires.
+    fn handle_request(self: &Arc<Self>, machine: &str, request: Request) {
+        let Some(fault) = self.fault_of(machine).filter(|fault| *fault != WorkerFault::Mute) else {
+            return self.execute_request(machine, request, Lateness::OnTime);
+        };
+        // The threads of the worker's port serve the requests after this one.
+        let (fleet, machine) = (self.clone(), machine.to_owned());
+        thread::spawn(move || match fault {
+            WorkerFault::Hung => {
+                while fleet.fault_of(&machine) == Some(WorkerFault::Hung) {
+                    thread::sleep(RESUME_CHECK_INTERVAL);
+                }
+                fleet.execute_request(&machine, request, Lateness::Late);
+            }
+            WorkerFault::CallsLate(delay) => {
+                thread::sleep(delay);
+                fleet.execute_request(&machine, request, Lateness::Late);
+            }
+            WorkerFault::Deaf | WorkerFault::Mute => {
+                fleet.lock().fault_counts.unheard += 1;
+                thread::sleep(UNANSWERED_FOR);
+                drop(request);
+            }
+        });
+    }
+
+    /// Executes a request to a worker's own address.
+    fn execute_request(&self, machine: &str, mut request: Request, lateness: Lateness) {
         let body = read_body(&mut request);
         if machine.ends_with(['1', '3', '5', '7', '9']) {
             thread::sleep(self.behaviour.slow_calls);
@@ -193,10 +321,14 @@
             if is_status {
                 return Some(Ok(WorkerReply::Status(worker.heartbeat())));
             }
-            Some(
-                serde_json::from_slice::<WorkerCommands>(&body)
-                    .map(|commands| worker.receive_commands(&commands, now)),
-            )
+            let reply = serde_json::from_slice::<WorkerCommands>(&body)
+                .map(|commands| worker.receive_commands(&commands, now));
+            if lateness == Lateness::Late {
+                let refused = matches!(reply, Ok(WorkerReply::Refused(_)));
+                state.fault_counts.refused_late += usize::from(refused);
+                state.fault_counts.executed_late += usize::from(!refused);
+            }
+            Some(reply)
         });
         match reply {
             Some(Ok(WorkerReply::Status(heartbeat))) => respond(request, 200, &json!(heartbeat)),
@@ -212,6 +344,23 @@
         let agent = ureq::AgentBuilder::new().timeout(HEARTBEAT_TIMEOUT).build();
         let mut target = 0;
         loop {
+            match self.fault_of(machine) {
+                Some(WorkerFault::Hung) => {
+                    thread::sleep(RESUME_CHECK_INTERVAL);
+                    // The cloud may terminate a machine that hangs.
+                    if self.lock().workers.contains_key(machine) {
+                        continue;
+                    }
+                    return;
+                }
+                Some(WorkerFault::Mute) => {
+                    self.lock().fault_counts.lost_heartbeats += 1;
+                    target += 1;
+                    thread::sleep(Duration::from_secs(1));
+                    continue;
+                }
+                Some(WorkerFault::Deaf | WorkerFault::CallsLate(_)) | None => {}
+            }
             let heartbeat = self.update(|state, now| {
                 let worker = state.workers.get_mut(machine)?;
                 Some((worker.heartbeat(), now))
@@ -244,6 +393,12 @@
             Ok(response) => {
                 let text = response.into_string().unwrap_or_default();
                 let Ok(commands) = serde_json::from_str::<WorkerCommands>(&text) else { return };
+                if self.fault_of(&heartbeat.machine) == Some(WorkerFault::Deaf) {
+                    self.lock().fault_counts.unheard += 1;
+                    thread::sleep(UNANSWERED_FOR);
+                    *target += 1;
+                    return;
+                }
                 self.update(|state, now| {
                     if let Some(worker) = state.workers.get_mut(&heartbeat.machine) {
                         worker.receive_reply(&commands, sent, heartbeat.incarnation, now);
@@ -261,7 +416,24 @@
     }
 }
 
+/// Whether a call reaches its worker while the caller still waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Lateness {
+    OnTime,
+    Late,
+}
+
 impl State {
+    /// Advances the workers to the present time.
+    fn advance_to(&mut self, now: Micros) {
+        for worker in self.workers.values_mut() {
+            let (incarnation, is_busy) = (worker.incarnation(), !worker.running().is_empty());
+            worker.advance_to(now);
+            self.fault_counts.expired_leases +=
+                usize::from(is_busy && worker.incarnation() > incarnation);
+        }
+    }
+
     /// Passes newly completed tasks to the checker.
     fn observe_completions(&mut self) {
         for (machine, worker) in &self.workers {
--- a/crates/quartzlever-testkit/src/http.rs
+++ b/crates/quartzlever-testkit/src/http.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -51,11 +51,20 @@
 }
 
 /// Serves requests at a new loopback port with `threads` threads and returns the address.
-pub(crate) fn serve(
+fn serve(
     threads: usize,
     handle: impl Fn(Request) + Send + Sync + 'static,
 ) -> io::Result<SocketAddr> {
-    let server = Arc::new(Server::http("127.0.0.1:0").map_err(io::Error::other)?);
+    serve_at((Ipv4Addr::LOCALHOST, 0).into(), threads, handle)
+}
+
+/// Serves requests at an address with `threads` threads and returns the address with its port.
+pub(crate) fn serve_at(
+    address: SocketAddr,
+    threads: usize,
+    handle: impl Fn(Request) + Send + Sync + 'static,
+) -> io::Result<SocketAddr> {
+    let server = Arc::new(Server::http(address).map_err(io::Error::other)?);
     let address = server.server_addr().to_ip().ok_or_else(|| io::Error::other("no address"))?;
     let handle = Arc::new(handle);
     for _ in 0..threads {
--- a/crates/quartzlever-testkit/src/lib.rs
+++ b/crates/quartzlever-testkit/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`jobs`] | job specifications for tests |
 //! | [`site`] | settings files for several controllers |
 //! | [`program`] | runs the real program as a child process |
+//! | [`proxy`] | a TCP proxy that injects faults into one link |
 //! | [`production`] | builds the version in production, to run alongside the current one |
 
 #![deny(missing_docs)]
@@ -23,6 +24,7 @@
 pub mod jobs;
 pub mod production;
 pub mod program;
+pub mod proxy;
 pub mod rules;
 pub mod site;
 mod store;
--- a/crates/quartzlever-testkit/src/program.rs
+++ b/crates/quartzlever-testkit/src/program.rs
@@ -1,12 +1,35 @@
 //! Runs the real program as a child process.
 
+use std::fs::OpenOptions;
 use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
+use std::sync::{Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
 
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+
+/// Violated invariants in the logs of all processes of this test program.
+static VIOLATIONS: Mutex<Vec<String>> = Mutex::new(Vec::new());
+
+/// Reports whether a line of the log reports a violated invariant.
+fn is_violation(line: &str) -> bool {
+    line.contains("invariant_violated")
+}
+
+fn record_violation(line: String) {
+    VIOLATIONS.lock().unwrap_or_else(PoisonError::into_inner).push(line);
+}
+
+/// Returns the lines with which controllers of this test program have reported violated invariants.
+/// Logs that go to a file are not included.
+pub fn reported_violations() -> Vec<String> {
+    VIOLATIONS.lock().unwrap_or_else(PoisonError::into_inner).clone()
+}
+
 /// A running controller process. Dropping the value kills the process.
 #[derive(Debug)]
 pub struct Node {
@@ -42,10 +65,48 @@
             }
         };
         // Drains the rest of the log, so that the program never blocks on a full pipe.
-        thread::spawn(move || lines.for_each(drop));
+        thread::spawn(move || {
+            lines.map_while(Result::ok).filter(|line| is_violation(line)).for_each(record_violation)
+        });
+        Ok(Node { child, address })
+    }
+
+    /// Starts the program without waiting until it serves its API at `address`. Its log, from level
+    /// `info`, is appended to the file `log`.
+    pub fn spawn_logged(
+        program: &Path,
+        config: &Path,
+        operator: &Path,
+        log: &Path,
+        address: SocketAddr,
+    ) -> io::Result<Node> {
+        let log = OpenOptions::new().create(true).append(true).open(log)?;
+        let mut command = Command::new(program);
+        command.arg("--config").arg(config).arg("--operator").arg(operator);
+        let child = command.env("LOG_LEVEL", "info").stderr(Stdio::from(log)).spawn()?;
         Ok(Node { child, address })
     }
 
+    /// Stops the process, as a host does that is suspended. It continues after [`Node::resume`].
+    pub fn pause(&self) -> io::Result<()> {
+        self.signal(Signal::SIGSTOP)
+    }
+
+    /// Lets the process continue after [`Node::pause`].
+    pub fn resume(&self) -> io::Result<()> {
+        self.signal(Signal::SIGCONT)
+    }
+
+    fn signal(&self, signal: Signal) -> io::Result<()> {
+        let process = i32::try_from(self.child.id()).map_err(io::Error::other)?;
+        kill(Pid::from_raw(process), signal).map_err(io::Error::from)
+    }
+
+    /// Returns whether the process has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// Reports whether the controller at this address answers `GET /ready` with success within a
     /// second.
     pub fn is_ready(address: SocketAddr) -> bool {
--- a/crates/quartzlever-testkit/src/rules.rs
+++ b/crates/quartzlever-testkit/src/rules.rs
@@ -84,6 +84,8 @@
     pub starts_after_cancel: usize,
     /// Number of jobs reported as cancelled.
     pub cancellations: usize,
+    /// Number of task starts.
+    pub started_tasks: usize,
 }
 
 impl RuleChecker {
@@ -102,6 +104,7 @@
             violations: Vec::new(),
             starts_after_cancel: 0,
             cancellations: 0,
+            started_tasks: 0,
         }
     }
 
@@ -252,6 +255,7 @@
         machines: &[MachineTasks],
     ) {
         self.started_jobs.insert(task.job.clone());
+        self.started_tasks += 1;
         if let Some(at) = self.cancellation_reported_at(&task.job).filter(|at| now > *at) {
             self.starts_after_cancel += 1;
             if now > at + self.cancel_limit {
--- a/crates/quartzlever-testkit/src/site.rs
+++ b/crates/quartzlever-testkit/src/site.rs
@@ -7,6 +7,36 @@
 const API_PORT: u16 = 7100;
 const PEER_PORT: u16 = 7200;
 
+/// Times and teams in the settings of the controllers of a site.
+#[derive(Clone, Debug)]
+pub struct SiteSettings {
+    /// Interval between the heartbeats of a worker, in seconds.
+    pub heartbeat_s: f64,
+    /// Lease of a worker, in seconds.
+    pub lease_s: f64,
+    /// Time within which the tasks of a cancelled job must end, in seconds.
+    pub cancel_s: f64,
+    /// Team besides "free", with its maximum number of processors.
+    pub limited_team: Option<(String, f64)>,
+}
+
+impl Default for SiteSettings {
+    fn default() -> Self {
+        SiteSettings { heartbeat_s: 1.0, lease_s: 10.0, cancel_s: 20.0, limited_team: None }
+    }
+}
+
+/// The addresses at which a controller finds the systems around it.
+#[derive(Clone, Debug)]
+pub struct Surroundings {
+    /// Address of the store.
+    pub state: SocketAddr,
+    /// Address of the cloud.
+    pub cloud: SocketAddr,
+    /// Addresses of the other controllers, by name.
+    pub peers: Vec<(String, SocketAddr)>,
+}
+
 /// A group of controllers with their addresses and files.
 ///
 /// The addresses depend on the name of the site and on the process id of the test, so that parallel
@@ -18,6 +48,7 @@
     nodes: Vec<String>,
     zones: Vec<String>,
     store_limits: String,
+    settings: SiteSettings,
 }
 
 impl Site {
@@ -38,9 +69,15 @@
             nodes: owned(nodes),
             zones: owned(zones),
             store_limits: store_limits.to_owned(),
+            settings: SiteSettings::default(),
         }
     }
 
+    /// Returns the site with other times and teams.
+    pub fn with_settings(self, settings: SiteSettings) -> Site {
+        Site { settings, ..self }
+    }
+
     /// Returns the loopback address of a node: one byte from the process id, one from the name of
     /// the site, one from the index of the node.
     fn loopback(&self, node: usize) -> Ipv4Addr {
@@ -55,6 +92,12 @@
         nodes.map(|(n, name)| (name.clone(), (self.loopback(n), API_PORT).into())).collect()
     }
 
+    /// Returns the name of each node and the address at which it serves the other nodes.
+    pub fn peer_addresses(&self) -> Vec<(String, SocketAddr)> {
+        let nodes = self.nodes.iter().enumerate();
+        nodes.map(|(n, name)| (name.clone(), (self.loopback(n), PEER_PORT).into())).collect()
+    }
+
     /// Writes a file into the directory of the site, with the name of the site as prefix, and
     /// returns its path.
     pub fn write(&self, file: &str, text: &str) -> io::Result<PathBuf> {
@@ -71,12 +114,27 @@
         state: SocketAddr,
         cloud: SocketAddr,
     ) -> io::Result<PathBuf> {
+        let mut peers = self.peer_addresses();
+        peers.remove(node);
+        self.write_settings_for(node, &Surroundings { state, cloud, peers })
+    }
+
+    /// Writes the settings file of a node that finds the other systems at these addresses, and
+    /// returns its path.
+    pub fn write_settings_for(
+        &self,
+        node: usize,
+        surroundings: &Surroundings,
+    ) -> io::Result<PathBuf> {
+        let Surroundings { state, cloud, peers } = surroundings;
         let mut seeds = String::new();
-        for (n, name) in self.nodes.iter().enumerate().filter(|(n, _)| *n != node) {
-            let address = self.loopback(n);
-            seeds +=
-                &format!("[[seeds]]\nnode_name = \"{name}\"\naddr = \"{address}:{PEER_PORT}\"\n");
+        for (name, address) in peers {
+            seeds += &format!("[[seeds]]\nnode_name = \"{name}\"\naddr = \"{address}\"\n");
         }
+        let SiteSettings { heartbeat_s, lease_s, cancel_s, limited_team } = &self.settings;
+        let limited_team = limited_team.as_ref().map_or_else(String::new, |(team, cpus)| {
+            format!("[[params.teams]]\nname = \"{team}\"\ncpus_max = {cpus:?}\n")
+        });
         let (name, zone, address) = (&self.nodes[node], &self.zones[node], self.loopback(node));
         let limits = &self.store_limits;
         let text = format!(
@@ -93,10 +151,11 @@
 zones = ["a", "b"]
 [[params.teams]]
 name = "free"
+{limited_team}
 [params.workers]
-report_s = 1.0
-lease_s = 10.0
-cancel_s = 20.0
+report_s = {heartbeat_s:?}
+lease_s = {lease_s:?}
+cancel_s = {cancel_s:?}
 [params.cloud]
 rps = 50.0
 list_lag_s = 1.0
--- a/crates/quartzlever-testkit/src/watchers.rs
+++ b/crates/quartzlever-testkit/src/watchers.rs
@@ -10,6 +10,7 @@
 use quartzlever_wire::{Micros, SECOND};
 
 use crate::fleet::Fleet;
+use crate::program::reported_violations;
 use crate::users::Users;
 
 /// Pause between two calls of a check.
@@ -71,7 +72,8 @@
     ///
     /// # Panics
     ///
-    /// Panics if a thread has panicked or any rule was broken.
+    /// Panics if a thread has panicked, any rule was broken, or a controller has reported a violated
+    /// invariant.
     pub fn finish(self, test: &str) {
         self.stopped.store(true, Ordering::Relaxed);
         for thread in self.threads {
@@ -79,5 +81,7 @@
         }
         let broken = self.fleet.rules(|rules, _| rules.violations.clone());
         assert!(broken.is_empty(), "{test}: {broken:#?}");
+        let violated = reported_violations();
+        assert!(violated.is_empty(), "{test}: {violated:#?}");
     }
 }
--- a/crates/quartzlever-testkit/src/worker_fleet.rs
+++ b/crates/quartzlever-testkit/src/worker_fleet.rs
@@ -55,13 +55,13 @@
 }
 
 /// Returns the number in a machine's name, from which its loopback address is derived.
-fn machine_number(machine: &str) -> u32 {
+pub(crate) fn machine_number(machine: &str) -> u32 {
     machine.trim_start_matches(|c: char| !c.is_ascii_digit()).parse().unwrap_or(0)
 }
 
 /// Returns the loopback address, in 127.16.0.0/12, of the machine with this number, which has at
 /// most 20 bits.
-fn loopback_address(number: u32) -> Ipv4Addr {
+pub(crate) fn loopback_address(number: u32) -> Ipv4Addr {
     let [_, a, b, c] = number.to_be_bytes();
     Ipv4Addr::new(127, 16 | a, b, c)
 }
--- a/crates/quartzlever/tests/end_to_end.rs
+++ b/crates/quartzlever/tests/end_to_end.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use quartzlever_testkit::fleet::{Behaviour, Fleet};
-use quartzlever_testkit::program::Node;
+use quartzlever_testkit::program::{Node, reported_violations};
 use quartzlever_testkit::rules::RuleChecker;
 use quartzlever_testkit::{Cloud, Store, http};
 use quartzlever_wire::SECOND;
@@ -177,6 +177,7 @@
     until("job done", || call("GET", &second, None), |a| a.1["phase"] == "done");
     let (status, answer) = call("POST", &format!("{second}/abort"), Some(""));
     assert_eq!((status, &answer["phase"]), (200, &json!("done")), "a done job cannot be cancelled");
+    assert_eq!(reported_violations(), Vec::<String>::new());
 }
 
 #[test]
