--- a/crates/quartzlever-core/src/autoscaling/tests.rs
+++ b/crates/quartzlever-core/src/autoscaling/tests.rs
@@ -572,7 +572,6 @@
 
 #[test]
 fn a_machine_marked_for_a_later_termination_is_still_terminated_for_an_urgent_reason() {
-    use crate::machines::attempt::DirectCommand;
     // (reason of the earlier mark, seconds since the end of the job whose attempt may still start,
     // whether the machine is terminated)
     for (marked, since_end, expected) in [
@@ -583,19 +582,9 @@
         (Some(ScaleInReason::FailsTasks), 40, true),
         (Some(ScaleInReason::Idle), 40, true),
     ] {
-        let mut core = core();
-        core.config.workers.cancel = 64 * SECOND;
-        make_machine_usable(&mut core);
-        queue_tasks(&mut core, 1, Priority::Urgent, 1.0);
-        let Some(partition) = core.partitions.get_mut("one") else { unreachable!() };
-        partition.start_task("req-1", 0, "n-1", NOW);
-        partition.drop_job("req-1", NOW, NOW);
-        let Some(machine) = partition.machines.get_mut("n-1") else { unreachable!() };
-        machine.scale_in_reason = marked;
-        machine
-            .attempts
-            .values_mut()
-            .for_each(|attempt| attempt.direct_command = DirectCommand::OutcomeUnknown);
+        let (mut core, _) = core_with_unreported_attempt(DirectCommand::OutcomeUnknown);
+        let machine = core.partitions.get_mut("one").and_then(|p| p.machines.get_mut("n-1"));
+        machine.expect("machine n-1 exists").scale_in_reason = marked;
         let mut terminated = 0;
         for second in 1..=since_end {
             // A marked machine without the urgent reason waits for its tasks, since the worker
--- a/crates/quartzlever-core/src/events/tests.rs
+++ b/crates/quartzlever-core/src/events/tests.rs
@@ -3,6 +3,7 @@
 use quartzlever_wire::workers::TaskId;
 
 use super::*;
+use crate::autoscaling::ScaleInReason;
 
 /// Checks the level of each event and its name and fields as they appear in the log.
 #[test]
--- a/crates/quartzlever-core/src/router/heartbeats/tests.rs
+++ b/crates/quartzlever-core/src/router/heartbeats/tests.rs
@@ -83,7 +83,6 @@
 
 #[test]
 fn the_lease_of_a_machine_is_not_renewed_while_an_old_cancelled_attempt_may_still_start_there() {
-    use crate::machines::attempt::DirectCommand;
     let may_start = DirectCommand::OutcomeUnknown;
     // (whether a start command is in flight, whether the heartbeat lists the attempt, seconds since
     // the end of the job, status of the answer, whether it kills the attempt)
@@ -94,16 +93,7 @@
         (may_start, true, 27, 200, true),
         (DirectCommand::Settled, false, 27, 200, false),
     ] {
-        let mut core = core();
-        (core.config.workers.lease, core.config.workers.cancel) = (34 * SECOND, 64 * SECOND);
-        make_machine_usable(&mut core);
-        queue_tasks(&mut core, 1, Priority::Urgent, 1.0);
-        let Some(partition) = core.partitions.get_mut("one") else { unreachable!() };
-        partition.start_task("req-1", 0, "n-1", NOW);
-        let attempt = partition.jobs["req-1"].assignments[&0].attempt;
-        partition.drop_job("req-1", NOW, NOW);
-        let Some(machine) = partition.machines.get_mut("n-1") else { unreachable!() };
-        machine.attempts.values_mut().for_each(|state| state.direct_command = command);
+        let (mut core, attempt) = core_with_unreported_attempt(command);
         let now = NOW + since_end * SECOND;
         core.cache.set_view_as_of(now);
         let heartbeat = heartbeat_of_one(2, listed.then_some(attempt));
@@ -132,19 +122,7 @@
 
 #[test]
 fn a_lease_is_renewed_again_once_the_end_of_the_attempt_is_confirmed() {
-    use crate::machines::attempt::DirectCommand;
-    let mut core = core();
-    (core.config.workers.lease, core.config.workers.cancel) = (34 * SECOND, 64 * SECOND);
-    make_machine_usable(&mut core);
-    queue_tasks(&mut core, 1, Priority::Urgent, 1.0);
-    let Some(partition) = core.partitions.get_mut("one") else { unreachable!() };
-    partition.start_task("req-1", 0, "n-1", NOW);
-    partition.drop_job("req-1", NOW, NOW);
-    let Some(machine) = partition.machines.get_mut("n-1") else { unreachable!() };
-    machine
-        .attempts
-        .values_mut()
-        .for_each(|state| state.direct_command = DirectCommand::OutcomeUnknown);
+    let (mut core, _) = core_with_unreported_attempt(DirectCommand::OutcomeUnknown);
     let mut status_of = |second: u64, heartbeat| {
         core.cache.set_view_as_of(NOW + second * SECOND);
         let effects =
--- a/crates/quartzlever-core/src/testing.rs
+++ b/crates/quartzlever-core/src/testing.rs
@@ -6,6 +6,7 @@
 pub(crate) use crate::config::{Config, Operator, ServiceLevelObjective, Team, WorkerTimes};
 pub(crate) use crate::events::LogEvent;
 pub(crate) use crate::leadership::lease::Lease;
+pub(crate) use crate::machines::attempt::DirectCommand;
 pub(crate) use crate::machines::reconciliation::StatusSource;
 pub(crate) use crate::messages::{
     Answer, CallId, CallPriority, Command, Effect, LogLevel, RequestId,
@@ -296,6 +297,23 @@
     }
 }
 
+/// Returns a controller on whose machine "n-1" a task of job "req-1", which ended at [`NOW`], was
+/// placed and never reported, and the number of its attempt. `command` is the outcome of the direct
+/// call that carried its start command.
+pub(crate) fn core_with_unreported_attempt(command: DirectCommand) -> (Core, u64) {
+    let mut core = core();
+    (core.config.workers.lease, core.config.workers.cancel) = (34 * SECOND, 64 * SECOND);
+    make_machine_usable(&mut core);
+    queue_tasks(&mut core, 1, Priority::Urgent, 1.0);
+    let Some(partition) = core.partitions.get_mut("one") else { unreachable!() };
+    partition.start_task("req-1", 0, "n-1", NOW);
+    let attempt = partition.jobs["req-1"].assignments[&0].attempt;
+    partition.drop_job("req-1", NOW, NOW);
+    let Some(machine) = partition.machines.get_mut("n-1") else { unreachable!() };
+    machine.attempts.values_mut().for_each(|state| state.direct_command = command);
+    (core, attempt)
+}
+
 /// Returns the record of job "req-`number`" with all its tasks in one partition.
 pub(crate) fn record_of(number: u32, tasks: u32, partition: &str) -> ActiveJobRecord {
     let mut job = spec(tasks);
--- a/crates/quartzlever-core/tests/simulation/fault_combinations.rs
+++ b/crates/quartzlever-core/tests/simulation/fault_combinations.rs
@@ -7,6 +7,24 @@
 use crate::combination::*;
 use crate::sim::{Counts, FaultRates, Simulation, job};
 
+/// Cancels urgent jobs as soon as they are accepted, while direct commands are delayed for longer
+/// than the tasks of a cancelled job may run.
+fn cancel_while_commands_are_delayed(w: &mut Simulation, cloud_down: bool) {
+    w.run_time = 40 * SECOND;
+    submit(w, 90, 3, |_, _| {});
+    w.run(6 * SECOND);
+    w.command_delay = 24 * SECOND;
+    w.cloud_down = cloud_down;
+    for k in 0..14 {
+        submit(w, k, 1, |_, s| {
+            s.priority = Priority::Urgent;
+            s.due_s = Some(3.2);
+        });
+        w.cancel_until_confirmed(k as usize % 3, &job(k, 1).id);
+    }
+    w.run(26 * SECOND);
+}
+
 const FAULT_COMBINATIONS: &[FaultCombination] = &[
     FaultCombination {
         name: "the store refuses only the leader, peers confirm cancellations, the store fails",
@@ -261,20 +279,7 @@
         name: "jobs are cancelled while their start commands are delayed beyond `cancel_s`",
         first_seed: 0x0e5f_2824_bd94_0674,
         adjust_config: unchanged,
-        inject: |w| {
-            w.run_time = 40 * SECOND;
-            submit(w, 90, 3, |_, _| {});
-            w.run(6 * SECOND);
-            w.command_delay = 24 * SECOND;
-            for k in 0..14 {
-                submit(w, k, 1, |_, s| {
-                    s.priority = Priority::Urgent;
-                    s.due_s = Some(3.2);
-                });
-                w.cancel_until_confirmed(k as usize % 3, &job(k, 1).id);
-            }
-            w.run(26 * SECOND);
-        },
+        inject: |w| cancel_while_commands_are_delayed(w, false),
         took_effect: |c, r| {
             c.delayed_commands > 20 && c.delayed_executed > 4 && r.cancellations >= 50
         },
@@ -283,21 +288,7 @@
         name: "jobs are cancelled while their start commands are delayed and the cloud is down",
         first_seed: 0x2d61_90c4_7be3_f158,
         adjust_config: unchanged,
-        inject: |w| {
-            w.run_time = 40 * SECOND;
-            submit(w, 90, 3, |_, _| {});
-            w.run(6 * SECOND);
-            w.command_delay = 24 * SECOND;
-            w.cloud_down = true;
-            for k in 0..14 {
-                submit(w, k, 1, |_, s| {
-                    s.priority = Priority::Urgent;
-                    s.due_s = Some(3.2);
-                });
-                w.cancel_until_confirmed(k as usize % 3, &job(k, 1).id);
-            }
-            w.run(26 * SECOND);
-        },
+        inject: |w| cancel_while_commands_are_delayed(w, true),
         took_effect: |c, r| {
             c.delayed_commands > 20 && c.delayed_refused > 0 && r.cancellations >= 50
         },
--- a/crates/quartzlever-core/tests/simulation/large_fleet.rs
+++ b/crates/quartzlever-core/tests/simulation/large_fleet.rs
@@ -1,8 +1,8 @@
 //! A fleet of more than 4,000 machines, all of which a single controller takes over.
 
 use quartzlever_core::Config;
-use quartzlever_wire::SECOND;
 use quartzlever_wire::users::{JobSpec, Priority};
+use quartzlever_wire::{Micros, SECOND};
 
 use crate::sim::{Simulation, job};
 
@@ -22,25 +22,28 @@
     JobSpec { cpus: 8.0, expect_s: 45.0, ..job(number, tasks) }
 }
 
-/// No limit in the controller lies below this number of machines: all are launched and claimed, and
-/// after all controllers but one have crashed, that one takes them over and runs the remaining
-/// tasks.
-#[test]
-fn one_controller_takes_over_more_than_4000_machines() {
-    let mut simulation = Simulation::with(4_200, NODES, large_fleet_config);
+/// Returns a simulation in which more than 4,000 machines run tasks of [`JOBS`] jobs.
+fn busy_fleet(seed: u64, run_time: Micros, job: impl Fn(u32) -> JobSpec) -> Simulation {
+    let mut simulation = Simulation::with(seed, NODES, large_fleet_config);
     simulation.cloud.max_machines = MACHINES;
-    simulation.run_time = 45 * SECOND;
+    simulation.run_time = run_time;
     simulation.run(3 * SECOND);
     for number in 0..JOBS {
-        assert_eq!(
-            simulation
-                .submit_until_accepted(number as usize % NODES.len(), &machine_filling_job(number)),
-            201
-        );
+        let node = number as usize % NODES.len();
+        assert_eq!(simulation.submit_until_accepted(node, &job(number)), 201);
     }
     simulation.run(35 * SECOND);
     let busy = simulation.workers.values().filter(|w| !w.running().is_empty()).count();
     assert!(busy > 4_000, "only {busy} machines run tasks");
+    simulation
+}
+
+/// No limit in the controller lies below this number of machines: all are launched and claimed, and
+/// after all controllers but one have crashed, that one takes them over and runs the remaining
+/// tasks.
+#[test]
+fn one_controller_takes_over_more_than_4000_machines() {
+    let mut simulation = busy_fleet(4_200, 45 * SECOND, machine_filling_job);
 
     simulation.kill(1);
     simulation.kill(2);
@@ -63,18 +66,8 @@
 /// the cloud terminates nothing, and the leaders change: no task of these jobs outlives `cancel_s`.
 #[test]
 fn cancelled_jobs_end_in_time_on_more_than_4000_machines_without_the_cloud() {
-    let mut simulation = Simulation::with(4_201, NODES, large_fleet_config);
-    simulation.cloud.max_machines = MACHINES;
-    simulation.run_time = 90 * SECOND;
-    simulation.run(3 * SECOND);
-    for number in 0..JOBS {
-        let spec = JobSpec { cpus: 5.0, ..machine_filling_job(number) };
-        let node = number as usize % NODES.len();
-        assert_eq!(simulation.submit_until_accepted(node, &spec), 201);
-    }
-    simulation.run(35 * SECOND);
-    let busy = simulation.workers.values().filter(|w| !w.running().is_empty()).count();
-    assert!(busy > 4_000, "only {busy} machines run tasks");
+    let half_filling_job = |number| JobSpec { cpus: 5.0, ..machine_filling_job(number) };
+    let mut simulation = busy_fleet(4_201, 90 * SECOND, half_filling_job);
 
     simulation.command_delay = 24 * SECOND;
     simulation.cloud_down = true;
--- a/crates/quartzlever/tests/soak/testbed.rs
+++ b/crates/quartzlever/tests/soak/testbed.rs
@@ -130,7 +130,7 @@
         });
         let users = Users::new(fleet.clone());
         let testbed = Testbed { fleet, users, store, controllers, checks, directory };
-        (0..NODES.len()).for_each(|n| testbed.start_node(n));
+        (0..NODES.len()).for_each(|n| testbed.restart_node(n, Duration::ZERO));
         testbed.await_ready();
         testbed
     }
@@ -140,18 +140,16 @@
         self.controllers.iter().map(|controller| controller.links.users.address()).collect()
     }
 
-    fn start_node(&self, n: usize) {
-        let Controller { config, operator, log, address, process, .. } = &self.controllers[n];
-        let program = Path::new(env!("CARGO_BIN_EXE_quartzlever"));
-        let node = Node::spawn_logged(program, config, operator, log, *address);
-        *process.lock().unwrap_or_else(PoisonError::into_inner) =
-            Some(node.expect("the program did not start"));
-    }
-
+    /// Kills the process of a node, if it runs, and starts it again after a pause. Holds the lock all
+    /// the time, since two troubles may restart the same node.
     fn restart_node(&self, n: usize, after: Duration) {
-        self.process(n).take();
+        let mut process = self.process(n);
+        process.take();
         thread::sleep(after);
-        self.start_node(n);
+        let Controller { config, operator, log, address, .. } = &self.controllers[n];
+        let program = Path::new(env!("CARGO_BIN_EXE_quartzlever"));
+        let node = Node::spawn_logged(program, config, operator, log, *address);
+        *process = Some(node.expect("the program did not start"));
     }
 
     fn process(&self, n: usize) -> MutexGuard<'_, Option<Node>> {
