Tests: one piece of code for done jobs, expired leases and soak settings

What the soak test had written again: the thread that passes done jobs from the store to the checker stood in the recovery test too, and the search for them in three test beds. `Store::done_jobs` and `BackgroundChecks::record_done_jobs` serve all. The fleet and the simulation both compared incarnations, and listed all running tasks of every worker at every step, to count leases that ended tasks; `Worker::advance_to` says so now, and looks only when a lease expires. The soak reads its three numbers from the environment by one function and compares phases without a table of those that it never meets.

--- a/crates/quartzlever-core/src/events/tests.rs
+++ b/crates/quartzlever-core/src/events/tests.rs
@@ -11,6 +11,8 @@
     let (partition, job, machine) = ("one".to_owned(), "req-1".to_owned(), "n-1".to_owned());
     let (machine_type, zone) = ("large".to_owned(), "z-1".to_owned());
     let term = 5;
+    let attempt_key =
+        AttemptKey { task: TaskId { job: job.clone(), index: 3 }, attempt: 20_971_521 };
     let duration = 4_200_999;
     for (event, level, line) in [
         (
@@ -94,10 +96,7 @@
                 term,
                 view_age: duration,
                 machine: machine.clone(),
-                attempt: AttemptKey {
-                    task: TaskId { job: job.clone(), index: 3 },
-                    attempt: 20_971_521,
-                },
+                attempt: attempt_key.clone(),
                 since_end: 27_000_999,
             },
             LogLevel::Info,
@@ -155,10 +154,7 @@
                 term,
                 view_age: duration,
                 machine: machine.clone(),
-                attempt: AttemptKey {
-                    task: TaskId { job: job.clone(), index: 3 },
-                    attempt: 20_971_521,
-                },
+                attempt: attempt_key.clone(),
                 since: Some(duration),
             })),
             LogLevel::Error,
--- a/crates/quartzlever-core/tests/simulation/sim.rs
+++ b/crates/quartzlever-core/tests/simulation/sim.rs
@@ -480,9 +480,7 @@
     fn step(&mut self) {
         let now = self.now;
         for worker in self.workers.values_mut() {
-            let (incarnation, busy) = (worker.incarnation(), !worker.running().is_empty());
-            worker.advance_to(now);
-            self.counts.expired_leases += usize::from(busy && worker.incarnation() > incarnation);
+            self.counts.expired_leases += usize::from(worker.advance_to(now));
         }
         self.check_completions();
         self.workers.retain(|name, _| !self.cloud.terminated.contains(name));
--- a/crates/quartzlever-testkit/src/fleet.rs
+++ b/crates/quartzlever-testkit/src/fleet.rs
@@ -427,10 +427,7 @@
     /// Advances the workers to the present time.
     fn advance_to(&mut self, now: Micros) {
         for worker in self.workers.values_mut() {
-            let (incarnation, is_busy) = (worker.incarnation(), !worker.running().is_empty());
-            worker.advance_to(now);
-            self.fault_counts.expired_leases +=
-                usize::from(is_busy && worker.incarnation() > incarnation);
+            self.fault_counts.expired_leases += usize::from(worker.advance_to(now));
         }
     }
 
--- a/crates/quartzlever-testkit/src/store.rs
+++ b/crates/quartzlever-testkit/src/store.rs
@@ -5,7 +5,8 @@
 use quartzlever_wire::pages::PAGE_PREFIX;
 use quartzlever_wire::store::{
     ACTIVE_JOB_PREFIX, CLUSTER_VERSION_KEY, Change, Event, KeyValue, ListPage,
-    MACHINE_GROUP_PREFIX, StoreCall, StoreReply, TerminalJobRecord, Txn, TxnAnswer, WatchAnswer,
+    MACHINE_GROUP_PREFIX, StoreCall, StoreReply, TERMINAL_JOB_PREFIX, TerminalJobRecord, Txn,
+    TxnAnswer, WatchAnswer,
 };
 use quartzlever_wire::users::JobPhase;
 use quartzlever_wire::{CallError, Json, Micros};
@@ -83,6 +84,19 @@
         record.is_some_and(|record| record.phase == JobPhase::Done)
     }
 
+    /// Returns the ids of the jobs that are done according to the records of all generations, each
+    /// of which has a namespace of its own.
+    pub fn done_jobs(&self) -> Vec<String> {
+        let in_namespace = format!("/{TERMINAL_JOB_PREFIX}");
+        let jobs = self.keys("").into_iter().filter_map(|key| {
+            let job = key
+                .strip_prefix(TERMINAL_JOB_PREFIX)
+                .or_else(|| Some(key.split_once(&in_namespace)?.1))?;
+            self.is_done_job(&key).then(|| job.to_owned())
+        });
+        jobs.collect()
+    }
+
     /// Returns the current revision.
     pub fn revision(&self) -> u64 {
         self.revision
--- a/crates/quartzlever-testkit/src/watchers.rs
+++ b/crates/quartzlever-testkit/src/watchers.rs
@@ -2,13 +2,14 @@
 //! and lookups of all accepted jobs.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
 use quartzlever_wire::{Micros, SECOND};
 
+use crate::Store;
 use crate::fleet::Fleet;
 use crate::program::reported_violations;
 use crate::users::Users;
@@ -45,6 +46,14 @@
         }));
     }
 
+    /// Starts a thread that passes the jobs that are done in this store to the checker.
+    pub fn record_done_jobs(&mut self, store: Arc<Mutex<Store>>) {
+        self.check_repeatedly(move |fleet| {
+            let done = store.lock().unwrap_or_else(PoisonError::into_inner).done_jobs();
+            fleet.rules(|rules, now| done.iter().for_each(|job| rules.record_job_done(now, job)));
+        });
+    }
+
     /// Starts a thread that looks up every accepted job in rounds, at a different controller each
     /// round, and checks that no job stays without an answer for too long.
     pub fn poll_jobs(&mut self, users: Users, addresses: Vec<SocketAddr>) {
--- a/crates/quartzlever-testkit/src/worker.rs
+++ b/crates/quartzlever-testkit/src/worker.rs
@@ -88,17 +88,19 @@
     }
 
     /// Advances to the time `now`: drops all attempts and starts a new incarnation if the lease has
-    /// expired, and ends the tasks that are due.
+    /// expired, and ends the tasks that are due. Returns whether the expiry ended running tasks.
     ///
     /// A failing task fails half a second after its start.
-    pub fn advance_to(&mut self, now: Micros) {
+    pub fn advance_to(&mut self, now: Micros) -> bool {
+        let mut expiry_ended_tasks = false;
         if now.saturating_sub(self.lease_renewed_at) > self.lease {
+            expiry_ended_tasks = self.attempts.values().any(|attempt| attempt.exited.is_none());
             self.attempts.clear();
             self.incarnation += 1;
             self.lease_renewed_at = now;
         }
         if self.hung {
-            return;
+            return expiry_ended_tasks;
         }
         let (endless_jobs, odd_tasks_wait) = (&self.endless_jobs, self.odd_tasks_wait);
         let (faulty, fails_everywhere) = (self.fails_all_tasks, &self.fails_everywhere);
@@ -114,6 +116,7 @@
                 self.completed.push(task.clone());
             }
         }
+        expiry_ended_tasks
     }
 
     /// Returns the next heartbeat with the current state.
--- a/crates/quartzlever/tests/recovery/testbed.rs
+++ b/crates/quartzlever/tests/recovery/testbed.rs
@@ -120,11 +120,7 @@
     /// Starts the threads that pass the done jobs in the store to the rule checker and look up all
     /// accepted jobs.
     fn start_checks(&mut self) {
-        let store = self.store.clone();
-        self.watchers.check_repeatedly(move |fleet| {
-            let done = done_jobs(&store.lock().unwrap_or_else(PoisonError::into_inner));
-            fleet.rules(|rules, now| done.iter().for_each(|job| rules.record_job_done(now, job)));
-        });
+        self.watchers.record_done_jobs(self.store.clone());
         let addresses = self.controllers.iter().map(|c| c.address).collect();
         self.watchers.poll_jobs(self.users.clone(), addresses);
     }
@@ -330,12 +326,3 @@
         self.watchers.finish(&self.name);
     }
 }
-
-/// Returns the ids of the jobs that are done according to the store's records of all generations.
-fn done_jobs(store: &Store) -> Vec<String> {
-    let jobs = store.keys("").into_iter().filter_map(|key| {
-        let job = key.strip_prefix("over/").or_else(|| Some(key.split_once("/over/")?.1))?;
-        store.is_done_job(&key).then(|| job.to_owned())
-    });
-    jobs.collect()
-}
--- a/crates/quartzlever/tests/rolling_upgrade/testbed.rs
+++ b/crates/quartzlever/tests/rolling_upgrade/testbed.rs
@@ -16,9 +16,7 @@
 use quartzlever_testkit::watchers::BackgroundChecks;
 use quartzlever_testkit::{Cloud, Store, http, production};
 use quartzlever_wire::SECOND;
-use quartzlever_wire::store::{
-    CLUSTER_VERSION_KEY, PARTITION_PREFIX, PartitionRecord, TERMINAL_JOB_PREFIX,
-};
+use quartzlever_wire::store::{CLUSTER_VERSION_KEY, PARTITION_PREFIX, PartitionRecord};
 use quartzlever_wire::users::JobSpec;
 
 /// Names of the controllers, which are also the names of the partitions.
@@ -387,7 +385,5 @@
 fn read_store(store: &Mutex<Store>, upgrading: bool) -> (Option<String>, Vec<String>) {
     let store = store.lock().unwrap_or_else(PoisonError::into_inner);
     let unknown = upgrading.then(|| store.key_unknown_to_first_version()).flatten();
-    let done = store.keys(TERMINAL_JOB_PREFIX).into_iter().filter(|key| store.is_done_job(key));
-    let jobs = done.map(|key| key[TERMINAL_JOB_PREFIX.len()..].to_owned()).collect();
-    (unknown.map(str::to_owned), jobs)
+    (unknown.map(str::to_owned), store.done_jobs())
 }
--- a/crates/quartzlever/tests/soak/main.rs
+++ b/crates/quartzlever/tests/soak/main.rs
@@ -14,7 +14,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use quartzlever_wire::users::JobPhase;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -214,8 +213,8 @@
             });
             // A requested cancellation may have been committed although its answer was lost.
             let expected = match phase.as_deref() {
-                Some(phase) if phase == phase_name(JobPhase::Cancelled) => requested,
-                Some(phase) if phase == phase_name(JobPhase::Done) => !cancelled,
+                Some("aborted") => requested,
+                Some("done") => !cancelled,
                 _ => false,
             };
             if !expected {
@@ -226,15 +225,6 @@
     failures
 }
 
-fn phase_name(phase: JobPhase) -> &'static str {
-    match phase {
-        JobPhase::Done => "done",
-        JobPhase::Cancelled => "aborted",
-        JobPhase::Queued => "queued",
-        JobPhase::Running => "running",
-    }
-}
-
 /// Watches whether tasks keep starting.
 struct Progress {
     started_tasks: usize,
@@ -330,17 +320,10 @@
     let seeds = setting("QUARTZLEVER_SOAK_SEEDS").map_or(LONG_SEEDS, |text| {
         parse_seeds(&text).unwrap_or_else(|error| panic!("QUARTZLEVER_SOAK_SEEDS: {error}"))
     });
-    let workers = setting("QUARTZLEVER_SOAK_WORKERS").map(|text| {
-        parse_positive(&text).unwrap_or_else(|error| panic!("QUARTZLEVER_SOAK_WORKERS: {error}"))
-    });
-    let parallel = setting("QUARTZLEVER_SOAK_PARALLEL").map_or(PARALLEL_RUNS, |text| {
-        parse_positive(&text).unwrap_or_else(|error| panic!("QUARTZLEVER_SOAK_PARALLEL: {error}"))
-    });
-    let length = setting("QUARTZLEVER_SOAK_SECONDS").map_or(LONG_LENGTH, |text| {
-        let seconds = parse_positive(&text);
-        let seconds = seconds.unwrap_or_else(|error| panic!("QUARTZLEVER_SOAK_SECONDS: {error}"));
-        Duration::from_secs(seconds as u64)
-    });
+    let workers = positive_setting("QUARTZLEVER_SOAK_WORKERS");
+    let parallel = positive_setting("QUARTZLEVER_SOAK_PARALLEL").unwrap_or(PARALLEL_RUNS);
+    let length = positive_setting("QUARTZLEVER_SOAK_SECONDS")
+        .map_or(LONG_LENGTH, |seconds| Duration::from_secs(seconds as u64));
     let run = |seed: u64| Run {
         seed,
         workers: workers.unwrap_or(if seed.is_multiple_of(SEEDS_PER_LARGE_RUN) {
@@ -358,6 +341,16 @@
     std::env::var(name).ok()
 }
 
+/// Returns a number above 0 from an environment variable, if it is set.
+///
+/// # Panics
+///
+/// Panics with the name of the variable if it holds anything else.
+fn positive_setting(name: &str) -> Option<usize> {
+    let parse = |text: String| parse_positive(&text).unwrap_or_else(|e| panic!("{name}: {e}"));
+    setting(name).map(parse)
+}
+
 /// Parses a seed such as `7`, or a range of seeds such as `1-50`.
 fn parse_seeds(text: &str) -> Result<RangeInclusive<u64>, String> {
     let (first, last) = text.split_once('-').unwrap_or((text, text));
--- a/crates/quartzlever/tests/soak/testbed.rs
+++ b/crates/quartzlever/tests/soak/testbed.rs
@@ -15,7 +15,7 @@
 use quartzlever_testkit::watchers::BackgroundChecks;
 use quartzlever_testkit::{Cloud, Store, http};
 use quartzlever_wire::SECOND;
-use quartzlever_wire::store::{PARTITION_PREFIX, PartitionRecord, TERMINAL_JOB_PREFIX};
+use quartzlever_wire::store::{PARTITION_PREFIX, PartitionRecord};
 
 use crate::schedule::{LinkKind, Target, Trouble};
 use crate::{CANCEL_S, LEASE_S, LIMITED_TEAM, LIMITED_TEAM_CPUS, NODES};
@@ -123,11 +123,7 @@
         let named = NODES.iter().map(|name| (*name).to_owned()).zip(heartbeat_addresses);
         *known_controllers.lock().unwrap_or_else(PoisonError::into_inner) = named.collect();
         let mut checks = BackgroundChecks::new(fleet.clone());
-        let done_in_store = store.clone();
-        checks.check_repeatedly(move |fleet| {
-            let done = done_jobs(&lock(&done_in_store));
-            fleet.rules(|rules, now| done.iter().for_each(|job| rules.record_job_done(now, job)));
-        });
+        checks.record_done_jobs(store.clone());
         let users = Users::new(fleet.clone());
         let testbed = Testbed { fleet, users, store, controllers, checks, directory };
         (0..NODES.len()).for_each(|n| testbed.restart_node(n, Duration::ZERO));
@@ -338,10 +334,3 @@
 fn lock(store: &Mutex<Store>) -> MutexGuard<'_, Store> {
     store.lock().unwrap_or_else(PoisonError::into_inner)
 }
-
-/// Returns the ids of the jobs that are done according to the store.
-fn done_jobs(store: &Store) -> Vec<String> {
-    let keys = store.keys(TERMINAL_JOB_PREFIX);
-    let done = keys.iter().filter(|key| store.is_done_job(key));
-    done.filter_map(|key| key.strip_prefix(TERMINAL_JOB_PREFIX)).map(str::to_owned).collect()
-}
