--- a/review/lab/src/lib.rs
+++ b/review/lab/src/lib.rs
@@ -284,7 +284,7 @@
                 port.worker.advance_to(self.record.now());
                 (200, json!(port.worker.heartbeat()))
             } else {
-                self.execute(machine, port, &body, "direct")
+                self.execute(machine, port, &body)
             };
             let response = Response::from_string(answer.to_string()).with_status_code(status);
             let _ = request.respond(response);
@@ -292,13 +292,7 @@
     }
 
     /// Executes a direct command as the page says: 200 if token and session match, else 409.
-    fn execute(
-        &self,
-        machine: &str,
-        port: &Mutex<WorkerPort>,
-        body: &[u8],
-        how: &str,
-    ) -> (u16, Value) {
+    fn execute(&self, machine: &str, port: &Mutex<WorkerPort>, body: &[u8]) -> (u16, Value) {
         let Ok(commands) = serde_json::from_slice::<WorkerCommands>(body) else {
             return (400, json!({}));
         };
@@ -313,7 +307,7 @@
             WorkerReply::Refused(report) => (409, report),
         };
         let text = String::from_utf8_lossy(body);
-        self.record.line(&format!("{how} command to {machine}: {text} -> {status}"));
+        self.record.line(&format!("direct command to {machine}: {text} -> {status}"));
         if status == 200 {
             let body = body.to_vec();
             lock(&self.executed).push(Executed { machine: machine.to_owned(), commands, body });
@@ -321,10 +315,14 @@
         (status, json!(report))
     }
 
-    /// Delivers a copy of a direct command to its machine once more, as an interrupted network may.
+    /// Delivers a copy of a direct command to the address of its machine once more, as the network
+    /// may do. Returns the worker's status, 0 without an answer. Nobody else sees the answer.
     pub fn deliver_again(&self, command: &Executed) -> u16 {
         let Some(port) = lock(&self.workers).get(&command.machine).cloned() else { return 0 };
-        self.execute(&command.machine, &port, &command.body, "late copy of a").0
+        let address = lock(&port).worker.instance.address.clone();
+        let text = String::from_utf8_lossy(&command.body).into_owned();
+        self.record.line(&format!("the network delivers a late copy to {}: {text}", command.machine));
+        call("POST", &format!("http://{address}/commands"), Some(&text), ANSWER_TIMEOUT).0
     }
 
     /// Sends the reports of a worker until its machine is gone.
