--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -7,8 +7,8 @@
 scratch=$(mktemp -d)
 trap 'rm -rf "$scratch"' EXIT
 export TROUBLE="${TROUBLE:-1}" PROGRAM="$root/target/release/quartzlever" SCRATCH="$scratch" RECORD="$folder/record.txt"
-[ -x "$PROGRAM" ] && [ -x "$root/target/release/late-copy" ] || exit 2
-timeout -k 2 115 "$root/target/release/late-copy"
+[ -x "$PROGRAM" ] && [ -x "$root/target/release/lost-group" ] || exit 2
+timeout -k 2 115 "$root/target/release/lost-group"
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
--- a/review/lab/src/lib.rs
+++ b/review/lab/src/lib.rs
@@ -308,6 +308,7 @@
         };
         let text = String::from_utf8_lossy(body);
         self.record.line(&format!("direct command to {machine}: {text} -> {status}"));
+        self.look();
         if status == 200 {
             let body = body.to_vec();
             lock(&self.executed).push(Executed { machine: machine.to_owned(), commands, body });
@@ -355,9 +356,9 @@
                     if !report.tasks.is_empty() || !commands.commands.is_empty() {
                         self.record.line(&format!("report of {machine} to {name}: {text} -> 200 {answer}"));
                     }
-                    let mut port = lock(port);
                     let now = self.record.now();
-                    port.worker.receive_reply(&commands, sent, report.incarnation, now);
+                    lock(port).worker.receive_reply(&commands, sent, report.incarnation, now);
+                    self.look();
                 }
                 Err(ureq::Error::Status(421, response)) => {
                     let text = response.into_string().unwrap_or_default();
@@ -477,9 +478,113 @@
     }
 }
 
+/// What the link of one controller to the state service does, besides passing everything on.
+#[derive(Clone, Copy, Debug)]
+pub struct SlowClaim {
+    /// The first transaction that claims a machine gets no answer, and is carried out after this.
+    pub late_by: Duration,
+    /// The first read of a group of machines is carried out at once and answered after this.
+    pub read_takes: Duration,
+}
+
+/// A proxy on the link of one controller to the state service.
+pub struct StateLink {
+    record: Arc<Record>,
+    state: SocketAddr,
+    slow_claim: Mutex<Option<SlowClaim>>,
+    late_claims: AtomicUsize,
+    slow_reads: AtomicUsize,
+}
+
+impl StateLink {
+    /// Number of requests that are passed on at a time; each open watch is one.
+    const THREADS: usize = 24;
+
+    /// Starts the proxy on a free port and returns it with its address.
+    fn start(record: Arc<Record>, state: SocketAddr) -> std::io::Result<(Arc<StateLink>, SocketAddr)> {
+        let server = Server::http((Ipv4Addr::LOCALHOST, 0)).map_err(std::io::Error::other)?;
+        let address = server.server_addr().to_ip().ok_or_else(|| std::io::Error::other("no address"))?;
+        let link = Arc::new(StateLink {
+            record,
+            state,
+            slow_claim: Mutex::new(None),
+            late_claims: AtomicUsize::new(0),
+            slow_reads: AtomicUsize::new(0),
+        });
+        let server = Arc::new(server);
+        for _ in 0..Self::THREADS {
+            let (link, server) = (link.clone(), server.clone());
+            thread::spawn(move || {
+                while let Ok(request) = server.recv() {
+                    link.pass_on(request);
+                }
+            });
+        }
+        Ok((link, address))
+    }
+
+    /// Sets what happens to the next claim and the next read of a group.
+    pub fn slow_down(&self, slow_claim: SlowClaim) {
+        *lock(&self.slow_claim) = Some(slow_claim);
+    }
+
+    /// Returns how many claims were carried out late, and how many reads were answered slowly.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.late_claims.load(Ordering::Relaxed), self.slow_reads.load(Ordering::Relaxed))
+    }
+
+    fn pass_on(&self, mut request: tiny_http::Request) {
+        let mut body = Vec::new();
+        let _ = request.as_reader().read_to_end(&mut body);
+        let (method, url) = (request.method().to_string(), request.url().to_owned());
+        let text = String::from_utf8_lossy(&body).into_owned();
+        let slow_claim = *lock(&self.slow_claim);
+        let is_claim = method == "POST" && url == "/multi" && text.contains("\"write\":\"hosts/");
+        let is_read = method == "GET" && url.starts_with("/keys/hosts/");
+        if let Some(SlowClaim { late_by, .. }) = slow_claim
+            && is_claim
+            && self.late_claims.fetch_add(1, Ordering::Relaxed) == 0
+        {
+            self.record.line(&format!("state link: {method} {url} {text} is held up"));
+            thread::sleep(late_by);
+            let (status, answer) = self.forward(&method, &url, &text);
+            self.record.line(&format!("state link: the claim is carried out: {status} {answer}; no answer"));
+            // Closes the connection without an answer.
+            drop(request.into_writer());
+            return;
+        }
+        let (status, answer) = self.forward(&method, &url, &text);
+        if is_claim || is_read {
+            self.record.line(&format!("state link: {method} {url} {text} -> {status} {answer}"));
+        }
+        if let Some(SlowClaim { read_takes, .. }) = slow_claim
+            && is_read
+            && self.slow_reads.fetch_add(1, Ordering::Relaxed) == 0
+        {
+            thread::sleep(read_takes);
+            self.record.line("state link: the read is answered now");
+        }
+        let _ = request.respond(Response::from_string(answer).with_status_code(status));
+    }
+
+    fn forward(&self, method: &str, url: &str, body: &str) -> (u16, String) {
+        let request = ureq::request(method, &format!("http://{}{url}", self.state));
+        let request = request.timeout(Duration::from_secs(70));
+        let result = if method == "GET" { request.call() } else { request.send_string(body) };
+        match result {
+            Ok(response) | Err(ureq::Error::Status(_, response)) => {
+                (response.status(), response.into_string().unwrap_or_default())
+            }
+            Err(_) => (503, json!({ "error": "trouble" }).to_string()),
+        }
+    }
+}
+
 /// Everything around the controllers, and the controllers.
 pub struct World {
     pub record: Arc<Record>,
+    /// The link of drone-0 to the state service.
+    pub state_link: Arc<StateLink>,
     pub store: Arc<Mutex<Store>>,
     pub cloud: Arc<Mutex<Cloud>>,
     pub machines: Arc<Machines>,
@@ -503,7 +608,8 @@
         store.ops_limit = 24;
         store.write_rate = site.store_write_rps;
         let store = Arc::new(Mutex::new(store));
-        let store_address = http::serve_store(store.clone(), begin)?;
+        let state_address = http::serve_store(store.clone(), begin)?;
+        let (state_link, link_address) = StateLink::start(record.clone(), state_address)?;
         let machines = Machines::new(record.clone(), site.clone(), run_time);
         let mut cloud = Cloud::new(1.0, &site.zones, max_machines);
         cloud.catalogue.types = site.types.clone();
@@ -530,6 +636,7 @@
             }
             let Site { report_s, lease_s, cancel_s, store_rps, store_write_rps, .. } = site;
             let Site { cloud_rps, list_lag_s, cpu_share, memory_mb, .. } = site;
+            let store_address = if node == 0 { link_address } else { state_address };
             let text = format!(
                 "node_name = \"{name}\"\nsite = \"{}\"\napi_addr = \"{api}\"\ninternal_addr = \"{internal}\"\n{seeds}\
                  [external]\ncloud = \"{cloud_address}\"\nstate = \"{store_address}\"\n\
@@ -556,7 +663,7 @@
         *lock(&machines.controllers) =
             controllers.iter().map(|c| (c.name.clone(), c.address)).collect();
         machines.watch();
-        let world = World { record, store, cloud, machines, controllers };
+        let world = World { record, state_link, store, cloud, machines, controllers };
         let ready = wait_until(Duration::from_secs(20), || {
             world.controllers.iter().all(Controller::is_ready)
         });
