A read of an absent key returns the revision of the read

Cause: the store answers a read of an absent key with its revision, but the client dropped it (`StoreReply::Read(None)`), so nobody could tell whether the key was absent before or after a change that is already known.

Change: `StoreReply::Absent { revision }`, and `Read` holds the key itself. The recovery crate translates the revision to that of the generation. A 404 whose body is not the store's counts as a call of unknown outcome, as it did for reads of the revision. Decisions are otherwise unchanged.

--- a/crates/quartzlever-clients/src/store.rs
+++ b/crates/quartzlever-clients/src/store.rs
@@ -56,8 +56,8 @@
     fn get(&self, key: &str) -> Result<StoreReply, CallError> {
         let reply = self.http.get(&format!("{}/keys/{key}", self.base), &[])?;
         match reply.status {
-            200 => Ok(StoreReply::Read(Some(reply.json::<KeyValue>()?))),
-            404 => Ok(StoreReply::Read(None)),
+            200 => Ok(StoreReply::Read(reply.json::<KeyValue>()?)),
+            404 => Ok(StoreReply::Absent { revision: reply.json::<TxnAnswer>()?.revision }),
             _ => Err(self.http.status_error(&reply)),
         }
     }
--- a/crates/quartzlever-core/src/autoscaling/cloud.rs
+++ b/crates/quartzlever-core/src/autoscaling/cloud.rs
@@ -197,7 +197,7 @@
     /// Handles the reply to a read of the stored catalogue, which is used only until the cloud has
     /// returned its own.
     pub(crate) fn stored_catalogue_replied(&mut self, result: Result<StoreReply, CallError>) {
-        if let Ok(StoreReply::Read(Some(entry))) = result
+        if let Ok(StoreReply::Read(entry)) = result
             && self.types.is_none()
             && let Some(catalogue) = parse::<Catalogue>(&entry)
         {
--- a/crates/quartzlever-core/src/autoscaling/tests.rs
+++ b/crates/quartzlever-core/src/autoscaling/tests.rs
@@ -37,7 +37,8 @@
             mod_revision: 3,
             lease_id: None,
         };
-        let result = Ok(StoreReply::Read(stored.then_some(entry)));
+        let absent = StoreReply::Absent { revision: 4 };
+        let result = Ok(if stored { StoreReply::Read(entry) } else { absent });
         core.step(NOW, vec![Command::StoreReply { call_id, result }]);
         assert_eq!(core.types.is_some(), known, "stored {stored}");
     }
--- a/crates/quartzlever-core/src/router/job_records.rs
+++ b/crates/quartzlever-core/src/router/job_records.rs
@@ -233,12 +233,12 @@
         let Some(job) = partition.jobs.get_mut(id) else { return };
         job.end_write();
         match result {
-            Ok(StoreReply::Read(Some(entry))) => {
+            Ok(StoreReply::Read(entry)) => {
                 if let Some(record) = parse::<ActiveJobRecord>(&entry) {
                     self.reconcile_job(record, entry.mod_revision);
                 }
             }
-            Ok(StoreReply::Read(None)) => {
+            Ok(StoreReply::Absent { .. }) => {
                 job.begin_reread();
                 let pending = PendingStoreCall::RereadTerminalJob {
                     partition: name.into(),
@@ -266,7 +266,7 @@
         result: Result<StoreReply, CallError>,
     ) {
         let now = self.now;
-        if let Ok(StoreReply::Read(Some(entry))) = &result
+        if let Ok(StoreReply::Read(entry)) = &result
             && let Some(terminal) = parse::<TerminalJobRecord>(entry)
         {
             return self.job_terminated(id, terminal);
--- a/crates/quartzlever-core/src/router/ownership.rs
+++ b/crates/quartzlever-core/src/router/ownership.rs
@@ -104,14 +104,16 @@
 
     /// Handles the reply to the reread of a group.
     pub(super) fn group_read(&mut self, key: &str, result: Result<StoreReply, CallError>) {
-        let is_read = matches!(result, Ok(StoreReply::Read(_)));
+        let is_read = matches!(result, Ok(StoreReply::Read(_) | StoreReply::Absent { .. }));
         self.ownership.read_replied(key, is_read, self.now);
         match result {
-            Ok(StoreReply::Read(Some(entry))) => self.apply_group_record(&entry, true),
+            Ok(StoreReply::Read(entry)) => self.apply_group_record(&entry, true),
             // The watch reports the deletion with its revision; 0 applies whatever revision is
             // cached. No write conditioned on the deleted group's modification revision can commit
             // any more.
-            Ok(StoreReply::Read(None)) => self.apply_group_change(key, MachineRecords::new(), 0),
+            Ok(StoreReply::Absent { .. }) => {
+                self.apply_group_change(key, MachineRecords::new(), 0);
+            }
             _ => {}
         }
     }
--- a/crates/quartzlever-core/src/router/ownership/tests.rs
+++ b/crates/quartzlever-core/src/router/ownership/tests.rs
@@ -55,7 +55,7 @@
                 mod_revision: 21,
                 lease_id: None,
             };
-            let result = Ok(StoreReply::Read(Some(entry)));
+            let result = Ok(StoreReply::Read(entry));
             core.step(NOW + 2 * SECOND, vec![Command::StoreReply { call_id, result }]);
             if let Some(call_id) = txn(&core.step(NOW + 4 * SECOND, Vec::new())) {
                 let result = Ok(StoreReply::Committed(22));
--- a/crates/quartzlever-core/src/router/user_requests.rs
+++ b/crates/quartzlever-core/src/router/user_requests.rs
@@ -161,8 +161,8 @@
     ) {
         self.user_requests.call_answered();
         match result {
-            Ok(StoreReply::Read(Some(stored))) => self.answer_active_job(purpose, &stored),
-            Ok(StoreReply::Read(None)) => {
+            Ok(StoreReply::Read(stored)) => self.answer_active_job(purpose, &stored),
+            Ok(StoreReply::Absent { .. }) => {
                 let call = StoreCall::Get(terminal_job_key(purpose.job()));
                 let pending = PendingStoreCall::ReadTerminalJob { purpose };
                 self.user_requests.start_call(call, pending, &mut self.outbox);
@@ -207,14 +207,14 @@
     ) {
         self.user_requests.call_answered();
         let terminal = match result {
-            Ok(StoreReply::Read(Some(stored))) => {
+            Ok(StoreReply::Read(stored)) => {
                 let parsed = parse::<TerminalJobRecord>(&stored);
                 if parsed.is_none() {
                     self.outbox.log(LogLevel::Error, || LogEvent::unreadable(&stored.key));
                 }
                 parsed
             }
-            Ok(StoreReply::Read(None)) => return self.answer_unknown_job(&purpose),
+            Ok(StoreReply::Absent { .. }) => return self.answer_unknown_job(&purpose),
             _ => None,
         };
         let Some(terminal) = terminal else {
--- a/crates/quartzlever-core/src/router/user_requests/tests.rs
+++ b/crates/quartzlever-core/src/router/user_requests/tests.rs
@@ -116,12 +116,12 @@
                             StoreCall::Get(key)
                                 if *key == format!("live/{}", job()) && !terminal =>
                             {
-                                StoreReply::Read(Some(entry(key)))
+                                StoreReply::Read(entry(key))
                             }
                             StoreCall::Get(key) if key.starts_with("over/") && terminal => {
-                                StoreReply::Read(Some(entry(key)))
+                                StoreReply::Read(entry(key))
                             }
-                            StoreCall::Get(_) => StoreReply::Read(None),
+                            StoreCall::Get(_) => StoreReply::Absent { revision: 30 },
                             StoreCall::Revision => StoreReply::Revision(0),
                             StoreCall::Txn(_) => StoreReply::Committed(8),
                             _ => continue,
--- a/crates/quartzlever-recovery/src/generation.rs
+++ b/crates/quartzlever-recovery/src/generation.rs
@@ -107,7 +107,13 @@
                 StoreReply::Revision(self.revision_from_store(revision))
             }
             StoreReply::Read(entry) => {
-                StoreReply::Read(entry.and_then(|entry| self.entry_from_store(entry)))
+                let revision = self.revision_from_store(entry.mod_revision);
+                // A key outside the generation does not exist for the rest of the program.
+                let entry = self.entry_from_store(entry);
+                entry.map_or(StoreReply::Absent { revision }, StoreReply::Read)
+            }
+            StoreReply::Absent { revision } => {
+                StoreReply::Absent { revision: self.revision_from_store(revision) }
             }
             StoreReply::Listed(page) => StoreReply::Listed(ListPage {
                 entries: page
@@ -155,3 +161,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/quartzlever-recovery/src/guard.rs
+++ b/crates/quartzlever-recovery/src/guard.rs
@@ -68,11 +68,11 @@
                     self.check_observation(&StoreObservation::from_page(page), min_revision)?;
                 return Ok(StoreReply::Revision(self.generation.revision_from_store(revision)));
             }
-            (StoreCall::Get(key), StoreReply::Read(None)) if is_known(key) => {
+            (StoreCall::Get(key), StoreReply::Absent { .. }) if is_known(key) => {
                 self.verify_identity(store)?;
                 return Err(GuardError::KnownRecordAbsent);
             }
-            (_, StoreReply::Read(None) | StoreReply::Listed(_))
+            (_, StoreReply::Absent { .. } | StoreReply::Listed(_))
             | (_, StoreReply::Renewed | StoreReply::Granted(_)) => {
                 self.verify_identity(store)?;
             }
--- a/crates/quartzlever-recovery/src/records/update.rs
+++ b/crates/quartzlever-recovery/src/records/update.rs
@@ -42,7 +42,7 @@
                 let changes = answer.log.iter().map(change_watched).collect();
                 Some(Update { changes, complete_up_to: Some(answer.revision) })
             }
-            (StoreCall::Get(_), StoreReply::Read(Some(entry))) => {
+            (StoreCall::Get(_), StoreReply::Read(entry)) => {
                 Some(Update { changes: vec![change_read(entry)], complete_up_to: None })
             }
             _ => None,
--- a/crates/quartzlever-testkit/src/http.rs
+++ b/crates/quartzlever-testkit/src/http.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use quartzlever_wire::cloud::{CloudCall, CloudReply, Instance, MachineNames, ScaleOutRequest};
-use quartzlever_wire::store::{GrantAnswer, GrantRequest, StoreCall, StoreReply, Txn};
+use quartzlever_wire::store::{GrantAnswer, GrantRequest, StoreCall, StoreReply, Txn, TxnAnswer};
 use quartzlever_wire::{CallError, Micros, SECOND};
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
@@ -161,8 +161,8 @@
     result: Result<StoreReply, CallError>,
 ) -> (u16, Value) {
     match result {
-        Ok(StoreReply::Read(Some(entry))) => (200, json!(entry)),
-        Ok(StoreReply::Read(None)) => (404, json!(store.txn_answer(None))),
+        Ok(StoreReply::Read(entry)) => (200, json!(entry)),
+        Ok(StoreReply::Absent { revision }) => (404, json!(TxnAnswer { revision, failed: None })),
         Ok(StoreReply::Revision(revision)) => (404, json!({ "epoch": revision })),
         Ok(StoreReply::Listed(rows)) => (200, json!(rows)),
         Ok(StoreReply::Committed(_)) => (200, json!(store.txn_answer(None))),
--- a/crates/quartzlever-testkit/src/store.rs
+++ b/crates/quartzlever-testkit/src/store.rs
@@ -205,9 +205,10 @@
         self.expire_leases(now);
         Ok(match call {
             StoreCall::Revision => StoreReply::Revision(self.revision),
-            StoreCall::Get(key) => {
-                StoreReply::Read(self.keys.get(key).map(|stored| stored.entry(key)))
-            }
+            StoreCall::Get(key) => match self.keys.get(key) {
+                Some(stored) => StoreReply::Read(stored.entry(key)),
+                None => StoreReply::Absent { revision: self.revision },
+            },
             StoreCall::List { prefix, from } => self.list(prefix, from.as_deref()),
             StoreCall::Txn(txn) => return self.commit(now, txn),
             StoreCall::Grant { life_ms } => self.grant(now, *life_ms),
--- a/crates/quartzlever-wire/src/store.rs
+++ b/crates/quartzlever-wire/src/store.rs
@@ -533,8 +533,13 @@
 pub enum StoreReply {
     /// The present revision.
     Revision(u64),
-    /// The key, if it exists.
-    Read(Option<KeyValue>),
+    /// The key that was read.
+    Read(KeyValue),
+    /// The key that was read did not exist.
+    Absent {
+        /// The store's revision at the time of the read.
+        revision: u64,
+    },
     /// A page of keys.
     Listed(ListPage),
     /// The transaction is committed at this revision.
--- a/crates/quartzlever/src/recovery/state.rs
+++ b/crates/quartzlever/src/recovery/state.rs
@@ -65,12 +65,11 @@
         }
         let mut store = |call: &StoreCall| self.client.call(call);
         match self.guard.call(&mut store, call, |key| self.is_written(key)) {
-            Ok(StoreReply::Read(None)) if self.carried_over_reply(call).is_some() => {
-                Ok(StoreReply::Read(self.carried_over_reply(call)))
-            }
-            Ok(StoreReply::Read(None)) if self.may_be_known_elsewhere(call) => {
-                Err(CallError::Unknown)
-            }
+            Ok(absent @ StoreReply::Absent { .. }) => match self.carried_over_reply(call) {
+                Some(entry) => Ok(StoreReply::Read(entry)),
+                None if self.may_be_known_elsewhere(call) => Err(CallError::Unknown),
+                None => Ok(absent),
+            },
             Ok(reply) => {
                 if let Some(update) = Update::from_reply(call, &reply) {
                     self.journal.record(update.clone());
