A late answer to a read no longer makes a controller forget a machine

Cause: a claim of unknown outcome is followed by a read of its group. The claim was committed after the read was carried out (404) and before its answer arrived, so the watch delivered the group first. "No such key" was applied as a change at revision 0, which replaced any revision, so the cache lost a claimed machine for good. The next time that the process acquired the partition, `load_partitions` missed the machine, and recovery completed without waiting for it.

Change: a read that found nothing removes a cached group only if that is no newer than the read (`Cache::remove_deleted_group`); the watch's deletions and the splitting of groups take the same path. The revision 0 that always applied, and deletions passed off as empty groups at the next revision, are gone.

Why it works: the cache of a key now only moves forward in the order of revisions, whichever of read, write and watch arrives first.

In `a_group_update_returns_its_new_machines_and_an_older_one_is_ignored` the assertion that revision 0 always applies stated the fault. It is replaced by two: a group without machines keeps its revision, and a deletion leaves a newer group in place (`a_group_that_is_newer_than_its_deletion_stays`).

--- a/crates/quartzlever-core/src/router/ownership.rs
+++ b/crates/quartzlever-core/src/router/ownership.rs
@@ -71,7 +71,7 @@
             self.cache.record_group(&key, records, mod_revision);
         }
         if is_complete {
-            self.cache.record_group(key, MachineRecords::new(), mod_revision + 1);
+            self.cache.remove_deleted_group(key, mod_revision);
         }
     }
 
@@ -108,12 +108,7 @@
         self.ownership.read_replied(key, is_read, self.now);
         match result {
             Ok(StoreReply::Read(entry)) => self.apply_group_record(&entry, true),
-            // The watch reports the deletion with its revision; 0 applies whatever revision is
-            // cached. No write conditioned on the deleted group's modification revision can commit
-            // any more.
-            Ok(StoreReply::Absent { .. }) => {
-                self.apply_group_change(key, MachineRecords::new(), 0);
-            }
+            Ok(StoreReply::Absent { revision }) => self.cache.remove_deleted_group(key, revision),
             _ => {}
         }
     }
--- a/crates/quartzlever-core/src/router/ownership/tests.rs
+++ b/crates/quartzlever-core/src/router/ownership/tests.rs
@@ -162,3 +162,57 @@
         assert_eq!(condition.map(|c| c.mod_revision), Some(mod_revision), "{agreed:?}");
     }
 }
+
+/// The key of the group that machine "n-9" belongs to.
+const GROUP: &str = "hosts/n-~0";
+
+/// Returns the watch event of a write of group [`GROUP`] with one machine of partition "one".
+fn group_event(machine: &str, mod_revision: u64) -> Event {
+    let records = MachineRecords::from([(machine.to_owned(), machine_record_of(machine, "one"))]);
+    let value = Json::of(&MachineGroupRecord { machines: records });
+    Event::Write { write: GROUP.into(), v: value, mod_revision }
+}
+
+/// Delivers these changes, and all others up to `revision`, by a watch.
+fn deliver(core: &mut Core, log: Vec<Event>, revision: u64) {
+    core.watch_replied(1, core.now, Ok(StoreReply::Watched(WatchAnswer { revision, log })));
+}
+
+/// The claim of a machine is committed after a read of its group found nothing, and the answer to
+/// the read arrives after the watch has delivered the claim. A controller that took the answer for
+/// the present state forgot the machine. When it led the partition again after a peer had, it
+/// completed recovery without that machine, and started its tasks a second time.
+#[test]
+fn a_late_answer_to_a_read_does_not_undo_a_claim_that_the_watch_has_delivered() {
+    let mut core = core_with_cache(&[("one", "one", 5)]);
+    core.cache.set_revision(11);
+    deliver(&mut core, vec![group_event("n-9", 12)], 12);
+    assert!(core.partitions["one"].machines.contains_key("n-9"));
+    core.group_read(GROUP, Ok(StoreReply::Absent { revision: 11 }));
+    assert!(core.cache.is_claimed("n-9"));
+
+    let lost = Event::Delete { delete: "parts/one".into(), mod_revision: 14 };
+    let own = partition_entry("one", "one", core.process, 17);
+    let regained = Event::Write { write: own.key, v: own.value, mod_revision: 17 };
+    deliver(&mut core, vec![lost, regained], 17);
+    core.step(NOW, Vec::new());
+    let partition = &core.partitions["one"];
+    assert!(partition.is_loaded() && partition.term == 17);
+    assert!(partition.machines.contains_key("n-9") && !partition.recovery_complete);
+}
+
+/// A read that found no key after all known changes shows that the group was deleted.
+#[test]
+fn an_answer_to_a_read_removes_a_group_that_was_deleted_before_it() {
+    for (revision, removed) in [(11, false), (12, true), (13, true)] {
+        let mut core = core_with_cache(&[("one", "one", 5)]);
+        core.cache.set_revision(11);
+        core.cache.record_group(
+            GROUP,
+            [("n-9".into(), machine_record_of("n-9", "one"))].into(),
+            12,
+        );
+        core.group_read(GROUP, Ok(StoreReply::Absent { revision }));
+        assert_eq!(core.cache.is_claimed("n-9"), !removed, "{revision}");
+    }
+}
--- a/crates/quartzlever-core/src/router/store_changes.rs
+++ b/crates/quartzlever-core/src/router/store_changes.rs
@@ -2,7 +2,7 @@
 //! order of delivery.
 
 use quartzlever_wire::store::{
-    ACTIVE_JOB_PREFIX, ActiveJobRecord, KeyValue, MachineRecords, PartitionRecord, StoreReply,
+    ACTIVE_JOB_PREFIX, ActiveJobRecord, KeyValue, PartitionRecord, StoreReply,
 };
 use quartzlever_wire::{CallError, Micros};
 
@@ -97,9 +97,7 @@
                 self.apply_group_record(&entry, is_change)
             }
             StoreEvent::MachineGroupDeleted { key, mod_revision } => {
-                if self.cache.group(&key).is_some_and(|group| group.mod_revision <= mod_revision) {
-                    self.apply_group_change(&key, MachineRecords::new(), mod_revision + 1);
-                }
+                self.cache.remove_deleted_group(&key, mod_revision);
             }
             StoreEvent::Job(entry) => self.apply_job_record(&entry),
             StoreEvent::JobDeleted { id, mod_revision } => {
--- a/crates/quartzlever-core/src/store/cache.rs
+++ b/crates/quartzlever-core/src/store/cache.rs
@@ -238,25 +238,19 @@
     }
 
     /// Stores the machines of a group and returns those that are new or changed, or `None` if this
-    /// or a newer revision of the group is cached. A `mod_revision` of 0, from a read that found
-    /// no key, always applies.
+    /// or a newer revision of the group is cached.
     pub fn record_group(
         &mut self,
         key: &str,
         machines: MachineRecords,
         mod_revision: u64,
     ) -> Option<MachineRecords> {
-        let known = self.groups.get(key).map_or(0, |group| group.mod_revision);
-        if mod_revision != 0 && known >= mod_revision {
+        if self.is_group_known(key, mod_revision) {
             return None;
         }
         let previous = self.groups.remove(key).map(|group| group.record).unwrap_or_default();
-        // While a group is being split, its machines are in two groups.
-        for machine in previous.keys().filter(|machine| !machines.contains_key(*machine)) {
-            if self.group_of_machine.get(machine).is_some_and(|group| group == key) {
-                self.group_of_machine.remove(machine);
-            }
-        }
+        let removed = previous.keys().filter(|machine| !machines.contains_key(*machine));
+        self.forget_machines_of(key, removed);
         let mut new = MachineRecords::new();
         for (machine, record) in &machines {
             // A machine that is also in a smaller group belongs to that one: the claim there was
@@ -271,11 +265,33 @@
                 new.insert(machine.clone(), record.clone());
             }
         }
-        if !machines.is_empty() {
-            self.groups.insert(key.to_owned(), Versioned::new(machines, mod_revision));
-        }
+        self.groups.insert(key.to_owned(), Versioned::new(machines, mod_revision));
         Some(new)
     }
+
+    /// Removes a group whose key was deleted, or found absent, at `revision`, unless the cached
+    /// record is newer.
+    ///
+    /// The answer to a read may arrive after the watch has delivered later changes: a process that
+    /// removed a newer group forgot its machines, and started their tasks a second time when it
+    /// acquired the partition again.
+    pub fn remove_deleted_group(&mut self, key: &str, revision: u64) {
+        if self.groups.get(key).is_some_and(|known| known.mod_revision <= revision)
+            && let Some(group) = self.groups.remove(key)
+        {
+            self.forget_machines_of(key, group.record.keys());
+        }
+    }
+
+    /// Forgets that machines are claimed in a group. While a group is being split, its machines are
+    /// in two groups, and stay claimed in the other one.
+    fn forget_machines_of<'a>(&mut self, key: &str, machines: impl Iterator<Item = &'a String>) {
+        for machine in machines {
+            if self.group_of_machine.get(machine).is_some_and(|group| group == key) {
+                self.group_of_machine.remove(machine);
+            }
+        }
+    }
 }
 
 /// Active jobs, which are neither done nor cancelled.
--- a/crates/quartzlever-core/src/store/cache/tests.rs
+++ b/crates/quartzlever-core/src/store/cache/tests.rs
@@ -82,9 +82,24 @@
     assert!(!cache.is_claimed("a-1") && cache.is_claimed("a-3"));
     assert_eq!(cache.machines_of("one").count(), 2);
     assert_eq!(cache.group_of_machine("a-2").map(String::as_str), Some("hosts/a"));
-    // A group without machines is removed; a read that found no key (revision 0) always applies.
-    assert_eq!(new(cache.record_group("hosts/a", MachineRecords::new(), 0)), Some(String::new()));
-    assert!(cache.groups().is_empty() && cache.machine_record("a-2").is_none());
+    // A group without machines keeps its revision, on which the next write is conditional.
+    assert_eq!(new(cache.record_group("hosts/a", MachineRecords::new(), 7)), Some(String::new()));
+    assert!(cache.is_group_known("hosts/a", 7) && cache.machine_record("a-2").is_none());
+}
+
+/// The answer to a read that found no key may arrive after the watch has delivered a later write.
+#[test]
+fn a_group_that_is_newer_than_its_deletion_stays() {
+    for (revision, removed) in [(0, false), (4, false), (5, true), (6, true)] {
+        let mut cache = Cache::default();
+        cache.record_group("hosts/a~4~0", machines(&["a-1"]), 5);
+        cache.record_group("hosts/a~0", machines(&["a-1", "a-9"]), 5);
+        cache.remove_deleted_group("hosts/a~0", revision);
+        assert_eq!(cache.group("hosts/a~0").is_none(), removed, "{revision}");
+        assert_eq!(cache.is_claimed("a-9"), !removed, "{revision}");
+        let group = cache.group_of_machine("a-1").map(String::as_str);
+        assert_eq!(group, Some("hosts/a~4~0"), "{revision}: claimed in the smaller group");
+    }
 }
 
 #[test]
