A late answer no longer restores a group of machines that was deleted

What callers would see: a machine that was terminated counts as claimed at one controller ever after; each write of its group there is conditional on a revision that the key no longer has, and a partition taken over by that controller waits for a machine that does not exist.

The cache keeps no trace of a deleted group, so the answer to a write, a read or a split that shows the group at an earlier revision was applied after the watch had delivered the deletion.

Change: `Cache::covers`. A reply that shows a group at a revision that the cache has reached is not applied: the watch has delivered it, and what replaced it.

Measured: `a_late_answer_does_not_restore_a_group_whose_deletion_the_watch_has_delivered` failed before for the write, which is its first case, and passes now for write, read and split.

--- a/crates/quartzlever-core/src/router/ownership.rs
+++ b/crates/quartzlever-core/src/router/ownership.rs
@@ -67,8 +67,10 @@
         result: &Result<StoreReply, CallError>,
     ) {
         let Some(mod_revision) = self.ownership.split_replied(result, self.now) else { return };
-        for (key, records) in small_groups {
-            self.cache.record_group(&key, records, mod_revision);
+        if !self.cache.covers(mod_revision) {
+            for (key, records) in small_groups {
+                self.cache.record_group(&key, records, mod_revision);
+            }
         }
         if is_complete {
             self.cache.remove_deleted_group(key, mod_revision);
@@ -84,9 +86,10 @@
         match self.ownership.write_replied(&write, result, self.now) {
             GroupWriteOutcome::Committed { mod_revision } => {
                 let GroupWrite { key, records, added, .. } = write;
-                self.apply_group_change(&key, records, mod_revision);
-                // The watch may have delivered a later change first; the machines are known already
-                // then.
+                if !self.cache.covers(mod_revision) {
+                    self.apply_group_change(&key, records, mod_revision);
+                }
+                // If the watch has delivered the write first, the machines are known already.
                 for machine in &added {
                     self.complete_claim(&key, machine);
                 }
@@ -107,6 +110,7 @@
         let is_read = matches!(result, Ok(StoreReply::Read(_) | StoreReply::Absent { .. }));
         self.ownership.read_replied(key, is_read, self.now);
         match result {
+            Ok(StoreReply::Read(entry)) if self.cache.covers(entry.mod_revision) => {}
             Ok(StoreReply::Read(entry)) => self.apply_group_record(&entry, true),
             Ok(StoreReply::Absent { revision }) => self.cache.remove_deleted_group(key, revision),
             _ => {}
--- a/crates/quartzlever-core/src/router/ownership/tests.rs
+++ b/crates/quartzlever-core/src/router/ownership/tests.rs
@@ -216,3 +216,43 @@
         assert_eq!(core.cache.is_claimed("n-9"), !removed, "{revision}");
     }
 }
+
+/// The watch delivers a claim and then the deletion of its group, and only then the answer to the
+/// write, the read or the split arrives that shows the group as it was. The process took the machine
+/// for claimed ever after, and each write of the group was conditional on a revision that the key no
+/// longer had.
+#[test]
+fn a_late_answer_does_not_restore_a_group_whose_deletion_the_watch_has_delivered() {
+    let records = || MachineRecords::from([("n-9".into(), machine_record_of("n-9", "one"))]);
+    let committed = Ok(StoreReply::Committed(12));
+    let replies: [(&str, &dyn Fn(&mut Core)); 3] = [
+        ("write", &|core| {
+            let write = GroupWrite {
+                key: GROUP.into(),
+                records: records(),
+                added: ["n-9".to_owned()].into(),
+                removed: Default::default(),
+                partition_terms: [("one".to_owned(), 5)].into(),
+            };
+            core.group_written(write, &committed);
+        }),
+        ("read", &|core| {
+            let value = Json::of(&MachineGroupRecord { machines: records() });
+            let entry = KeyValue { key: GROUP.into(), value, mod_revision: 12, lease_id: None };
+            core.group_read(GROUP, Ok(StoreReply::Read(entry)));
+        }),
+        ("split", &|core| {
+            core.group_split("hosts/m-~0", vec![(GROUP.to_owned(), records())], false, &committed);
+        }),
+    ];
+    for (name, reply) in replies {
+        // (revision of the cache, whether the answer is applied)
+        for (revision, applied) in [(11, true), (12, false), (14, false)] {
+            let mut core = core_with_cache(&[("one", "one", 5)]);
+            core.cache.set_revision(revision);
+            reply(&mut core);
+            assert_eq!(core.cache.is_claimed("n-9"), applied, "{name} {revision}");
+            assert_eq!(core.cache.group(GROUP).is_some(), applied, "{name} {revision}");
+        }
+    }
+}
--- a/crates/quartzlever-core/src/store/cache.rs
+++ b/crates/quartzlever-core/src/store/cache.rs
@@ -66,6 +66,16 @@
         self.newest_revision > self.revision
     }
 
+    /// Reports whether a change at `mod_revision` and what replaced it need not come from anywhere
+    /// else: the cache includes them, or the listing in progress and the watch after it deliver
+    /// them.
+    ///
+    /// A reply that shows a record as written at such a revision is not applied: the record may
+    /// have been deleted since, and the cache keeps no trace of deleted records.
+    pub fn covers(&self, mod_revision: u64) -> bool {
+        self.revision >= mod_revision
+    }
+
     /// Reports whether a write of this process that was committed at `mod_revision` has to be
     /// applied to the cache when its reply arrives.
     ///
@@ -74,7 +84,7 @@
     /// for a partition that another one led. During a listing, the listing or the watch after it
     /// delivers the write.
     pub fn has_not_reached(&self, mod_revision: u64) -> bool {
-        self.loaded && self.revision < mod_revision
+        self.loaded && !self.covers(mod_revision)
     }
 
     /// Returns the time before which all commits are in the cache.
