A late answer no longer restores a page of finished tasks that was removed

What callers would see: nothing at first. The controller that removes the pages of ended jobs tries to remove such a page every two seconds, on condition of a revision that the key no longer has, and comes to no other page, so that they stay in the store.

The job is cancelled elsewhere and its pages are removed while the answer to the write of a page is on its way.

Change: the pages of a write are recorded only if the watch has not delivered them yet (`Cache::covers`).

Measured: `a_late_answer_does_not_restore_a_page_whose_removal_the_watch_has_delivered` failed before.

--- a/crates/quartzlever-core/src/jobs/pages/tests.rs
+++ b/crates/quartzlever-core/src/jobs/pages/tests.rs
@@ -361,3 +361,25 @@
         );
     }
 }
+
+/// The watch delivers a page and then its removal, since a user has cancelled the job, and only then
+/// the answer to the write of the page arrives. The process took the page for a leftover that it
+/// tried to remove again and again, and no other page was removed any more.
+#[test]
+fn a_late_answer_does_not_restore_a_page_whose_removal_the_watch_has_delivered() {
+    // (revision of the cache, whether the page is known after the answer)
+    for (revision, known) in [(10, true), (11, false), (13, false)] {
+        let mut core = core_with_cache(&[("one", "one", 5)]);
+        core.cache.set_revision(revision);
+        let write = JobWrite {
+            partition: "one".into(),
+            term: 5,
+            job: ID.into(),
+            action: JobWriteAction::PagesOnly,
+            recorded: Ranges::default(),
+            pages: vec![PageWrite { number: 0, finished: Ranges::from_range(0..3) }],
+        };
+        core.job_written(write, Ok(StoreReply::Committed(11)));
+        assert_eq!(!core.pages.finished_of(ID).is_empty(), known, "{revision}");
+    }
+}
--- a/crates/quartzlever-core/src/router/job_records.rs
+++ b/crates/quartzlever-core/src/router/job_records.rs
@@ -171,8 +171,10 @@
             if action != JobWriteAction::PagesOnly {
                 self.latest_revisions.record(&id, mod_revision);
             }
-            for PageWrite { number, finished } in pages {
-                self.record_page(&id, number, finished, mod_revision);
+            if !self.cache.covers(mod_revision) {
+                for PageWrite { number, finished } in pages {
+                    self.record_page(&id, number, finished, mod_revision);
+                }
             }
         }
         let now = self.now;
