A late answer no longer brings back a job that a listing has shown as ended

Cause: a job's record in an answer is compared with the final states that this process knows. If the watch has missed the end of the job, so that all records are listed again, the final state is not known, and the answer to an acceptance, a steal, a move or a reread added the job once more, also while the listing was in progress.

Change: `reconcile_job_from_reply` ignores a record at a revision that the cache covers if the cache lacks the job. The user whose acceptance is answered so late gets the state that is read from the store.

--- a/crates/quartzlever-core/src/router/job_records.rs
+++ b/crates/quartzlever-core/src/router/job_records.rs
@@ -47,6 +47,18 @@
         self.cache.record_active_job(record, mod_revision);
     }
 
+    /// Applies a job's record that a reply of the store or of a peer shows as written at
+    /// `mod_revision`.
+    ///
+    /// A job that the cache lacks at a later revision has ended since, or is still to be listed.
+    /// Its final state may be unknown here, if a listing has replaced the changes that the watch
+    /// missed.
+    pub(crate) fn reconcile_job_from_reply(&mut self, record: ActiveJobRecord, mod_revision: u64) {
+        if !self.cache.covers(mod_revision) || self.cache.is_active_job(&record.job.id) {
+            self.reconcile_job(record, mod_revision);
+        }
+    }
+
     /// Records that a job is done or cancelled, and drops it from the partitions led here.
     pub(crate) fn job_terminated(&mut self, id: &str, terminal: TerminalJobRecord) {
         self.terminal_jobs.insert(id, terminal);
@@ -208,7 +220,7 @@
         partition.placement_wanted |= placement_wanted;
         if let Some(record) = record {
             // Applied here, so that the watch event of the same write changes nothing.
-            self.reconcile_job(record, mod_revision);
+            self.reconcile_job_from_reply(record, mod_revision);
         }
     }
 
@@ -237,7 +249,7 @@
         match result {
             Ok(StoreReply::Read(entry)) => {
                 if let Some(record) = parse::<ActiveJobRecord>(&entry) {
-                    self.reconcile_job(record, entry.mod_revision);
+                    self.reconcile_job_from_reply(record, entry.mod_revision);
                 }
             }
             Ok(StoreReply::Absent { .. }) => {
--- a/crates/quartzlever-core/src/router/store_changes/tests.rs
+++ b/crates/quartzlever-core/src/router/store_changes/tests.rs
@@ -144,3 +144,101 @@
     assert!(!core.partitions["one"].jobs.contains_key("req-1"));
     assert!(!core.cache.is_active_job("req-1"));
 }
+
+/// Submits job "req-1" and returns the call that writes its acceptance.
+fn submit_job(core: &mut Core) -> CallId {
+    let effects = core.step(NOW, vec![Command::Submit { id: 9, spec: Box::new(spec(4)) }]);
+    let calls = transactions_on(&effects, "live/req-1");
+    assert_eq!(calls.len(), 1, "{effects:?}");
+    calls[0]
+}
+
+/// A user cancels a job at another node, this process misses that change and lists all records, and
+/// only then an answer arrives that shows the job as it was. The process took the job for active and
+/// started its tasks.
+#[test]
+fn a_late_answer_does_not_bring_back_a_job_that_a_listing_has_shown_as_ended() {
+    type Reply = fn(&mut Core, CallId);
+    let replies: [(&str, Reply); 3] = [
+        ("steal", |core, _| {
+            let record = Json::of(&record_of(1, 4, "one")).text().to_owned();
+            let jobs = vec![("req-1".to_owned(), 12, record)];
+            core.steal_replied("one", Ok(PeerAnswer::Stolen { jobs }));
+        }),
+        ("move", |core, _| {
+            let record = record_of(1, 4, "one");
+            let moved = vec![TaskMove { job: "req-1".into(), tasks: Ranges::up_to(4), record }];
+            core.steal_written("one", 5, None, moved, Ok(StoreReply::Committed(12)));
+        }),
+        ("acceptance", |core, acceptance| {
+            let result = Ok(StoreReply::Committed(12));
+            core.step(NOW, vec![Command::StoreReply { call_id: acceptance, result }]);
+        }),
+    ];
+    for (name, reply) in replies {
+        // (revision of the listing, whether the answer is applied)
+        for (revision, applied) in [(11, true), (12, false), (20, false)] {
+            let mut core = core_with_cache(&[("one", "one", 5)]);
+            let acceptance = submit_job(&mut core);
+            let own = partition_entry("one", "one", core.process, 5);
+            relist_records(&mut core, &[own], revision);
+            reply(&mut core, acceptance);
+            let partition = &core.partitions["one"];
+            assert_eq!(core.cache.is_active_job("req-1"), applied, "{name} {revision}");
+            assert_eq!(partition.jobs.contains_key("req-1"), applied, "{name} {revision}");
+        }
+    }
+}
+
+/// The same while the listing is in progress: the jobs that are active are still to be listed.
+#[test]
+fn a_late_answer_does_not_bring_back_a_job_during_a_listing() {
+    // (revision of the listing, whether the answer is applied)
+    for (revision, applied) in [(11, true), (12, false)] {
+        let mut core = core_with_cache(&[("one", "one", 5)]);
+        core.reconcile_job(record_of(1, 4, "one"), 10);
+        core.listing.begin(core.now, &mut core.outbox);
+        let number = core.listing.latest_number();
+        let page = ListPage { entries: Vec::new(), has_next: false, revision };
+        core.page_listed(number, Section::Partitions, Ok(StoreReply::Listed(page)));
+        let value = Json::of(&record_of(1, 4, "one"));
+        let entry = KeyValue { key: "live/req-1".into(), value, mod_revision: 12, lease_id: None };
+        core.active_job_reread("one", 5, "req-1", Ok(StoreReply::Read(entry)));
+        assert_eq!(core.cache.is_active_job("req-1"), applied, "{revision}");
+    }
+}
+
+/// The user is told what has become of the job, as another node may have said already.
+#[test]
+fn a_late_acceptance_of_a_job_that_has_ended_is_answered_with_its_final_state() {
+    let mut core = core_with_cache(&[("one", "one", 5)]);
+    let acceptance = submit_job(&mut core);
+    let own = partition_entry("one", "one", core.process, 5);
+    relist_records(&mut core, &[own], 20);
+    let ended = KeyValue {
+        key: "over/req-1".into(),
+        value: Json::of(&TerminalJobRecord { phase: JobPhase::Cancelled, done: 0 }),
+        mod_revision: 15,
+        lease_id: None,
+    };
+    let result = Ok(StoreReply::Committed(12));
+    let mut batch = vec![Command::StoreReply { call_id: acceptance, result }];
+    let mut answers = Vec::new();
+    for _ in 0..3 {
+        for effect in core.step(NOW, std::mem::take(&mut batch)) {
+            match effect {
+                Effect::Store { call_id, call: StoreCall::Get(key), .. } => {
+                    let is_final_state = key == ended.key;
+                    let absent = StoreReply::Absent { revision: 20 };
+                    let reply =
+                        if is_final_state { StoreReply::Read(ended.clone()) } else { absent };
+                    batch.push(Command::StoreReply { call_id, result: Ok(reply) });
+                }
+                Effect::Answer { id: 9, status, body, .. } => answers.push((status, body)),
+                _ => {}
+            }
+        }
+    }
+    let [(200, Answer::Job(answer))] = &answers[..] else { panic!("{answers:?}") };
+    assert_eq!(answer.phase, JobPhase::Cancelled);
+}
--- a/crates/quartzlever-core/src/router/user_requests.rs
+++ b/crates/quartzlever-core/src/router/user_requests.rs
@@ -127,11 +127,16 @@
         match AcceptOutcome::of(result) {
             AcceptOutcome::Committed { mod_revision } => {
                 // Other leaders learn of the job from their watch; here its tasks may start now.
-                self.reconcile_job(record, mod_revision);
+                self.reconcile_job_from_reply(record, mod_revision);
                 // The job may have ended already, and another node may have reported so.
                 match self.terminal_jobs.get(&job).map(|terminal| terminal.phase) {
                     Some(phase) => self.answer_phase(id, 200, &job, phase),
-                    None => self.answer_phase(id, 201, &job, JobPhase::Queued),
+                    None if self.cache.is_active_job(&job) => {
+                        self.answer_phase(id, 201, &job, JobPhase::Queued);
+                    }
+                    None => {
+                        self.read_job(JobReadPurpose::Submit { id, job, reject_if_unknown: false });
+                    }
                 }
             }
             AcceptOutcome::AlreadyExists => {
--- a/crates/quartzlever-core/src/stealing/commit.rs
+++ b/crates/quartzlever-core/src/stealing/commit.rs
@@ -84,7 +84,7 @@
                 job.move_committed(&tasks, &mut record, mod_revision);
             }
             // The thief may be another partition of this process.
-            self.reconcile_job(record, mod_revision);
+            self.reconcile_job_from_reply(record, mod_revision);
             jobs.push((id, mod_revision, text));
         }
         self.outbox.log(LogLevel::Info, || LogEvent::TasksStolen {
--- a/crates/quartzlever-core/src/stealing/thief.rs
+++ b/crates/quartzlever-core/src/stealing/thief.rs
@@ -352,7 +352,7 @@
         let Ok(PeerAnswer::Stolen { jobs }) = result else { return self.steal_failed() };
         for (_, mod_revision, record) in jobs {
             if let Ok(record) = serde_json::from_str::<ActiveJobRecord>(&record) {
-                self.reconcile_job(record, mod_revision);
+                self.reconcile_job_from_reply(record, mod_revision);
             }
         }
         if let Some(partition) = self.partitions.get_mut(partition) {
