--- a/crates/quartzlever-core/src/router/ownership/tests.rs
+++ b/crates/quartzlever-core/src/router/ownership/tests.rs
@@ -223,10 +223,12 @@
 /// longer had.
 #[test]
 fn a_late_answer_does_not_restore_a_group_whose_deletion_the_watch_has_delivered() {
-    let records = || MachineRecords::from([("n-9".into(), machine_record_of("n-9", "one"))]);
-    let committed = Ok(StoreReply::Committed(12));
-    let replies: [(&str, &dyn Fn(&mut Core)); 3] = [
-        ("write", &|core| {
+    fn records() -> MachineRecords {
+        [("n-9".into(), machine_record_of("n-9", "one"))].into()
+    }
+    type Reply = fn(&mut Core);
+    let replies: [(&str, Reply); 3] = [
+        ("write", |core| {
             let write = GroupWrite {
                 key: GROUP.into(),
                 records: records(),
@@ -234,15 +236,17 @@
                 removed: Default::default(),
                 partition_terms: [("one".to_owned(), 5)].into(),
             };
-            core.group_written(write, &committed);
+            core.group_written(write, &Ok(StoreReply::Committed(12)));
         }),
-        ("read", &|core| {
+        ("read", |core| {
             let value = Json::of(&MachineGroupRecord { machines: records() });
             let entry = KeyValue { key: GROUP.into(), value, mod_revision: 12, lease_id: None };
             core.group_read(GROUP, Ok(StoreReply::Read(entry)));
         }),
-        ("split", &|core| {
-            core.group_split("hosts/m-~0", vec![(GROUP.to_owned(), records())], false, &committed);
+        ("split", |core| {
+            let small_groups = vec![(GROUP.to_owned(), records())];
+            let result = Ok(StoreReply::Committed(12));
+            core.group_split("hosts/m-~0", small_groups, false, &result);
         }),
     ];
     for (name, reply) in replies {
