A machine that its leader does not know is logged as a violated invariant

Whether the machine was unclaimed, led elsewhere, or missing at its own leader could be told only from the traffic with the state service.

Change: a heartbeat of a machine whose record names a partition that is led and loaded here, and that the partition neither has nor has terminated, is reported once in a term: `invariant_violated invariant=no_machine_missing`. Nothing else follows from it. The simulation fails on it, as on the other invariants. `InvariantViolation::attempt` is optional for that.

--- a/crates/quartzlever-core/src/events.rs
+++ b/crates/quartzlever-core/src/events.rs
@@ -401,16 +401,22 @@
             LogEvent::TerminationFailed { partition, count } => {
                 fields.field("partition", partition).field("count", count)
             }
-            LogEvent::InvariantViolated(violation) => fields
-                .field("invariant", violation.invariant)
-                .field("partition", &violation.partition)
-                .field("term", violation.term)
-                .field("view_age_ms", milliseconds(violation.view_age))
-                .field("machine", &violation.machine)
-                .field("job", &violation.attempt.task.job)
-                .field("task", violation.attempt.task.index)
-                .field("attempt", violation.attempt.attempt)
-                .field("since_ms", milliseconds(violation.since.unwrap_or(0))),
+            LogEvent::InvariantViolated(violation) => {
+                let fields = fields
+                    .field("invariant", violation.invariant)
+                    .field("partition", &violation.partition)
+                    .field("term", violation.term)
+                    .field("view_age_ms", milliseconds(violation.view_age))
+                    .field("machine", &violation.machine);
+                let fields = match &violation.attempt {
+                    Some(AttemptKey { task, attempt }) => fields
+                        .field("job", &task.job)
+                        .field("task", task.index)
+                        .field("attempt", attempt),
+                    None => fields,
+                };
+                fields.field("since_ms", milliseconds(violation.since.unwrap_or(0)))
+            }
             LogEvent::CancelTooShortForLease { cancel, lease } => fields
                 .field("setting", "workers.cancel_s")
                 .field("cancel_ms", milliseconds(*cancel))
--- a/crates/quartzlever-core/src/events/details.rs
+++ b/crates/quartzlever-core/src/events/details.rs
@@ -15,6 +15,9 @@
     /// No lease is renewed that keeps an attempt of a job alive beyond the time in which it has to
     /// end.
     NoRenewalForOverdueAttempt,
+    /// A leader knows every machine that the records assign to its partition, unless it has
+    /// terminated the machine itself.
+    NoMachineMissing,
 }
 
 impl Display for Invariant {
@@ -22,6 +25,7 @@
         f.write_str(match self {
             Invariant::NoRunOfEndedJob => "no_run_of_ended_job",
             Invariant::NoRenewalForOverdueAttempt => "no_renewal_for_overdue_attempt",
+            Invariant::NoMachineMissing => "no_machine_missing",
         })
     }
 }
@@ -35,8 +39,10 @@
     /// Age of the view of the jobs, in microseconds.
     pub view_age: Micros,
     pub machine: String,
-    pub attempt: AttemptKey,
-    /// When the attempt was placed, or when its job may have ended, on the monotonic clock.
+    /// The attempt that it concerns, if it concerns a single one.
+    pub attempt: Option<AttemptKey>,
+    /// When the attempt was placed, its job may have ended, or the partition was acquired, on the
+    /// monotonic clock.
     pub since: Option<Micros>,
 }
 
--- a/crates/quartzlever-core/src/events/tests.rs
+++ b/crates/quartzlever-core/src/events/tests.rs
@@ -154,13 +154,27 @@
                 term,
                 view_age: duration,
                 machine: machine.clone(),
-                attempt: attempt_key.clone(),
+                attempt: Some(attempt_key.clone()),
                 since: Some(duration),
             })),
             LogLevel::Error,
             "invariant_violated invariant=no_run_of_ended_job partition=one term=5 \
              view_age_ms=4200 machine=n-1 job=req-1 task=3 attempt=20971521 since_ms=4200",
         ),
+        (
+            LogEvent::InvariantViolated(Box::new(InvariantViolation {
+                invariant: Invariant::NoMachineMissing,
+                partition: partition.clone(),
+                term,
+                view_age: duration,
+                machine: machine.clone(),
+                attempt: None,
+                since: Some(duration),
+            })),
+            LogLevel::Error,
+            "invariant_violated invariant=no_machine_missing partition=one term=5 \
+             view_age_ms=4200 machine=n-1 since_ms=4200",
+        ),
         (
             LogEvent::MachinesTerminated {
                 partition: partition.clone(),
--- a/crates/quartzlever-core/src/machines/invariants.rs
+++ b/crates/quartzlever-core/src/machines/invariants.rs
@@ -1,4 +1,5 @@
-//! Run-time checks of what must hold for every command sent to a worker, whatever decided on it.
+//! Run-time checks of what must hold for every command sent to a worker, whatever decided on it,
+//! and of the machines that a leader knows.
 //!
 //! A violation is an error event, on which every test harness fails. The process goes on, without
 //! the command that must not be sent.
@@ -39,7 +40,7 @@
                 term: permit.term(),
                 view_age: permit.view_age(),
                 machine: machine.to_owned(),
-                attempt: key,
+                attempt: Some(key),
                 since: placed_at,
             })));
             false
@@ -75,11 +76,32 @@
                 term: permit.term(),
                 view_age: permit.view_age(),
                 machine: machine.to_owned(),
-                attempt: key.clone(),
+                attempt: Some(key.clone()),
                 since: Some(ended_at),
             })));
         }
     }
+
+    /// Reports, once in a term, a machine that the records assign to this partition, which lacks it
+    /// although it is loaded and has not terminated the machine.
+    pub(crate) fn check_missing_machine(&mut self, machine: &str, view_age: Micros) {
+        if !self.is_loaded()
+            || self.machines.contains_key(machine)
+            || self.fleet.terminated.contains(machine)
+            || !self.reported_missing.insert(machine.to_owned())
+        {
+            return;
+        }
+        self.log_events.push(LogEvent::InvariantViolated(Box::new(InvariantViolation {
+            invariant: Invariant::NoMachineMissing,
+            partition: self.name.clone(),
+            term: self.term,
+            view_age,
+            machine: machine.to_owned(),
+            attempt: None,
+            since: Some(self.acquired_at),
+        })));
+    }
 }
 
 #[cfg(test)]
--- a/crates/quartzlever-core/src/machines/invariants/tests.rs
+++ b/crates/quartzlever-core/src/machines/invariants/tests.rs
@@ -63,3 +63,26 @@
         assert_eq!(reported, expected, "{ended_at}, killed {killed}");
     }
 }
+
+/// A machine that its leader does not know may run tasks that the leader starts elsewhere.
+#[test]
+fn a_machine_that_a_leader_lacks_is_reported_once() {
+    // (whether the partition is loaded, whether it has terminated the machine, reports)
+    for (loaded, terminated, reports) in [(true, false, 1), (false, false, 0), (true, true, 0)] {
+        let mut core = core_with_cache(&[("one", "one", 5)]);
+        let records = [("n-9".into(), machine_record_of("n-9", "one"))].into();
+        core.cache.record_group(&large_group_key("n-9"), records, 4);
+        if let Some(partition) = core.partitions.get_mut("one") {
+            partition.loaded = loaded;
+            if terminated {
+                partition.fleet.terminated.record("n-9", NOW);
+            }
+        }
+        for sequence in [1, 2] {
+            core.handle_heartbeat(sequence, idle_heartbeat("n-9", sequence, 5));
+            core.handle_heartbeat(sequence, heartbeat_of_one(sequence, None));
+        }
+        let reported = violated(&core.partitions["one"]);
+        assert_eq!(reported, vec![Invariant::NoMachineMissing; reports], "{loaded} {terminated}");
+    }
+}
--- a/crates/quartzlever-core/src/partition.rs
+++ b/crates/quartzlever-core/src/partition.rs
@@ -46,6 +46,8 @@
     /// Whether every machine is verified, so that none can run an attempt of an earlier leader that
     /// this process does not know of.
     pub recovery_complete: bool,
+    /// Machines that were reported as missing in this term.
+    pub(crate) reported_missing: BTreeSet<String>,
     /// Number of attempts created in this term.
     last_attempt: u64,
     pub fleet: Fleet,
@@ -88,6 +90,7 @@
             jobs: Table::default(),
             machines: Table::default(),
             recovery_complete: false,
+            reported_missing: BTreeSet::new(),
             last_attempt: 0,
             fleet: Fleet::default(),
             log_events: Vec::new(),
--- a/crates/quartzlever-core/src/router/heartbeats.rs
+++ b/crates/quartzlever-core/src/router/heartbeats.rs
@@ -27,6 +27,10 @@
             }
             HeartbeatRoute::CacheNotLoaded => self.outbox.reject_retryable(id, 503, STARTING),
             HeartbeatRoute::Owned { partition } => {
+                let view_age = self.authority().view_age(self.now);
+                if let Some(led) = self.partitions.get_mut(&partition) {
+                    led.check_missing_machine(&heartbeat.machine, view_age);
+                }
                 if self.other_leader_of(&partition).is_some() {
                     self.note_foreign_heartbeat(&partition, &heartbeat.machine);
                 }
