Simulation: answers of the store that come late, within their caller's timeout

Need: the simulation carried calls out late and lost their answers, but an answer to a call that was carried out early came at most 120 ms later, or after its caller had given up.

Change: `FaultRates::slow_answers` delays answers by up to a second. The row "claims are committed late, reads are answered slowly, partitions move and return" uses it with late transactions, small groups and paused controllers.

Simulations without slow answers draw the same random numbers as before.

--- a/crates/quartzlever-core/tests/simulation/combination.rs
+++ b/crates/quartzlever-core/tests/simulation/combination.rs
@@ -209,6 +209,7 @@
     sum.late_committed += one.late_committed;
     sum.late_conflicts += one.late_conflicts;
     sum.unanswered_txns += one.unanswered_txns;
+    sum.slow_answers += one.slow_answers;
     sum.heartbeat_copies += one.heartbeat_copies;
     sum.copies_for_next_leader += one.copies_for_next_leader;
     sum.lost_heartbeats += one.lost_heartbeats;
--- a/crates/quartzlever-core/tests/simulation/fault_combinations.rs
+++ b/crates/quartzlever-core/tests/simulation/fault_combinations.rs
@@ -1,6 +1,7 @@
 //! Combinations of faults. Each row injects one, checks that it took effect, and must break no
 //! rule. `docs/fault-combinations.md` names the code that handles each.
 
+use quartzlever_core::Config;
 use quartzlever_wire::SECOND;
 use quartzlever_wire::users::Priority;
 
@@ -25,6 +26,12 @@
     w.run(26 * SECOND);
 }
 
+/// Limits values so that four machines share a group: a claim that is committed late is then often
+/// the latest change of its group.
+fn small_groups(config: &mut Config) {
+    config.value_bytes = 640;
+}
+
 const FAULT_COMBINATIONS: &[FaultCombination] = &[
     FaultCombination {
         name: "the store refuses only the leader, peers confirm cancellations, the store fails",
@@ -557,6 +564,32 @@
         },
         took_effect: |c, r| c.acquisitions > 14 && r.cancellations >= 4,
     },
+    FaultCombination {
+        name: "claims are committed late, reads are answered slowly, partitions move and return",
+        first_seed: 0x2c1e_77a0_94d3_5b8d,
+        adjust_config: small_groups,
+        inject: |w| {
+            w.run_time = 60 * SECOND;
+            w.fault_rates =
+                FaultRates { late_txns: 60, slow_answers: 100, ..FaultRates::default() };
+            w.cloud.max_machines = 40;
+            submit(w, 0, 14, |_, s| s.tasks = 6);
+            w.run(10 * SECOND);
+            w.fault_rates = FaultRates { slow_answers: 50, ..FaultRates::default() };
+            for n in 0..NODES.len() {
+                w.paused.insert(n);
+                w.run(9 * SECOND);
+                w.paused.remove(&n);
+                w.run(6 * SECOND);
+            }
+        },
+        took_effect: |c, _| {
+            c.late_committed > 4
+                && c.late_conflicts > 20
+                && c.slow_answers > 200
+                && c.acquisitions > 24
+        },
+    },
     FaultCombination {
         name: "a leader reaches only workers and users, and its successor cancels jobs",
         first_seed: 0x68db_de1e_35b6_2e15,
--- a/crates/quartzlever-core/tests/simulation/sim.rs
+++ b/crates/quartzlever-core/tests/simulation/sim.rs
@@ -115,6 +115,9 @@
     pub unanswered_txns: u32,
     /// Transactions that get no answer and are executed 2 to 12 s later.
     pub late_txns: u32,
+    /// Calls to the store, other than watches, that are executed at once and answered up to a
+    /// second later, within their caller's timeout.
+    pub slow_answers: u32,
     /// Heartbeats of which a copy arrives again, from 2 s to two leases later.
     pub heartbeat_copies: u32,
     /// Heartbeats of which a copy is kept until a partition is next acquired, and sent to every
@@ -139,6 +142,8 @@
     pub late_conflicts: usize,
     /// Transactions that were committed and whose answer was lost.
     pub unanswered_txns: usize,
+    /// Calls to the store that were executed at once and answered slowly.
+    pub slow_answers: usize,
     /// Late copies of heartbeats that reached a controller.
     pub heartbeat_copies: usize,
     /// Heartbeats that were kept for the next leader and sent to all nodes.
--- a/crates/quartzlever-core/tests/simulation/sim/calls.rs
+++ b/crates/quartzlever-core/tests/simulation/sim/calls.rs
@@ -41,6 +41,8 @@
 const LATE_EXECUTION_DELAY: Micros = 6 * SECOND;
 /// Time after which a caller gives up a call.
 const CALL_TIMEOUT: Micros = 1_500_000;
+/// Longest additional delay of a slow answer, which its caller still waits for.
+const MAX_ANSWER_DELAY: Micros = SECOND;
 /// Additional delay of a late answer.
 const LATE_ANSWER_DELAY: Micros = 3_200_000;
 /// Time from a crash of a controller to its restart.
@@ -76,6 +78,10 @@
                     && matches!(result, Ok(StoreReply::Committed(_)))
                     && self.rng.random_range(0..100) < self.fault_rates.unanswered_txns;
                 self.counts.unanswered_txns += usize::from(unanswered);
+                if self.fault_rates.slow_answers > 0 && self.chance(self.fault_rates.slow_answers) {
+                    delay += self.rng.random_range(0..MAX_ANSWER_DELAY);
+                    self.counts.slow_answers += 1;
+                }
                 if lost || unanswered {
                     result = Err(CallError::Unknown);
                     delay = 1_500_000;
