No machine is taken for orphaned while the records are listed again

What callers would see: after a controller has missed changes, running machines of its peers are terminated with their tasks.

Cause: absence from the cache was taken for absence from the store. While the records are listed again the cache is empty, and a list of instances from the cloud that is answered then shows the old machines of all peers, whose claims are not listed yet, as unclaimed.

--- a/crates/quartzlever-core/src/autoscaling/cloud.rs
+++ b/crates/quartzlever-core/src/autoscaling/cloud.rs
@@ -2,7 +2,8 @@
 //! were launched recently.
 //!
 //! A listed machine that no record claims is orphaned, and is terminated, if it has failed, or if
-//! it is too old to be still booting and is not pending here. A claimed machine is never orphaned.
+//! it is too old to be still booting and is not pending here. A claimed machine is never orphaned, so
+//! none is taken for orphaned while the records are listed again and some claims are not known.
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
@@ -220,6 +221,9 @@
             return self.list_instances(from, seen);
         }
         self.mark_failed_machines(&seen);
+        if !self.cache.is_loaded() {
+            return;
+        }
         let mut orphaned: Vec<String> =
             seen.iter().filter(|i| self.is_orphaned(i)).map(|i| i.name.clone()).collect();
         orphaned.truncate(MAX_MACHINES_PER_SCALE_IN);
@@ -269,3 +273,6 @@
         );
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/quartzlever-core/src/router/store_changes/tests.rs
+++ b/crates/quartzlever-core/src/router/store_changes/tests.rs
@@ -197,10 +197,7 @@
     for (revision, applied) in [(11, true), (12, false)] {
         let mut core = core_with_cache(&[("one", "one", 5)]);
         core.reconcile_job(record_of(1, 4, "one"), 10);
-        core.listing.begin(core.now, &mut core.outbox);
-        let number = core.listing.latest_number();
-        let page = ListPage { entries: Vec::new(), has_next: false, revision };
-        core.page_listed(number, Section::Partitions, Ok(StoreReply::Listed(page)));
+        begin_listing(&mut core, revision);
         let value = Json::of(&record_of(1, 4, "one"));
         let entry = KeyValue { key: "live/req-1".into(), value, mod_revision: 12, lease_id: None };
         core.active_job_reread("one", 5, "req-1", Ok(StoreReply::Read(entry)));
--- a/crates/quartzlever-core/src/testing.rs
+++ b/crates/quartzlever-core/src/testing.rs
@@ -436,6 +436,16 @@
     KeyValue { key: format!("parts/{partition}"), value, mod_revision, lease_id: Some(1) }
 }
 
+/// Begins to list all records again, since changes were missed: the first page, at this revision,
+/// has no entries, and the cache is empty.
+pub(crate) fn begin_listing(core: &mut Core, revision: u64) {
+    core.cache.mark_outdated();
+    core.listing.begin(core.now, &mut core.outbox);
+    let number = core.listing.latest_number();
+    let page = ListPage { entries: Vec::new(), has_next: false, revision };
+    core.page_listed(number, Section::Partitions, Ok(StoreReply::Listed(page)));
+}
+
 /// Lists all records again, with these entries at this revision as the result.
 pub(crate) fn relist_records(core: &mut Core, entries: &[KeyValue], revision: u64) {
     core.listing.begin(core.now, &mut core.outbox);
