A machine that has come up does not become pending again

What callers would see: a running machine is terminated as one that never came up, with its tasks. Found by reading; not seen in a run.

Cause: the answer to a launch may arrive after its machines have come up and been claimed. Those were told from the others by the cache alone, which lacks them while the records are listed again.

Change: `record_launch` also looks at the machines of the partition itself.

Measured: `a_machine_of_the_partition_does_not_become_pending` failed before.

--- a/crates/quartzlever-core/src/autoscaling/requests.rs
+++ b/crates/quartzlever-core/src/autoscaling/requests.rs
@@ -157,7 +157,8 @@
             fleet.record_refusal(offer.clone(), now + REFUSAL_RETENTION);
         }
         for machine in machines {
-            if !cache.is_claimed(machine) && !fleet.terminated.contains(machine) {
+            let has_come_up = self.machines.contains_key(machine) || cache.is_claimed(machine);
+            if !has_come_up && !fleet.terminated.contains(machine) {
                 fleet
                     .pending_instances
                     .add(machine, PendingInstance { offer: offer.clone(), requested_at });
