No group of machines is written while the records are listed again

What callers would see: the record of a terminated machine stays, and the next leader of its partition waits for it for a lease before it completes recovery.

Cause: while the records are listed again the cache shows no group. A removal planned then had nothing to remove and was forgotten; a claim was written on condition of a revision that could not hold.

Change: `write_groups` waits until the cache is loaded.

--- a/crates/quartzlever-core/src/router/ownership.rs
+++ b/crates/quartzlever-core/src/router/ownership.rs
@@ -45,8 +45,12 @@
         self.ownership.request_removal(machine, owner, &self.cache, &layout);
     }
 
-    /// Writes the groups with queued changes, and splits a group that is too large.
+    /// Writes the groups with queued changes, and splits a group that is too large. Waits while the
+    /// records are listed again, since the cache then lacks groups that exist.
     pub(super) fn write_groups(&mut self) {
+        if !self.cache.is_loaded() {
+            return;
+        }
         let context = GroupContext {
             now: self.now,
             may_act: self.may_act(),
--- a/crates/quartzlever-core/src/router/ownership/tests.rs
+++ b/crates/quartzlever-core/src/router/ownership/tests.rs
@@ -260,3 +260,24 @@
         }
     }
 }
+
+/// While all records are listed again, the cache shows no group. A removal that was planned from
+/// such a cache had nothing to remove and was forgotten, so that the record of the terminated
+/// machine stayed.
+#[test]
+fn no_group_is_written_while_the_records_are_listed_again() {
+    let mut core = core_with_cache(&[("one", "one", 5)]);
+    let records: MachineRecords = [("n-9".into(), machine_record_of("n-9", "one"))].into();
+    core.cache.record_group(GROUP, records.clone(), 9);
+    core.release_ownership("n-9", "one", 5);
+    begin_listing(&mut core, 20);
+    core.step(NOW + SECOND, Vec::new());
+    core.listing.abandon();
+
+    let value = Json::of(&MachineGroupRecord { machines: records });
+    let group = KeyValue { key: GROUP.into(), value, mod_revision: 9, lease_id: None };
+    let own = partition_entry("one", "one", core.process, 5);
+    relist_records(&mut core, &[own, group], 21);
+    let effects = core.step(NOW + 2 * SECOND, Vec::new());
+    assert_eq!(transactions_on(&effects, GROUP).len(), 1);
+}
