Simulation: one more seed of overlapping faults, in which machines lose replies

Cause: since the twelve default seeds of `cancelled_jobs_end_in_time_under_overlapping_faults` lose 16 replies in all instead of 26, and the test asks for 20 as a sign that the fault took effect.

Change: seed 15, with 26 lost replies of its own, runs beside the twelve. All bounds are as they were, and every earlier seed still has to pass.

--- a/crates/quartzlever-core/tests/simulation/cancellations.rs
+++ b/crates/quartzlever-core/tests/simulation/cancellations.rs
@@ -15,7 +15,7 @@
 
 /// Seeds without `QUARTZLEVER_SEEDS`. With the last four, a start command that was held up started a
 /// task more than `cancel_s` after the cancellation of its job.
-const DEFAULT_SEEDS: [u64; 12] = [0, 1, 2, 3, 4, 5, 6, 7, 58, 90, 164, 181];
+const DEFAULT_SEEDS: [u64; 13] = [0, 1, 2, 3, 4, 5, 6, 7, 15, 58, 90, 164, 181];
 /// Number of times that faults begin or end in one simulation.
 const ROUNDS: u32 = 14;
 /// Maximum number of faults that overlap.
