Tidy: one write of a partition's key, one set-up of heartbeats and group steps

`PartitionKeys::acquire` and `release` built and sent their transaction twice over (`change_key` now). The tests of groups and of their splitting share `run_step`, and the heartbeats of the unit tests are built from `idle_heartbeat`.

--- a/crates/quartzlever-core/src/leadership/partition_keys.rs
+++ b/crates/quartzlever-core/src/leadership/partition_keys.rs
@@ -10,7 +10,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use quartzlever_wire::peers::PeerRequest;
-use quartzlever_wire::store::{PARTITION_PREFIX, PartitionRecord, StoreCall, StoreReply, Txn};
+use quartzlever_wire::store::{
+    Change, Condition, PARTITION_PREFIX, PartitionRecord, StoreCall, StoreReply, Txn,
+};
 use quartzlever_wire::{CallError, Json, Micros, SECOND};
 use rand::Rng;
 use rand::rngs::SmallRng;
@@ -270,14 +272,13 @@
             return;
         }
         self.releasing.remove(name);
-        let key = format!("{PARTITION_PREFIX}{name}");
-        let value = Json::of(&self.own_record);
-        let txn = Txn::default()
-            .if_mod_revision(key.clone(), mod_revision)
-            .write_with_lease(key, value, lease);
-        write_budget.spend(1);
+        let write = Change::Write {
+            write: key_of(name),
+            v: Json::of(&self.own_record),
+            lease_id: Some(lease),
+        };
         let pending = PendingStoreCall::Acquire { partition: name.to_owned(), lease };
-        outbox.call_store(CallPriority::Lease, StoreCall::Txn(txn), pending);
+        change_key(name, mod_revision, write, pending, write_budget, outbox);
     }
 
     /// Handles the store's reply to an attempt to acquire a partition.
@@ -322,11 +323,9 @@
             partition: name.to_owned(),
             term: mod_revision,
         });
-        let key = format!("{PARTITION_PREFIX}{name}");
-        let txn = Txn::default().if_mod_revision(key.clone(), mod_revision).delete(key);
-        write_budget.spend(1);
+        let deletion = Change::Delete { delete: key_of(name) };
         let pending = PendingStoreCall::Release { partition: name.to_owned(), mod_revision };
-        outbox.call_store(CallPriority::Lease, StoreCall::Txn(txn), pending);
+        change_key(name, mod_revision, deletion, pending, write_budget, outbox);
     }
 
     /// Handles the store's reply to an attempt to release a partition's key.
@@ -390,5 +389,24 @@
     }
 }
 
+fn key_of(partition: &str) -> String {
+    format!("{PARTITION_PREFIX}{partition}")
+}
+
+/// Changes the key of a partition, on condition of its modification revision.
+fn change_key(
+    partition: &str,
+    mod_revision: u64,
+    change: Change,
+    pending: PendingStoreCall,
+    write_budget: &mut WriteBudget,
+    outbox: &mut Outbox,
+) {
+    let condition = Condition { path: key_of(partition), mod_revision };
+    let txn = Txn { conditions: vec![condition], changes: vec![change] };
+    write_budget.spend(1);
+    outbox.call_store(CallPriority::Lease, StoreCall::Txn(txn), pending);
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/quartzlever-core/src/machines/ownership/splitting/tests.rs
+++ b/crates/quartzlever-core/src/machines/ownership/splitting/tests.rs
@@ -2,10 +2,10 @@
 
 use quartzlever_wire::store::GROUP_SIZE_KEY;
 
-use super::{GroupContext, Ownership, SPLIT_INTERVAL};
+use super::{Ownership, SPLIT_INTERVAL};
+use crate::machines::ownership::tests::run_step;
 use crate::machines::ownership::{GroupLayout, PartitionTerm};
 use crate::outbox::Outbox;
-use crate::store::write_budget::WriteBudget;
 use crate::testing::*;
 
 const LARGE_KEY: &str = "hosts/n-~0";
@@ -33,13 +33,7 @@
     layout: GroupLayout,
     now: Micros,
 ) -> Vec<Effect> {
-    let mut outbox = Outbox::new(LogLevel::Info, now);
-    let mut write_budget = WriteBudget::new(now - SECOND);
-    write_budget.refill(now, 100.0, 1);
-    let (cache, partitions) = (&core.cache, &core.partitions);
-    let context = GroupContext { now, may_act, cache, partitions, layout };
-    ownership.split_group(&context, &mut write_budget, &mut outbox);
-    outbox.take_effects()
+    run_step(Ownership::split_group, ownership, core, may_act, layout, now)
 }
 
 /// Returns the keys that a transaction writes, and those that it deletes.
--- a/crates/quartzlever-core/src/machines/ownership/tests.rs
+++ b/crates/quartzlever-core/src/machines/ownership/tests.rs
@@ -48,8 +48,12 @@
     PartitionTerm { partition: "one".into(), term: 5 }
 }
 
-/// Runs `write_changes` at `now`, and returns its effects.
-fn write(
+/// A step of [`Ownership`] that writes to the store.
+type WriteStep = fn(&mut Ownership, &GroupContext, &mut WriteBudget, &mut Outbox);
+
+/// Runs a step at `now`, with a full write budget, and returns its effects.
+pub(super) fn run_step(
+    step: WriteStep,
     ownership: &mut Ownership,
     core: &Core,
     may_act: bool,
@@ -61,10 +65,21 @@
     write_budget.refill(now, 100.0, 1);
     let (cache, partitions) = (&core.cache, &core.partitions);
     let context = GroupContext { now, may_act, cache, partitions, layout };
-    ownership.write_changes(&context, &mut write_budget, &mut outbox);
+    step(ownership, &context, &mut write_budget, &mut outbox);
     outbox.take_effects()
 }
 
+/// Runs `write_changes` at `now`, and returns its effects.
+fn write(
+    ownership: &mut Ownership,
+    core: &Core,
+    may_act: bool,
+    layout: GroupLayout,
+    now: Micros,
+) -> Vec<Effect> {
+    run_step(Ownership::write_changes, ownership, core, may_act, layout, now)
+}
+
 fn is_write(effects: &[Effect]) -> bool {
     matches!(effects, [Effect::Store { call: StoreCall::Txn(_), .. }])
 }
--- a/crates/quartzlever-core/src/router/ownership/tests.rs
+++ b/crates/quartzlever-core/src/router/ownership/tests.rs
@@ -109,7 +109,7 @@
             assert_eq!(core.cache.machines_of("one").count(), 0, "{order:?}");
             assert_eq!(core.cache.machines_of("two").count(), 1, "{order:?}");
             // Deleting the larger group leaves the machine of the smaller one in place.
-            core.apply_group_change(large, MachineRecords::new(), 22);
+            core.cache.remove_deleted_group(large, 22);
             assert_eq!(core.cache.machines_of("two").count(), 1, "{order:?}");
         }
     }
--- a/crates/quartzlever-core/src/testing.rs
+++ b/crates/quartzlever-core/src/testing.rs
@@ -128,18 +128,7 @@
             kept: None,
         })
         .collect();
-    Heartbeat {
-        machine: "n-1".into(),
-        address: "n-1:9000".into(),
-        machine_type: "m".into(),
-        zone: "a".into(),
-        spot: true,
-        incarnation: 1,
-        sequence,
-        fencing_token: 5,
-        warning_s: None,
-        tasks,
-    }
+    Heartbeat { tasks, ..idle_heartbeat("n-1", sequence, 5) }
 }
 
 /// Returns a heartbeat of a machine that runs these attempts of task 0 of job "req-1".
@@ -158,16 +147,9 @@
         kept: None,
     });
     Heartbeat {
-        machine: machine.into(),
-        address: format!("{machine}:9000"),
-        machine_type: "m".into(),
-        zone: "a".into(),
-        spot: true,
         incarnation,
-        sequence,
-        fencing_token,
-        warning_s: None,
         tasks: tasks.collect(),
+        ..idle_heartbeat(machine, sequence, fencing_token)
     }
 }
 
@@ -324,25 +306,9 @@
 
 /// Returns a heartbeat of machine "n-1", which runs an attempt of task 0 of job "req-1" or nothing.
 pub(crate) fn heartbeat_of_one(sequence: u64, attempt: Option<u64>) -> Heartbeat {
-    let running = |attempt| AttemptStatus {
-        task: TaskId { job: "req-1".into(), index: 0 },
-        attempt,
-        phase: TaskPhase::Running,
-        cause: None,
-        kept: None,
-    };
-    Heartbeat {
-        machine: "n-1".into(),
-        address: "n-1:9000".into(),
-        machine_type: "m".into(),
-        zone: "a".into(),
-        spot: true,
-        incarnation: 1,
-        sequence,
-        fencing_token: 5,
-        warning_s: None,
-        tasks: attempt.map(running).into_iter().collect(),
-    }
+    let running: Vec<_> =
+        attempt.map(|attempt| (attempt, TaskPhase::Running, None)).into_iter().collect();
+    heartbeat_with(sequence, &running)
 }
 
 /// Returns a controller with a loaded cache in which each of the nodes "one" and "two" leads its
