A job with `together` and `apart` keeps to half of its tasks in the zone

Cause: once a task ran, `zone_capacity` returned the zone that the job has chosen with unlimited capacity, whatever the limit for each zone.

Change: the limit of `apart` holds in the chosen zone as well.

Measured: the new row "all in the same zone, and spread" of `tasks_start_only_where_the_constraints_of_their_job_allow` failed before (four of five started beside each other) and passes.

--- a/crates/quartzlever-core/src/scheduling/assignment/tests.rs
+++ b/crates/quartzlever-core/src/scheduling/assignment/tests.rs
@@ -21,6 +21,11 @@
             |s| (s.spread, s.tasks) = (true, 5),
             &[("n-1", 2), ("n-2", 2), ("n-3", 1)],
         ),
+        (
+            "all in the same zone, and spread",
+            |s| (s.one_zone, s.spread, s.tasks) = (true, true, 5),
+            &[("n-2", 2), ("n-3", 1)],
+        ),
         ("spread, one task", |s| (s.spread, s.tasks) = (true, 1), &[("n-2", 1)]),
         ("too much memory", |s| s.ram_gb = 65.0, &[]),
         ("team with a limit", |s| s.team = "tight".into(), &[("n-2", 2)]),
--- a/crates/quartzlever-core/src/scheduling/zones.rs
+++ b/crates/quartzlever-core/src/scheduling/zones.rs
@@ -38,13 +38,15 @@
         return ZoneCapacity(None);
     }
     let tasks = active_tasks_by_zone(partition, &spec.id);
-    if spec.one_zone && !tasks.is_empty() {
-        return ZoneCapacity(Some(tasks.keys().map(|z| ((*z).to_owned(), u32::MAX)).collect()));
-    }
     let max_per_zone = if spec.spread { spec.tasks.div_ceil(2) } else { u32::MAX };
-    let left =
-        |zone: &String| max_per_zone.saturating_sub(tasks.get(zone.as_str()).copied().unwrap_or(0));
-    ZoneCapacity(Some(zones.iter().map(|zone| (zone.clone(), left(zone))).collect()))
+    let remaining = |zone: &str| max_per_zone.saturating_sub(tasks.get(zone).copied().unwrap_or(0));
+    let with_capacity = |zone: &str| (zone.to_owned(), remaining(zone));
+    let is_zone_chosen = spec.one_zone && !tasks.is_empty();
+    ZoneCapacity(Some(if is_zone_chosen {
+        tasks.keys().map(|zone| with_capacity(zone)).collect()
+    } else {
+        zones.iter().map(|zone| with_capacity(zone)).collect()
+    }))
 }
 
 /// Returns the number of tasks of a job that may be running in each zone, without zones that have
