A task number that no task can have is rejected where it is parsed

A sound worker sends none.

Cause: a set of tasks is kept as ranges that end one after the last task; for the highest number of the type that end overflows. Texts of ranges were checked for it, names of tasks were not.

Change: `TaskId::from_str` rejects that number, as `Ranges::from_str` does.

--- a/crates/quartzlever-wire/src/workers.rs
+++ b/crates/quartzlever-wire/src/workers.rs
@@ -37,7 +37,11 @@
     fn from_str(text: &str) -> Result<Self, ParseTaskIdError> {
         let invalid = || ParseTaskIdError(text.to_owned());
         let (job, index) = text.rsplit_once('/').ok_or_else(invalid)?;
-        let index = index.parse().map_err(|_| invalid())?;
+        let index: u32 = index.parse().map_err(|_| invalid())?;
+        // A range of tasks ends one after its last task.
+        if index == u32::MAX {
+            return Err(invalid());
+        }
         Ok(TaskId { job: job.to_owned(), index })
     }
 }
--- a/crates/quartzlever-wire/tests/formats.rs
+++ b/crates/quartzlever-wire/tests/formats.rs
@@ -4,7 +4,7 @@
 use quartzlever_wire::peers::{self, PeerRequest};
 use quartzlever_wire::store::{ActiveJobRecord, Share};
 use quartzlever_wire::users::{JobSpec, SubmissionError};
-use quartzlever_wire::workers::Heartbeat;
+use quartzlever_wire::workers::{Heartbeat, TaskId};
 use quartzlever_wire::{Json, MAX_BODY, Ranges};
 use serde_json::{Value, json};
 
@@ -305,3 +305,19 @@
     }
     assert_eq!(page_of_key(&page_key("req-1", 7)), Some(("req-1", 7)));
 }
+
+/// The number of a task is used as the end of a range plus one: the highest number that fits its type
+/// ended the process that received it.
+#[test]
+fn a_task_number_that_no_task_can_have_is_rejected() {
+    for (number, accepted) in [("0", true), ("4294967294", true), ("4294967295", false)] {
+        let parsed = format!("req-000412/{number}").parse::<TaskId>();
+        assert_eq!(parsed.is_ok(), accepted, "{number}");
+        if let Ok(TaskId { index, .. }) = parsed {
+            let mut tasks = Ranges::default();
+            tasks.insert(index);
+            tasks.remove(index);
+            assert!(tasks.is_empty(), "{number}");
+        }
+    }
+}
