A listing keeps the records that an answer has shown after its first page

What callers would see: a job that is accepted while all records are listed again waits until the watch delivers it, and the log reports a violated invariant that is none (`no_run_of_ended_job`).

Cause: the answer to an acceptance at revision 72 was applied; then the first page of the listing arrived, which was read at revision 70, and the cache was emptied. The partition kept the job, the cache lacked it, and so it counted as ended until the watch had caught up.

Change: `Cache::reset` and `Pages::reset` keep what is newer than the listing. The watch after it starts at the listing's revision and reports whatever is deleted later.

--- a/crates/quartzlever-core/src/jobs/pages.rs
+++ b/crates/quartzlever-core/src/jobs/pages.rs
@@ -105,9 +105,13 @@
         }
     }
 
-    /// Forgets all pages before they are listed again.
-    pub fn clear(&mut self) {
-        self.jobs.clear();
+    /// Forgets the pages before they are listed again, but for those written after `revision`, at
+    /// which the listing begins.
+    pub fn reset(&mut self, revision: u64) {
+        for pages in self.jobs.values_mut() {
+            pages.retain(|_, page| page.mod_revision > revision);
+        }
+        self.jobs.retain(|_, pages| !pages.is_empty());
     }
 
     /// Returns the finished tasks of a job that are recorded in pages.
--- a/crates/quartzlever-core/src/jobs/pages/tests.rs
+++ b/crates/quartzlever-core/src/jobs/pages/tests.rs
@@ -383,3 +383,14 @@
         assert_eq!(!core.pages.finished_of(ID).is_empty(), known, "{revision}");
     }
 }
+
+/// A page that was written after the first page of a listing was read is neither listed nor removed.
+#[test]
+fn a_listing_keeps_the_pages_that_are_newer_than_its_first_page() {
+    for (revision, known) in [(10, true), (11, false)] {
+        let mut core = core();
+        core.apply_page_record(&page_event(0, &Ranges::from_range(0..3), 11));
+        begin_listing(&mut core, revision);
+        assert_eq!(!core.pages.finished_of(ID).is_empty(), known, "{revision}");
+    }
+}
--- a/crates/quartzlever-core/src/router/store_changes.rs
+++ b/crates/quartzlever-core/src/router/store_changes.rs
@@ -65,7 +65,7 @@
         if let Some(revision) = page.listing_revision {
             // The watch starts at the revision of the first page.
             self.cache.reset(revision);
-            self.pages.clear();
+            self.pages.reset(revision);
         }
         if section == Section::Cluster && page.is_first_of_section {
             self.cluster.clear_announcements();
--- a/crates/quartzlever-core/src/router/store_changes/tests.rs
+++ b/crates/quartzlever-core/src/router/store_changes/tests.rs
@@ -239,3 +239,20 @@
     let [(200, Answer::Job(answer))] = &answers[..] else { panic!("{answers:?}") };
     assert_eq!(answer.phase, JobPhase::Cancelled);
 }
+
+/// A job is accepted while the first page of a listing is on its way, which was read before. A
+/// controller that forgot the job with the older records took it for ended: it reported a violated
+/// invariant instead of starting its tasks.
+#[test]
+fn a_job_accepted_after_the_first_page_of_a_listing_was_read_is_not_taken_for_ended() {
+    let mut core = core_with_cache(&[("one", "one", 5)]);
+    let acceptance = submit_job(&mut core);
+    core.cache.mark_outdated();
+    let result = Ok(StoreReply::Committed(12));
+    core.step(NOW, vec![Command::StoreReply { call_id: acceptance, result }]);
+    core.listing.abandon();
+    let own = partition_entry("one", "one", core.process, 5);
+    relist_records(&mut core, &[own], 11);
+    assert!(core.cache.is_loaded() && !core.cache.shows_as_ended("req-1"));
+    assert!(core.partitions["one"].jobs.contains_key("req-1"));
+}
--- a/crates/quartzlever-core/src/store/cache.rs
+++ b/crates/quartzlever-core/src/store/cache.rs
@@ -131,12 +131,14 @@
         self.loaded = false;
     }
 
-    /// Discards all records at the start of a listing, which begins at `revision`.
+    /// Discards the records at the start of a listing, which begins at `revision`, but for those
+    /// that a reply has shown as written later: the listing need not contain them, and the watch
+    /// after it reports if they are deleted.
     pub fn reset(&mut self, revision: u64) {
-        self.partitions.clear();
-        self.groups.clear();
-        self.group_of_machine.clear();
-        self.active_jobs.clear();
+        self.partitions.retain(|_, known| known.mod_revision > revision);
+        self.groups.retain(|_, known| known.mod_revision > revision);
+        self.group_of_machine.retain(|_, group| self.groups.contains_key(group));
+        self.active_jobs.retain(|_, known| known.mod_revision > revision);
         self.unreadable_jobs.clear();
         self.revision = revision;
     }
--- a/crates/quartzlever-core/src/store/cache/tests.rs
+++ b/crates/quartzlever-core/src/store/cache/tests.rs
@@ -102,6 +102,28 @@
     }
 }
 
+/// A listing that begins at an earlier revision than a record neither contains the record nor shows
+/// that it was deleted.
+#[test]
+fn a_listing_keeps_the_records_that_are_newer_than_its_first_page() {
+    let mut cache = Cache::default();
+    for (job, mod_revision) in [("req-1", 10), ("req-2", 11)] {
+        let mut record = job_record("0-3", "");
+        record.job.id = job.into();
+        cache.record_active_job(record, mod_revision);
+    }
+    cache.record_partition("one", leader("one"), 10);
+    cache.record_partition("two", leader("one"), 11);
+    cache.record_group("hosts/a~4~0", machines(&["a-1"]), 10);
+    cache.record_group("hosts/a~0", machines(&["a-8", "a-9"]), 11);
+    cache.reset(10);
+    assert!(!cache.is_active_job("req-1") && cache.is_active_job("req-2"));
+    assert!(cache.partition("one").is_none() && cache.partition("two").is_some());
+    assert!(!cache.is_claimed("a-1") && cache.is_claimed("a-9"));
+    assert_eq!(cache.machines_of("one").count(), 2);
+    assert_eq!(cache.revision(), 10);
+}
+
 #[test]
 fn the_view_dates_from_the_latest_read_that_a_loaded_cache_has_caught_up_with() {
     let mut cache = Cache::default();
