The check of renewals ignores attempts that the heartbeat lists as exited

What an operator would see: `invariant_violated` for `no_renewal_for_overdue_attempt` after a takeover, although nothing of the ended job is alive.

Cause: the check was wrong, not the renewal. The answer renews the lease and kills nothing, as there is nothing to kill: an exited attempt stays exited in its incarnation.

Change: `check_renewal` gets the heartbeat, and leaves out an attempt only if the heartbeat is of the known incarnation and lists it as exited.

--- a/crates/quartzlever-core/src/machines/commands.rs
+++ b/crates/quartzlever-core/src/machines/commands.rs
@@ -308,7 +308,7 @@
             self.kills_for(heartbeat, |job| !view.is_active_job(job))
         };
         self.remove_runs_of_ended_jobs(&heartbeat.machine, &mut commands, permit, view);
-        self.check_renewal(&heartbeat.machine, &commands, permit, permit.earliest_end(now));
+        self.check_renewal(heartbeat, &commands, permit, permit.earliest_end(now));
         Some(WorkerCommands { fencing_token: self.term, incarnation: None, commands })
     }
 
