Simulation: overlapping faults while half of the store's answers come late

`late_answers_undo_nothing_under_overlapping_faults` runs the overlapping faults with cancellations once more while half of the answers are up to a second late. Twelve seeds; bounds on the counts only show that the fault took effect. A search takes `QUARTZLEVER_SEEDS`, as the other one does.

--- a/crates/quartzlever-core/tests/simulation/cancellations.rs
+++ b/crates/quartzlever-core/tests/simulation/cancellations.rs
@@ -16,6 +16,9 @@
 /// Seeds without `QUARTZLEVER_SEEDS`. With the last four, a start command that was held up started a
 /// task more than `cancel_s` after the cancellation of its job.
 const DEFAULT_SEEDS: [u64; 13] = [0, 1, 2, 3, 4, 5, 6, 7, 15, 58, 90, 164, 181];
+/// Seeds with late answers, without `QUARTZLEVER_SEEDS`. The last four showed a cancelled job as
+/// running again, or violated an invariant.
+const LATE_ANSWER_SEEDS: [u64; 12] = [0, 1, 2, 3, 4, 5, 6, 7, 4383, 4776, 5116, 5668];
 /// Number of times that faults begin or end in one simulation.
 const ROUNDS: u32 = 14;
 /// Maximum number of faults that overlap.
@@ -180,11 +183,14 @@
     w.query_all_nodes(id);
 }
 
-fn run_seed(seed: u64) -> Counts {
+/// Runs the simulation of a seed. `slow_answers` is the percentage of the store's answers that come
+/// late, within their caller's timeout.
+fn run_seed(seed: u64, slow_answers: u32) -> Counts {
     let adjust_config: fn(&mut Config) =
         if seed.is_multiple_of(2) { unchanged } else { long_leases };
     let mut w = Simulation::with(120_000 + seed, NODES, adjust_config);
     w.cloud.max_machines = 10;
+    w.fault_rates.slow_answers = slow_answers;
     w.run(3 * SECOND);
     w.run_time = [15, 40, 90][seed as usize % 3] * SECOND;
     let mut active = Vec::new();
@@ -200,7 +206,7 @@
 
 /// Returns the seeds to run: a search sets `QUARTZLEVER_SEEDS` to their number and
 /// `QUARTZLEVER_FIRST_SEED` to the first, see `docs/fault-combinations.md`.
-fn seeds() -> Vec<u64> {
+fn seeds(default: &[u64]) -> Vec<u64> {
     let read = |name| {
         let text: String = std::env::var(name).ok()?;
         Some(text.parse::<u64>().unwrap_or_else(|_| panic!("{name} is not a number: {text}")))
@@ -210,23 +216,33 @@
             let first = read("QUARTZLEVER_FIRST_SEED").unwrap_or(0);
             (first..first + count).collect()
         }
-        None => DEFAULT_SEEDS.to_vec(),
+        None => default.to_vec(),
     }
 }
 
-/// A task of a cancelled job ends in time whatever faults overlap: no start command, late answer or
-/// lingering attempt keeps it alive.
-#[test]
-fn cancelled_jobs_end_in_time_under_overlapping_faults() {
+/// Runs the simulations of these seeds, and returns the sum of their counts.
+///
+/// # Panics
+///
+/// Panics after the last seed with those that failed.
+fn run_seeds(seeds: &[u64], slow_answers: u32) -> Counts {
     let mut counts = Counts::default();
     let mut failed = Vec::new();
-    for seed in seeds() {
-        match std::panic::catch_unwind(|| run_seed(seed)) {
+    for &seed in seeds {
+        match std::panic::catch_unwind(|| run_seed(seed, slow_answers)) {
             Ok(one) => add_counts(&mut counts, one),
             Err(_) => failed.push(seed),
         }
     }
     assert!(failed.is_empty(), "seeds {failed:?} failed");
+    counts
+}
+
+/// A task of a cancelled job ends in time whatever faults overlap: no start command, late answer or
+/// lingering attempt keeps it alive.
+#[test]
+fn cancelled_jobs_end_in_time_under_overlapping_faults() {
+    let counts = run_seeds(&seeds(&DEFAULT_SEEDS), 0);
     let Counts { acquisitions, refused_one_node, refused_all_nodes, .. } = counts;
     let Counts { delayed_commands, delayed_executed, expired_leases, lost_replies, .. } = counts;
     for (event, count, min) in [
@@ -241,3 +257,12 @@
         assert!(count >= min, "{count} {event}, fewer than {min}: {counts:?}");
     }
 }
+
+/// The same while half of the store's answers come up to a second late: a change that the watch or a
+/// listing has shown is not undone by the answer to an earlier call.
+#[test]
+fn late_answers_undo_nothing_under_overlapping_faults() {
+    let counts = run_seeds(&seeds(&LATE_ANSWER_SEEDS), 50);
+    assert!(counts.slow_answers >= 1_000, "{counts:?}");
+    assert!(counts.acquisitions >= 36, "three in each simulation: {counts:?}");
+}
