Tidy: one key of a partition, one guard against late answers about a group

Whether the cache covers an answer about a group was asked before each call of `apply_group_change`; the function asks itself now. The watch is not affected, since it delivers only what is later than the cache. Only the log may differ: an unreadable group in a late answer is logged before it is ignored.

--- a/crates/quartzlever-core/src/jobs/submission.rs
+++ b/crates/quartzlever-core/src/jobs/submission.rs
@@ -9,8 +9,7 @@
 use std::collections::BTreeMap;
 
 use quartzlever_wire::store::{
-    ACTIVE_JOB_PREFIX, ActiveJobRecord, PARTITION_PREFIX, Share, StoreReply, TERMINAL_JOB_PREFIX,
-    Txn,
+    ACTIVE_JOB_PREFIX, ActiveJobRecord, Share, StoreReply, TERMINAL_JOB_PREFIX, Txn,
 };
 use quartzlever_wire::users::JobSpec;
 use quartzlever_wire::{CallError, Json, Micros, Ranges};
@@ -22,6 +21,7 @@
 use crate::jobs::records::terminal_job_key;
 use crate::store::active_job_key;
 use crate::store::cache::Cache;
+use crate::store::partition_key;
 
 /// Why a new job is not accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -143,7 +143,7 @@
     value_bytes: usize,
 ) -> Option<Acceptance> {
     let EntryPartition { partition, term } = entry;
-    let fence = (term > 0).then(|| format!("{PARTITION_PREFIX}{partition}"));
+    let fence = (term > 0).then(|| partition_key(&partition));
     let share = Share { partition, term, tasks: Ranges::up_to(spec.tasks) };
     let record = ActiveJobRecord::new(spec.clone(), wall, vec![share]);
     let value = Json::of(&record);
--- a/crates/quartzlever-core/src/leadership/partition_keys.rs
+++ b/crates/quartzlever-core/src/leadership/partition_keys.rs
@@ -10,9 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use quartzlever_wire::peers::PeerRequest;
-use quartzlever_wire::store::{
-    Change, Condition, PARTITION_PREFIX, PartitionRecord, StoreCall, StoreReply, Txn,
-};
+use quartzlever_wire::store::{PartitionRecord, StoreCall, StoreReply, Txn};
 use quartzlever_wire::{CallError, Json, Micros, SECOND};
 use rand::Rng;
 use rand::rngs::SmallRng;
@@ -23,6 +21,7 @@
 use crate::leadership::reachability::PEER_TAKEOVER_WINDOW;
 use crate::messages::{CallPriority, LogLevel};
 use crate::outbox::Outbox;
+use crate::store::partition_key;
 use crate::store::write_budget::WriteBudget;
 
 /// Delay after a failed attempt to acquire or release a partition. Immediate retries reached 100
@@ -272,13 +271,12 @@
             return;
         }
         self.releasing.remove(name);
-        let write = Change::Write {
-            write: key_of(name),
-            v: Json::of(&self.own_record),
-            lease_id: Some(lease),
-        };
+        let (key, value) = (partition_key(name), Json::of(&self.own_record));
+        let txn = Txn::default()
+            .if_mod_revision(key.clone(), mod_revision)
+            .write_with_lease(key, value, lease);
         let pending = PendingStoreCall::Acquire { partition: name.to_owned(), lease };
-        change_key(name, mod_revision, write, pending, write_budget, outbox);
+        send_change(txn, pending, write_budget, outbox);
     }
 
     /// Handles the store's reply to an attempt to acquire a partition.
@@ -323,9 +321,10 @@
             partition: name.to_owned(),
             term: mod_revision,
         });
-        let deletion = Change::Delete { delete: key_of(name) };
+        let key = partition_key(name);
+        let txn = Txn::default().if_mod_revision(key.clone(), mod_revision).delete(key);
         let pending = PendingStoreCall::Release { partition: name.to_owned(), mod_revision };
-        change_key(name, mod_revision, deletion, pending, write_budget, outbox);
+        send_change(txn, pending, write_budget, outbox);
     }
 
     /// Handles the store's reply to an attempt to release a partition's key.
@@ -389,21 +388,13 @@
     }
 }
 
-fn key_of(partition: &str) -> String {
-    format!("{PARTITION_PREFIX}{partition}")
-}
-
-/// Changes the key of a partition, on condition of its modification revision.
-fn change_key(
-    partition: &str,
-    mod_revision: u64,
-    change: Change,
+/// Sends the transaction that changes the key of a partition.
+fn send_change(
+    txn: Txn,
     pending: PendingStoreCall,
     write_budget: &mut WriteBudget,
     outbox: &mut Outbox,
 ) {
-    let condition = Condition { path: key_of(partition), mod_revision };
-    let txn = Txn { conditions: vec![condition], changes: vec![change] };
     write_budget.spend(1);
     outbox.call_store(CallPriority::Lease, StoreCall::Txn(txn), pending);
 }
--- a/crates/quartzlever-core/src/machines/ownership/group_update.rs
+++ b/crates/quartzlever-core/src/machines/ownership/group_update.rs
@@ -5,13 +5,13 @@
 
 use quartzlever_wire::Json;
 use quartzlever_wire::store::{
-    GROUP_SIZE_KEY, MachineGroupRecord, MachineRecord, MachineRecords, PARTITION_PREFIX, Txn,
-    large_group_key,
+    GROUP_SIZE_KEY, MachineGroupRecord, MachineRecord, MachineRecords, Txn, large_group_key,
 };
 use serde::Serialize;
 
 use super::{GroupContext, OwnershipClaim, PendingGroupChange};
 use crate::store::cache::{Cache, Versioned};
+use crate::store::partition_key;
 
 /// Upper bound of the bytes in a group's value beside its machines.
 const GROUP_VALUE_OVERHEAD: usize = 16;
@@ -98,7 +98,7 @@
         let uses_large_groups = context.layout.uses_large_groups();
         let mut txn = Txn::default().if_mod_revision(key, self.mod_revision);
         for (partition, term) in &self.partition_terms {
-            txn = txn.if_mod_revision(format!("{PARTITION_PREFIX}{partition}"), *term);
+            txn = txn.if_mod_revision(partition_key(partition), *term);
         }
         if !self.added.is_empty() && !uses_large_groups {
             txn = txn.if_mod_revision(GROUP_SIZE_KEY, context.layout.size_revision);
--- a/crates/quartzlever-core/src/partition.rs
+++ b/crates/quartzlever-core/src/partition.rs
@@ -7,7 +7,7 @@
 
 use quartzlever_wire::Micros;
 use quartzlever_wire::cloud::MachineType;
-use quartzlever_wire::store::{ActiveJobRecord, PARTITION_PREFIX, Txn};
+use quartzlever_wire::store::{ActiveJobRecord, Txn};
 use quartzlever_wire::users::Priority;
 use quartzlever_wire::workers::TaskId;
 
@@ -21,6 +21,7 @@
 use crate::machines::resources::Resources;
 use crate::scheduling::Reservations;
 use crate::scheduling::free_capacity_index::FreeCapacityIndex;
+use crate::store::partition_key;
 pub use crate::table::Table;
 
 /// Machine types by name, shared by all partitions of a process.
@@ -116,7 +117,7 @@
 
     /// Returns the key of the partition's record in the store.
     pub fn key(&self) -> String {
-        format!("{PARTITION_PREFIX}{}", self.name)
+        partition_key(&self.name)
     }
 
     /// Returns an empty transaction that can commit only while this term lasts: its condition is
--- a/crates/quartzlever-core/src/router/ownership.rs
+++ b/crates/quartzlever-core/src/router/ownership.rs
@@ -90,9 +90,7 @@
         match self.ownership.write_replied(&write, result, self.now) {
             GroupWriteOutcome::Committed { mod_revision } => {
                 let GroupWrite { key, records, added, .. } = write;
-                if !self.cache.covers(mod_revision) {
-                    self.apply_group_change(&key, records, mod_revision);
-                }
+                self.apply_group_change(&key, records, mod_revision);
                 // If the watch has delivered the write first, the machines are known already.
                 for machine in &added {
                     self.complete_claim(&key, machine);
@@ -114,7 +112,6 @@
         let is_read = matches!(result, Ok(StoreReply::Read(_) | StoreReply::Absent { .. }));
         self.ownership.read_replied(key, is_read, self.now);
         match result {
-            Ok(StoreReply::Read(entry)) if self.cache.covers(entry.mod_revision) => {}
             Ok(StoreReply::Read(entry)) => self.apply_group_record(&entry, true),
             Ok(StoreReply::Absent { revision }) => self.cache.remove_deleted_group(key, revision),
             _ => {}
@@ -134,13 +131,17 @@
         }
     }
 
-    /// Applies a changed group to the cache and to the partitions led here.
+    /// Applies a changed group to the cache and to the partitions led here. A reply may show the
+    /// group at a revision that the cache covers, and is then ignored.
     pub(crate) fn apply_group_change(
         &mut self,
         key: &str,
         records: MachineRecords,
         mod_revision: u64,
     ) {
+        if self.cache.covers(mod_revision) {
+            return;
+        }
         let now = self.now;
         let Some(new_machines) = self.cache.record_group(key, records, mod_revision) else {
             return;
--- a/crates/quartzlever-core/src/stealing/selection.rs
+++ b/crates/quartzlever-core/src/stealing/selection.rs
@@ -6,7 +6,7 @@
 //! outcome of the write is known (`commit`).
 
 use quartzlever_wire::peers::{FreeCapacity, Load, ThiefCapacity};
-use quartzlever_wire::store::{PARTITION_PREFIX, Txn};
+use quartzlever_wire::store::Txn;
 use quartzlever_wire::users::Priority;
 use quartzlever_wire::{Json, Ranges};
 
@@ -20,6 +20,7 @@
 use crate::router::Core;
 use crate::scheduling::{RunTimes, constraints_allow};
 use crate::store::active_job_key;
+use crate::store::partition_key;
 
 /// Maximum number of jobs in one move. The store may allow fewer changes in a transaction.
 const MAX_JOBS_PER_MOVE: usize = 8;
@@ -102,8 +103,7 @@
 impl PlannedMove {
     /// Creates an empty move, conditional on the terms of both partitions.
     fn new(victim: &Partition, steal: &StealRequest) -> Self {
-        let txn =
-            victim.txn().if_mod_revision(format!("{PARTITION_PREFIX}{}", steal.thief), steal.term);
+        let txn = victim.txn().if_mod_revision(partition_key(&steal.thief), steal.term);
         PlannedMove { term: victim.term, txn, moved: Vec::new(), bytes: 0 }
     }
 
--- a/crates/quartzlever-core/src/store.rs
+++ b/crates/quartzlever-core/src/store.rs
@@ -23,7 +23,7 @@
 pub(crate) mod watch;
 pub(crate) mod write_budget;
 
-use quartzlever_wire::store::{ACTIVE_JOB_PREFIX, KeyValue};
+use quartzlever_wire::store::{ACTIVE_JOB_PREFIX, KeyValue, PARTITION_PREFIX};
 use serde::de::DeserializeOwned;
 
 /// Parses the record of an entry; returns `None` if it is unreadable.
@@ -35,3 +35,8 @@
 pub(crate) fn active_job_key(id: &str) -> String {
     format!("{ACTIVE_JOB_PREFIX}{id}")
 }
+
+/// Returns the key of a partition, which names its leader.
+pub(crate) fn partition_key(name: &str) -> String {
+    format!("{PARTITION_PREFIX}{name}")
+}
--- a/crates/quartzlever-core/src/upgrade.rs
+++ b/crates/quartzlever-core/src/upgrade.rs
@@ -11,8 +11,7 @@
 
 use quartzlever_wire::store::{
     CLUSTER_VERSION_KEY, ClusterVersionRecord, GROUP_SIZE_KEY, GroupSizeRecord, KeyValue,
-    NODE_PREFIX, NodeRecord, PARTITION_PREFIX, PartitionRecord, StoreCall, StoreReply, Txn,
-    group_size,
+    NODE_PREFIX, NodeRecord, PartitionRecord, StoreCall, StoreReply, Txn, group_size,
 };
 use quartzlever_wire::{CallError, Json, Micros, SECOND};
 
@@ -22,6 +21,7 @@
 use crate::router::Core;
 use crate::store::cache::Versioned;
 use crate::store::parse;
+use crate::store::partition_key;
 
 /// The version of this program. Processes of version 1 do not announce themselves.
 pub const VERSION: u32 = 2;
@@ -217,7 +217,7 @@
                 }
             }
             txn = txn.if_mod_revision(
-                format!("{PARTITION_PREFIX}{node}"),
+                partition_key(node),
                 partition.map_or(0, |held| held.mod_revision),
             );
         }
