--- a/crates/quartzlever-core/tests/simulation/cancellations.rs
+++ b/crates/quartzlever-core/tests/simulation/cancellations.rs
@@ -9,7 +9,8 @@
 use quartzlever_wire::users::Priority;
 
 use crate::combination::{
-    NODES, add_counts, all_machines, long_leases, recover_and_check, set_hung, unchanged,
+    NODES, add_counts, all_machines, long_leases, rare_heartbeats, recover_and_check, set_hung,
+    unchanged,
 };
 use crate::sim::{Counts, FaultRates, Simulation, job};
 
@@ -19,6 +20,8 @@
 /// Seeds with late answers, without `QUARTZLEVER_SEEDS`. The last four showed a cancelled job as
 /// running again, or violated an invariant.
 const LATE_ANSWER_SEEDS: [u64; 12] = [0, 1, 2, 3, 4, 5, 6, 7, 4383, 4776, 5116, 5668];
+/// Seeds with copies of executed requests, without `QUARTZLEVER_SEEDS`.
+const REQUEST_COPY_SEEDS: [u64; 12] = [0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11];
 /// Number of times that faults begin or end in one simulation.
 const ROUNDS: u32 = 14;
 /// Maximum number of faults that overlap.
@@ -183,14 +186,28 @@
     w.query_all_nodes(id);
 }
 
-/// Runs the simulation of a seed. `slow_answers` is the percentage of the store's answers that come
-/// late, within their caller's timeout.
-fn run_seed(seed: u64, slow_answers: u32) -> Counts {
-    let adjust_config: fn(&mut Config) =
-        if seed.is_multiple_of(2) { unchanged } else { long_leases };
+/// What all simulations of a test have in common.
+#[derive(Clone, Copy)]
+struct Conditions {
+    /// Rates of faults besides those that begin and end.
+    fault_rates: FaultRates,
+    /// Settings of the simulations with an even seed, and of those with an odd one.
+    adjust_config: [fn(&mut Config); 2],
+}
+
+impl Conditions {
+    /// Returns conditions with these rates of faults and the usual settings.
+    fn with_faults(fault_rates: FaultRates) -> Conditions {
+        Conditions { fault_rates, adjust_config: [unchanged, long_leases] }
+    }
+}
+
+/// Runs the simulation of a seed.
+fn run_seed(seed: u64, conditions: Conditions) -> Counts {
+    let adjust_config = conditions.adjust_config[seed as usize % 2];
     let mut w = Simulation::with(120_000 + seed, NODES, adjust_config);
     w.cloud.max_machines = 10;
-    w.fault_rates.slow_answers = slow_answers;
+    w.fault_rates = conditions.fault_rates;
     w.run(3 * SECOND);
     w.run_time = [15, 40, 90][seed as usize % 3] * SECOND;
     let mut active = Vec::new();
@@ -225,11 +242,11 @@
 /// # Panics
 ///
 /// Panics after the last seed with those that failed.
-fn run_seeds(seeds: &[u64], slow_answers: u32) -> Counts {
+fn run_seeds(seeds: &[u64], conditions: Conditions) -> Counts {
     let mut counts = Counts::default();
     let mut failed = Vec::new();
     for &seed in seeds {
-        match std::panic::catch_unwind(|| run_seed(seed, slow_answers)) {
+        match std::panic::catch_unwind(|| run_seed(seed, conditions)) {
             Ok(one) => add_counts(&mut counts, one),
             Err(_) => failed.push(seed),
         }
@@ -242,7 +259,7 @@
 /// lingering attempt keeps it alive.
 #[test]
 fn cancelled_jobs_end_in_time_under_overlapping_faults() {
-    let counts = run_seeds(&seeds(&DEFAULT_SEEDS), 0);
+    let counts = run_seeds(&seeds(&DEFAULT_SEEDS), Conditions::with_faults(FaultRates::default()));
     let Counts { acquisitions, refused_one_node, refused_all_nodes, .. } = counts;
     let Counts { delayed_commands, delayed_executed, expired_leases, lost_replies, .. } = counts;
     for (event, count, min) in [
@@ -262,7 +279,32 @@
 /// listing has shown is not undone by the answer to an earlier call.
 #[test]
 fn late_answers_undo_nothing_under_overlapping_faults() {
-    let counts = run_seeds(&seeds(&LATE_ANSWER_SEEDS), 50);
+    let fault_rates = FaultRates { slow_answers: 50, ..FaultRates::default() };
+    let counts = run_seeds(&seeds(&LATE_ANSWER_SEEDS), Conditions::with_faults(fault_rates));
     assert!(counts.slow_answers >= 1_000, "{counts:?}");
     assert!(counts.acquisitions >= 36, "three in each simulation: {counts:?}");
 }
+
+/// The same while direct commands and transactions arrive again after they were executed and
+/// answered, also in the second after their sender was killed.
+#[test]
+fn copies_of_executed_requests_break_no_rule_under_overlapping_faults() {
+    let fault_rates = FaultRates {
+        request_copies: 100,
+        request_copies_for_restart: 100,
+        ..FaultRates::default()
+    };
+    let adjust_config: [fn(&mut Config); 2] = [rare_heartbeats, |config| {
+        rare_heartbeats(config);
+        long_leases(config);
+    }];
+    let counts = run_seeds(&seeds(&REQUEST_COPY_SEEDS), Conditions { fault_rates, adjust_config });
+    for (event, count, min) in [
+        ("command_copies_executed", counts.command_copies_executed, 24),
+        ("command_copies_refused", counts.command_copies_refused, 12),
+        ("txn_copies_refused", counts.txn_copies_refused, 120),
+        ("acquisitions", counts.acquisitions, 36),
+    ] {
+        assert!(count >= min, "{count} {event}, fewer than {min}: {counts:?}");
+    }
+}
--- a/crates/quartzlever-core/tests/simulation/combination.rs
+++ b/crates/quartzlever-core/tests/simulation/combination.rs
@@ -33,6 +33,11 @@
     config.operator.lease_lifetime = 15 * SECOND;
 }
 
+/// Sets heartbeats so rare that most tasks are started by direct commands.
+pub fn rare_heartbeats(config: &mut Config) {
+    config.workers.heartbeat_interval = 4 * SECOND;
+}
+
 /// Submits `count` jobs of four tasks, numbered from `from` and changed by `change`, and returns
 /// their ids.
 pub fn submit(
@@ -212,6 +217,10 @@
     sum.slow_answers += one.slow_answers;
     sum.heartbeat_copies += one.heartbeat_copies;
     sum.copies_for_next_leader += one.copies_for_next_leader;
+    sum.command_copies_executed += one.command_copies_executed;
+    sum.command_copies_refused += one.command_copies_refused;
+    sum.txn_copies_committed += one.txn_copies_committed;
+    sum.txn_copies_refused += one.txn_copies_refused;
     sum.lost_heartbeats += one.lost_heartbeats;
     sum.lost_replies += one.lost_replies;
     sum.delayed_commands += one.delayed_commands;
--- a/crates/quartzlever-core/tests/simulation/main.rs
+++ b/crates/quartzlever-core/tests/simulation/main.rs
@@ -7,6 +7,7 @@
 mod fault_combinations;
 mod large_fleet;
 mod large_jobs;
+mod late_commands;
 mod limits;
 mod liveness;
 mod mistaken_jobs;
--- a/crates/quartzlever-core/tests/simulation/sim.rs
+++ b/crates/quartzlever-core/tests/simulation/sim.rs
@@ -15,7 +15,7 @@
 use quartzlever_testkit::rules::{MachineTasks, RuleChecker, TeamLimit, UserRequest};
 use quartzlever_testkit::{Cloud, Store, Worker};
 use quartzlever_wire::cloud::{CloudCall, CloudReply};
-use quartzlever_wire::store::{StoreCall, StoreReply, TerminalJobRecord};
+use quartzlever_wire::store::{StoreCall, StoreReply, TerminalJobRecord, Txn};
 use quartzlever_wire::users::{JobPhase, JobSpec};
 use quartzlever_wire::workers::{Heartbeat, WorkerCall, WorkerCommands, WorkerReply};
 use quartzlever_wire::{CallError, Micros, SECOND};
@@ -97,12 +97,22 @@
     LateWorkerCall(String, WorkerCall),
     /// A call to the cloud that is executed after its caller has stopped waiting.
     LateCloudCall(CloudCall),
+    /// A copy of a request that was executed and answered before.
+    RequestCopy(RequestCopy),
     /// A crashed controller starts again.
     Start(usize),
     /// A paused controller resumes.
     Resume(usize),
 }
 
+/// A request that was executed and answered, and may be executed once more.
+#[derive(Clone)]
+enum RequestCopy {
+    /// Direct commands, with the name of the machine.
+    Commands(String, WorkerCommands),
+    Txn(Txn),
+}
+
 /// Probabilities of faults, in percent.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FaultRates {
@@ -123,6 +133,12 @@
     /// Heartbeats of which a copy is kept until a partition is next acquired, and sent to every
     /// node then.
     pub copies_for_next_leader: u32,
+    /// Direct commands and transactions that were executed and answered, of which a copy arrives
+    /// again, from a tenth of a second to two leases later.
+    pub request_copies: u32,
+    /// The same, but the copy is kept until its sender is next killed, and arrives within a second
+    /// of that.
+    pub request_copies_for_restart: u32,
 }
 
 /// Counts of the events that came about, for tests to check that their faults took effect.
@@ -148,6 +164,14 @@
     pub heartbeat_copies: usize,
     /// Heartbeats that were kept for the next leader and sent to all nodes.
     pub copies_for_next_leader: usize,
+    /// Copies of direct commands that their machine executed again.
+    pub command_copies_executed: usize,
+    /// Copies of direct commands that their machine refused.
+    pub command_copies_refused: usize,
+    /// Copies of transactions that were committed again.
+    pub txn_copies_committed: usize,
+    /// Copies of transactions whose conditions did not hold any more.
+    pub txn_copies_refused: usize,
     /// Heartbeats of silent machines, which reached no node.
     pub lost_heartbeats: usize,
     /// Answers to heartbeats that did not reach an unreachable machine.
@@ -232,6 +256,10 @@
     pub exit_reason: Option<String>,
     /// Heartbeats to be sent to every node when a partition is next acquired.
     kept_copies: Vec<Heartbeat>,
+    /// Copies of requests that arrive when their sender, given by its index, is next killed.
+    kept_request_copies: Vec<(usize, RequestCopy)>,
+    /// Every direct command that a machine has executed, with the name of the machine.
+    executed_commands: Vec<(String, WorkerCommands)>,
     /// Last modification revision of each partition's key that was seen.
     partition_revisions: BTreeMap<String, u64>,
     /// Number of task starts of each machine that the checker has received.
@@ -305,6 +333,8 @@
             first_version_nodes: BTreeSet::new(),
             exit_reason: None,
             kept_copies: Vec::new(),
+            kept_request_copies: Vec::new(),
+            executed_commands: Vec::new(),
             partition_revisions: BTreeMap::new(),
             checked_starts: BTreeMap::new(),
             checked_completions: BTreeMap::new(),
@@ -346,6 +376,7 @@
         self.epochs[n] += 1;
         let epoch = self.epochs[n];
         self.watches.retain(|w| w.node != n || w.epoch == epoch);
+        self.schedule_kept_request_copies(n);
     }
 
     /// Schedules a message for delivery after a delay.
@@ -443,6 +474,11 @@
         self.rng.random_range(0..below)
     }
 
+    /// Returns the direct commands that were executed so far, each with the name of its machine.
+    pub fn executed_commands(&self) -> &[(String, WorkerCommands)] {
+        &self.executed_commands
+    }
+
     /// Kills a node and starts it again after the given time, which passes meanwhile.
     pub fn restart(&mut self, n: usize, after: Micros) {
         self.kill(n);
--- a/crates/quartzlever-core/tests/simulation/sim/calls.rs
+++ b/crates/quartzlever-core/tests/simulation/sim/calls.rs
@@ -2,6 +2,11 @@
 
 use super::*;
 
+/// Shortest and longest time after which a copy of an executed request arrives.
+const REQUEST_COPY_DELAY: std::ops::Range<Micros> = SECOND / 10..2 * LEASE;
+/// Time within which the kept copies arrive once their sender is killed.
+const KEPT_COPY_DELAY: Micros = SECOND;
+
 /// A fault of one call of a controller, or of the controller when it makes the call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallFault {
@@ -86,6 +91,9 @@
                     result = Err(CallError::Unknown);
                     delay = 1_500_000;
                 }
+                if let (StoreCall::Txn(txn), Ok(StoreReply::Committed(_))) = (&call, &result) {
+                    self.draw_request_copies(n, &RequestCopy::Txn(txn.clone()));
+                }
                 let command = Command::StoreReply { call_id, result };
                 self.schedule(delay, Message::ToNode(n, epoch, Box::new(command)));
             }
@@ -100,11 +108,19 @@
                     }),
                     Some(_) => {
                         // The call is delivered later, when the machine or the network may be back.
-                        self.schedule(8 * SECOND, Message::LateWorkerCall(address, call));
+                        self.schedule(8 * SECOND, Message::LateWorkerCall(address, call.clone()));
                         Err(CallError::Unknown)
                     }
                     None => Err(CallError::Refused),
                 };
+                if let (Ok(WorkerReply::Status(_)), WorkerCall::Command(commands)) = (&result, call)
+                {
+                    self.draw_request_copies(
+                        n,
+                        &RequestCopy::Commands(name.clone(), commands.clone()),
+                    );
+                    self.executed_commands.push((name, commands));
+                }
                 let result = if lost { Err(CallError::Unknown) } else { result };
                 let delay = if result.is_err() { 2 * SECOND } else { self.draw_latency() };
                 let command = Command::WorkerReply { call_id, result };
@@ -140,6 +156,7 @@
             Message::LateCloudCall(call) => {
                 self.call_cloud(&call);
             }
+            Message::RequestCopy(copy) => self.deliver_request_copy(copy),
             Message::Start(n) => {
                 if self.cores[n].is_none() {
                     self.start(n);
@@ -162,6 +179,67 @@
         }
     }
 
+    /// Draws whether copies of an executed request of node `n` arrive later, or when it is killed.
+    fn draw_request_copies(&mut self, n: usize, copy: &RequestCopy) {
+        let FaultRates { request_copies, request_copies_for_restart, .. } = self.fault_rates;
+        if request_copies > 0 && self.chance(request_copies) {
+            let delay = self.rng.random_range(REQUEST_COPY_DELAY);
+            self.schedule(delay, Message::RequestCopy(copy.clone()));
+        }
+        if request_copies_for_restart > 0 && self.chance(request_copies_for_restart) {
+            self.kept_request_copies.push((n, copy.clone()));
+        }
+    }
+
+    /// Schedules the kept copies of the requests of a node that has just been killed.
+    pub(super) fn schedule_kept_request_copies(&mut self, n: usize) {
+        let kept = std::mem::take(&mut self.kept_request_copies);
+        let (due, rest): (Vec<_>, Vec<_>) = kept.into_iter().partition(|(sender, _)| *sender == n);
+        self.kept_request_copies = rest;
+        for (_, copy) in due {
+            let delay = self.rng.random_range(0..KEPT_COPY_DELAY);
+            self.schedule(delay, Message::RequestCopy(copy));
+        }
+    }
+
+    /// Executes a copy of a request. Nobody waits for the answer. A machine that hangs receives it
+    /// once it goes on.
+    fn deliver_request_copy(&mut self, copy: RequestCopy) {
+        let now = self.now;
+        match &copy {
+            RequestCopy::Txn(txn) => match self.store.call(now, &StoreCall::Txn(txn.clone())) {
+                Ok(StoreReply::Committed(_)) => self.counts.txn_copies_committed += 1,
+                _ => self.counts.txn_copies_refused += 1,
+            },
+            RequestCopy::Commands(machine, commands) => match self.workers.get_mut(machine) {
+                Some(worker) if worker.hung => self.schedule(SECOND, Message::RequestCopy(copy)),
+                Some(worker) => match worker.receive_commands(commands, now) {
+                    WorkerReply::Status(_) => self.counts.command_copies_executed += 1,
+                    WorkerReply::Refused(_) => self.counts.command_copies_refused += 1,
+                },
+                None => {}
+            },
+        }
+    }
+
+    /// Delivers every direct command that was executed so far once more, in the order of their
+    /// execution or in the reverse order, and returns the tasks that this started.
+    pub fn repeat_executed_commands(&mut self, reversed: bool) -> Vec<String> {
+        let mut commands = self.executed_commands.clone();
+        if reversed {
+            commands.reverse();
+        }
+        let mut started = Vec::new();
+        for (machine, commands) in commands {
+            let Some(worker) = self.workers.get_mut(&machine) else { continue };
+            let before = worker.started.len();
+            worker.receive_commands(&commands, self.now);
+            let new_starts = &worker.started[before..];
+            started.extend(new_starts.iter().map(|(task, _)| format!("{task} on {machine}")));
+        }
+        started
+    }
+
     /// Executes a call to the cloud, and lets new machines boot.
     pub(super) fn call_cloud(&mut self, call: &CloudCall) -> CloudReply {
         let reply = self.cloud.call(call);
