A start command that was answered before no longer starts its cleared attempt again

Cause: a worker forgets an attempt with its clear, and accepts commands of its session with the highest token that it has seen. The clear carried the token of the start, the term, so that every direct call that had carried the start stayed valid for as long as the term lasted. The flaw is a right that outlived its purpose: only calls of unknown outcome were taken to arrive again.

Change: the fencing token can rise within a term. It is a revision of the store at which the partition's key was still the one of the term, so every later term is above it, and raising it takes no write. An attempt is cleared only by a message with a higher token than every direct call that carried its run (Attempt::is_fenced_by); the worker refuses those from then on. The token is raised only with a clear, which makes the worker send a heartbeat anyway, and never while a call is in flight or an answer may be overtaken. While the revision stands still, a machine with 200 attempts that wait to be cleared gets starts only in answers to heartbeats, which are not repeated. Checked at run time: no_unfenced_clear (the command is dropped), no_cleared_attempt_listed. At debug each direct call and its outcome is logged.

--- a/crates/quartzlever-core/src/events.rs
+++ b/crates/quartzlever-core/src/events.rs
@@ -13,11 +13,14 @@
 
 use quartzlever_wire::Micros;
 use quartzlever_wire::fields::Fields;
+use quartzlever_wire::workers::WorkerCommands;
 
 use crate::calls::AttemptKey;
 use crate::leadership::authority::Refusal;
 
-pub use details::{Invariant, InvariantViolation, RejectionCount, TerminatedMachine};
+pub use details::{
+    DirectCallResult, Invariant, InvariantViolation, RejectionCount, TerminatedMachine,
+};
 
 const MICROS_PER_MILLISECOND: Micros = 1_000;
 
@@ -33,7 +36,7 @@
 }
 
 /// A log event.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum LogEvent {
     /// This process has become the leader of a partition, and reads its jobs and machines next.
     PartitionAcquired {
@@ -128,6 +131,18 @@
         /// Number of jobs that the tasks belong to.
         jobs: usize,
     },
+    /// Commands are sent to a worker by a direct call.
+    DirectCallSent { partition: String, machine: String, message: WorkerCommands },
+    /// A direct call to a worker has ended.
+    DirectCallEnded {
+        partition: String,
+        machine: String,
+        result: DirectCallResult,
+        /// Fencing token and incarnation of the worker, if it replied.
+        worker: Option<(u64, u64)>,
+        /// The attempts whose `run` the call carried.
+        run_attempts: Vec<AttemptKey>,
+    },
     /// A worker reported a task as running.
     TaskRunning {
         partition: String,
@@ -213,9 +228,10 @@
             | LogEvent::StoreThrottled
             | LogEvent::InvariantViolated(_)
             | LogEvent::CancelTooShortForLease { .. } => LogLevel::Error,
-            LogEvent::TaskRunning { .. } | LogEvent::TransactionTooLarge { lowered: false, .. } => {
-                LogLevel::Debug
-            }
+            LogEvent::TaskRunning { .. }
+            | LogEvent::DirectCallSent { .. }
+            | LogEvent::DirectCallEnded { .. }
+            | LogEvent::TransactionTooLarge { lowered: false, .. } => LogLevel::Debug,
             LogEvent::PartitionAcquired { .. }
             | LogEvent::PartitionLost { .. }
             | LogEvent::PartitionLostUnnoticed { .. }
@@ -270,6 +286,8 @@
             LogEvent::MachinesTerminated { .. } => "machines_returned",
             LogEvent::TasksPreempted { .. } => "tasks_preempted",
             LogEvent::TasksStolen { .. } => "tasks_stolen",
+            LogEvent::DirectCallSent { .. } => "direct_call_sent",
+            LogEvent::DirectCallEnded { .. } => "direct_call_ended",
             LogEvent::TaskRunning { .. } => "task_running",
             LogEvent::JobFailsEverywhere { .. } => "job_fails_everywhere",
             LogEvent::TransactionTooLarge { .. } => "transaction_too_large",
@@ -353,6 +371,28 @@
             LogEvent::TasksStolen { partition, jobs } => {
                 fields.field("partition", partition).field("jobs", jobs)
             }
+            LogEvent::DirectCallSent { partition, machine, message } => fields
+                .field("partition", partition)
+                .field("machine", machine)
+                .field("token", message.fencing_token)
+                .field("session", message.incarnation.unwrap_or(0))
+                .field("count", message.commands.len())
+                .list("commands", details::short_forms(&message.commands)),
+            LogEvent::DirectCallEnded { partition, machine, result, worker, run_attempts } => {
+                let fields = fields
+                    .field("partition", partition)
+                    .field("machine", machine)
+                    .field("outcome", result);
+                let fields = match worker {
+                    Some((fencing_token, incarnation)) => {
+                        fields.field("token", fencing_token).field("session", incarnation)
+                    }
+                    None => fields,
+                };
+                let started = |key: &AttemptKey| format!("{}:{}", key.task, key.attempt);
+                let attempts: Vec<String> = run_attempts.iter().map(started).collect();
+                fields.list("attempts", &attempts)
+            }
             LogEvent::TaskRunning {
                 partition,
                 job,
--- a/crates/quartzlever-core/src/events/details.rs
+++ b/crates/quartzlever-core/src/events/details.rs
@@ -2,7 +2,8 @@
 
 use std::fmt::{self, Display, Formatter};
 
-use quartzlever_wire::Micros;
+use quartzlever_wire::workers::{WorkerCommand, WorkerReply};
+use quartzlever_wire::{CallError, Micros};
 
 use crate::autoscaling::ScaleInReason;
 use crate::calls::AttemptKey;
@@ -18,6 +19,10 @@
     /// A leader knows every machine that the records assign to its partition, unless it has
     /// terminated the machine itself.
     NoMachineMissing,
+    /// No attempt is cleared under a fencing token with which a direct call carried its `run`.
+    NoUnfencedClear,
+    /// No worker lists an attempt of the present term that was cleared before.
+    NoClearedAttemptListed,
 }
 
 impl Display for Invariant {
@@ -26,6 +31,8 @@
             Invariant::NoRunOfEndedJob => "no_run_of_ended_job",
             Invariant::NoRenewalForOverdueAttempt => "no_renewal_for_overdue_attempt",
             Invariant::NoMachineMissing => "no_machine_missing",
+            Invariant::NoUnfencedClear => "no_unfenced_clear",
+            Invariant::NoClearedAttemptListed => "no_cleared_attempt_listed",
         })
     }
 }
@@ -63,6 +70,52 @@
     pub reason: Option<ScaleInReason>,
 }
 
+/// How a direct call to a worker ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DirectCallResult {
+    /// The worker executed the commands.
+    Executed,
+    /// The worker refused the commands because of their fencing token or incarnation.
+    Refused,
+    /// The call certainly did not reach the worker.
+    NotSent,
+    /// The commands may have been executed, or may still be.
+    Unknown,
+}
+
+/// Returns the short form `verb:task:attempt` of each command.
+pub(super) fn short_forms(commands: &[WorkerCommand]) -> Vec<String> {
+    let short_form = |command: &WorkerCommand| match command {
+        WorkerCommand::Run { task, attempt } => format!("run:{task}:{attempt}"),
+        WorkerCommand::Kill { task, attempt, .. } => format!("kill:{task}:{attempt}"),
+        WorkerCommand::Clear { task, attempt } => format!("clear:{task}:{attempt}"),
+    };
+    commands.iter().map(short_form).collect()
+}
+
+impl DirectCallResult {
+    /// Returns how a call ended, given the reply to it.
+    pub(crate) fn of(reply: &Result<WorkerReply, CallError>) -> Self {
+        match reply {
+            Ok(WorkerReply::Status(_)) => DirectCallResult::Executed,
+            Ok(WorkerReply::Refused(_)) => DirectCallResult::Refused,
+            Err(CallError::Unknown) => DirectCallResult::Unknown,
+            Err(_) => DirectCallResult::NotSent,
+        }
+    }
+}
+
+impl Display for DirectCallResult {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            DirectCallResult::Executed => "executed",
+            DirectCallResult::Refused => "refused",
+            DirectCallResult::NotSent => "not_sent",
+            DirectCallResult::Unknown => "unknown",
+        })
+    }
+}
+
 impl Display for RejectionCount {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write!(f, "{}:{}:{}", self.status, self.reason, self.count)
--- a/crates/quartzlever-core/src/events/tests.rs
+++ b/crates/quartzlever-core/src/events/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the names, levels and fields of the events.
 
-use quartzlever_wire::workers::TaskId;
+use quartzlever_wire::workers::{TaskId, WorkerCommand};
 
 use super::*;
 use crate::autoscaling::ScaleInReason;
@@ -59,6 +59,53 @@
             LogLevel::Error,
             "unreadable_record key=live/req-1",
         ),
+        (
+            LogEvent::DirectCallSent {
+                partition: partition.clone(),
+                machine: machine.clone(),
+                message: WorkerCommands {
+                    fencing_token: 9,
+                    incarnation: Some(2),
+                    commands: vec![
+                        WorkerCommand::Clear {
+                            task: TaskId { job: job.clone(), index: 1 },
+                            attempt: 20_971_520,
+                        },
+                        WorkerCommand::Run {
+                            task: attempt_key.task.clone(),
+                            attempt: attempt_key.attempt,
+                        },
+                    ],
+                },
+            },
+            LogLevel::Debug,
+            "direct_call_sent partition=one machine=n-1 token=9 session=2 count=2 \
+             commands=clear:req-1/1:20971520,run:req-1/3:20971521",
+        ),
+        (
+            LogEvent::DirectCallEnded {
+                partition: partition.clone(),
+                machine: machine.clone(),
+                result: DirectCallResult::Refused,
+                worker: Some((11, 2)),
+                run_attempts: vec![attempt_key.clone()],
+            },
+            LogLevel::Debug,
+            "direct_call_ended partition=one machine=n-1 outcome=refused token=11 session=2 \
+             attempts=req-1/3:20971521",
+        ),
+        (
+            LogEvent::DirectCallEnded {
+                partition: partition.clone(),
+                machine: machine.clone(),
+                result: DirectCallResult::Unknown,
+                worker: None,
+                run_attempts: vec![attempt_key.clone()],
+            },
+            LogLevel::Debug,
+            "direct_call_ended partition=one machine=n-1 outcome=unknown \
+             attempts=req-1/3:20971521",
+        ),
         (
             LogEvent::RequestsRejected {
                 counts: vec![
--- a/crates/quartzlever-core/src/leadership/authority.rs
+++ b/crates/quartzlever-core/src/leadership/authority.rs
@@ -8,6 +8,10 @@
 //! Whether a worker's lease is renewed also depends on what its machine may still run: while an
 //! attempt of an ended job may still start there, a renewal could keep it alive beyond `cancel_s`.
 //!
+//! The fencing token of a command is a revision of the store at which its partition was certainly
+//! still led under the leader's term. So tokens can rise within a term, without a write, and every
+//! later term is above all of them.
+//!
 //! Every call to a worker and every answer that renews a worker's lease needs a [`Permit`], which
 //! only this module creates.
 
@@ -17,6 +21,7 @@
 
 use crate::config::Config;
 use crate::leadership::lease::Lease;
+use crate::store::cache::Cache;
 
 /// What the right to act for partitions rests on: the lease of this process and its view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,6 +34,16 @@
     max_view_age: Micros,
 }
 
+/// Returns the highest fencing token that the leader of a partition may use under its term: the
+/// latest revision at which `view` shows the partition's key as written at `term`.
+///
+/// The key is written again only at a later revision, so the token of every later term is higher.
+pub(crate) fn highest_fencing_token(partition: &str, term: u64, view: &Cache) -> u64 {
+    let is_led_under_term =
+        view.is_loaded() && view.partition(partition).is_some_and(|key| key.mod_revision == term);
+    if is_led_under_term { term.max(view.revision()) } else { term }
+}
+
 /// The right to command workers and to renew their leases, until its deadline.
 #[must_use]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,6 +63,8 @@
     pub is_loaded: bool,
     /// The highest fencing token that the worker has seen.
     pub fencing_token: u64,
+    /// The highest fencing token that this process has used for the machine under the term.
+    pub issued_token: u64,
 }
 
 /// Why an action is not allowed.
@@ -114,7 +131,7 @@
         }
         // A later fencing token means that a later term has begun, even if the watch has not
         // reported it yet.
-        if heartbeat.fencing_token > heartbeat.term {
+        if heartbeat.fencing_token > heartbeat.issued_token {
             return Err(Refusal::LaterTerm { fencing_token: heartbeat.fencing_token });
         }
         Ok(permit)
--- a/crates/quartzlever-core/src/leadership/authority/tests.rs
+++ b/crates/quartzlever-core/src/leadership/authority/tests.rs
@@ -68,16 +68,41 @@
 fn a_heartbeat_is_handled_only_with_loaded_records_and_without_a_later_term() {
     let config = core().config;
     let authority = Authority::new(&Lease::held(1, NOW + SECOND), NOW, &config);
-    // (whether the records are loaded, the worker's fencing token, the expected refusal)
-    for (is_loaded, fencing_token, refusal) in [
-        (true, 4, None),
-        (true, 5, None),
-        (true, 6, Some(Refusal::LaterTerm { fencing_token: 6 })),
-        (false, 5, Some(Refusal::NotLoaded)),
+    // (whether the records are loaded, the worker's fencing token, the highest token that this
+    // leader has used for it, the expected refusal)
+    for (is_loaded, fencing_token, issued_token, refusal) in [
+        (true, 4, 5, None),
+        (true, 5, 5, None),
+        (true, 6, 5, Some(Refusal::LaterTerm { fencing_token: 6 })),
+        (true, 6, 9, None),
+        (true, 9, 9, None),
+        (true, 10, 9, Some(Refusal::LaterTerm { fencing_token: 10 })),
+        (false, 5, 5, Some(Refusal::NotLoaded)),
     ] {
-        let context = HeartbeatContext { term: 5, is_loaded, fencing_token };
+        let context = HeartbeatContext { term: 5, is_loaded, fencing_token, issued_token };
         assert_eq!(authority.permit_heartbeat(context, NOW).err(), refusal);
         let expired = authority.permit_heartbeat(context, NOW + SECOND);
         assert_eq!(expired.err(), Some(Refusal::LeaseExpired));
     }
 }
+
+/// A token at or above that of a later term would let this leader command its successor's machines.
+#[test]
+fn no_fencing_token_reaches_that_of_a_later_term() {
+    // (revision at which the partition's key was written, revision of the cache, whether the cache is
+    // loaded; highest token of term 5)
+    for (mod_revision, revision, loaded, expected) in [
+        (Some(5), 9, true, 9),
+        (Some(5), 3, true, 5),
+        (Some(5), 9, false, 5),
+        (Some(7), 9, true, 5),
+        (None, 9, true, 5),
+    ] {
+        let keys = mod_revision.map(|mod_revision| ("one", "one", mod_revision));
+        let mut core = core_with_cache(keys.as_slice());
+        core.cache.advance_to(revision);
+        core.cache.set_loaded(loaded);
+        let token = highest_fencing_token("one", 5, &core.cache);
+        assert_eq!(token, expected, "key at {mod_revision:?}, cache at {revision}, {loaded}");
+    }
+}
--- a/crates/quartzlever-core/src/machines/attempt.rs
+++ b/crates/quartzlever-core/src/machines/attempt.rs
@@ -48,6 +48,10 @@
     /// Seconds that it may take to save its progress when it is killed.
     pub leeway_s: f64,
     pub direct_command: DirectCommand,
+    /// The highest fencing token of the direct calls of this term that carried its `run`. A copy of
+    /// such a call may arrive at any time, also after it was answered, so the attempt is cleared
+    /// only together with a higher token.
+    pub direct_run_token: Option<u64>,
     /// Whether the answer to a heartbeat carries its `run` and no later heartbeat has arrived, so
     /// that the answer may still be in flight. Answers and direct commands use different
     /// connections, so a late answer would start the attempt again if it had been killed and
@@ -76,6 +80,12 @@
         self.phase == Some(TaskPhase::Exited)
     }
 
+    /// Reports whether a worker that has seen `fencing_token` refuses every direct call of this term
+    /// that carried the attempt's `run`.
+    pub fn is_fenced_by(&self, fencing_token: u64) -> bool {
+        self.direct_run_token.is_none_or(|run_token| run_token < fencing_token)
+    }
+
     /// Copies the details that the attempt takes from its job.
     pub fn set_job_details(&mut self, job: &JobSpec) {
         self.required_resources = Resources::required_by(job);
@@ -104,6 +114,7 @@
             wanted: true,
             leeway_s: 0.0,
             direct_command: DirectCommand::Settled,
+            direct_run_token: None,
             run_in_answer: false,
             end_processed: false,
             run_sent: false,
--- a/crates/quartzlever-core/src/machines/commands.rs
+++ b/crates/quartzlever-core/src/machines/commands.rs
@@ -3,8 +3,10 @@
 //! A 200 renews the worker's lease, which keeps everything that it runs alive, so every answer
 //! carries all kills that are allowed at that point. An attempt is cleared only after its end has
 //! been processed and while no command that could start it again is in flight, neither in an answer
-//! nor in a direct call of unknown outcome. Every command carries the partition's term as its
-//! fencing token.
+//! nor in a direct call of unknown outcome. Copies of direct calls that were answered may arrive at
+//! any time, so the message that clears an attempt has a higher fencing token than every direct call
+//! that carried its `run`: the worker refuses them from then on. The token is the partition's term
+//! until such a message raises it.
 
 use quartzlever_wire::workers::{
     AttemptStatus, ExitCause, Heartbeat, TaskPhase, WorkerCall, WorkerCommand, WorkerCommands,
@@ -14,12 +16,13 @@
 
 use crate::calls::PendingWorkerCall;
 use crate::config::Config;
-use crate::leadership::authority::Permit;
+use crate::events::LogEvent;
+use crate::leadership::authority::{Permit, highest_fencing_token};
 use crate::machines::attempt::{Attempt, AttemptKey, DirectCommand};
 use crate::machines::call_queue::CallLimits;
 use crate::machines::machine::Machine;
 use crate::machines::reconciliation::StatusSource;
-use crate::messages::CallId;
+use crate::messages::{CallId, LogLevel};
 use crate::outbox::Outbox;
 use crate::partition::Partition;
 use crate::scheduling::RunTimes;
@@ -51,11 +54,22 @@
     NoStatus,
 }
 
+/// How commands reach a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum MessageKind {
+    /// In the answer to its heartbeat, which the worker executes within seconds or never.
+    HeartbeatAnswer,
+    /// In a call to its address, which may arrive late and more than once.
+    DirectCall,
+}
+
 impl Machine {
-    /// Returns the commands that bring the worker to the wanted state, kills first. `may_clear`
-    /// reports whether an exited attempt may be removed from the worker.
+    /// Returns the commands that bring the worker to the wanted state, kills first, for a message
+    /// with this fencing token. `may_clear` reports whether an exited attempt may be removed from
+    /// the worker.
     pub fn commands(
         &self,
+        fencing_token: u64,
         may_clear: impl Fn(&AttemptKey, &Attempt) -> bool,
     ) -> Vec<WorkerCommand> {
         const MAX_COMMANDS: usize = 200;
@@ -65,7 +79,11 @@
             if state.has_exited() {
                 let no_run_in_flight =
                     state.direct_command == DirectCommand::Settled && !state.run_in_answer;
-                if state.end_processed && no_run_in_flight && may_clear(key, state) {
+                if state.end_processed
+                    && no_run_in_flight
+                    && state.is_fenced_by(fencing_token)
+                    && may_clear(key, state)
+                {
                     commands.push(WorkerCommand::Clear { task, attempt });
                 }
             } else if !state.wanted && state.phase.is_some() {
@@ -94,16 +112,21 @@
         self.call.is_none() && !self.scaling_in && now >= self.no_call_before
     }
 
-    /// Records that a direct call carries all current commands, and returns the attempts whose
-    /// `run` it carries.
-    fn record_direct_commands(&mut self, now: Micros) -> Vec<AttemptKey> {
+    /// Records that a direct call with this fencing token carries all current commands, and returns
+    /// the attempts whose `run` it carries.
+    fn record_direct_commands(&mut self, fencing_token: u64, now: Micros) -> Vec<AttemptKey> {
+        let carries_runs = self.accepts_direct_starts();
         let mut run_attempts = Vec::new();
         for (key, attempt) in &mut self.attempts {
             if attempt.has_exited() {
                 continue;
             }
             if attempt.wanted && attempt.phase.is_none() {
+                if !carries_runs {
+                    continue;
+                }
                 attempt.run_sent = true;
+                attempt.direct_run_token = Some(fencing_token);
                 if attempt.direct_command == DirectCommand::Settled {
                     attempt.direct_command = DirectCommand::InFlight;
                 }
@@ -233,11 +256,18 @@
         let call = if machine.incarnation == 0 {
             WorkerCall::Status
         } else {
-            run_attempts = machine.record_direct_commands(now);
-            let incarnation = Some(machine.incarnation);
-            let mut commands = self.commands_for(name, false);
-            self.remove_runs_of_ended_jobs(name, &mut commands, permit, view);
-            WorkerCall::Command(WorkerCommands { fencing_token: self.term, incarnation, commands })
+            let mut message = self.commands_for(name, MessageKind::DirectCall, view, now);
+            if let Some(machine) = self.machines.get_mut(name) {
+                run_attempts = machine.record_direct_commands(message.fencing_token, now);
+                message.incarnation = Some(machine.incarnation);
+            }
+            self.remove_forbidden_commands(name, &mut message, permit, view);
+            outbox.log(LogLevel::Debug, || LogEvent::DirectCallSent {
+                partition: self.name.clone(),
+                machine: name.to_owned(),
+                message: message.clone(),
+            });
+            WorkerCall::Command(message)
         };
         let pending = PendingWorkerCall {
             partition: self.name.clone(),
@@ -272,7 +302,8 @@
             Ok(WorkerReply::Status(status) | WorkerReply::Refused(status)) => {
                 // Another machine may have taken over the address, or another controller has a
                 // later term.
-                if status.machine != call.machine || status.fencing_token > call.term {
+                let issued_token = machine.fencing_token(call.term);
+                if status.machine != call.machine || status.fencing_token > issued_token {
                     machine.no_call_before = now + CALL_RETRY_DELAY;
                     return DirectCallOutcome::NoStatus;
                 }
@@ -302,22 +333,40 @@
         // The worker drops an answer that comes too late. Its lease is taken as renewed all the
         // same, which is the safe assumption.
         machine.last_answered_at = now;
-        let mut commands = if is_newer {
-            self.commands_for(&heartbeat.machine, true)
+        let fencing_token = machine.fencing_token(self.term);
+        let mut message = if is_newer {
+            self.commands_for(&heartbeat.machine, MessageKind::HeartbeatAnswer, view, now)
         } else {
-            self.kills_for(heartbeat, |job| !view.is_active_job(job))
+            let commands = self.kills_for(heartbeat, |job| !view.is_active_job(job));
+            WorkerCommands { fencing_token, incarnation: None, commands }
         };
-        self.remove_runs_of_ended_jobs(&heartbeat.machine, &mut commands, permit, view);
-        self.check_renewal(heartbeat, &commands, permit, permit.earliest_end(now));
-        Some(WorkerCommands { fencing_token: self.term, incarnation: None, commands })
+        self.remove_forbidden_commands(&heartbeat.machine, &mut message, permit, view);
+        self.check_renewal(heartbeat, &message.commands, permit, permit.earliest_end(now));
+        Some(message)
     }
 
-    /// Returns the commands for a machine and records the `run`s among them as sent. `in_answer`
-    /// says whether the answer to a heartbeat carries them.
-    pub fn commands_for(&mut self, name: &str, in_answer: bool) -> Vec<WorkerCommand> {
+    /// Returns the commands for a machine with their fencing token, and records the `run`s among them
+    /// as sent. The token is raised if that allows an attempt to be cleared.
+    pub(super) fn commands_for(
+        &mut self,
+        name: &str,
+        kind: MessageKind,
+        view: &Cache,
+        now: Micros,
+    ) -> WorkerCommands {
+        let term = self.term;
+        let highest_token = highest_fencing_token(&self.name, term, view);
         let jobs = &self.jobs;
-        let Some(machine) = self.machines.get_mut(name) else { return Vec::new() };
-        let mut commands = machine.commands(|key, attempt| {
+        let mut message =
+            WorkerCommands { fencing_token: term, incarnation: None, commands: Vec::new() };
+        let Some(machine) = self.machines.get_mut(name) else { return message };
+        let present_token = machine.fencing_token(term);
+        let possible_token = if machine.may_raise_fencing_token(kind, now) {
+            highest_token.max(present_token)
+        } else {
+            present_token
+        };
+        let mut commands = machine.commands(possible_token, |key, attempt| {
             // The machine keeps a finished task until the job's record in the store lists it as
             // finished.
             attempt.cause != Some(ExitCause::Done)
@@ -325,20 +374,31 @@
                     job.is_service() || job.record.finished.contains(key.task.index)
                 })
         });
+        let is_answer = kind == MessageKind::HeartbeatAnswer;
+        let carries_runs = is_answer || machine.accepts_direct_starts();
+        if !carries_runs {
+            commands.retain(|command| !matches!(command, WorkerCommand::Run { .. }));
+        }
         // Any command in an answer makes the worker send another heartbeat at once. An exited
         // attempt does no harm on the worker, so its `clear` waits for another kind of command or
         // for a few more clears.
         let is_clear = |command: &WorkerCommand| matches!(command, WorkerCommand::Clear { .. });
-        if in_answer && commands.len() < MIN_CLEARS_IN_ANSWER && commands.iter().all(is_clear) {
+        if is_answer && commands.len() < MIN_CLEARS_IN_ANSWER && commands.iter().all(is_clear) {
             commands.clear();
         }
+        // A higher token makes the worker send another heartbeat, as a `clear` does anyway.
+        if commands.iter().any(is_clear) {
+            machine.raise_fencing_token(possible_token);
+        }
         for attempt in machine.attempts.values_mut() {
-            if attempt.wanted && attempt.phase.is_none() {
+            if carries_runs && attempt.wanted && attempt.phase.is_none() {
                 attempt.run_sent = true;
-                attempt.run_in_answer |= in_answer;
+                attempt.run_in_answer |= is_answer;
             }
         }
-        commands
+        message.fencing_token = machine.fencing_token(term);
+        message.commands = commands;
+        message
     }
 
     /// Returns the kills that the answer to an outdated heartbeat carries: the answer may still
--- a/crates/quartzlever-core/src/machines/commands/tests.rs
+++ b/crates/quartzlever-core/src/machines/commands/tests.rs
@@ -2,11 +2,18 @@
 
 use crate::leadership::authority::Permit;
 use crate::machines::attempt::{Attempt, AttemptKey, DirectCommand};
+use crate::machines::commands::MessageKind;
 use crate::machines::machine::Machine;
 use crate::outbox::Outbox;
 use crate::store::cache::Cache;
 use crate::testing::*;
 
+/// Returns the commands for machine "n-1" in the answer to its heartbeat, or in a direct call.
+fn commands_for(partition: &mut Partition, in_answer: bool) -> Vec<WorkerCommand> {
+    let kind = if in_answer { MessageKind::HeartbeatAnswer } else { MessageKind::DirectCall };
+    partition.commands_for("n-1", kind, &Cache::default(), NOW).commands
+}
+
 #[test]
 fn an_attempt_is_cleared_only_when_no_run_command_is_in_flight() {
     // (whether a heartbeat answer carries the `run`, whether a direct call of unknown outcome
@@ -33,7 +40,7 @@
         );
         partition.start_task("req-1", 0, "n-1", NOW);
         let attempt = partition.jobs["req-1"].assignments[&0].attempt;
-        assert_eq!(partition.commands_for("n-1", in_answer).len(), 1);
+        assert_eq!(commands_for(partition, in_answer).len(), 1);
         if outcome_unknown {
             let Some(machine) = partition.machines.get_mut("n-1") else { unreachable!() };
             machine
@@ -58,8 +65,7 @@
                 NOW,
             );
         }
-        let cleared = partition
-            .commands_for("n-1", false)
+        let cleared = commands_for(partition, false)
             .iter()
             .any(|command| matches!(command, WorkerCommand::Clear { .. }));
         assert_eq!(
@@ -113,7 +119,7 @@
         if starts {
             partition.start_task("req-1", 9, "n-1", NOW);
         }
-        let found = partition.commands_for("n-1", in_answer);
+        let found = commands_for(partition, in_answer);
         let cleared =
             found.iter().filter(|command| matches!(command, WorkerCommand::Clear { .. })).count();
         assert_eq!((found.len(), cleared), (commands, clears), "{ended} {starts} {in_answer}");
@@ -256,7 +262,7 @@
         let mut machine = Machine::new("n-1", machine_record_of("n-1", "one"), NOW);
         let attempt = Attempt { phase, wanted, leeway_s, ..Attempt::new(&spec(1), NOW) };
         machine.attempts.insert(AttemptKey { task: task(), attempt: 7 }, attempt);
-        let commands = machine.commands(|_, _| true);
+        let commands = machine.commands(5, |_, _| true);
         assert_eq!(commands, Vec::from_iter(expected), "{phase:?} {wanted} {leeway_s}");
     }
 }
@@ -309,3 +315,93 @@
         assert_eq!(partition.machines["n-1"].can_be_called(NOW), can_be_called, "{name}");
     }
 }
+
+/// Returns a controller that leads partition "one" in term 5, with `exited` attempts that were
+/// started on machine "n-1" at `NOW` and have failed there; its cache has reached `revision`.
+fn core_with_exited_attempts(exited: u32, by_direct_call: bool, revision: u64) -> Core {
+    let mut core = core_with_cache(&[("one", "one", 5)]);
+    make_machine_usable(&mut core);
+    queue_tasks(&mut core, exited + 1, Priority::Urgent, 0.01);
+    let config = core.config.clone();
+    let partition = core.partitions.get_mut("one").expect("partition one is led here");
+    let mut heartbeat = idle_heartbeat("n-1", 9, 5);
+    for index in 0..exited {
+        partition.start_task("req-1", index, "n-1", NOW);
+        heartbeat.tasks.push(AttemptStatus {
+            task: TaskId { job: "req-1".into(), index },
+            attempt: partition.jobs["req-1"].assignments[&index].attempt,
+            phase: TaskPhase::Exited,
+            cause: Some(ExitCause::Error),
+            kept: None,
+        });
+    }
+    if by_direct_call {
+        let mut outbox = Outbox::new(LogLevel::Info, NOW);
+        let permit = Permit::until(NOW + 1);
+        partition.call_workers(&config, NOW, permit, &core.cache, &mut outbox);
+        let (call_id, call) = outbox.take_only_worker_call();
+        let result = Ok(WorkerReply::Status(heartbeat.clone()));
+        let run_times = &mut RunTimes::default();
+        partition.handle_worker_reply(&config, run_times, call_id, &call, result, NOW);
+    } else {
+        commands_for(partition, true);
+    }
+    heartbeat.sequence += 1;
+    let (run_times, source) = (&mut RunTimes::default(), StatusSource::Heartbeat);
+    partition.apply_heartbeat(&config, run_times, &heartbeat, source, NOW);
+    core.cache.advance_to(revision);
+    core
+}
+
+#[test]
+fn an_attempt_that_a_direct_call_started_is_cleared_only_with_a_higher_token() {
+    use MessageKind::{DirectCall, HeartbeatAnswer};
+    let (soon, later) = (NOW + SECOND, NOW + 6 * SECOND);
+    // (whether a direct call started the attempts, revision of the cache, how the commands are sent
+    // and when after the last answer, whether a call is in flight; clears, fencing token)
+    for (by_direct_call, revision, kind, now, in_flight, clears, fencing_token) in [
+        (true, 9, HeartbeatAnswer, soon, false, 4, 9),
+        (true, 9, DirectCall, later, false, 4, 9),
+        (true, 5, HeartbeatAnswer, soon, false, 0, 5),
+        // The worker would refuse the call in flight.
+        (true, 9, HeartbeatAnswer, soon, true, 0, 5),
+        // The worker would drop the answer to its heartbeat.
+        (true, 9, DirectCall, soon, false, 0, 5),
+        (false, 5, HeartbeatAnswer, soon, false, 4, 5),
+        (false, 5, DirectCall, soon, false, 4, 5),
+    ] {
+        let mut core = core_with_exited_attempts(4, by_direct_call, revision);
+        let partition = core.partitions.get_mut("one").expect("partition one is led here");
+        let machine = partition.machines.get_mut("n-1").expect("the machine is known");
+        machine.last_answered_at = NOW;
+        machine.call = in_flight.then_some(77);
+        let message = partition.commands_for("n-1", kind, &core.cache, now);
+        let is_clear = |command: &&WorkerCommand| matches!(command, WorkerCommand::Clear { .. });
+        let found = message.commands.iter().filter(is_clear).count();
+        assert_eq!(
+            (found, message.fencing_token),
+            (clears, fencing_token),
+            "direct {by_direct_call}, revision {revision}, {kind:?}, in flight {in_flight}"
+        );
+        // The token does not go back with the next message.
+        let next = partition.commands_for("n-1", HeartbeatAnswer, &Cache::default(), later);
+        assert!(next.fencing_token >= fencing_token);
+    }
+}
+
+/// The list of exited attempts must not outgrow a status while the revision stands still.
+#[test]
+fn tasks_start_only_by_heartbeat_answers_while_many_attempts_wait_to_be_cleared() {
+    use MessageKind::{DirectCall, HeartbeatAnswer};
+    for (exited, started_directly) in [(199, true), (200, false), (201, false)] {
+        let mut core = core_with_exited_attempts(exited, true, 5);
+        let partition = core.partitions.get_mut("one").expect("partition one is led here");
+        partition.start_task("req-1", exited, "n-1", NOW);
+        assert_eq!(partition.machines["n-1"].has_urgent_commands(), started_directly, "{exited}");
+        for (kind, started) in [(DirectCall, started_directly), (HeartbeatAnswer, true)] {
+            let message = partition.commands_for("n-1", kind, &core.cache, NOW);
+            let is_run = |command: &WorkerCommand| matches!(command, WorkerCommand::Run { .. });
+            assert_eq!(message.commands.iter().any(is_run), started, "{exited}, {kind:?}");
+        }
+    }
+}
--- a/crates/quartzlever-core/src/machines/heartbeats.rs
+++ b/crates/quartzlever-core/src/machines/heartbeats.rs
@@ -119,6 +119,10 @@
             term: self.term,
             is_loaded: self.is_loaded(),
             fencing_token: heartbeat.fencing_token,
+            issued_token: self
+                .machines
+                .get(&heartbeat.machine)
+                .map_or(self.term, |machine| machine.fencing_token(self.term)),
         }
     }
 
--- a/crates/quartzlever-core/src/machines/invariants.rs
+++ b/crates/quartzlever-core/src/machines/invariants.rs
@@ -5,7 +5,9 @@
 //! the command that must not be sent.
 
 use quartzlever_wire::Micros;
-use quartzlever_wire::workers::{Heartbeat, TaskId, TaskPhase, WorkerCommand};
+use quartzlever_wire::workers::{
+    AttemptStatus, Heartbeat, TaskId, TaskPhase, WorkerCommand, WorkerCommands,
+};
 
 use crate::events::{Invariant, InvariantViolation, LogEvent};
 use crate::leadership::authority::Permit;
@@ -14,9 +16,76 @@
 use crate::store::cache::Cache;
 
 impl Partition {
+    /// Removes from a message to a machine the commands that must never be sent, and reports them.
+    pub(super) fn remove_forbidden_commands(
+        &mut self,
+        machine: &str,
+        message: &mut WorkerCommands,
+        permit: Permit,
+        view: &Cache,
+    ) {
+        self.remove_runs_of_ended_jobs(machine, &mut message.commands, permit, view);
+        self.remove_unfenced_clears(machine, message, permit);
+    }
+
+    /// Removes each `clear` of an attempt that a copy of an earlier direct call would start again,
+    /// and reports it.
+    fn remove_unfenced_clears(
+        &mut self,
+        machine: &str,
+        message: &mut WorkerCommands,
+        permit: Permit,
+    ) {
+        let Some(state) = self.machines.get(machine) else { return };
+        let (partition, fencing_token) = (&self.name, message.fencing_token);
+        let log_events = &mut self.log_events;
+        message.commands.retain(|command| {
+            let WorkerCommand::Clear { task, attempt } = command else { return true };
+            let key = AttemptKey { task: task.clone(), attempt: *attempt };
+            let Some(attempt) = state.attempts.get(&key) else { return true };
+            if attempt.is_fenced_by(fencing_token) {
+                return true;
+            }
+            log_events.push(LogEvent::InvariantViolated(Box::new(InvariantViolation {
+                invariant: Invariant::NoUnfencedClear,
+                partition: partition.clone(),
+                term: permit.term(),
+                view_age: permit.view_age(),
+                machine: machine.to_owned(),
+                attempt: Some(key),
+                since: Some(attempt.placed_at),
+            })));
+            false
+        });
+    }
+
+    /// Reports an attempt of this term that a newer status lists although it was removed before,
+    /// after it was cleared or could not start any more.
+    pub(super) fn check_unknown_attempt(
+        &mut self,
+        machine: &str,
+        status: &AttemptStatus,
+        now: Micros,
+    ) {
+        let may_be_expired =
+            self.machines.get(machine).is_none_or(|m| status.attempt <= m.last_expired_attempt);
+        if may_be_expired || !self.is_attempt_of_term(status.attempt) {
+            return;
+        }
+        self.log_events.push(LogEvent::InvariantViolated(Box::new(InvariantViolation {
+            invariant: Invariant::NoClearedAttemptListed,
+            partition: self.name.clone(),
+            term: self.term,
+            view_age: 0,
+            machine: machine.to_owned(),
+            attempt: Some(AttemptKey { task: status.task.clone(), attempt: status.attempt }),
+            since: Some(now),
+        })));
+    }
+
     /// Removes from the commands for a machine each `run` of a job that `view` shows as ended, and
     /// reports it.
-    pub(super) fn remove_runs_of_ended_jobs(
+    fn remove_runs_of_ended_jobs(
         &mut self,
         machine: &str,
         commands: &mut Vec<WorkerCommand>,
--- a/crates/quartzlever-core/src/machines/invariants/tests.rs
+++ b/crates/quartzlever-core/src/machines/invariants/tests.rs
@@ -2,9 +2,11 @@
 
 use crate::events::{Invariant, LogEvent};
 use crate::leadership::authority::Permit;
+use crate::machines::attempt::AttemptKey;
 use crate::partition::Partition;
 use crate::store::cache::Cache;
 use crate::testing::*;
+use quartzlever_wire::workers::WorkerCommands;
 
 /// Returns partition "one" with a task of job "req-1" placed on machine "n-1", and its attempt.
 fn partition_with_attempt() -> (Partition, u64) {
@@ -95,3 +97,48 @@
         assert_eq!(reported, vec![Invariant::NoMachineMissing; reports], "{loaded} {terminated}");
     }
 }
+
+/// A copy of the direct call that carried its `run` would start such an attempt again.
+#[test]
+fn a_clear_under_the_token_of_the_start_is_not_sent() {
+    for (fencing_token, expected) in [(5, vec![Invariant::NoUnfencedClear]), (6, Vec::new())] {
+        let (mut partition, number) = partition_with_attempt();
+        let task = TaskId { job: "req-1".into(), index: 0 };
+        let key = AttemptKey { task: task.clone(), attempt: number };
+        let machine = partition.machines.get_mut("n-1").expect("the machine is known");
+        let attempt = machine.attempts.get_mut(&key).expect("the attempt is known");
+        attempt.direct_run_token = Some(5);
+        let commands = vec![WorkerCommand::Clear { task, attempt: number }];
+        let mut message = WorkerCommands { fencing_token, incarnation: None, commands };
+        let permit = Permit::until(NOW + SECOND);
+        partition.remove_forbidden_commands("n-1", &mut message, permit, &Cache::default());
+        assert_eq!(message.commands.is_empty(), !expected.is_empty());
+        assert_eq!(violated(&partition), expected);
+    }
+}
+
+/// Nobody waits for the answer to a copy of a start command, so only a later status shows its effect.
+#[test]
+fn a_cleared_attempt_that_a_worker_lists_again_is_reported() {
+    // (whether the machine was taken as empty after its lease, whether the attempt is of this term;
+    // whether its listing is a violation)
+    for (expired, of_term, expected) in
+        [(false, true, true), (true, true, false), (false, false, false)]
+    {
+        let (mut partition, number) = partition_with_attempt();
+        let config = core().config;
+        let number = if of_term { number } else { 7 };
+        let mut statuses = vec![heartbeat_of_one(2, Some(number)), heartbeat_of_one(3, None)];
+        if expired {
+            partition.requeue_attempts_of("n-1");
+            statuses.clear();
+        }
+        statuses.push(heartbeat_of_one(4, Some(number)));
+        for status in statuses {
+            let (run_times, source) = (&mut RunTimes::default(), StatusSource::DirectReply);
+            partition.apply_heartbeat(&config, run_times, &status, source, NOW);
+        }
+        let reported = violated(&partition) == [Invariant::NoClearedAttemptListed];
+        assert_eq!(reported, expected, "expired {expired}, of this term {of_term}");
+    }
+}
--- a/crates/quartzlever-core/src/machines/machine.rs
+++ b/crates/quartzlever-core/src/machines/machine.rs
@@ -3,16 +3,22 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use quartzlever_wire::Micros;
 use quartzlever_wire::store::MachineRecord;
 use quartzlever_wire::workers::{AttemptStatus, Heartbeat, TaskPhase};
+use quartzlever_wire::{Micros, SECOND};
 
 use crate::autoscaling::ScaleInReason;
 use crate::machines::attempt::{Attempt, AttemptKey, DirectCommand};
+use crate::machines::commands::MessageKind;
 use crate::machines::failures::MachineFailures;
 use crate::machines::resources::Resources;
 use crate::messages::CallId;
 
+/// Number of exited attempts on a machine, started by direct calls and not cleared, from which on it
+/// gets starts only in answers to heartbeats. Their list takes about a third of a status of 64 KiB.
+const MAX_UNCLEARED_DIRECT_STARTS: usize = 200;
+/// Time after which a worker drops the answer to its heartbeat, and some for the way.
+const ANSWER_TIMEOUT: Micros = 5 * SECOND;
 /// Consecutive unacknowledged heartbeats after which a machine counts as ignoring commands.
 const MIN_UNACKNOWLEDGED_HEARTBEATS: u32 = 2;
 
@@ -32,6 +38,8 @@
     pub record: MachineRecord,
     pub incarnation: u64,
     pub sequence: u64,
+    /// The fencing token to which the machine's token was raised within this term; 0 if it was not.
+    raised_token: u64,
     /// Whether the worker has reported or accepted this term's fencing token, so that commands of
     /// earlier leaders no longer have any effect on it.
     pub fenced: bool,
@@ -50,6 +58,9 @@
     /// The approximate time at which the cloud reclaims the spot instance, if it gave notice.
     pub spot_reclaim_at: Option<Micros>,
     pub attempts: BTreeMap<AttemptKey, Attempt>,
+    /// The last attempt of the partition when the machine was last taken as empty because its lease
+    /// had expired; 0 if it never was. A late heartbeat may still list that attempt and earlier ones.
+    pub last_expired_attempt: u64,
     /// The free capacity, kept up to date by `Partition::refresh_machine`.
     pub free: Resources,
     /// Consecutive failed direct calls since the last newer status.
@@ -82,6 +93,7 @@
             record,
             incarnation: 0,
             sequence: 0,
+            raised_token: 0,
             fenced: false,
             verified: false,
             last_heartbeat_at: now,
@@ -90,6 +102,7 @@
             idle_since: Some(now),
             spot_reclaim_at: None,
             attempts: BTreeMap::new(),
+            last_expired_attempt: 0,
             free: Resources::default(),
             failed_calls: 0,
             unacknowledged_heartbeats: 0,
@@ -105,6 +118,32 @@
         }
     }
 
+    /// Returns the fencing token of the commands to the machine, given its partition's term.
+    pub fn fencing_token(&self, term: u64) -> u64 {
+        self.raised_token.max(term)
+    }
+
+    /// Raises the fencing token of the commands to the machine. The worker then refuses all that
+    /// was sent with a lower one.
+    pub(super) fn raise_fencing_token(&mut self, fencing_token: u64) {
+        self.raised_token = self.raised_token.max(fencing_token);
+    }
+
+    /// Reports whether a message that is sent now may raise the fencing token. The worker refuses
+    /// what arrives after it with the present token, so a direct call must not be in flight, and a
+    /// call must not overtake the answer to a heartbeat.
+    pub(super) fn may_raise_fencing_token(&self, kind: MessageKind, now: Micros) -> bool {
+        let is_answer_outdated = now >= self.last_answered_at + ANSWER_TIMEOUT;
+        self.call.is_none() && (kind == MessageKind::HeartbeatAnswer || is_answer_outdated)
+    }
+
+    /// Reports whether tasks may be started by direct calls. They may not while many attempts that
+    /// were started so are waiting to be cleared, since the worker's status lists all of them.
+    pub(super) fn accepts_direct_starts(&self) -> bool {
+        let is_waiting = |a: &&Attempt| a.has_exited() && a.direct_run_token.is_some();
+        self.attempts.values().filter(is_waiting).count() < MAX_UNCLEARED_DIRECT_STARTS
+    }
+
     /// Reports whether the machine may get new tasks, provided that its heartbeats keep arriving.
     pub fn is_usable(&self) -> bool {
         self.fenced
@@ -237,13 +276,11 @@
     /// Reports whether a command is pending that needs a direct call instead of waiting for the
     /// answer to the next heartbeat.
     pub fn has_urgent_commands(&self) -> bool {
-        self.attempts.values().filter(|a| !a.has_exited()).any(|a| {
-            if a.wanted {
-                !a.run_sent && !a.can_wait_for_heartbeat
-            } else {
-                a.kill_sent_at.is_none()
-            }
-        })
+        let is_urgent_start = |a: &Attempt| a.wanted && !a.run_sent && !a.can_wait_for_heartbeat;
+        let is_urgent_kill = |a: &Attempt| !a.wanted && a.kill_sent_at.is_none();
+        let active = || self.attempts.values().filter(|a| !a.has_exited());
+        active().any(is_urgent_kill)
+            || (active().any(is_urgent_start) && self.accepts_direct_starts())
     }
 
     /// Marks an attempt as unwanted, with the time in seconds that it gets to save its work.
--- a/crates/quartzlever-core/src/machines/membership.rs
+++ b/crates/quartzlever-core/src/machines/membership.rs
@@ -78,7 +78,9 @@
 
     /// Removes all attempts from a machine on which none can still run, and requeues their tasks.
     pub fn requeue_attempts_of(&mut self, name: &str) {
+        let last_attempt = self.last_attempt();
         let Some(machine) = self.machines.get_mut(name) else { return };
+        machine.last_expired_attempt = last_attempt;
         let attempts = std::mem::take(&mut machine.attempts);
         for (AttemptKey { task, attempt }, state) in attempts {
             if state.phase == Some(TaskPhase::Exited) && state.end_processed {
--- a/crates/quartzlever-core/src/machines/reconciliation.rs
+++ b/crates/quartzlever-core/src/machines/reconciliation.rs
@@ -185,6 +185,7 @@
         let key = AttemptKey { task: status.task.clone(), attempt: status.attempt };
         let known = self.machines.get(machine).is_some_and(|m| m.attempts.contains_key(&key));
         if !known {
+            self.check_unknown_attempt(machine, status, now);
             self.reconcile_attempt(config, machine, status, now);
         }
         if status.phase == TaskPhase::Running {
--- a/crates/quartzlever-core/src/machines/reconciliation/tests.rs
+++ b/crates/quartzlever-core/src/machines/reconciliation/tests.rs
@@ -1,6 +1,8 @@
 //! Conclusions from worker statuses and from silence, as tables.
 
 use crate::machines::call_queue::CallQueue;
+use crate::machines::commands::MessageKind;
+use crate::store::cache::Cache;
 use crate::testing::*;
 
 /// A heartbeat that only confirms the known state takes a short path, which must leave the
@@ -46,7 +48,7 @@
                 }
                 heartbeat
             };
-            partition.commands_for("n-1", true);
+            partition.commands_for("n-1", MessageKind::HeartbeatAnswer, &Cache::default(), NOW);
             partition.apply_heartbeat(
                 &config,
                 &mut run_times,
--- a/crates/quartzlever-core/src/outbox.rs
+++ b/crates/quartzlever-core/src/outbox.rs
@@ -166,6 +166,13 @@
         }
     }
 
+    /// Removes and returns the only call to a worker in flight, with its number.
+    #[cfg(test)]
+    pub fn take_only_worker_call(&mut self) -> (CallId, PendingWorkerCall) {
+        assert_eq!(self.worker_calls.len(), 1);
+        self.worker_calls.drain().next().expect("one call is in flight")
+    }
+
     /// Sets the level of the least important events that are logged.
     #[cfg(test)]
     pub fn set_log_level(&mut self, log_level: LogLevel) {
--- a/crates/quartzlever-core/src/partition.rs
+++ b/crates/quartzlever-core/src/partition.rs
@@ -27,6 +27,9 @@
 /// Machine types by name, shared by all partitions of a process.
 pub type Types = Arc<BTreeMap<String, MachineType>>;
 
+/// Number of bits of an attempt's number that count the attempts of a term; the others are the term.
+const ATTEMPT_COUNT_BITS: u32 = 22;
+
 /// A partition that this process leads.
 #[derive(Debug)]
 pub struct Partition {
@@ -130,7 +133,17 @@
     /// counts the attempts.
     pub fn next_attempt(&mut self) -> u64 {
         self.last_attempt += 1;
-        (self.term << 22) + self.last_attempt
+        self.last_attempt()
+    }
+
+    /// Returns the number of the attempt that was created last in this term.
+    pub fn last_attempt(&self) -> u64 {
+        (self.term << ATTEMPT_COUNT_BITS) + self.last_attempt
+    }
+
+    /// Reports whether an attempt was created under the present term, given its number.
+    pub fn is_attempt_of_term(&self, attempt: u64) -> bool {
+        attempt >> ATTEMPT_COUNT_BITS == self.term
     }
 
     /// Applies a job's record read from the store.
--- a/crates/quartzlever-core/src/router/heartbeats.rs
+++ b/crates/quartzlever-core/src/router/heartbeats.rs
@@ -5,13 +5,14 @@
 
 use super::{Core, STARTING};
 use crate::calls::PendingWorkerCall;
+use crate::events::{DirectCallResult, LogEvent};
 use crate::leadership::authority::Refusal;
 use crate::machines::commands::DirectCallOutcome;
 use crate::machines::heartbeats::{Claimant, HeartbeatRoute, OwnershipView};
 use crate::machines::ownership::PartitionTerm;
 use crate::machines::presence::PresenceOutcome;
 use crate::machines::reconciliation::StatusSource;
-use crate::messages::{Answer, CallId, RequestId};
+use crate::messages::{Answer, CallId, LogLevel, RequestId};
 
 impl Core {
     fn ownership_view(&self) -> OwnershipView<'_> {
@@ -175,6 +176,18 @@
         if call.confirms_presence {
             return self.presence_replied(&call, result);
         }
+        self.outbox.log(LogLevel::Debug, || LogEvent::DirectCallEnded {
+            partition: call.partition.clone(),
+            machine: call.machine.clone(),
+            result: DirectCallResult::of(&result),
+            worker: match &result {
+                Ok(WorkerReply::Status(status) | WorkerReply::Refused(status)) => {
+                    Some((status.fencing_token, status.incarnation))
+                }
+                Err(_) => None,
+            },
+            run_attempts: call.run_attempts.clone(),
+        });
         let Some(partition) =
             self.partitions.get_mut(&call.partition).filter(|p| p.term == call.term)
         else {
