--- a/crates/quartzlever-testkit/src/fleet.rs
+++ b/crates/quartzlever-testkit/src/fleet.rs
@@ -18,6 +18,7 @@
 use tiny_http::Request;
 
 use crate::http::{read_body, respond, serve_at, serve_cloud, test_time};
+use crate::repeats::RepeatSchedule;
 use crate::rules::{MachineTasks, RuleChecker};
 use crate::worker_fleet::{loopback_address, machine_number};
 use crate::{Cloud, Worker};
@@ -73,6 +74,10 @@
     pub refused_late: usize,
     /// Worker leases that expired while tasks ran.
     pub expired_leases: usize,
+    /// Copies of executed commands that were executed again.
+    pub copies_executed: usize,
+    /// Copies of executed commands that were refused.
+    pub copies_refused: usize,
 }
 
 /// Names and API addresses of the controllers that workers send heartbeats to.
@@ -104,6 +109,8 @@
     controllers: Controllers,
     behaviour: Behaviour,
     start: Instant,
+    /// Which executed commands arrive at their worker once more, if any.
+    repeats: Mutex<Option<RepeatSchedule>>,
 }
 
 impl Fleet {
@@ -126,7 +133,13 @@
             machines_by_address: BTreeMap::new(),
             port: None,
         };
-        Arc::new(Fleet { state: Mutex::new(state), controllers, behaviour, start })
+        Arc::new(Fleet {
+            state: Mutex::new(state),
+            controllers,
+            behaviour,
+            start,
+            repeats: Mutex::default(),
+        })
     }
 
     /// Serves a cloud at a new loopback port: a launched machine becomes a worker of this fleet,
@@ -206,6 +219,33 @@
         });
     }
 
+    /// Lets executed commands arrive at their worker once more from now on.
+    pub fn repeat_executed_commands(&self, repeats: RepeatSchedule) {
+        *self.repeats.lock().unwrap_or_else(PoisonError::into_inner) = Some(repeats);
+    }
+
+    /// Delivers a copy of commands that a worker has just executed after a while, if they are to be
+    /// repeated. A hung worker receives it when it resumes.
+    fn repeat_executed(self: &Arc<Self>, machine: &str, commands: WorkerCommands) {
+        let repeats = self.repeats.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(delay) = repeats.as_ref().and_then(RepeatSchedule::next_delay) else { return };
+        drop(repeats);
+        let (fleet, machine) = (self.clone(), machine.to_owned());
+        thread::spawn(move || {
+            thread::sleep(delay);
+            while fleet.fault_of(&machine) == Some(WorkerFault::Hung) {
+                thread::sleep(RESUME_CHECK_INTERVAL);
+            }
+            fleet.update(|state, now| {
+                let Some(worker) = state.workers.get_mut(&machine) else { return };
+                match worker.receive_commands(&commands, now) {
+                    WorkerReply::Status(_) => state.fault_counts.copies_executed += 1,
+                    WorkerReply::Refused(_) => state.fault_counts.copies_refused += 1,
+                }
+            });
+        });
+    }
+
     /// Returns what the faults of workers have affected so far.
     pub fn fault_counts(&self) -> WorkerFaultCounts {
         self.lock().fault_counts
@@ -310,7 +350,7 @@
     }
 
     /// Executes a request to a worker's own address.
-    fn execute_request(&self, machine: &str, mut request: Request, lateness: Lateness) {
+    fn execute_request(self: &Arc<Self>, machine: &str, mut request: Request, lateness: Lateness) {
         let body = read_body(&mut request);
         if machine.ends_with(['1', '3', '5', '7', '9']) {
             thread::sleep(self.behaviour.slow_calls);
@@ -330,6 +370,11 @@
             }
             Some(reply)
         });
+        if let Some(Ok(WorkerReply::Status(_))) = &reply
+            && let Ok(commands) = serde_json::from_slice::<WorkerCommands>(&body)
+        {
+            self.repeat_executed(machine, commands);
+        }
         match reply {
             Some(Ok(WorkerReply::Status(heartbeat))) => respond(request, 200, &json!(heartbeat)),
             Some(Ok(WorkerReply::Refused(heartbeat))) => respond(request, 409, &json!(heartbeat)),
--- a/crates/quartzlever-testkit/src/lib.rs
+++ b/crates/quartzlever-testkit/src/lib.rs
@@ -13,7 +13,8 @@
 //! | [`jobs`] | job specifications for tests |
 //! | [`site`] | settings files for several controllers |
 //! | [`program`] | runs the real program as a child process |
-//! | [`proxy`] | a TCP proxy that injects faults into one link |
+//! | [`proxy`] | a TCP proxy that injects faults into one link, and repeats requests |
+//! | [`repeats`] | decides which answered requests arrive once more |
 //! | [`production`] | builds the version in production, to run alongside the current one |
 
 #![deny(missing_docs)]
@@ -25,6 +26,7 @@
 pub mod production;
 pub mod program;
 pub mod proxy;
+pub mod repeats;
 pub mod rules;
 pub mod site;
 mod store;
--- a/crates/quartzlever-testkit/src/proxy.rs
+++ b/crates/quartzlever-testkit/src/proxy.rs
@@ -1,4 +1,4 @@
-//! A TCP proxy that injects faults into the connections of one link.
+//! A TCP proxy that injects faults into the connections of one link, and repeats requests.
 
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
@@ -8,10 +8,14 @@
 use std::thread;
 use std::time::Duration;
 
+use crate::repeats::RepeatSchedule;
+
 /// Size in bytes of the largest piece of data that a proxy forwards at a time.
 const CHUNK_BYTES: usize = 16 * 1024;
 /// Stack size in bytes of the threads that forward data.
 const STACK_BYTES: usize = 128 * 1024;
+/// Time for which a proxy waits for the answer to a repeated request, which nobody else waits for.
+const REPEATED_ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after which a proxy gives up on connecting to the target.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -58,6 +62,9 @@
     server: TcpStream,
     /// Whether data was lost, after which nothing more gets through.
     is_dead: bool,
+    /// What the client has sent since the server last sent anything. Clients send one request at a
+    /// time, so this is a whole request as soon as the server sends its answer.
+    request: Vec<u8>,
 }
 
 impl Connection {
@@ -81,6 +88,8 @@
     fault_changed: Condvar,
     last_connection: AtomicU64,
     affected: AtomicUsize,
+    repeats: Option<RepeatSchedule>,
+    repeated: AtomicUsize,
 }
 
 /// A proxy in front of one server for one client, or for clients that share their faults.
@@ -91,8 +100,9 @@
 }
 
 impl Link {
-    /// Starts a proxy at a new loopback port. It forwards to `target` until the process exits.
-    pub fn open(target: SocketAddr) -> io::Result<Link> {
+    /// Starts a proxy at a new loopback port. It forwards to `target` until the process exits, and
+    /// sends answered requests there once more as `repeats` says.
+    pub fn open(target: SocketAddr, repeats: Option<RepeatSchedule>) -> io::Result<Link> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let shared = Arc::new(SharedLink {
@@ -101,6 +111,8 @@
             fault_changed: Condvar::new(),
             last_connection: AtomicU64::new(0),
             affected: AtomicUsize::new(0),
+            repeats,
+            repeated: AtomicUsize::new(0),
         });
         let accepting = shared.clone();
         spawn(move || {
@@ -142,6 +154,13 @@
     }
 }
 
+impl Link {
+    /// Returns the number of answered requests that were sent once more so far.
+    pub fn repeated(&self) -> usize {
+        self.shared.repeated.load(Ordering::Relaxed)
+    }
+}
+
 impl SharedLink {
     fn lock(&self) -> MutexGuard<'_, LinkState> {
         // A panic in another thread fails the test there, so poisoning is ignored here.
@@ -171,8 +190,12 @@
         client.set_nodelay(true)?;
         server.set_nodelay(true)?;
         let id = self.last_connection.fetch_add(1, Ordering::Relaxed) + 1;
-        let registered =
-            Connection { client: client.try_clone()?, server: server.try_clone()?, is_dead: false };
+        let registered = Connection {
+            client: client.try_clone()?,
+            server: server.try_clone()?,
+            is_dead: false,
+            request: Vec::new(),
+        };
         self.lock().connections.insert(id, registered);
         let (from_client, to_client) = (client.try_clone()?, client.try_clone()?);
         let (from_server, to_server) = (server.try_clone()?, server);
@@ -185,16 +208,64 @@
 
     /// Forwards data in one direction until its sender closes the connection. The close is passed
     /// on, so that the other direction ends too.
-    fn forward(&self, id: u64, direction: Direction, mut from: TcpStream, mut to: TcpStream) {
+    fn forward(
+        self: &Arc<Self>,
+        id: u64,
+        direction: Direction,
+        mut from: TcpStream,
+        mut to: TcpStream,
+    ) {
         let mut chunk = vec![0; CHUNK_BYTES];
         while let Ok(length @ 1..) = from.read(&mut chunk) {
-            if self.admit(id, direction) && to.write_all(&chunk[..length]).is_err() {
+            if direction == Direction::Answer {
+                self.repeat_answered_request(id);
+            }
+            if !self.admit(id, direction) {
+                continue;
+            }
+            if direction == Direction::Request {
+                self.record_request(id, &chunk[..length]);
+            }
+            if to.write_all(&chunk[..length]).is_err() {
                 break;
             }
         }
         let _ = to.shutdown(Shutdown::Both);
     }
 
+    /// Records data of a request that is passed to the target.
+    fn record_request(&self, id: u64, data: &[u8]) {
+        if self.repeats.is_some()
+            && let Some(connection) = self.lock().connections.get_mut(&id)
+        {
+            connection.request.extend_from_slice(data);
+        }
+    }
+
+    /// Sends the request that the target now answers once more after a while, if it is to be
+    /// repeated.
+    fn repeat_answered_request(self: &Arc<Self>, id: u64) {
+        let Some(repeats) = &self.repeats else { return };
+        let request = self.lock().connections.get_mut(&id).map(|c| std::mem::take(&mut c.request));
+        let Some(request) = request.filter(|request| !request.is_empty()) else { return };
+        let Some(delay) = repeats.next_delay() else { return };
+        let shared = self.clone();
+        spawn(move || {
+            thread::sleep(delay);
+            // The target may be down by now, so that the copy is lost.
+            let _ = shared.send_again(&request);
+        });
+    }
+
+    /// Sends a request over a connection of its own and drops the answer.
+    fn send_again(&self, request: &[u8]) -> io::Result<()> {
+        let mut server = TcpStream::connect_timeout(&self.target, CONNECT_TIMEOUT)?;
+        server.set_read_timeout(Some(REPEATED_ANSWER_TIMEOUT))?;
+        server.write_all(request)?;
+        self.repeated.fetch_add(1, Ordering::Relaxed);
+        server.read(&mut [0; CHUNK_BYTES]).map(drop)
+    }
+
     /// Applies the present fault to a piece of data: waits as it requires, and returns whether the
     /// data gets through.
     fn admit(&self, id: u64, direction: Direction) -> bool {
--- a/crates/quartzlever/tests/soak/main.rs
+++ b/crates/quartzlever/tests/soak/main.rs
@@ -75,7 +75,7 @@
     /// Runs the schedule of the seed and checks the rules and the end state.
     fn execute(self) -> Outcome {
         let schedule = Schedule::draw(self.seed, self.length);
-        let testbed = Testbed::start(&self.seed.to_string(), self.workers);
+        let testbed = Testbed::start(self.seed, self.workers);
         let acquired_before = testbed.latest_acquisition();
         let tasks_scale = (self.workers / FEW_WORKERS).max(1) as u32;
         let load = Load::start(&testbed.users, &testbed.user_addresses(), self.seed, tasks_scale);
@@ -110,12 +110,13 @@
         let _ = write!(
             report,
             "seed {}: {} workers, {} troubles, {cancelled} cancellations during them, {started} \
-             tasks started, {:?}, links {:?}",
+             tasks started, {:?}, links {:?}, repeated {:?}",
             self.seed,
             self.workers,
             schedule.troubles.len(),
             testbed.fleet.fault_counts(),
             LinkKind::ALL.map(|kind| (kind, testbed.affected_on(kind))),
+            LinkKind::ALL.map(|kind| (kind, testbed.repeated_on(kind))),
         );
         let directory = testbed.directory.clone();
         failures.splice(0..0, testbed.stop());
@@ -177,7 +178,17 @@
             failures.push(format!("no fault of the links {kind:?} has affected anything"));
         }
     }
+    for kind in LinkKind::ALL {
+        if testbed.repeated_on(kind) == 0 {
+            failures.push(format!("no request was repeated on the links {kind:?}"));
+        }
+    }
     let counts = testbed.fleet.fault_counts();
+    failures.extend(below_minimum(
+        "repeated commands that reached a worker",
+        counts.copies_executed + counts.copies_refused,
+        1,
+    ));
     failures.extend(below_minimum(
         "late calls that reached a worker",
         counts.executed_late + counts.refused_late,
--- a/crates/quartzlever/tests/soak/testbed.rs
+++ b/crates/quartzlever/tests/soak/testbed.rs
@@ -9,6 +9,7 @@
 use quartzlever_testkit::fleet::{Behaviour, Fleet};
 use quartzlever_testkit::program::Node;
 use quartzlever_testkit::proxy::{Link, LinkFault};
+use quartzlever_testkit::repeats::RepeatSchedule;
 use quartzlever_testkit::rules::{RuleChecker, TeamLimit};
 use quartzlever_testkit::site::{Site, SiteSettings, Surroundings};
 use quartzlever_testkit::users::Users;
@@ -34,6 +35,10 @@
 const SERIES_INTERVAL: Duration = Duration::from_millis(2_600);
 /// Time from a kill in a series to the restart.
 const SERIES_RESTART_DELAY: Duration = Duration::from_millis(300);
+/// Of this many answered requests on a link, one arrives once more.
+const ANSWERED_PER_COPY: usize = 8;
+/// Of this many executed commands to workers, one arrives once more.
+const EXECUTED_PER_COPY: usize = 2;
 /// Time after the last trouble within which every question about a job must be answered.
 pub const ANSWERED_WITHIN: Duration = Duration::from_secs(75);
 
@@ -86,8 +91,10 @@
 
 impl Testbed {
     /// Starts the fakes, the links and the controllers, with at most `machines` machines, and waits
-    /// until the controllers are ready.
-    pub fn start(name: &str, machines: usize) -> Testbed {
+    /// until the controllers are ready. Some of the requests on every link, and of the commands to
+    /// workers, arrive once more after they were answered; `seed` varies which.
+    pub fn start(seed: u64, machines: usize) -> Testbed {
+        let name = &seed.to_string();
         let begin = Instant::now();
         let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{name}"));
         // An earlier run may have left its logs behind.
@@ -113,11 +120,12 @@
             run_time: 5 * SECOND,
         };
         let fleet = Fleet::new(rules, known_controllers.clone(), behaviour, begin);
+        fleet.repeat_executed_commands(RepeatSchedule::new(EXECUTED_PER_COPY, seed as usize));
         let cloud = fleet
             .serve_cloud(Cloud::new(8.0, &["a", "b"], machines))
             .expect("cannot serve the cloud");
         let controllers: Vec<Controller> =
-            (0..NODES.len()).map(|n| prepare_controller(&site, n, state, cloud)).collect();
+            (0..NODES.len()).map(|n| prepare_controller(&site, n, state, cloud, seed)).collect();
         let heartbeat_addresses =
             controllers.iter().map(|controller| controller.links.heartbeats.address());
         let named = NODES.iter().map(|name| (*name).to_owned()).zip(heartbeat_addresses);
@@ -264,6 +272,12 @@
         links.map(Link::affected).sum()
     }
 
+    /// Returns how many requests on links of this kind were sent once more.
+    pub fn repeated_on(&self, kind: LinkKind) -> usize {
+        let links = self.controllers.iter().flat_map(|controller| controller.links.of_kind(kind));
+        links.map(Link::repeated).sum()
+    }
+
     /// Returns the names of controllers whose process has ended by itself.
     pub fn ended_processes(&self) -> Vec<&'static str> {
         let has_ended = |n: &usize| self.process(*n).as_mut().is_some_and(Node::has_ended);
@@ -300,8 +314,17 @@
 }
 
 /// Opens the links of a controller and writes its settings.
-fn prepare_controller(site: &Site, n: usize, state: SocketAddr, cloud: SocketAddr) -> Controller {
-    let open = |target| Link::open(target).expect("cannot open a proxy");
+fn prepare_controller(
+    site: &Site,
+    n: usize,
+    state: SocketAddr,
+    cloud: SocketAddr,
+    seed: u64,
+) -> Controller {
+    let open = |target| {
+        let repeats = RepeatSchedule::new(ANSWERED_PER_COPY, seed as usize + n);
+        Link::open(target, Some(repeats)).expect("cannot open a proxy")
+    };
     let address = site.addresses()[n].1;
     let (store, cloud) = (open(state), open(cloud));
     let mut peers = site.peer_addresses();
