Simulation: executed direct commands may be executed twice; machines that hang while copies come

A single faulty call (CallFault::ExecutedTwice) had an exception for direct commands, from the time when they were taken to arrive once.

--- a/crates/quartzlever-core/tests/simulation/late_commands.rs
+++ b/crates/quartzlever-core/tests/simulation/late_commands.rs
@@ -1,11 +1,13 @@
 //! Copies of direct commands that reach their machine again after they were executed and answered.
 
-use quartzlever_wire::SECOND;
 use quartzlever_wire::users::Priority;
 use quartzlever_wire::workers::WorkerCommand;
+use quartzlever_wire::{Micros, SECOND};
 
-use crate::combination::{NODES, all_machines, rare_heartbeats, recover_and_check, submit};
-use crate::sim::{FaultRates, Simulation};
+use crate::combination::{
+    NODES, all_machines, rare_heartbeats, recover_and_check, set_hung, submit,
+};
+use crate::sim::{FaultRates, LEASE, Simulation};
 
 /// Interval between two deliveries of all earlier commands.
 const REPEAT_INTERVAL: u64 = SECOND / 2;
@@ -15,6 +17,14 @@
 /// What becomes of the tasks that the repeated commands started.
 type TaskEnd = fn(&mut Simulation, &[String]);
 
+/// Hangs all machines for this long.
+fn hang_all_machines(w: &mut Simulation, span: Micros) {
+    let machines = all_machines(w);
+    set_hung(w, &machines, true);
+    w.run(span);
+    set_hung(w, &machines, false);
+}
+
 /// Delivers all commands that were executed so far again and again, in either order, and returns the
 /// tasks that this started.
 fn repeat_commands(w: &mut Simulation) -> Vec<String> {
@@ -46,6 +56,15 @@
         ("the jobs are cancelled", |w, ids| {
             ids.iter().for_each(|id| _ = w.cancel_until_confirmed(0, id));
         }),
+        ("the machines hang and resume within their lease", |w, _| {
+            hang_all_machines(w, 3 * SECOND);
+        }),
+        ("the machines hang and resume in a new incarnation", |w, _| {
+            hang_all_machines(w, LEASE + 2 * SECOND);
+            // Before any controller has heard of the new incarnation.
+            let started = w.repeat_executed_commands(false);
+            assert!(started.is_empty(), "{started:?} started in a new incarnation");
+        }),
         ("the tasks are preempted and stolen", |w, _| {
             submit(w, 50, 8, |_, spec| {
                 (spec.priority, spec.due_s) = (Priority::Prod, Some(4.0));
--- a/crates/quartzlever-core/tests/simulation/sim/calls.rs
+++ b/crates/quartzlever-core/tests/simulation/sim/calls.rs
@@ -231,7 +231,9 @@
         }
         let mut started = Vec::new();
         for (machine, commands) in commands {
-            let Some(worker) = self.workers.get_mut(&machine) else { continue };
+            let Some(worker) = self.workers.get_mut(&machine).filter(|worker| !worker.hung) else {
+                continue;
+            };
             let before = worker.started.len();
             worker.receive_commands(&commands, self.now);
             let new_starts = &worker.started[before..];
@@ -319,15 +321,13 @@
 
     /// Schedules the execution of a call for when its caller no longer waits for it: a second one
     /// if the call was answered, else the first.
-    pub(super) fn schedule_late_execution(&mut self, effect: Effect, answered: bool) {
+    pub(super) fn schedule_late_execution(&mut self, effect: Effect) {
         let late = match effect {
             Effect::Store { call: StoreCall::Watch { .. }, .. } => return,
             Effect::Store { call, .. } => Message::LateStoreCall(call),
             Effect::Cloud { call, .. } => Message::LateCloudCall(call),
-            Effect::Worker { address, call, .. } if !answered => {
-                Message::LateWorkerCall(address, call)
-            }
-            // Direct commands are executed once, and calls between peers never late.
+            Effect::Worker { address, call, .. } => Message::LateWorkerCall(address, call),
+            // Calls between peers are never late.
             _ => return,
         };
         self.schedule(LATE_EXECUTION_DELAY, late);
@@ -370,7 +370,7 @@
             }
             CallFault::ExecutedLate => {
                 self.fail_call(n, &effect, CallError::Unknown, CALL_TIMEOUT);
-                self.schedule_late_execution(effect, false);
+                self.schedule_late_execution(effect);
             }
             CallFault::AnswerLate => {
                 let sent = self.in_flight.len();
@@ -378,7 +378,7 @@
                 self.in_flight[sent..].iter_mut().for_each(|(at, ..)| *at += LATE_ANSWER_DELAY);
             }
             CallFault::ExecutedTwice => {
-                self.schedule_late_execution(effect.clone(), true);
+                self.schedule_late_execution(effect.clone());
                 self.execute_without_fault(n, effect);
             }
             CallFault::CrashBeforeCall => self.crash(n),
