--- a/crates/quartzlever-core/src/partition.rs
+++ b/crates/quartzlever-core/src/partition.rs
@@ -34,8 +34,8 @@
 #[derive(Debug)]
 pub struct Partition {
     pub name: String,
-    /// The modification revision of the partition's key: the term, and the fencing token of its
-    /// commands.
+    /// The modification revision of the partition's key, which is also the lowest fencing token of
+    /// its commands.
     pub term: u64,
     pub acquired_at: Micros,
     /// From this time on no earlier leader answers workers. It is the time of the acquisition if
--- a/crates/quartzlever-core/tests/simulation/sim.rs
+++ b/crates/quartzlever-core/tests/simulation/sim.rs
@@ -133,8 +133,8 @@
     /// Heartbeats of which a copy is kept until a partition is next acquired, and sent to every
     /// node then.
     pub copies_for_next_leader: u32,
-    /// Direct commands and transactions that were executed and answered, of which a copy arrives
-    /// again, from a tenth of a second to two leases later.
+    /// Executed direct commands and answered transactions of which a copy arrives again, from a tenth
+    /// of a second to two leases later.
     pub request_copies: u32,
     /// The same, but the copy is kept until its sender is next killed, and arrives within a second
     /// of that.
--- a/crates/quartzlever-core/tests/simulation/sim/calls.rs
+++ b/crates/quartzlever-core/tests/simulation/sim/calls.rs
@@ -91,7 +91,8 @@
                     result = Err(CallError::Unknown);
                     delay = 1_500_000;
                 }
-                if let (StoreCall::Txn(txn), Ok(StoreReply::Committed(_))) = (&call, &result) {
+                // A copy of a transaction that conflicted may find its conditions fulfilled later.
+                if let (StoreCall::Txn(txn), Ok(_)) = (&call, &result) {
                     self.draw_request_copies(n, &RequestCopy::Txn(txn.clone()));
                 }
                 let command = Command::StoreReply { call_id, result };
