--- a/crates/quartzlever-core/src/machines.rs
+++ b/crates/quartzlever-core/src/machines.rs
@@ -5,8 +5,8 @@
 //! - `heartbeats`, `presence`: routing of heartbeats, and confirmation that an unknown machine
 //!   exists.
 //! - `reconciliation`, `attempt_outcomes`: processing of worker statuses and of ended attempts.
-//! - `call_queue`, `commands`: the workers to call, and the commands in calls and heartbeat
-//!   answers.
+//! - `call_queue`, `direct_calls`: the workers to call, and the calls.
+//! - `commands`: the commands in calls and heartbeat answers.
 //! - `invariants`: run-time checks of the commands.
 //! - `ownership`: the machines' records in the store.
 //! - `failures`: attribution of task failures to a job or to a machine.
@@ -15,6 +15,7 @@
 mod attempt_outcomes;
 pub(crate) mod call_queue;
 pub(crate) mod commands;
+pub(crate) mod direct_calls;
 pub(crate) mod failures;
 pub(crate) mod heartbeats;
 mod invariants;
--- a/crates/quartzlever-core/src/router/heartbeats.rs
+++ b/crates/quartzlever-core/src/router/heartbeats.rs
@@ -7,7 +7,7 @@
 use crate::calls::PendingWorkerCall;
 use crate::events::{DirectCallResult, LogEvent};
 use crate::leadership::authority::Refusal;
-use crate::machines::commands::DirectCallOutcome;
+use crate::machines::direct_calls::DirectCallOutcome;
 use crate::machines::heartbeats::{Claimant, HeartbeatRoute, OwnershipView};
 use crate::machines::ownership::PartitionTerm;
 use crate::machines::presence::PresenceOutcome;
