--- a/review/lab-2/src/cases.rs
+++ b/review/lab-2/src/cases.rs
@@ -22,6 +22,7 @@
 
 pub fn run(case: &str, lab: &Arc<Lab>) -> Outcome {
     match case {
+        "zone-array" => zone_array(lab),
         "small-tasks" => small_tasks(lab),
         "other-part" => other_part(lab),
         "queue-elsewhere" => queue_elsewhere(lab),
@@ -249,3 +250,60 @@
     lab.submit(1, &waiting);
     begins_beside_room(lab, &world, "req-000005", 8.0)
 }
+
+/// An array of tiny tasks that is bound to one zone, and whose tasks all fit on one machine.
+fn zone_array(lab: &Arc<Lab>) -> Outcome {
+    let world = start(lab, vec![spindle(lab, 2.0)], &[("spindle-32", "riga-floor", false, 2)])?;
+    let ordinary = lab.describe(
+        "req-000001",
+        json!({"jobclass": "loom-plan", "cpus": 32.0, "ram_gb": 31.0, "bundle": "img-01"}),
+        0.5,
+        Some(80.0),
+    );
+    lab.submit(0, &ordinary);
+    if !lab.until("req-000001 runs", 20.0, || world.running("req-000001") == 1) {
+        return Err(cannot("the first job does not run"));
+    }
+    let tiny = lab.describe(
+        "req-000002",
+        json!({"jobclass": "bolt-check", "shards": 100_000, "cpus": 0.0003, "ram_gb": 0.002, "bundle": "img-02",
+            "together": lab.trouble}),
+        0.5,
+        Some(10.0),
+    );
+    if lab.submit(0, &tiny) != 201 {
+        return Err(cannot("not accepted"));
+    }
+    // Since when each controller has answered nothing, the longest such time of each, and of all at once.
+    let mut last = vec![Instant::now(); 3];
+    let mut longest = [0.0_f64; 3];
+    let mut all_silent = 0.0_f64;
+    while lab.seconds() < 104.0 {
+        let ready: Vec<bool> = (0..3).map(|n| lab.ready(n)).collect();
+        let polls: Vec<u16> = (0..3).map(|n| lab.look_up(n, "req-000001").0).collect();
+        for n in 0..3 {
+            if ready[n] || polls[n] != 0 {
+                last[n] = Instant::now();
+            }
+            longest[n] = longest[n].max(last[n].elapsed().as_secs_f64());
+        }
+        all_silent =
+            all_silent.max(last.iter().map(|l| l.elapsed().as_secs_f64()).fold(f64::MAX, f64::min));
+        let runs = world.running("req-000001");
+        lab.note(&format!(
+            "/ready answers 200: {ready:?}; polls of req-000001: {polls:?}; its task runs: {runs}"
+        ));
+        thread::sleep(Duration::from_millis(500));
+    }
+    let silent: Vec<String> = longest.iter().map(|s| format!("{s:.0} s")).collect();
+    let done = lab.counts.lock().unwrap().completed.contains_key("req-000001/0");
+    let ended = lab.ended_nodes();
+    lab.note(&format!("longest time without any answer, of each controller: {silent:?}; of all three at once: {all_silent:.0} s"));
+    lab.note(&format!("the task of req-000001 completed: {done}; processes that ended: {ended:?}"));
+    if longest.iter().any(|s| *s > lab.site.lease_s) {
+        return Err(Failure::Broken(format!(
+            "controllers hang: without any answer for {silent:?}, all at once for {all_silent:.0} s"
+        )));
+    }
+    Ok(())
+}
