Steps count their work, and a step that takes too long is logged with what it does

Change: WorkCounter counts the visits of tasks, attempts, machines, records and ranges by Activity. StepWatch logs step_slow with these counts while a step runs (from the connections that receive health checks, so no thread is added) and when it ends.

--- a/crates/quartzlever-core/src/lib.rs
+++ b/crates/quartzlever-core/src/lib.rs
@@ -22,6 +22,7 @@
 //! - [`autoscaling`]: scaling out, scaling in, and detection of faulty machines.
 //! - `upgrade`: the cluster version, which all controllers understand, and raising it while
 //!   serving.
+//! - `work`: counts of the work of a step.
 
 pub mod autoscaling;
 mod calls;
@@ -42,6 +43,7 @@
 #[cfg(test)]
 mod testing;
 mod upgrade;
+mod work;
 
 pub use config::{Config, Operator, ServiceLevelObjective, Team, WorkerTimes};
 pub use events::LogEvent;
@@ -49,3 +51,4 @@
 pub use messages::{Answer, CallId, CallPriority, Command, Effect, LogLevel, RequestId};
 pub use router::Core;
 pub use upgrade::VERSION;
+pub use work::{Activity, WorkCounter, WorkSummary};
--- a/crates/quartzlever-core/src/partition.rs
+++ b/crates/quartzlever-core/src/partition.rs
@@ -23,6 +23,7 @@
 use crate::scheduling::free_capacity_index::FreeCapacityIndex;
 use crate::store::partition_key;
 pub use crate::table::Table;
+use crate::work::WorkCounter;
 
 /// Machine types by name, shared by all partitions of a process.
 pub type Types = Arc<BTreeMap<String, MachineType>>;
@@ -80,6 +81,8 @@
     pub reservations: Reservations,
     /// Whether tasks that should start now fit nowhere here, even with preemption.
     pub saturated: bool,
+    /// Counts the work of the present step.
+    pub work: WorkCounter,
 }
 
 impl Partition {
@@ -110,6 +113,7 @@
             unplaced_min_cpus: f64::INFINITY,
             reservations: Reservations::default(),
             saturated: false,
+            work: WorkCounter::default(),
         }
     }
 
--- a/crates/quartzlever-core/src/router.rs
+++ b/crates/quartzlever-core/src/router.rs
@@ -45,6 +45,7 @@
 use crate::store::watch::Watch;
 use crate::store::write_budget::WriteBudget;
 use crate::upgrade::ClusterVersions;
+use crate::work::{Activity, WorkCounter};
 
 /// Holds all state of a controller process; [`Core::step`] advances it.
 pub struct Core {
@@ -87,6 +88,7 @@
     next_group_write_at: Micros,
     /// Whether this process could act in the previous step.
     pub(crate) was_acting: bool,
+    pub(crate) work: WorkCounter,
 }
 
 /// Minimum time between two checks of all machines.
@@ -135,6 +137,7 @@
             next_job_write_at: 0,
             next_group_write_at: 0,
             was_acting: false,
+            work: WorkCounter::default(),
             config,
         };
         if !core.config.leases_meet_cancel() {
@@ -147,6 +150,7 @@
     /// Processes a batch of commands and returns the effects to carry out.
     pub fn step(&mut self, now: Micros, mut commands: Vec<Command>) -> Vec<Effect> {
         self.now = self.now.max(now);
+        self.work.begin_step();
         // Leaders divide the write limit among themselves. A node without a partition writes little
         // and takes an equal share among all nodes.
         let leaders = self.cache.leader_count();
@@ -171,6 +175,8 @@
             });
         commands.sort_by_key(Command::processing_rank);
         for command in commands {
+            let _activity = self.work.begin(activity_of(&command));
+            self.work.add(1);
             self.dispatch(command);
         }
         self.lease.poll(self.now, &self.config, &mut self.outbox);
@@ -243,6 +249,11 @@
         (self.now as i64 + self.wall_offset.unwrap_or(0)).max(0) as Micros
     }
 
+    /// Returns the counter of the work of each step.
+    pub fn work(&self) -> &WorkCounter {
+        &self.work
+    }
+
     /// Reports whether the cache is not loaded and no partition is led yet, so that all heartbeats
     /// and health checks are rejected.
     pub fn is_starting(&self) -> bool {
@@ -390,6 +401,7 @@
             }
         }
         if self.now >= self.next_job_write_at {
+            let _activity = self.work.begin(Activity::JobWrites);
             self.next_job_write_at = self.now + JOB_WRITE_INTERVAL;
             self.write_jobs();
             self.remove_leftover_pages();
@@ -398,9 +410,15 @@
             self.next_group_write_at = self.now + GROUP_WRITE_INTERVAL;
             self.write_groups();
         }
-        self.poll_autoscaling();
-        self.notify_saturated();
-        self.poll_stealing();
+        {
+            let _activity = self.work.begin(Activity::Autoscaling);
+            self.poll_autoscaling();
+        }
+        {
+            let _activity = self.work.begin(Activity::Stealing);
+            self.notify_saturated();
+            self.poll_stealing();
+        }
         self.outbox.log_rejected(self.now);
     }
 
@@ -410,5 +428,19 @@
     }
 }
 
+/// Returns the activity that handling a command begins with.
+fn activity_of(command: &Command) -> Activity {
+    match command {
+        Command::Heartbeat { .. } | Command::WorkerReply { .. } => Activity::Heartbeats,
+        Command::Submit { .. } | Command::Lookup { .. } | Command::Cancel { .. } => {
+            Activity::UserRequests
+        }
+        Command::StoreReply { .. } => Activity::Records,
+        Command::PeerRequest { .. } | Command::PeerReply { .. } => Activity::Stealing,
+        Command::CloudReply { .. } => Activity::Autoscaling,
+        Command::Ready { .. } | Command::Tick { .. } => Activity::Other,
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/quartzlever-core/src/router/leadership.rs
+++ b/crates/quartzlever-core/src/router/leadership.rs
@@ -18,6 +18,7 @@
 use crate::router::Core;
 use crate::store::cache::Versioned;
 use crate::store::watch::{MIN_WATCH_INTERVAL, WATCH_SHARE};
+use crate::work::Activity;
 
 impl Core {
     /// Reports whether this process certainly still holds its lease.
@@ -208,6 +209,7 @@
             term,
         });
         let mut partition = Partition::new(name, term, self.types.clone(), self.now);
+        partition.work = self.work.clone();
         if self.partition_keys.take_eviction(name) {
             partition.sole_leader_from = self.now + self.config.operator.lease_lifetime;
         }
@@ -220,9 +222,11 @@
         if !self.cache.is_loaded() {
             return;
         }
+        let _activity = self.work.begin(Activity::Takeover);
         let (now, wall, revision) = (self.now, self.wall(), self.cache.revision());
         for partition in self.partitions.values_mut().filter(|p| !p.loaded && p.term <= revision) {
             for Versioned { record, mod_revision } in self.cache.active_jobs().values() {
+                self.work.add(1 + record.finished.range_count());
                 partition.reconcile_job(&self.config, record.clone(), *mod_revision, now, wall);
             }
             let name = partition.name.clone();
--- a/crates/quartzlever-core/src/scheduling/assignment.rs
+++ b/crates/quartzlever-core/src/scheduling/assignment.rs
@@ -16,6 +16,7 @@
 use crate::machines::resources::Resources;
 use crate::partition::Partition;
 use crate::router::Core;
+use crate::work::Activity;
 
 /// Minimum time between two placements of a partition's whole queue. With hundreds of machines, one
 /// placement takes longer than the handling of a heartbeat may.
@@ -44,6 +45,7 @@
         else {
             return;
         };
+        let _activity = self.work.begin(Activity::Placement);
         partition.begin_placement(now);
         partition.update_reservation(now);
         let many_machines = partition.machines.len() > self.config.machine_capacity / 2;
@@ -74,6 +76,7 @@
         if !partition.machines.get(machine).is_some_and(|m| m.is_usable() && m.free.cpus > 0.0) {
             return;
         }
+        let _activity = self.work.begin(Activity::Placement);
         let waiting = std::mem::take(&mut partition.jobs_without_capacity);
         for id in &waiting {
             // Most machines are full, or nearly so, and are skipped here without a search.
@@ -249,6 +252,7 @@
     /// Assigns a ready task to a machine as a new attempt, and queues a call to the machine. The
     /// caller refreshes the machine afterwards.
     pub fn start_task(&mut self, id: &str, index: u32, machine_name: &str, now: Micros) {
+        self.work.add(1);
         let attempt = self.next_attempt();
         let (Some(job), Some(machine)) =
             (self.jobs.get_mut(id), self.machines.get_mut(machine_name))
--- a/crates/quartzlever-core/src/scheduling/zones.rs
+++ b/crates/quartzlever-core/src/scheduling/zones.rs
@@ -54,6 +54,7 @@
 fn active_tasks_by_zone<'a>(partition: &'a Partition, id: &str) -> BTreeMap<&'a str, u32> {
     let mut tasks: BTreeMap<&str, u32> = BTreeMap::new();
     for machine in partition.machines.values() {
+        partition.work.add(1 + machine.attempts.len());
         let attempts = machine.attempts.iter();
         let count = attempts
             .filter(|(key, attempt)| key.task.job == *id && !attempt.has_exited())
--- a/crates/quartzlever-core/src/testing.rs
+++ b/crates/quartzlever-core/src/testing.rs
@@ -100,6 +100,7 @@
     core.was_acting = true;
     let mut partition = Partition::new("one", 5, core.types.clone(), NOW);
     (partition.loaded, partition.recovery_complete) = (true, true);
+    partition.work = core.work.clone();
     let record = MachineRecord {
         partition: "one".into(),
         address: "n-1:9000".into(),
--- a/crates/quartzlever/src/inbox.rs
+++ b/crates/quartzlever/src/inbox.rs
@@ -14,6 +14,7 @@
 use quartzlever_wire::peers::PeerAnswer;
 
 use crate::responder::Responder;
+use crate::step_watch::StepWatch;
 
 /// The destination of the answer to a request.
 #[derive(Debug)]
@@ -79,6 +80,8 @@
     rejected: AtomicU32,
     /// The time until which the node counts as ready.
     ready_until: AtomicU64,
+    /// The core's step in progress.
+    step_watch: StepWatch,
 }
 
 /// The receiving side of the core's queues, used by the core's thread.
@@ -98,6 +101,11 @@
         self.published.rejected.swap(0, Ordering::Relaxed)
     }
 
+    /// Returns the watch over the core's steps.
+    pub fn step_watch(&self) -> &StepWatch {
+        &self.published.step_watch
+    }
+
     /// Reports whether all queues are empty.
     pub fn is_empty(&self) -> bool {
         self.priority.is_empty() && self.lookups.is_empty() && self.submissions.is_empty()
@@ -123,6 +131,7 @@
             is_starting: AtomicBool::new(false),
             rejected: AtomicU32::new(0),
             ready_until: AtomicU64::new(0),
+            step_watch: StepWatch::new(),
         });
         let receiver = InboxReceiver {
             priority: priority_receiver,
@@ -151,6 +160,11 @@
         now < self.published.ready_until.load(Ordering::Relaxed)
     }
 
+    /// Reports the core's present step if it takes too long.
+    pub fn check_step(&self, now: Micros) {
+        self.published.step_watch.check(now);
+    }
+
     /// Enqueues the result of a call.
     pub fn deliver(&self, command: Command) {
         // Fails only when the core's thread has ended, and then the process ends.
--- a/crates/quartzlever/src/log.rs
+++ b/crates/quartzlever/src/log.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use quartzlever_core::LogLevel;
+use quartzlever_core::{LogLevel, WorkSummary};
 use quartzlever_recovery::detection::Loss;
 use quartzlever_recovery::format::WriteTimes;
 use quartzlever_wire::fields::Fields;
@@ -28,6 +28,14 @@
     ProcessEnded { reason: &'a str },
     /// The core's thread took no commands for this long.
     ProcessStalled { duration: Duration },
+    /// A step of the core has taken this long, and may still be running. Nothing else is handled
+    /// meanwhile.
+    StepSlow {
+        duration: Duration,
+        is_running: bool,
+        /// What the step has done so far.
+        work: WorkSummary,
+    },
     /// The store has lost data. Nothing is done until it is rebuilt.
     StoreDataLost { loss: &'a Loss },
     /// The process that detected the loss cannot restart itself.
@@ -56,6 +64,7 @@
         match self {
             ProgramEvent::ApiServed { .. }
             | ProgramEvent::ProcessStalled { .. }
+            | ProgramEvent::StepSlow { .. }
             | ProgramEvent::RecoveryLogProtected
             | ProgramEvent::RecoveryLogWrites { .. }
             | ProgramEvent::FinalStatesWritten => LogLevel::Info,
@@ -76,6 +85,7 @@
             ProgramEvent::CannotRun { .. } => "cannot_run",
             ProgramEvent::ProcessEnded { .. } => "process_ended",
             ProgramEvent::ProcessStalled { .. } => "process_stalled",
+            ProgramEvent::StepSlow { .. } => "step_slow",
             ProgramEvent::StoreDataLost { .. } => "store_data_lost",
             ProgramEvent::CannotRestart { .. } => "cannot_restart",
             ProgramEvent::RecoveryFileUnusable { .. } => "recovery_file_unusable",
@@ -104,6 +114,11 @@
             ProgramEvent::ProcessStalled { duration } => {
                 fields.field("duration_ms", duration.as_millis())
             }
+            ProgramEvent::StepSlow { duration, is_running, work } => fields
+                .field("duration_ms", duration.as_millis())
+                .field("running", is_running)
+                .field("activity", work.current)
+                .field("work", work),
             ProgramEvent::StoreDataLost { loss } => fields.field("reason", loss),
             ProgramEvent::RecoveryLogWrites { times } => fields
                 .field("count", times.count)
--- a/crates/quartzlever/src/log/tests.rs
+++ b/crates/quartzlever/src/log/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the form of log lines.
 
-use quartzlever_core::LogEvent;
+use quartzlever_core::{Activity, LogEvent};
 
 use super::*;
 
@@ -44,6 +44,18 @@
             LogLevel::Info,
             "process_stalled duration_ms=4200",
         ),
+        (
+            ProgramEvent::StepSlow {
+                duration: Duration::from_millis(1_500),
+                is_running: true,
+                work: WorkSummary {
+                    current: Activity::Placement,
+                    units: vec![(Activity::Heartbeats, 2), (Activity::Placement, 30)],
+                },
+            },
+            LogLevel::Info,
+            "step_slow duration_ms=1500 running=true activity=placement work=heartbeats:2,placement:30",
+        ),
         (
             ProgramEvent::StoreDataLost { loss: &Loss::IdentityGone },
             LogLevel::Error,
--- a/crates/quartzlever/src/main.rs
+++ b/crates/quartzlever/src/main.rs
@@ -5,7 +5,8 @@
 //!
 //! 1. `clock`, `exit_status`, `log`, `random`, `thread_pool`: use nothing of this program but `clock`.
 //! 2. `settings`: the settings files.
-//! 3. `responder`: sockets and HTTP answers; `inbox`: the command queues of the core's thread.
+//! 3. `responder`: sockets and HTTP answers; `step_watch`: reports of slow steps of the core; `inbox`:
+//!    the command queues of the core's thread.
 //! 4. `server`: HTTP connections of users and workers.
 //! 5. `recovery`: access to the store through the guard and the recovery log; uses nothing of 3 and 4.
 //! 6. `node`: the core's thread, and the threads that execute its effects.
@@ -21,6 +22,7 @@
 mod responder;
 mod server;
 mod settings;
+mod step_watch;
 mod thread_pool;
 
 use std::error::Error;
--- a/crates/quartzlever/src/node/core_thread.rs
+++ b/crates/quartzlever/src/node/core_thread.rs
@@ -72,6 +72,7 @@
         clock: Clock,
     ) -> CoreThread {
         let now = clock.now();
+        incoming.step_watch().observe(core.work().clone());
         CoreThread {
             core,
             incoming,
@@ -103,7 +104,10 @@
             if batch.is_empty() {
                 continue;
             }
-            for effect in self.core.step(now, batch) {
+            self.incoming.step_watch().begin(now);
+            let effects = self.core.step(now, batch);
+            self.incoming.step_watch().end(self.clock.now());
+            for effect in effects {
                 self.execute(effect);
             }
             self.publish(now);
--- a/crates/quartzlever/src/server/shedding.rs
+++ b/crates/quartzlever/src/server/shedding.rs
@@ -19,6 +19,9 @@
 /// Returns the answer to a request that is answered without the core, or `None` if the core has to
 /// answer it.
 pub fn answer_without_core(route: &Route, inbox: &Inbox, clock: Clock) -> Option<FixedAnswer> {
+    if matches!(route, Route::Ready) {
+        inbox.check_step(clock.now());
+    }
     match route {
         // While the core is starting, all workers connect every second. The core's thread need not
         // wake up for each of them.
