A placement takes a bounded number of starts, and counts a job's zones once

Cause: before each start of a job with 'together' or 'apart', the active tasks by zone were counted anew over all attempts of the partition: n * n / 2 visits for n tasks, in one step, within which nothing else is answered. A service was offered to all machines once for each of its replicas, and one step started as many tasks as the job had.

Change: the zones are counted once for a placement of a job, over the job's own attempts. The tasks are distributed by one step for each start and machine (scheduling/distribution.rs). A placement makes at most 1,000 starts and the next goes on; a machine gets no start while 200 of its attempts are in no heartbeat, as many as one message carries, so its attempts stay within what its heartbeats list, and one message. Tasks held back so have room: they preempt nothing and launch no machine.

--- a/crates/quartzlever-core/src/autoscaling/demand.rs
+++ b/crates/quartzlever-core/src/autoscaling/demand.rs
@@ -113,18 +113,17 @@
 }
 
 impl Unplaced {
-    /// Starts with all ready tasks of a job.
+    /// Starts with all ready tasks of a job that have no room on a machine.
     fn of_job(partition: &Partition, job: &PartitionJob, config: &Config) -> Self {
-        Unplaced { tasks: job.ready.len(), zones: zone_capacity(partition, job, &config.zones) }
+        let zones = zone_capacity(partition, job, &config.zones);
+        Unplaced { tasks: job.unplaced_count(), zones }
     }
 
     /// Places as many of the tasks as possible on a pending or planned machine.
     fn place_in(&mut self, bin: &mut Bin, need: &Resources) {
         let zone = &bin.offer.zone;
         let count = bin.free.count_fitting(need).min(self.tasks).min(self.zones.remaining(zone));
-        for _ in 0..count {
-            bin.free.subtract(need);
-        }
+        bin.free.subtract_tasks(need, count);
         self.zones.subtract(zone, count);
         self.tasks -= count;
     }
--- a/crates/quartzlever-core/src/calls.rs
+++ b/crates/quartzlever-core/src/calls.rs
@@ -2,6 +2,7 @@
 //! no decisions.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::RangeInclusive;
 
 use quartzlever_wire::cloud::{Instance, ScaleOutRequest};
 use quartzlever_wire::pages::PAGE_PREFIX;
@@ -118,6 +119,15 @@
     pub attempt: u64,
 }
 
+impl AttemptKey {
+    /// Returns the range of the keys of all attempts of a job.
+    pub fn range_of_job(job: &str) -> RangeInclusive<AttemptKey> {
+        let key =
+            |index, attempt| AttemptKey { task: TaskId { job: job.to_owned(), index }, attempt };
+        key(0, 0)..=key(u32::MAX, u64::MAX)
+    }
+}
+
 /// The context of a call to a worker.
 #[derive(Debug, Default)]
 pub(crate) struct PendingWorkerCall {
--- a/crates/quartzlever-core/src/jobs/partition_job.rs
+++ b/crates/quartzlever-core/src/jobs/partition_job.rs
@@ -74,6 +74,9 @@
     pub preempted_tasks: Ranges,
     /// Whether starting a task only with its machine's next heartbeat costs the job nothing.
     pub can_wait_for_heartbeat: bool,
+    /// Number of ready tasks that the last placement found room for on machines, but held back as it
+    /// had made enough starts. They lack no capacity.
+    pub held_back: u32,
 }
 
 /// The state of the job's partition that decides whether its tasks are ready.
@@ -124,6 +127,7 @@
             no_start_before: 0,
             preempted_tasks: Ranges::default(),
             can_wait_for_heartbeat: false,
+            held_back: 0,
         }
     }
 
@@ -318,6 +322,11 @@
         (self.succeeded == 0 || self.is_service()) && self.failures.is_job_at_fault()
     }
 
+    /// Returns how many ready tasks no room was found for.
+    pub fn unplaced_count(&self) -> u32 {
+        self.ready.len().saturating_sub(self.held_back)
+    }
+
     /// Returns how many ready tasks may be placed now. A job that fails everywhere and is not a
     /// service gets at most `MAX_TRIAL_TASKS` tasks at a time, so that it uses few resources until
     /// it is cancelled.
--- a/crates/quartzlever-core/src/machines/attempt.rs
+++ b/crates/quartzlever-core/src/machines/attempt.rs
@@ -57,6 +57,8 @@
     /// connections, so a late answer would start the attempt again if it had been killed and
     /// cleared in the meantime.
     pub run_in_answer: bool,
+    /// Whether a heartbeat of this incarnation has listed it.
+    pub listed_in_heartbeat: bool,
     /// Whether its end has been processed.
     pub end_processed: bool,
     /// Whether its `run` command was sent to the worker's address at least once.
@@ -116,6 +118,7 @@
             direct_command: DirectCommand::Settled,
             direct_run_token: None,
             run_in_answer: false,
+            listed_in_heartbeat: false,
             end_processed: false,
             run_sent: false,
             service: false,
--- a/crates/quartzlever-core/src/machines/commands.rs
+++ b/crates/quartzlever-core/src/machines/commands.rs
@@ -19,6 +19,8 @@
 use crate::partition::Partition;
 use crate::store::cache::Cache;
 
+/// Maximum number of commands in a message.
+pub(super) const MAX_COMMANDS: usize = 200;
 /// Minimum number of `clear` commands that an answer carries without any other command.
 const MIN_CLEARS_IN_ANSWER: usize = 4;
 
@@ -40,7 +42,6 @@
         fencing_token: u64,
         may_clear: impl Fn(&AttemptKey, &Attempt) -> bool,
     ) -> Vec<WorkerCommand> {
-        const MAX_COMMANDS: usize = 200;
         let mut commands = Vec::new();
         for (key, state) in &self.attempts {
             let (task, attempt) = (key.task.clone(), key.attempt);
--- a/crates/quartzlever-core/src/machines/machine.rs
+++ b/crates/quartzlever-core/src/machines/machine.rs
@@ -9,7 +9,7 @@
 
 use crate::autoscaling::ScaleInReason;
 use crate::machines::attempt::{Attempt, AttemptKey, DirectCommand};
-use crate::machines::commands::MessageKind;
+use crate::machines::commands::{MAX_COMMANDS, MessageKind};
 use crate::machines::failures::MachineFailures;
 use crate::machines::resources::Resources;
 use crate::messages::CallId;
@@ -17,6 +17,10 @@
 /// Number of exited attempts on a machine, started by direct calls and not cleared, from which on it
 /// gets starts only in answers to heartbeats. Their list takes about a third of a status of 64 KiB.
 const MAX_UNCLEARED_DIRECT_STARTS: usize = 200;
+/// Number of attempts on a machine that no heartbeat has listed, from which on it gets no more: no
+/// message could start more of them. The attempts of a machine thus stay within what its heartbeats
+/// list, and one message.
+pub(crate) const MAX_UNLISTED_ATTEMPTS: usize = MAX_COMMANDS;
 /// Time after which a worker drops the answer to its heartbeat, and some for the way.
 const ANSWER_TIMEOUT: Micros = 5 * SECOND;
 /// Consecutive unacknowledged heartbeats after which a machine counts as ignoring commands.
@@ -63,6 +67,8 @@
     pub last_expired_attempt: u64,
     /// The free capacity, kept up to date by `Partition::refresh_machine`.
     pub free: Resources,
+    /// Number of attempts that no heartbeat has listed, kept up to date like `free`.
+    unlisted_attempts: usize,
     /// Consecutive failed direct calls since the last newer status.
     pub failed_calls: u32,
     /// Consecutive heartbeats that show no effect of the answers to earlier ones.
@@ -104,6 +110,7 @@
             attempts: BTreeMap::new(),
             last_expired_attempt: 0,
             free: Resources::default(),
+            unlisted_attempts: 0,
             failed_calls: 0,
             unacknowledged_heartbeats: 0,
             unacknowledged_since: 0,
@@ -156,6 +163,34 @@
             && self.unacknowledged_heartbeats == 0
     }
 
+    /// Returns the number of tasks that may be started on the machine now, whatever fits.
+    pub(crate) fn start_slots(&self) -> u32 {
+        MAX_UNLISTED_ATTEMPTS.saturating_sub(self.unlisted_attempts) as u32
+    }
+
+    /// Counts the attempts that no heartbeat has listed. Returns whether the machine may get starts
+    /// again, after it could get none.
+    pub(super) fn count_unlisted_attempts(&mut self) -> bool {
+        let had_slots = self.start_slots() > 0;
+        let is_unlisted = |attempt: &&Attempt| !attempt.listed_in_heartbeat;
+        self.unlisted_attempts = self.attempts.values().filter(is_unlisted).count();
+        !had_slots && self.start_slots() > 0
+    }
+
+    /// Returns the attempts of a job.
+    pub(crate) fn attempts_of(&self, job: &str) -> impl Iterator<Item = (&AttemptKey, &Attempt)> {
+        self.attempts.range(AttemptKey::range_of_job(job))
+    }
+
+    /// Records what every newer heartbeat shows: no earlier answer can still take effect, and the
+    /// worker lists these attempts.
+    pub(super) fn record_listed_attempts(&mut self) {
+        for attempt in self.attempts.values_mut() {
+            attempt.run_in_answer = false;
+            attempt.listed_in_heartbeat = true;
+        }
+    }
+
     /// Reports whether any service replica is meant to run on the machine.
     pub fn has_service_replicas(&self) -> bool {
         self.attempts.values().any(|a| a.service && a.wanted && !a.has_exited())
--- a/crates/quartzlever-core/src/machines/membership.rs
+++ b/crates/quartzlever-core/src/machines/membership.rs
@@ -108,6 +108,7 @@
         if machine.has_urgent_commands() {
             self.call_queue.add_urgent(name);
         }
+        self.placement_wanted |= machine.count_unlisted_attempts();
         let machine_type = self.types.as_ref().and_then(|t| t.get(&machine.record.machine_type));
         match machine_type.filter(|_| machine.is_usable()) {
             Some(machine_type) => {
--- a/crates/quartzlever-core/src/machines/reconciliation.rs
+++ b/crates/quartzlever-core/src/machines/reconciliation.rs
@@ -74,7 +74,8 @@
         if source == StatusSource::Heartbeat && machine.confirms_known_state(heartbeat) {
             machine.sequence = heartbeat.sequence;
             machine.last_heartbeat_at = now;
-            machine.attempts.values_mut().for_each(|attempt| attempt.run_in_answer = false);
+            machine.record_listed_attempts();
+            self.placement_wanted |= machine.count_unlisted_attempts();
             return true;
         }
         self.apply_status_changes(config, run_times, heartbeat, source, now);
@@ -107,7 +108,7 @@
             self.call_queue.mark_fenced(&heartbeat.machine);
         }
         for task in &heartbeat.tasks {
-            self.apply_task_status(config, run_times, &heartbeat.machine, task, now);
+            self.apply_task_status(config, run_times, &heartbeat.machine, task, source, now);
         }
         self.remove_unlisted_attempts(heartbeat, source);
         self.checkpoint_before_reclaim(heartbeat);
@@ -180,6 +181,7 @@
         run_times: &mut RunTimes,
         machine: &str,
         status: &AttemptStatus,
+        source: StatusSource,
         now: Micros,
     ) {
         let key = AttemptKey { task: status.task.clone(), attempt: status.attempt };
@@ -197,6 +199,7 @@
         };
         attempt.phase = Some(status.phase);
         attempt.cause = status.cause;
+        attempt.listed_in_heartbeat |= source == StatusSource::Heartbeat;
         if status.phase != TaskPhase::Exited || attempt.end_processed {
             return;
         }
--- a/crates/quartzlever-core/src/machines/resources.rs
+++ b/crates/quartzlever-core/src/machines/resources.rs
@@ -34,6 +34,14 @@
             && self.ram_gb + ROUNDING_TOLERANCE >= need.ram_gb
     }
 
+    /// Subtracts the resources that `tasks` tasks of `need` need.
+    pub fn subtract_tasks(&mut self, need: &Resources, tasks: u32) {
+        let tasks = f64::from(tasks);
+        self.cpus -= need.cpus * tasks;
+        self.gpus -= need.gpus * tasks;
+        self.ram_gb -= need.ram_gb * tasks;
+    }
+
     /// Subtracts the resources that a task needs.
     pub fn subtract(&mut self, need: &Resources) {
         self.cpus -= need.cpus;
--- a/crates/quartzlever-core/src/partition.rs
+++ b/crates/quartzlever-core/src/partition.rs
@@ -2,7 +2,6 @@
 //! that the partition's leader keeps of both.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::ops::Bound;
 use std::sync::Arc;
 
 use quartzlever_wire::Micros;
@@ -190,14 +189,12 @@
             // Its attempts on machines, if any, are already unwanted.
             return;
         }
-        let key =
-            |index, attempt| AttemptKey { task: TaskId { job: id.to_owned(), index }, attempt };
-        let (first, last) = (key(0, 0), key(u32::MAX, u64::MAX));
-        let all = (Bound::Included(&first), Bound::Included(&last));
+        let attempts_of_job = AttemptKey::range_of_job(id);
         let mut active_attempts = 0;
         for name in self.machines_by_job.remove(id).into_iter().flatten() {
             let Some(machine) = self.machines.get_mut(&name) else { continue };
-            for (_, attempt) in machine.attempts.range_mut::<AttemptKey, _>(all) {
+            for (_, attempt) in machine.attempts.range_mut(attempts_of_job.clone()) {
+                self.work.add(1);
                 attempt.wanted = false;
                 attempt.leeway_s = 0.0;
                 if attempt.has_exited() {
--- a/crates/quartzlever-core/src/scheduling.rs
+++ b/crates/quartzlever-core/src/scheduling.rs
@@ -5,12 +5,14 @@
 //! - `zones`: the number of tasks of a job that may start in each zone.
 //! - `score`: the ranking of feasible machines.
 //! - `assignment`: the assignment of ready tasks to machines.
+//! - `distribution`: how many tasks of a job start on each of its feasible machines.
 //! - `preemption`: the preemption of work of lower priority where free capacity is lacking.
 //! - `reservations`: capacity that is reserved for certain jobs.
 //! - `run_times`: estimates of the run times of tasks.
 //! - [`free_capacity_index`]: an index of machines by their free processors.
 
 mod assignment;
+mod distribution;
 mod feasibility;
 pub mod free_capacity_index;
 mod preemption;
@@ -24,6 +26,8 @@
 
 use crate::config::Config;
 
+#[cfg(test)]
+pub(crate) use assignment::MAX_STARTS_PER_PLACEMENT;
 pub use feasibility::constraints_allow;
 pub use queue_order::{Urgency, urgency};
 pub use reservations::Reservations;
--- a/crates/quartzlever-core/src/scheduling/assignment.rs
+++ b/crates/quartzlever-core/src/scheduling/assignment.rs
@@ -3,13 +3,17 @@
 //! The jobs are placed in queue order, each on its feasible machines by descending score. No task
 //! is started beyond the limit of its team, or on a machine without a recent heartbeat.
 
+use std::collections::BTreeSet;
+
 use quartzlever_wire::users::JobSpec;
 use quartzlever_wire::workers::TaskId;
 use quartzlever_wire::{Micros, SECOND};
 
+use super::distribution::{Distribution, MachineRoom, Spreading, distribute};
 use super::feasibility::{Feasibility, machine_allowed};
 use super::queue_order::urgency;
 use super::score::{Score, Scoring};
+use super::zones::zone_capacity;
 use crate::config::Config;
 use crate::jobs::partition_job::PartitionJob;
 use crate::machines::attempt::{Attempt, AttemptKey};
@@ -21,19 +25,28 @@
 /// Minimum time between two placements of a partition's whole queue. With hundreds of machines, one
 /// placement takes longer than the handling of a heartbeat may.
 const PLACEMENT_INTERVAL: Micros = SECOND / 10;
+/// Maximum number of tasks that one placement of the queue starts; the next one goes on. It takes a
+/// controller with a fiftieth of a processor a fraction of the second in which it has to answer
+/// health checks.
+pub(crate) const MAX_STARTS_PER_PLACEMENT: u32 = 1000;
 /// Interval of the check whether an attempt of a job that fails everywhere has run longer than all
 /// failed ones.
 const TRIAL_CHECK_INTERVAL: Micros = SECOND;
 
-/// The placement of one job's tasks.
-struct JobPlacement<'a> {
-    config: &'a Config,
-    id: &'a str,
-    need: Resources,
-    /// Whether the number of the job's tasks per zone is limited, and has to be checked before each
-    /// start.
-    zone_constrained: bool,
-    now: Micros,
+/// Which starts a placement may make.
+#[derive(Clone, Copy)]
+struct PlacementScope<'a> {
+    /// The only machine that may get tasks; `None` for all.
+    only_machine: Option<&'a str>,
+    max_starts: u32,
+}
+
+/// The result of the placement of one job's tasks.
+#[derive(Clone, Copy, Debug, Default)]
+struct JobPlacement {
+    started: u32,
+    /// Whether tasks remain for lack of capacity.
+    lacks_capacity: bool,
 }
 
 impl Core {
@@ -53,16 +66,21 @@
         // job took two seconds on a controller with little processor time, and delayed submissions.
         // With many machines, starts that are not urgent wait for the next heartbeat instead.
         let next_heartbeat_by = now + self.config.workers.heartbeat_interval * 3 / 2;
+        let mut max_starts = MAX_STARTS_PER_PLACEMENT;
         for id in partition.queue_order(&self.config, &self.run_times, now) {
             if let Some(job) = partition.jobs.get_mut(&id) {
                 job.can_wait_for_heartbeat = many_machines
                     && urgency(&self.config, &self.run_times, job, now).latest_start
                         > next_heartbeat_by;
             }
-            if partition.place_tasks(&self.config, &id, None, now) {
+            let scope = PlacementScope { only_machine: None, max_starts };
+            let placement = partition.place_tasks(&self.config, &id, scope, now);
+            max_starts -= placement.started;
+            if placement.lacks_capacity {
                 partition.add_job_without_capacity(id);
             }
         }
+        partition.placement_wanted |= max_starts == 0;
         partition.release_preempted_capacity(now);
         self.preempt(name);
     }
@@ -87,7 +105,11 @@
             {
                 break;
             }
-            partition.place_tasks(&self.config, id, Some(machine), now);
+            let scope = PlacementScope {
+                only_machine: Some(machine),
+                max_starts: MAX_STARTS_PER_PLACEMENT,
+            };
+            partition.place_tasks(&self.config, id, scope, now);
         }
         partition.jobs_without_capacity = waiting;
     }
@@ -123,38 +145,62 @@
         self.placement_due_at = Some(self.placement_due_at.map_or(at, |t| t.min(at)));
     }
 
-    /// Starts ready tasks of a job on machines with free capacity, or only on `only_machine` if
-    /// given. Returns whether tasks remain for lack of capacity.
+    /// Starts ready tasks of a job on machines with free capacity.
     fn place_tasks(
         &mut self,
         config: &Config,
         id: &str,
-        only_machine: Option<&str>,
+        scope: PlacementScope,
         now: Micros,
-    ) -> bool {
+    ) -> JobPlacement {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.held_back = 0;
+        }
         if !self.may_start_tasks(config, id, now) {
-            return false;
+            return JobPlacement::default();
         }
-        let Some(job) = self.jobs.get(id) else { return false };
+        let Some(job) = self.jobs.get(id) else { return JobPlacement::default() };
         let (spec, need, service) = (job.spec(), job.required_resources(), job.is_service());
-        let machines = self.feasible_machines(config, job, only_machine, now);
-        let zone_constrained = spec.one_zone || spec.spread;
+        let machines = self.feasible_machines(config, job, scope.only_machine, now);
+        if machines.is_empty() && scope.only_machine.is_some() {
+            return JobPlacement::default();
+        }
         let allowance = self.team_allowance(config, spec, &need);
         let on_trial = job.fails_everywhere() && !service;
-        let mut left = allowance.min(job.placeable_count());
-        // Replicas are spread, one per machine in each round; other tasks fill one machine after
-        // the other.
-        let (rounds, per_round) = if service { (left, 1) } else { (1, u32::MAX) };
-        let placement = JobPlacement { config, id, need, zone_constrained, now };
-        for machine in (0..rounds).flat_map(|_| &machines) {
-            if left == 0 {
-                break;
-            }
-            left -= self.start_tasks_on(&placement, machine, left.min(per_round));
+        let wanted = allowance.min(job.placeable_count());
+        let spreading = if service { Spreading::OnePerRound } else { Spreading::FillEach };
+        let distribution = distribute(
+            self.rooms_of(&machines, &need),
+            zone_capacity(self, job, &config.zones),
+            wanted,
+            scope.max_starts,
+            spreading,
+        );
+        self.start_tasks(id, &machines, &distribution, now);
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.held_back = distribution.held_back;
         }
-        // Tasks that only the team's limit holds back, and those of a job that fails everywhere, do
-        // not count as lacking capacity.
-        allowance > 0 && left > 0 && !on_trial
+        // Tasks that only the team's limit or the number of starts holds back, and those of a job
+        // that fails everywhere, do not count as lacking capacity.
+        let lacking = wanted - distribution.started - distribution.held_back;
+        JobPlacement {
+            started: distribution.started,
+            lacks_capacity: allowance > 0 && lacking > 0 && !on_trial,
+        }
+    }
+
+    /// Returns what each of these machines can take of a job whose tasks need `need`.
+    fn rooms_of(&self, machines: &[String], need: &Resources) -> Vec<MachineRoom> {
+        self.work.add(machines.len());
+        let found = machines.iter().filter_map(|name| self.machines.get(name));
+        found
+            .map(|machine| MachineRoom {
+                machine: machine.name.clone(),
+                zone: machine.record.zone.clone(),
+                fitting: machine.free.count_fitting(need),
+                start_slots: machine.start_slots(),
+            })
+            .collect()
     }
 
     /// Reports whether tasks of a job may start now. Also clears a job that failed everywhere if
@@ -187,13 +233,13 @@
         now: Micros,
     ) -> Vec<String> {
         let feasibility = Feasibility::new(self, config, job, now);
-        let scoring = Scoring::new(job);
         if let Some(machine_name) = only_machine {
             let machine =
                 self.machines.get(machine_name).filter(|m| machine_allowed(job.spec(), m));
             let found = machine.filter(|m| feasibility.can_start_on(m));
             return found.map(|_| machine_name.to_owned()).into_iter().collect();
         }
+        let scoring = Scoring::new(job);
         // The index returns only machines that satisfy the job's constraints.
         let machines = self.free_capacity_index.machines_with_free_cpus(job.spec()).filter_map(
             |machine_name| {
@@ -207,23 +253,26 @@
         scored.into_iter().map(|(_, machine_name)| machine_name.to_owned()).collect()
     }
 
-    /// Starts at most `max_tasks` tasks of a job on a machine, within its free capacity. Returns
-    /// the number of tasks started.
-    fn start_tasks_on(&mut self, placement: &JobPlacement, machine: &str, max_tasks: u32) -> u32 {
-        let JobPlacement { config, id, need, zone_constrained, now } = placement;
-        let most =
-            self.machines.get(machine).map_or(0, |m| m.free.count_fitting(need)).min(max_tasks);
-        let mut started = 0;
-        while started < most {
-            if *zone_constrained && !self.zone_has_capacity(&config.zones, id, machine) {
-                break;
+    /// Starts the lowest ready tasks of a job on machines as distributed.
+    fn start_tasks(
+        &mut self,
+        id: &str,
+        machines: &[String],
+        distribution: &Distribution,
+        now: Micros,
+    ) {
+        let mut changed = BTreeSet::new();
+        for start in &distribution.starts {
+            let Some(machine) = machines.get(start.room) else { continue };
+            for _ in 0..start.tasks {
+                let Some(index) = self.jobs.get(id).and_then(|j| j.ready.lowest()) else { break };
+                self.start_task(id, index, machine, now);
             }
-            let Some(index) = self.jobs.get(*id).and_then(|j| j.ready.lowest()) else { break };
-            self.start_task(id, index, machine, *now);
-            started += 1;
+            changed.insert(machine);
+        }
+        for machine in changed {
+            self.refresh_machine(machine);
         }
-        self.refresh_machine(machine);
-        started
     }
 
     /// Returns how many more tasks of a job may start within its team's limit. All attempts that
--- a/crates/quartzlever-core/src/scheduling/preemption.rs
+++ b/crates/quartzlever-core/src/scheduling/preemption.rs
@@ -200,7 +200,7 @@
             let Some(job) = partition.jobs.get(&id) else { continue };
             let times = PreemptionTimes::new(&self.config, &self.run_times, job, now);
             let (spec, need, ready) =
-                (job.spec().clone(), job.required_resources(), job.ready.len());
+                (job.spec().clone(), job.required_resources(), job.unplaced_count());
             let victims = times.victims(now);
             if victims == Victims::CheckpointedBestEffort
                 && !partition.may_preempt_checkpointed(&times, state.has_checkpointed, now)
--- a/crates/quartzlever-core/src/stealing/selection.rs
+++ b/crates/quartzlever-core/src/stealing/selection.rs
@@ -182,10 +182,9 @@
             continue;
         }
         let mut resources = resources_of(capacity);
-        while count < max_tasks && resources.fits(&need) {
-            resources.subtract(&need);
-            count += 1;
-        }
+        let fitting = resources.count_fitting(&need).min(max_tasks - count);
+        resources.subtract_tasks(&need, fitting);
+        count += fitting;
         (capacity.cpus, capacity.gpus, capacity.ram_gb) =
             (resources.cpus, resources.gpus, resources.ram_gb);
     }
--- a/crates/quartzlever-core/src/work/tests.rs
+++ b/crates/quartzlever-core/src/work/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the counts of a step's work.
 
+mod largest_job;
+
 use super::*;
 
 /// Guards the explanation of a slow step: work counts for the activity that does it, also when one
