A worker's status takes one pass over its attempts, however many tasks a job has

Cause: for each ended, requeued or adopted attempt, all unfinished tasks of the partition were computed to ask for one, and the finished ones counted to learn whether all are done: the product of the attempts of a machine and the ranges of the job's record. Whether a heartbeat lists an attempt was searched for in its list, for each attempt.

Change: ActiveJobRecord answers for one task (is_unfinished_task_of, is_task_assigned_under); Ranges knows its number of tasks, and combines sets in one pass (difference, intersection, retain_all). ListedAttempts finds an attempt of a heartbeat by its key, in place of Heartbeat::contains_attempt. A failure on another machine is recorded at the others once, when it first happens, as later ones are recorded so in the first place.

--- a/crates/quartzlever-core/src/autoscaling/demand.rs
+++ b/crates/quartzlever-core/src/autoscaling/demand.rs
@@ -304,6 +304,7 @@
     fn running_work(&self, now: Micros) -> f64 {
         let mut work = 0.0;
         for attempt in self.active_attempts() {
+            self.work.add(1);
             let ran = attempt.running_since.map_or(0, |since| now.saturating_sub(since));
             work += attempt.expected_run_time.saturating_sub(ran) as f64 / 1e6
                 * attempt.required_resources.cpus;
--- a/crates/quartzlever-core/src/jobs/partition_job.rs
+++ b/crates/quartzlever-core/src/jobs/partition_job.rs
@@ -77,6 +77,9 @@
     /// Number of ready tasks that the last placement found room for on machines, but held back as it
     /// had made enough starts. They lack no capacity.
     pub held_back: u32,
+    /// The modification revision of the record that a move would have made larger than the store
+    /// accepts, if any.
+    too_large_to_move_at: Option<u64>,
 }
 
 /// The state of the job's partition that decides whether its tasks are ready.
@@ -128,12 +131,13 @@
             preempted_tasks: Ranges::default(),
             can_wait_for_heartbeat: false,
             held_back: 0,
+            too_large_to_move_at: None,
         }
     }
 
     /// Reports whether a record is relevant to a partition that does not know the job yet.
     pub fn is_relevant(record: &ActiveJobRecord, partition: &str) -> bool {
-        may_have_to_end(record, partition) || !record.unfinished_tasks_of(partition).is_empty()
+        may_have_to_end(record, partition) || record.has_unfinished_tasks_of(partition)
     }
 
     /// Applies a record read from the store if it is newer than the known one. `team_limited` tells
@@ -158,7 +162,7 @@
             // commit.
             effects.placement_wanted = self.settle_unknown_outcome();
         }
-        let new = owned.difference(&self.tracked_tasks());
+        let new = self.untracked_tasks(&owned);
         let startable = if context.recovery_complete {
             new.clone()
         } else if team_limited {
@@ -169,10 +173,10 @@
         };
         self.awaiting_recovery.insert_all(&new.difference(&startable));
         self.ready.insert_all(&startable);
-        self.ready = self.ready.intersection(&owned);
-        self.awaiting_recovery = self.awaiting_recovery.intersection(&owned);
-        self.moving = self.moving.intersection(&owned);
-        self.finished = self.finished.intersection(&owned);
+        self.ready.retain_all(&owned);
+        self.awaiting_recovery.retain_all(&owned);
+        self.moving.retain_all(&owned);
+        self.finished.retain_all(&owned);
         effects.placement_wanted |= !self.ready.is_empty() && !startable.is_empty();
         effects.may_forget_job =
             self.idle() && owned.is_empty() && !may_have_to_end(&self.record, context.partition);
@@ -202,14 +206,13 @@
             return false;
         }
         self.assignments.remove(&index);
-        let owned = self.record.unfinished_tasks_of(context.partition);
-        if !owned.contains(index) || self.finished.contains(index) {
+        let is_owned = self.record.is_unfinished_task_of(context.partition, index);
+        if !is_owned || self.finished.contains(index) {
             return false;
         }
         // This attempt has ended, but until recovery completes another machine could still hold an
         // attempt of an earlier leader.
-        let fresh =
-            self.record.tasks_assigned_under(context.partition, context.term).contains(index);
+        let fresh = self.record.is_task_assigned_under(context.partition, context.term, index);
         if context.recovery_complete || fresh {
             self.ready.insert(index);
         } else {
@@ -234,7 +237,7 @@
     /// Adopts an unknown attempt that a machine reports, if the partition owns its task and the
     /// task is neither finished nor on a machine nor moving. Returns whether it was adopted.
     pub fn adopt(&mut self, index: u32, machine: &str, attempt: u64, partition: &str) -> bool {
-        let adoptable = self.record.unfinished_tasks_of(partition).contains(index)
+        let adoptable = self.record.is_unfinished_task_of(partition, index)
             && !self.assignments.contains_key(&index)
             && !self.finished.contains(index)
             && !self.moving.contains(index);
@@ -250,7 +253,7 @@
     pub fn finish(&mut self, index: u32, partition: &str, now: Micros) {
         self.ready.remove(index);
         self.awaiting_recovery.remove(index);
-        if !self.record.unfinished_tasks_of(partition).contains(index) {
+        if !self.record.is_unfinished_task_of(partition, index) {
             return;
         }
         self.succeeded += 1;
@@ -281,13 +284,16 @@
         is_cheap_to_preempt(&self.record.job)
     }
 
-    /// Returns all tasks that this partition tracks, in any state.
-    fn tracked_tasks(&self) -> Ranges {
-        let mut all = self.ready.union(&self.awaiting_recovery);
-        all.insert_all(&self.moving);
-        all.insert_all(&self.finished);
-        all.insert_all(&self.assignments.keys().copied().collect());
-        all
+    /// Returns those of the partition's unfinished tasks that it does not track yet, in any state.
+    fn untracked_tasks(&self, owned: &Ranges) -> Ranges {
+        let mut new = owned.difference(&self.ready);
+        new.remove_all(&self.awaiting_recovery);
+        new.remove_all(&self.moving);
+        new.remove_all(&self.finished);
+        if !new.is_empty() {
+            new.remove_all(&self.assignments.keys().copied().collect());
+        }
+        new
     }
 
     /// Returns the record, marked as started if any task was assigned or has finished.
--- a/crates/quartzlever-core/src/jobs/partition_job/moves.rs
+++ b/crates/quartzlever-core/src/jobs/partition_job/moves.rs
@@ -21,6 +21,17 @@
         self.moving.len()
     }
 
+    /// Records that a move would make the present record larger than the store accepts.
+    pub fn record_too_large_to_move(&mut self) {
+        self.too_large_to_move_at = Some(self.mod_revision);
+    }
+
+    /// Reports whether a move of the job has been found to make the present record larger than the
+    /// store accepts, so that none is planned until the record changes.
+    pub fn is_too_large_to_move(&self) -> bool {
+        self.too_large_to_move_at == Some(self.mod_revision)
+    }
+
     /// Starts the move of tasks that were removed from the ready ones.
     pub fn begin_move(&mut self, tasks: &Ranges) {
         self.moving.insert_all(tasks);
--- a/crates/quartzlever-core/src/jobs/partition_job/record_writes.rs
+++ b/crates/quartzlever-core/src/jobs/partition_job/record_writes.rs
@@ -41,7 +41,7 @@
         }
         match self.may_have_to_end_job(partition) {
             true if self.all_finished() => RecordStep::WriteFinalState,
-            false if self.record.unfinished_tasks_of(partition).is_empty() => RecordStep::Forget,
+            false if !self.record.has_unfinished_tasks_of(partition) => RecordStep::Forget,
             _ => RecordStep::Wait,
         }
     }
--- a/crates/quartzlever-core/src/machines.rs
+++ b/crates/quartzlever-core/src/machines.rs
@@ -4,7 +4,8 @@
 //! - `membership`: adding and removing machines of a partition, and the recovery barrier.
 //! - `heartbeats`, `presence`: routing of heartbeats, and confirmation that an unknown machine
 //!   exists.
-//! - `reconciliation`, `attempt_outcomes`: processing of worker statuses and of ended attempts.
+//! - `listed_attempts`, `reconciliation`, `attempt_outcomes`: processing of worker statuses and of
+//!   ended attempts.
 //! - `call_queue`, `direct_calls`: the workers to call, and the calls.
 //! - `commands`: the commands in calls and heartbeat answers.
 //! - `invariants`: run-time checks of the commands.
@@ -19,6 +20,7 @@
 pub(crate) mod failures;
 pub(crate) mod heartbeats;
 mod invariants;
+mod listed_attempts;
 pub mod machine;
 mod membership;
 pub(crate) mod ownership;
--- a/crates/quartzlever-core/src/machines/attempt_outcomes.rs
+++ b/crates/quartzlever-core/src/machines/attempt_outcomes.rs
@@ -145,6 +145,7 @@
         let id = &ended.status.task.job;
         let Some(job) = self.jobs.get_mut(id) else { return };
         let failed_everywhere_before = job.fails_everywhere();
+        let had_failed_elsewhere = job.failures.on_multiple_machines();
         job.failures.record_failure(
             ended.machine,
             ended.placed_at,
@@ -166,8 +167,9 @@
         if let Some(machine) = self.machines.get_mut(ended.machine) {
             machine.failures.record_failure(id, has_succeeded, on_multiple_machines, now);
         }
-        if on_multiple_machines && !has_succeeded {
-            // The job's earlier failures no longer count against their machines either.
+        if on_multiple_machines && !had_failed_elsewhere && !has_succeeded {
+            // The job's earlier failures no longer count against their machines either. Its later
+            // ones are recorded as failures elsewhere in the first place.
             self.update_failure_records(id, |failures| failures.record_failure_elsewhere(id));
         }
     }
@@ -178,11 +180,10 @@
         let Some(job) = self.jobs.get_mut(id).filter(|job| job.fails_everywhere()) else { return };
         // A heartbeat may report a start or a failure one interval late.
         let margin = config.workers.heartbeat_interval * 2;
+        self.work.add(job.assignments.len());
+        let mut key = AttemptKey { task: TaskId { job: id.to_owned(), index: 0 }, attempt: 0 };
         for (index, place) in &job.assignments {
-            let key = AttemptKey {
-                task: TaskId { job: id.to_owned(), index: *index },
-                attempt: place.attempt,
-            };
+            (key.task.index, key.attempt) = (*index, place.attempt);
             let attempt = self.machines.get(&place.machine).and_then(|m| m.attempts.get(&key));
             let since = attempt
                 .filter(|attempt| !attempt.has_exited())
--- a/crates/quartzlever-core/src/machines/commands.rs
+++ b/crates/quartzlever-core/src/machines/commands.rs
@@ -120,6 +120,7 @@
         let mut message =
             WorkerCommands { fencing_token: term, incarnation: None, commands: Vec::new() };
         let Some(machine) = self.machines.get_mut(name) else { return message };
+        self.work.add(machine.attempts.len());
         let present_token = machine.fencing_token(term);
         let possible_token = if machine.may_raise_fencing_token(kind, now) {
             highest_token.max(present_token)
--- a/crates/quartzlever-core/src/machines/invariants.rs
+++ b/crates/quartzlever-core/src/machines/invariants.rs
@@ -4,6 +4,8 @@
 //! A violation is an error event, on which every test harness fails. The process goes on, without
 //! the command that must not be sent.
 
+use std::collections::HashSet;
+
 use quartzlever_wire::Micros;
 use quartzlever_wire::workers::{
     AttemptStatus, Heartbeat, TaskId, TaskPhase, WorkerCommand, WorkerCommands,
@@ -12,6 +14,7 @@
 use crate::events::{Invariant, InvariantViolation, LogEvent};
 use crate::leadership::authority::Permit;
 use crate::machines::attempt::AttemptKey;
+use crate::machines::listed_attempts::ListedAttempts;
 use crate::partition::Partition;
 use crate::store::cache::Cache;
 
@@ -128,28 +131,21 @@
         ended_before: Micros,
     ) {
         let Some(state) = self.machines.get(&heartbeat.machine) else { return };
+        let ended = state.attempts_of_ended_jobs();
+        let mut overdue = ended.filter(|(_, ended_at)| *ended_at < ended_before).peekable();
+        if overdue.peek().is_none() {
+            return;
+        }
+        let listed = ListedAttempts::of(heartbeat);
         let is_listed_as_exited = |key: &AttemptKey| {
             heartbeat.incarnation == state.incarnation
-                && heartbeat.tasks.iter().any(|status| {
-                    status.task == key.task
-                        && status.attempt == key.attempt
-                        && status.phase == TaskPhase::Exited
-                })
-        };
-        let is_killed = |task: &TaskId, attempt: u64| {
-            commands.iter().any(|command| {
-                matches!(command, WorkerCommand::Kill { task: t, attempt: a, .. }
-                    if t == task && *a == attempt)
-            })
+                && listed.get(key).is_some_and(|status| status.phase == TaskPhase::Exited)
         };
-        for (key, attempt) in &state.attempts {
-            let must_be_killed = !attempt.wanted && !attempt.has_exited();
-            if !must_be_killed || is_listed_as_exited(key) || is_killed(&key.task, key.attempt) {
+        let killed: HashSet<(&TaskId, u64)> = commands.iter().filter_map(killed_attempt).collect();
+        for (key, ended_at) in overdue {
+            if is_listed_as_exited(key) || killed.contains(&(&key.task, key.attempt)) {
                 continue;
             }
-            let Some(ended_at) = attempt.job_terminal_since.filter(|at| *at < ended_before) else {
-                continue;
-            };
             self.log_events.push(LogEvent::InvariantViolated(Box::new(InvariantViolation {
                 invariant: Invariant::NoRenewalForOverdueAttempt,
                 partition: self.name.clone(),
@@ -184,5 +180,13 @@
     }
 }
 
+/// Returns the attempt that a command kills, if it is a kill.
+fn killed_attempt(command: &WorkerCommand) -> Option<(&TaskId, u64)> {
+    match command {
+        WorkerCommand::Kill { task, attempt, .. } => Some((task, *attempt)),
+        WorkerCommand::Run { .. } | WorkerCommand::Clear { .. } => None,
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/quartzlever-core/src/machines/machine.rs
+++ b/crates/quartzlever-core/src/machines/machine.rs
@@ -4,13 +4,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use quartzlever_wire::store::MachineRecord;
-use quartzlever_wire::workers::{AttemptStatus, Heartbeat, TaskPhase};
+use quartzlever_wire::workers::{Heartbeat, TaskPhase};
 use quartzlever_wire::{Micros, SECOND};
 
 use crate::autoscaling::ScaleInReason;
 use crate::machines::attempt::{Attempt, AttemptKey, DirectCommand};
 use crate::machines::commands::{MAX_COMMANDS, MessageKind};
 use crate::machines::failures::MachineFailures;
+use crate::machines::listed_attempts::ListedAttempts;
 use crate::machines::resources::Resources;
 use crate::messages::CallId;
 
@@ -214,18 +215,19 @@
     /// answer that renews the lease; one that it does not list may still be started by a command
     /// in flight.
     pub(crate) fn unconfirmed_end(&self, heartbeat: &Heartbeat) -> Option<UnconfirmedEnd> {
-        self.attempts
-            .iter()
-            .filter(|(key, attempt)| {
-                !attempt.wanted
-                    && !attempt.has_exited()
-                    && !heartbeat.contains_attempt(&key.task, key.attempt)
-            })
-            .filter_map(|(key, attempt)| {
-                let ended_at = attempt.job_terminal_since?;
-                Some(UnconfirmedEnd { attempt: key.clone(), ended_at })
-            })
-            .min_by_key(|end| end.ended_at)
+        let mut ended = self.attempts_of_ended_jobs().peekable();
+        ended.peek()?;
+        let listed = ListedAttempts::of(heartbeat);
+        let (key, ended_at) =
+            ended.filter(|(key, _)| !listed.contains(key)).min_by_key(|(_, ended_at)| *ended_at)?;
+        Some(UnconfirmedEnd { attempt: key.clone(), ended_at })
+    }
+
+    /// Returns the unwanted attempts of ended jobs that have not exited, and the earliest time at
+    /// which the job may have ended.
+    pub(super) fn attempts_of_ended_jobs(&self) -> impl Iterator<Item = (&AttemptKey, Micros)> {
+        let unwanted = self.attempts.iter().filter(|(_, a)| !a.wanted && !a.has_exited());
+        unwanted.filter_map(|(key, attempt)| Some((key, attempt.job_terminal_since?)))
     }
 
     /// Reports whether the machine sends heartbeats but does not act on the answers to them.
@@ -237,36 +239,43 @@
     /// Reports whether a newer heartbeat, not sent as the reply to a direct call, contains nothing
     /// new. Most heartbeats are of this kind, and need no further processing.
     pub fn confirms_known_state(&self, heartbeat: &Heartbeat) -> bool {
-        let is_known = |status: &AttemptStatus| {
-            let entry = self
-                .attempts
-                .iter()
-                .find(|(key, _)| key.attempt == status.attempt && key.task == status.task);
-            entry.is_some_and(|(_, attempt)| {
-                attempt.phase == Some(status.phase)
-                    && attempt.cause == status.cause
-                    && (status.phase != TaskPhase::Exited || attempt.end_processed)
-                    && (status.phase != TaskPhase::Running || attempt.running_since.is_some())
-            })
-        };
         self.is_usable()
             && self.verified
             && heartbeat.incarnation == self.incarnation
             && heartbeat.warning_s.is_none()
             && heartbeat.address == self.record.address
             && heartbeat.tasks.len() == self.attempts.len()
-            && heartbeat.tasks.iter().all(is_known)
+            && self.lists_known_attempts(&ListedAttempts::of(heartbeat))
             && !self.has_urgent_commands()
     }
 
+    /// Reports whether a heartbeat lists the attempts on the machine in their known states. The list
+    /// has as many attempts as the machine, and both are in the order of their keys.
+    fn lists_known_attempts(&self, listed: &ListedAttempts) -> bool {
+        listed.iter().zip(&self.attempts).all(|(status, (key, attempt))| {
+            key.attempt == status.attempt
+                && key.task == status.task
+                && attempt.phase == Some(status.phase)
+                && attempt.cause == status.cause
+                && (status.phase != TaskPhase::Exited || attempt.end_processed)
+                && (status.phase != TaskPhase::Running || attempt.running_since.is_some())
+        })
+    }
+
     /// Updates the count of unacknowledged heartbeats from a newer heartbeat.
     ///
     /// A worker has one heartbeat in flight at a time, so a newer heartbeat proves that the worker
     /// has received the answer to the previous one, or never will.
-    pub fn track_acknowledgement(&mut self, heartbeat: &Heartbeat, now: Micros) {
-        let missing = self.attempts.iter().any(|(key, a)| {
-            a.run_in_answer && a.wanted && !heartbeat.contains_attempt(&key.task, key.attempt)
-        });
+    pub(super) fn track_acknowledgement(
+        &mut self,
+        heartbeat: &Heartbeat,
+        listed: &ListedAttempts,
+        now: Micros,
+    ) {
+        let missing = self
+            .attempts
+            .iter()
+            .any(|(key, a)| a.run_in_answer && a.wanted && !listed.contains(key));
         // The lease of the earlier incarnation expired although its heartbeats were answered.
         let lease_expired = heartbeat.incarnation > self.incarnation
             && self.incarnation > 0
--- a/crates/quartzlever-core/src/machines/reconciliation.rs
+++ b/crates/quartzlever-core/src/machines/reconciliation.rs
@@ -12,6 +12,7 @@
 use crate::config::Config;
 use crate::machines::attempt::{Attempt, AttemptKey, DirectCommand};
 use crate::machines::attempt_outcomes::EndedAttempt;
+use crate::machines::listed_attempts::ListedAttempts;
 use crate::machines::machine::Machine;
 use crate::partition::Partition;
 use crate::scheduling::RunTimes;
@@ -71,6 +72,7 @@
             machine.stale_heartbeat_at = now;
             return false;
         }
+        self.work.add(heartbeat.tasks.len());
         if source == StatusSource::Heartbeat && machine.confirms_known_state(heartbeat) {
             machine.sequence = heartbeat.sequence;
             machine.last_heartbeat_at = now;
@@ -92,9 +94,11 @@
         now: Micros,
     ) {
         let term = self.term;
+        let listed = ListedAttempts::of(heartbeat);
         let Some(machine) = self.machines.get_mut(&heartbeat.machine) else { return };
+        self.work.add(machine.attempts.len() + heartbeat.tasks.len());
         if source == StatusSource::Heartbeat {
-            machine.track_acknowledgement(heartbeat, now);
+            machine.track_acknowledgement(heartbeat, &listed, now);
         }
         if heartbeat.incarnation > machine.incarnation && machine.incarnation > 0 {
             // The worker's lease expired and it stopped every task of the earlier incarnation.
@@ -110,7 +114,7 @@
         for task in &heartbeat.tasks {
             self.apply_task_status(config, run_times, &heartbeat.machine, task, source, now);
         }
-        self.remove_unlisted_attempts(heartbeat, source);
+        self.remove_unlisted_attempts(heartbeat, &listed, source);
         self.checkpoint_before_reclaim(heartbeat);
         let Some(machine) = self.machines.get_mut(&heartbeat.machine) else { return };
         if machine.has_active_attempts() {
@@ -145,13 +149,18 @@
 
     /// Removes attempts that the heartbeat does not list and that nothing can still start, and
     /// requeues their tasks.
-    fn remove_unlisted_attempts(&mut self, heartbeat: &Heartbeat, source: StatusSource) {
+    fn remove_unlisted_attempts(
+        &mut self,
+        heartbeat: &Heartbeat,
+        listed: &ListedAttempts,
+        source: StatusSource,
+    ) {
         let Some(machine) = self.machines.get_mut(&heartbeat.machine) else { return };
         let absent: Vec<AttemptKey> = machine
             .attempts
             .iter()
             .filter(|(key, attempt)| {
-                if heartbeat.contains_attempt(&key.task, key.attempt) {
+                if listed.contains(key) {
                     return false;
                 }
                 // It was listed before, so its `run` has been executed; the attempt was cleared or
--- a/crates/quartzlever-core/src/scheduling/assignment.rs
+++ b/crates/quartzlever-core/src/scheduling/assignment.rs
@@ -239,6 +239,7 @@
             let found = machine.filter(|m| feasibility.can_start_on(m));
             return found.map(|_| machine_name.to_owned()).into_iter().collect();
         }
+        self.work.add(if job.is_service() { job.assignments.len() } else { 0 });
         let scoring = Scoring::new(job);
         // The index returns only machines that satisfy the job's constraints.
         let machines = self.free_capacity_index.machines_with_free_cpus(job.spec()).filter_map(
--- a/crates/quartzlever-core/src/work.rs
+++ b/crates/quartzlever-core/src/work.rs
@@ -77,9 +77,16 @@
 }
 
 /// Counts the work of each step. All clones count together.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Default)]
 pub struct WorkCounter(Arc<Counts>);
 
+/// Formats the name only: no decision depends on the counts, so they are not part of any state.
+impl fmt::Debug for WorkCounter {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str("WorkCounter")
+    }
+}
+
 impl WorkCounter {
     /// Sets all counts to zero.
     pub(crate) fn begin_step(&self) {
--- /dev/null
+++ b/crates/quartzlever-core/src/work/tests/crowded_machines.rs
@@ -0,0 +1,107 @@
+//! The work of a step on machines with as many attempts of the largest job as they may have.
+
+use super::*;
+
+/// Attempts that fit into a heartbeat of 64 KiB.
+const LISTED_ATTEMPTS: u32 = 1_400;
+/// A job whose tasks are on two machines with that many attempts each.
+const TASKS: u32 = 2 * LISTED_ATTEMPTS;
+
+/// Returns a controller whose two machines run all tasks of job "req-1", as listed by heartbeats.
+fn core_with_crowded_machines(job: &JobSpec) -> Core {
+    let mut core = core_with_job(job);
+    let Some(partition) = core.partitions.get_mut("one") else { unreachable!() };
+    for index in 0..job.tasks {
+        let machine = if index < LISTED_ATTEMPTS { "n-1" } else { "n-2" };
+        partition.start_task("req-1", index, machine, NOW);
+    }
+    let heartbeats = running_heartbeats(&core, 2);
+    step(&mut core, heartbeats, "all attempts are listed first");
+    assert_eq!(started(&core), TASKS as usize);
+    core
+}
+
+/// Replaces the record of job "req-1" by one of the largest job, every second of whose later tasks
+/// has finished.
+fn finish_every_second_task(core: &mut Core) {
+    let Some(partition) = core.partitions.get_mut("one") else { unreachable!() };
+    let Some(job) = partition.jobs.get_mut("req-1") else { unreachable!() };
+    job.record.job.tasks = LARGEST_JOB;
+    job.record.shares[0].tasks = Ranges::up_to(LARGEST_JOB);
+    job.record.finished = (TASKS..LARGEST_JOB).filter(|task| task % 2 == 0).collect();
+}
+
+fn heartbeat_command(heartbeat: Heartbeat) -> Vec<Command> {
+    vec![Command::Heartbeat { id: 1, heartbeat }]
+}
+
+/// Guards against heartbeats that take one step for each pair of attempts, or of an attempt and a
+/// range of finished tasks.
+#[test]
+fn a_full_heartbeat_takes_one_pass_over_its_attempts() {
+    for (case, phase, cause) in [
+        ("nothing has changed", TaskPhase::Running, None),
+        ("all are done", TaskPhase::Exited, Some(ExitCause::Done)),
+        ("all have failed", TaskPhase::Exited, Some(ExitCause::Error)),
+        ("all were killed", TaskPhase::Exited, Some(ExitCause::Halted)),
+    ] {
+        let mut core = core_with_crowded_machines(&tiny_job(TASKS, |_| {}));
+        finish_every_second_task(&mut core);
+        let heartbeat = heartbeat_with_all(&core, "n-1", 3, phase, cause);
+        step(&mut core, heartbeat_command(heartbeat), case);
+        let partition = &core.partitions["one"];
+        let job = &partition.jobs["req-1"];
+        let left = if phase == TaskPhase::Running { TASKS } else { LISTED_ATTEMPTS };
+        assert!(job.assignments.len() >= left as usize, "{case}");
+        let done = if cause == Some(ExitCause::Done) { LISTED_ATTEMPTS } else { 0 };
+        assert_eq!(job.finished.len(), done, "{case}");
+    }
+}
+
+/// Guards against a takeover that hangs when the first heartbeats arrive.
+#[test]
+fn a_new_leader_adopts_a_full_heartbeat_in_one_pass() {
+    let earlier = core_with_crowded_machines(&tiny_job(TASKS, |_| {}));
+    let mut heartbeat = heartbeat_with_all(&earlier, "n-1", 9, TaskPhase::Running, None);
+    heartbeat.fencing_token = 6;
+    let mut core = core_with_job(&tiny_job(TASKS, |_| {}));
+    finish_every_second_task(&mut core);
+    if let Some(partition) = core.partitions.get_mut("one") {
+        partition.term = 6;
+        partition.jobs["req-1"].no_start_before = core.now + 10 * SECOND;
+    }
+    step(&mut core, heartbeat_command(heartbeat), "adoption");
+    assert_eq!(started(&core), LISTED_ATTEMPTS as usize);
+}
+
+/// Guards against a cancellation that hangs the controller of the job, and against kills that take
+/// one step for each pair of attempts.
+#[test]
+fn a_cancelled_job_is_stopped_in_passes_over_its_attempts() {
+    let mut core = core_with_crowded_machines(&tiny_job(TASKS, |_| {}));
+    core.work.begin_step();
+    core.job_terminated("req-1", TerminalJobRecord { phase: JobPhase::Cancelled, done: 0 });
+    assert_work_is_bounded(&core, "cancellation");
+    let heartbeat = heartbeat_with_all(&core, "n-1", 3, TaskPhase::Running, None);
+    let effects = step(&mut core, heartbeat_command(heartbeat), "kills");
+    let is_killed = |effect: &Effect| match effect {
+        Effect::Answer { body: Answer::WorkerCommands(message), .. } => {
+            message.commands.iter().any(|c| matches!(c, WorkerCommand::Kill { .. }))
+        }
+        _ => false,
+    };
+    assert!(effects.iter().any(is_killed));
+}
+
+/// Guards against the loss of a machine taking one step for each pair of an attempt and a range of
+/// finished tasks.
+#[test]
+fn the_tasks_of_a_lost_machine_are_requeued_in_one_pass() {
+    let mut core = core_with_crowded_machines(&tiny_job(TASKS, |_| {}));
+    finish_every_second_task(&mut core);
+    core.work.begin_step();
+    let Some(partition) = core.partitions.get_mut("one") else { unreachable!() };
+    partition.remove_machine("n-1");
+    assert_eq!(partition.jobs["req-1"].ready.len(), LISTED_ATTEMPTS);
+    assert_work_is_bounded(&core, "lost machine");
+}
--- a/crates/quartzlever-wire/src/ranges.rs
+++ b/crates/quartzlever-wire/src/ranges.rs
@@ -9,8 +9,16 @@
 
 /// A set of task numbers. Its text form is `0-4,7,9-20`, with both ends included. The record of a
 /// job of 100,000 tasks stays small as long as its tasks are assigned in order.
+///
+/// The set may consist of as many ranges as half of the job's tasks. Lookups and changes of a task
+/// and of a range take logarithmic time, and the number of tasks is known without counting; only
+/// what combines two sets, copies one or writes its text visits each range.
 #[derive(Clone, Default, PartialEq, Eq)]
-pub struct Ranges(RangeSet<u32>);
+pub struct Ranges {
+    set: RangeSet<u32>,
+    /// Number of tasks in the set.
+    len: u32,
+}
 
 impl Ranges {
     /// Creates the set `0..count`.
@@ -20,49 +28,91 @@
 
     /// Creates the set of one range.
     pub fn from_range(range: Range<u32>) -> Self {
-        let mut set = RangeSet::new();
-        if range.start < range.end {
-            set.insert(range);
-        }
-        Self(set)
+        let mut out = Self::default();
+        out.insert_range(range);
+        out
     }
 
     /// Reports whether the set is empty.
     pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
+        self.set.is_empty()
     }
 
     /// Returns the number of tasks in the set.
     pub fn len(&self) -> u32 {
-        self.0.iter().map(|r| r.end - r.start).sum()
+        self.len
     }
 
     /// Reports whether the set contains a task.
     pub fn contains(&self, index: u32) -> bool {
-        self.0.contains(&index)
+        self.set.contains(&index)
+    }
+
+    /// Reports whether the set contains all tasks of another set. Visits the ranges of `other` up to
+    /// the first that it does not contain.
+    pub fn contains_all(&self, other: &Ranges) -> bool {
+        let is_contained = |range: &Range<u32>| {
+            self.set.get(&range.start).is_some_and(|found| found.end >= range.end)
+        };
+        other.set.iter().all(is_contained)
     }
 
     /// Adds a task.
     pub fn insert(&mut self, index: u32) {
-        self.0.insert(index..index + 1);
+        self.insert_range(index..index + 1);
+    }
+
+    /// Adds a range of tasks.
+    fn insert_range(&mut self, range: Range<u32>) {
+        if range.is_empty() {
+            return;
+        }
+        self.len += (range.end - range.start) - self.count_in(&range);
+        self.set.insert(range);
     }
 
     /// Removes a task.
     pub fn remove(&mut self, index: u32) {
-        self.0.remove(index..index + 1);
+        self.remove_range(index..index + 1);
+    }
+
+    /// Adds a range of tasks, possibly empty, that are higher than all in the set.
+    fn append_range(&mut self, range: Range<u32>) {
+        if !range.is_empty() {
+            self.len += range.end - range.start;
+            self.set.insert(range);
+        }
+    }
+
+    /// Removes a range of tasks.
+    fn remove_range(&mut self, range: Range<u32>) {
+        if range.is_empty() {
+            return;
+        }
+        self.len -= self.count_in(&range);
+        self.set.remove(range);
+    }
+
+    /// Returns the number of tasks of the set that lie within a range.
+    fn count_in(&self, range: &Range<u32>) -> u32 {
+        let found = self.set.overlapping(range);
+        found.map(|r| r.end.min(range.end) - r.start.max(range.start)).sum()
     }
 
     /// Adds all tasks of another set.
     pub fn insert_all(&mut self, other: &Ranges) {
-        for range in other.0.iter() {
-            self.0.insert(range.clone());
+        for range in other.ranges() {
+            self.insert_range(range);
         }
     }
 
     /// Removes all tasks of another set.
     pub fn remove_all(&mut self, other: &Ranges) {
-        for range in other.0.iter() {
-            self.0.remove(range.clone());
+        if self.is_empty() {
+            return;
+        }
+        for range in other.ranges() {
+            self.remove_range(range);
         }
     }
 
@@ -75,48 +125,84 @@
 
     /// Returns the tasks of this set that are not in the other.
     pub fn difference(&self, other: &Ranges) -> Ranges {
-        let mut out = self.clone();
-        out.remove_all(other);
+        let mut out = Ranges::default();
+        if other.is_empty() {
+            return self.clone();
+        }
+        let mut removed = other.set.iter().peekable();
+        for range in self.set.iter() {
+            let mut start = range.start;
+            while let Some(next) = removed.peek().filter(|next| next.start < range.end) {
+                if start < next.start {
+                    out.append_range(start..next.start);
+                }
+                start = start.max(next.end);
+                if next.end > range.end {
+                    break;
+                }
+                removed.next();
+            }
+            if start < range.end {
+                out.append_range(start..range.end);
+            }
+        }
         out
     }
 
     /// Returns the tasks that are in both sets.
     pub fn intersection(&self, other: &Ranges) -> Ranges {
-        self.difference(&self.difference(other))
+        let mut out = Ranges::default();
+        let (mut left, mut right) = (self.ranges().peekable(), other.ranges().peekable());
+        while let (Some(a), Some(b)) = (left.peek(), right.peek()) {
+            out.append_range(a.start.max(b.start)..a.end.min(b.end));
+            if a.end < b.end {
+                left.next();
+            } else {
+                right.next();
+            }
+        }
+        out
+    }
+
+    /// Removes the tasks that are not in the other set. Most often there are none.
+    pub fn retain_all(&mut self, other: &Ranges) {
+        if !other.contains_all(self) {
+            *self = self.intersection(other);
+        }
     }
 
     /// Returns the tasks of the set that lie within a range.
     pub fn restricted_to(&self, range: Range<u32>) -> Ranges {
-        let mut out = RangeSet::new();
-        for found in self.0.overlapping(&range) {
-            out.insert(found.start.max(range.start)..found.end.min(range.end));
+        let mut out = Ranges::default();
+        for found in self.set.overlapping(&range) {
+            out.insert_range(found.start.max(range.start)..found.end.min(range.end));
         }
-        Ranges(out)
+        out
     }
 
     /// Returns the number of separate ranges in the set.
     pub fn range_count(&self) -> usize {
-        self.0.len()
+        self.set.len()
     }
 
     /// Returns the lowest task of the set, or `None` if it is empty.
     pub fn lowest(&self) -> Option<u32> {
-        self.0.first().map(|r| r.start)
+        self.set.first().map(|r| r.start)
     }
 
     /// Returns the highest task of the set plus one, or 0 if it is empty.
     pub fn end(&self) -> u32 {
-        self.0.last().map_or(0, |r| r.end)
+        self.set.last().map_or(0, |r| r.end)
     }
 
     /// Iterates over the ranges, in ascending order.
     pub fn ranges(&self) -> impl Iterator<Item = Range<u32>> + '_ {
-        self.0.iter().cloned()
+        self.set.iter().cloned()
     }
 
     /// Iterates over the tasks, in ascending order.
     pub fn iter(&self) -> impl Iterator<Item = u32> + '_ {
-        self.0.iter().flat_map(|r| r.clone())
+        self.set.iter().flat_map(|r| r.clone())
     }
 
     /// Removes the `count` highest tasks from the set, or all if it has fewer, and returns them.
@@ -124,11 +210,11 @@
         let mut cut = Ranges::default();
         let mut remaining = count;
         while remaining > 0 {
-            let Some(last) = self.0.last().cloned() else { break };
+            let Some(last) = self.set.last().cloned() else { break };
             let take = remaining.min(last.end - last.start);
             let piece = last.end - take..last.end;
-            self.0.remove(piece.clone());
-            cut.0.insert(piece);
+            self.remove_range(piece.clone());
+            cut.insert_range(piece);
             remaining -= take;
         }
         cut
@@ -138,16 +224,23 @@
 impl FromIterator<u32> for Ranges {
     fn from_iter<I: IntoIterator<Item = u32>>(iter: I) -> Self {
         let mut out = Ranges::default();
+        // Successive tasks are added as one range.
+        let mut run = 0..0;
         for index in iter {
-            out.insert(index);
+            if index != run.end {
+                out.insert_range(run);
+                run = index..index;
+            }
+            run.end = index + 1;
         }
+        out.insert_range(run);
         out
     }
 }
 
 impl fmt::Display for Ranges {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (i, r) in self.0.iter().enumerate() {
+        for (i, r) in self.set.iter().enumerate() {
             if i > 0 {
                 f.write_str(",")?;
             }
@@ -185,7 +278,7 @@
             if from > to || to == u32::MAX {
                 return Err(invalid());
             }
-            out.0.insert(from..to + 1);
+            out.insert_range(from..to + 1);
         }
         Ok(out)
     }
--- a/crates/quartzlever-wire/src/store.rs
+++ b/crates/quartzlever-wire/src/store.rs
@@ -344,8 +344,25 @@
         for share in self.shares.iter().filter(|s| s.partition == partition) {
             owned.insert_all(&share.tasks);
         }
-        owned.remove_all(&self.finished);
-        owned
+        owned.difference(&self.finished)
+    }
+
+    /// Reports whether a task belongs to the partition and is not listed as finished.
+    pub fn is_unfinished_task_of(&self, partition: &str, task: u32) -> bool {
+        let mut shares = self.shares.iter().filter(|share| share.partition == partition);
+        shares.any(|share| share.tasks.contains(task)) && !self.finished.contains(task)
+    }
+
+    /// Reports whether a task was assigned to the partition under `term`.
+    pub fn is_task_assigned_under(&self, partition: &str, term: u64, task: u32) -> bool {
+        let mut shares = self.shares.iter().filter(|s| s.partition == partition && s.term == term);
+        shares.any(|share| share.tasks.contains(task))
+    }
+
+    /// Reports whether any task of the partition is not listed as finished.
+    pub fn has_unfinished_tasks_of(&self, partition: &str) -> bool {
+        let mut shares = self.shares.iter().filter(|share| share.partition == partition);
+        shares.any(|share| !self.finished.contains_all(&share.tasks))
     }
 
     /// Returns the tasks that were assigned to the partition under `term`, so that no earlier
--- a/crates/quartzlever-wire/src/workers.rs
+++ b/crates/quartzlever-wire/src/workers.rs
@@ -172,11 +172,6 @@
             heartbeat.tasks.iter().all(|t| (t.phase == TaskPhase::Exited) == t.cause.is_some());
         (valid_name && heartbeat.incarnation > 0 && valid_causes).then_some(heartbeat)
     }
-
-    /// Reports whether the heartbeat lists an attempt of a task.
-    pub fn contains_attempt(&self, task: &TaskId, attempt: u64) -> bool {
-        self.tasks.iter().any(|t| t.attempt == attempt && t.task == *task)
-    }
 }
 
 /// A command to a worker.
