Records of large jobs are loaded, written and moved over several steps

Need: a takeover loaded all jobs in one step, a scan wrote all due records, and a steal tried the records of all jobs.

Change: a step loads records until 20,000 records and ranges were visited, and the next goes on; changes of jobs are applied from the first of these steps on, and a listing begins the loading anew. A scan writes records until 50,000 ranges were visited; the others stay due, the longest overdue first. A steal stops likewise, and a job whose record a move would make larger than the store accepts does not count as movable until its record changes, so that the next request goes on with the next job.

The bound on a steal was not counted before.

--- a/crates/quartzlever-core/src/partition.rs
+++ b/crates/quartzlever-core/src/partition.rs
@@ -2,6 +2,7 @@
 //! that the partition's leader keeps of both.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::ops::Bound;
 use std::sync::Arc;
 
 use quartzlever_wire::Micros;
@@ -20,6 +21,7 @@
 use crate::machines::resources::Resources;
 use crate::scheduling::Reservations;
 use crate::scheduling::free_capacity_index::FreeCapacityIndex;
+use crate::store::cache::Cache;
 use crate::store::partition_key;
 pub use crate::table::Table;
 use crate::work::WorkCounter;
@@ -45,6 +47,9 @@
     /// Whether the jobs and machines are known as of the acquisition or later. No decisions are
     /// made before.
     pub loaded: bool,
+    /// The last job that was loaded, while the jobs are being loaded in several steps. Changes of
+    /// jobs are applied from the first of these steps on.
+    pub(crate) loaded_up_to: Option<String>,
     pub jobs: Table<PartitionJob>,
     pub machines: Table<Machine>,
     /// Whether every machine is verified, so that none can run an attempt of an earlier leader that
@@ -93,6 +98,7 @@
             acquired_at: now,
             sole_leader_from: now,
             loaded: false,
+            loaded_up_to: None,
             jobs: Table::default(),
             machines: Table::default(),
             recovery_complete: false,
@@ -121,6 +127,45 @@
         self.loaded
     }
 
+    /// Reports whether changes of jobs concern the partition: its jobs are loaded or being loaded.
+    pub(crate) fn follows_changes(&self) -> bool {
+        self.loaded || self.loaded_up_to.is_some()
+    }
+
+    /// Loads the jobs that the partition has tasks of from the cache, but for those that earlier
+    /// calls have loaded, until more than `max_visits` records and ranges of tasks were visited.
+    /// Returns whether all are loaded.
+    pub(crate) fn load_jobs(
+        &mut self,
+        config: &Config,
+        cache: &Cache,
+        max_visits: usize,
+        now: Micros,
+        wall: Micros,
+    ) -> bool {
+        let after = self.loaded_up_to.take().map_or(Bound::Unbounded, Bound::Excluded);
+        let mut visits = 0;
+        for (id, known) in cache.active_jobs().range((after, Bound::Unbounded)) {
+            let units = 1 + known.record.finished.range_count();
+            visits += units;
+            self.work.add(units);
+            self.reconcile_job(config, known.record.clone(), known.mod_revision, now, wall);
+            if visits > max_visits {
+                self.loaded_up_to = Some(id.clone());
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Forgets the jobs that were loaded if not all are, because the cache is filled anew.
+    pub(crate) fn restart_loading(&mut self) {
+        if !self.loaded {
+            self.jobs.clear();
+            self.loaded_up_to = None;
+        }
+    }
+
     /// Returns the key of the partition's record in the store.
     pub fn key(&self) -> String {
         partition_key(&self.name)
@@ -241,6 +286,7 @@
             term: self.term,
             recovery_complete: self.recovery_complete,
         };
+        self.work.add(1);
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         self.placement_wanted |= job.requeue(task.index, attempt, context);
     }
@@ -261,6 +307,7 @@
         let mut sum = Resources::default();
         let mut certain = true;
         for attempt in self.active_attempts() {
+            self.work.add(1);
             if attempt.team == team {
                 sum.add(&attempt.required_resources);
             } else if attempt.team.is_empty() {
--- a/crates/quartzlever-core/src/router/job_records.rs
+++ b/crates/quartzlever-core/src/router/job_records.rs
@@ -21,6 +21,10 @@
 use crate::store::parse;
 use crate::store::write_budget::WriteKind;
 
+/// Number of ranges of finished tasks in the records that one scan writes, from which on it leaves
+/// the others to the next scan: the ranges of the largest job, every second task of which has
+/// finished.
+const MAX_RANGES_PER_SCAN: usize = 50_000;
 /// Delay before the next write of a job after a write that failed or that wrote only pages.
 const WRITE_RETRY_DELAY: Micros = SECOND / 2;
 
@@ -33,11 +37,12 @@
         {
             return;
         }
+        self.work.add(1 + record.finished.range_count());
         let known = self.cache.active_job(&record.job.id).map(|known| &known.record);
         self.pages.join_finished(&mut record, known);
         let id = &record.job.id;
         let (now, wall) = (self.now, self.wall());
-        for partition in self.partitions.values_mut().filter(|p| p.loaded) {
+        for partition in self.partitions.values_mut().filter(|p| p.follows_changes()) {
             if partition.jobs.contains_key(id)
                 || record.shares.iter().any(|s| s.partition == partition.name)
             {
@@ -90,8 +95,9 @@
 
     /// Records a page that was committed at a modification revision.
     fn record_page(&mut self, job: &str, number: u32, finished: Ranges, mod_revision: u64) {
+        self.work.add(1 + finished.range_count());
         self.cache.add_finished(job, &finished);
-        for partition in self.partitions.values_mut().filter(|partition| partition.loaded) {
+        for partition in self.partitions.values_mut().filter(|p| p.follows_changes()) {
             if let Some(job) = partition.jobs.get_mut(job) {
                 job.apply_page(number, &finished);
             }
@@ -133,15 +139,20 @@
             }
         }
         due.sort();
+        let mut ranges = 0;
         for write in due {
-            if !self.write_budget.try_spend(write.write_kind, write.change_count()) {
+            if ranges >= MAX_RANGES_PER_SCAN
+                || !self.write_budget.try_spend(write.write_kind, write.change_count())
+            {
                 break;
             }
-            self.write_job(&write.partition, &write.job);
+            ranges += self.write_job(&write.partition, &write.job);
         }
     }
 
-    fn write_job(&mut self, name: &str, id: &str) {
+    /// Writes the record of a job. Returns the number of its ranges of finished tasks, each of which
+    /// is visited a few times.
+    fn write_job(&mut self, name: &str, id: &str) -> usize {
         let now = self.now;
         let pause = self.config.operator.progress_write;
         let limits = WriteLimits {
@@ -149,13 +160,16 @@
             pages: affordable_pages(&self.write_budget, self.limits.txn_ops()),
         };
         let paging_supported = self.cluster.supports_pages();
-        let Some(partition) = self.partitions.get_mut(name) else { return };
+        let Some(partition) = self.partitions.get_mut(name) else { return 0 };
         let (term, leader_txn) = (partition.term, partition.txn());
-        let Some(job) = partition.jobs.get_mut(id) else { return };
+        let Some(job) = partition.jobs.get_mut(id) else { return 0 };
+        let ranges = job.record.finished.range_count() + job.finished.range_count();
+        self.work.add(1 + ranges);
         let Some(planned) =
             records::plan_write(leader_txn, job, &self.pages, paging_supported, limits)
         else {
-            return job.postpone_write(now + 2 * pause);
+            job.postpone_write(now + 2 * pause);
+            return ranges;
         };
         job.begin_write(now + pause);
         let PlannedWrite { txn, action, recorded, pages } = planned;
@@ -173,6 +187,7 @@
             StoreCall::Txn(txn),
             PendingStoreCall::JobWrite(Box::new(write)),
         );
+        ranges
     }
 
     /// Handles the reply to the write of a job.
--- a/crates/quartzlever-core/src/router/leadership.rs
+++ b/crates/quartzlever-core/src/router/leadership.rs
@@ -20,6 +20,10 @@
 use crate::store::watch::{MIN_WATCH_INTERVAL, WATCH_SHARE};
 use crate::work::Activity;
 
+/// Number of records and ranges of finished tasks that a step loads for an acquired partition, from
+/// which on the next step goes on.
+const MAX_LOADED_PER_STEP: usize = 20_000;
+
 impl Core {
     /// Reports whether this process certainly still holds its lease.
     pub(crate) fn holds_lease(&self) -> bool {
@@ -225,9 +229,8 @@
         let _activity = self.work.begin(Activity::Takeover);
         let (now, wall, revision) = (self.now, self.wall(), self.cache.revision());
         for partition in self.partitions.values_mut().filter(|p| !p.loaded && p.term <= revision) {
-            for Versioned { record, mod_revision } in self.cache.active_jobs().values() {
-                self.work.add(1 + record.finished.range_count());
-                partition.reconcile_job(&self.config, record.clone(), *mod_revision, now, wall);
+            if !partition.load_jobs(&self.config, &self.cache, MAX_LOADED_PER_STEP, now, wall) {
+                continue;
             }
             let name = partition.name.clone();
             for (machine, record) in self.cache.machines_of(&name) {
--- a/crates/quartzlever-core/src/router/store_changes.rs
+++ b/crates/quartzlever-core/src/router/store_changes.rs
@@ -9,6 +9,7 @@
 use crate::calls::Section;
 use crate::events::LogEvent;
 use crate::messages::LogLevel;
+use crate::partition::Partition;
 use crate::router::Core;
 use crate::store::event::StoreEvent;
 use crate::store::parse;
@@ -66,6 +67,7 @@
             // The watch starts at the revision of the first page.
             self.cache.reset(revision);
             self.pages.reset(revision);
+            self.partitions.values_mut().for_each(Partition::restart_loading);
         }
         if section == Section::Cluster && page.is_first_of_section {
             self.cluster.clear_announcements();
--- a/crates/quartzlever-core/src/stealing/selection.rs
+++ b/crates/quartzlever-core/src/stealing/selection.rs
@@ -24,6 +24,9 @@
 
 /// Maximum number of jobs in one move. The store may allow fewer changes in a transaction.
 const MAX_JOBS_PER_MOVE: usize = 8;
+/// Number of ranges of tasks in the records that one request visits, from which on no more jobs are
+/// selected: those of the largest job, every second task of which has finished.
+const MAX_RANGES_PER_MOVE: usize = 50_000;
 /// Maximum total size of the records in one move, in bytes.
 const MAX_RECORD_BYTES_PER_MOVE: usize = 48 * 1024;
 
@@ -98,13 +101,15 @@
     pub moved: Vec<TaskMove>,
     /// Total size of the records.
     bytes: usize,
+    /// Total number of ranges of tasks in the records that were visited.
+    ranges: usize,
 }
 
 impl PlannedMove {
     /// Creates an empty move, conditional on the terms of both partitions.
     fn new(victim: &Partition, steal: &StealRequest) -> Self {
         let txn = victim.txn().if_mod_revision(partition_key(&steal.thief), steal.term);
-        PlannedMove { term: victim.term, txn, moved: Vec::new(), bytes: 0 }
+        PlannedMove { term: victim.term, txn, moved: Vec::new(), bytes: 0, ranges: 0 }
     }
 
     /// Removes up to `count` tasks from the end of a job's ready tasks, conditional on the
@@ -119,6 +124,7 @@
         pages: &Pages,
         max_value_bytes: usize,
     ) -> u32 {
+        self.ranges += 1 + job.record.finished.range_count() + job.ready.range_count();
         let tasks: Ranges = job.ready.split_off_last(count);
         let mut record = job.record.clone();
         record.move_tasks(&tasks, &steal.victim, &steal.thief, steal.term);
@@ -126,6 +132,9 @@
         let size = value.text().len();
         if size > max_value_bytes || self.bytes + size > MAX_RECORD_BYTES_PER_MOVE {
             job.ready.insert_all(&tasks);
+            if size > max_value_bytes {
+                job.record_too_large_to_move();
+            }
             return 0;
         }
         self.bytes += size;
@@ -153,7 +162,10 @@
         let partition = self.partitions.get_mut(&steal.victim)?;
         let mut planned = PlannedMove::new(partition, steal);
         for id in order {
-            if allowance.tasks == 0 || planned.moved.len() >= max_jobs {
+            if allowance.tasks == 0
+                || planned.moved.len() >= max_jobs
+                || planned.ranges >= MAX_RANGES_PER_MOVE
+            {
                 break;
             }
             let Some(job) = partition.jobs.get_mut(&id) else { continue };
@@ -167,6 +179,7 @@
                 allowance.tasks -= planned.add(steal, id, job, count, &self.pages, max_value_bytes);
             }
         }
+        self.work.add(planned.ranges);
         (!planned.moved.is_empty()).then_some(planned)
     }
 }
--- a/crates/quartzlever-core/src/stealing/victim.rs
+++ b/crates/quartzlever-core/src/stealing/victim.rs
@@ -94,6 +94,7 @@
         && !job.ready.is_empty()
         // In another partition the job would fail on as many machines again.
         && !job.fails_everywhere()
+        && !job.is_too_large_to_move()
         && !config.is_team_limited(&spec.team)
         && !spec.one_zone
         && !spec.spread
--- a/crates/quartzlever-core/src/work/tests.rs
+++ b/crates/quartzlever-core/src/work/tests.rs
@@ -2,6 +2,7 @@
 //! accepts.
 
 mod crowded_machines;
+mod large_records;
 mod placement;
 
 use super::*;
