A search preempts at most about 1,000 attempts, and looks at each machine once

Change: the candidates of a machine are sorted once, and evictions are planned from what is left of them, in the same order as before. From 1,000 attempts on, the search ends and the next one, 200 ms later, goes on; the tasks left over then do not count as lacking capacity.

--- a/crates/quartzlever-core/src/scheduling.rs
+++ b/crates/quartzlever-core/src/scheduling.rs
@@ -29,6 +29,8 @@
 #[cfg(test)]
 pub(crate) use assignment::MAX_STARTS_PER_PLACEMENT;
 pub use feasibility::constraints_allow;
+#[cfg(test)]
+pub(crate) use preemption::MAX_PREEMPTIONS;
 pub use queue_order::{Urgency, urgency};
 pub use reservations::Reservations;
 pub use run_times::RunTimes;
--- a/crates/quartzlever-core/src/scheduling/preemption.rs
+++ b/crates/quartzlever-core/src/scheduling/preemption.rs
@@ -24,6 +24,7 @@
 use crate::messages::LogLevel;
 use crate::partition::Partition;
 use crate::router::Core;
+use crate::work::Activity;
 
 /// How long before the latest start of a job work of lower priority is preempted for it: the time
 /// that it takes to stop one task and start another.
@@ -36,6 +37,9 @@
 /// Minimum time between two searches of all machines for work to preempt. With hundreds of
 /// machines, one search takes longer than the handling of a heartbeat may.
 const PREEMPTION_INTERVAL: Micros = SECOND / 5;
+/// Number of attempts that are preempted in a search from which on no more are; the next search goes
+/// on.
+pub(crate) const MAX_PREEMPTIONS: usize = 1000;
 /// Minimum number of processors that a task counts with in the cost of lost work.
 const MIN_CPUS_IN_COST: f64 = 0.1;
 
@@ -90,6 +94,7 @@
             has_checkpointed: false,
         };
         for attempt in partition.active_attempts() {
+            partition.work.add(1);
             if attempt.wanted {
                 all.lowest_priority = all.lowest_priority.max(attempt.priority);
                 all.has_checkpointed |= attempt.is_cheap_to_preempt;
@@ -117,6 +122,8 @@
     /// The teams whose unfinished work fits their guarantee.
     teams_within_guarantee: &'a BTreeSet<String>,
     victims: Victims,
+    /// Number of attempts from which on no more are preempted.
+    max_preemptions: usize,
     now: Micros,
     /// Time without a heartbeat after which a machine is left out.
     max_silence: Micros,
@@ -157,16 +164,68 @@
     }
 }
 
-/// A set of attempts whose end frees capacity for the job on one machine.
-struct Eviction {
+/// The work that may be preempted for the job on one machine, and how much of it has to end next.
+struct MachineCandidates<'a> {
+    machine: &'a Machine,
+    /// The remaining candidates, those with the least lost work last.
+    candidates: Vec<Candidate<'a>>,
+    /// Cost of the image pull, in processor-microseconds.
+    pull_cost: f64,
+    next: NextEviction,
+}
+
+/// The candidates whose end frees capacity for a task of the job.
+#[derive(Clone, Copy, Default)]
+struct NextEviction {
+    /// Number of candidates to stop.
+    attempts: usize,
     /// Lost work and the cost of the image pull, in processor-microseconds.
     lost_work: f64,
     /// Number of the job's tasks that fit afterwards.
     tasks_placed: u32,
+}
+
+impl MachineCandidates<'_> {
+    /// Selects the candidates with the least lost work whose end makes a task of the job fit.
+    /// Returns `false` if it cannot be made to fit, or fits already.
+    fn select_next(&mut self, need: &Resources) -> bool {
+        let mut free = self.machine.free;
+        let mut next = NextEviction::default();
+        for Candidate { cost, attempt, .. } in self.candidates.iter().rev() {
+            if free.fits(need) {
+                break;
+            }
+            free.add(&attempt.required_resources);
+            next.lost_work += cost;
+            next.attempts += 1;
+        }
+        next.lost_work += self.pull_cost;
+        next.tasks_placed = free.count_fitting(need);
+        self.next = next;
+        free.fits(need) && next.attempts > 0
+    }
+
+    /// Removes and returns the selected candidates, those with the least lost work first.
+    fn take_next(&mut self) -> Vec<AttemptKey> {
+        let first = self.candidates.len() - self.next.attempts;
+        self.candidates.drain(first..).rev().map(|candidate| candidate.key.clone()).collect()
+    }
+}
+
+/// A set of attempts whose end frees capacity for the job on one machine.
+struct Eviction {
     machine: String,
     attempts: Vec<AttemptKey>,
 }
 
+/// The evictions for a job.
+struct PreemptionPlan {
+    /// The evictions, the cheapest first.
+    evictions: Vec<Eviction>,
+    /// Number of tasks for which no capacity can be freed.
+    unplaced: u32,
+}
+
 /// The result of a preemption for one job.
 struct PreemptionResult {
     /// Number of attempts preempted on each machine, in the order of the evictions.
@@ -194,7 +253,9 @@
         if !partition.try_begin_preemption(now) {
             return;
         }
+        let _activity = self.work.begin(Activity::Preemption);
         let mut state = PreemptionState::of(partition);
+        let mut max_preemptions = MAX_PREEMPTIONS;
         let teams_within_guarantee = partition.teams_within_guarantee(&self.config);
         for id in partition.jobs_without_capacity.clone() {
             let Some(job) = partition.jobs.get(&id) else { continue };
@@ -212,6 +273,9 @@
                 continue;
             }
             partition.schedule_placement(now + PREEMPTION_INTERVAL);
+            if max_preemptions == 0 {
+                break;
+            }
             let may_have_victims = state.lowest_priority > spec.priority
                 || teams_within_guarantee.contains(&spec.team);
             let request = PreemptionRequest {
@@ -219,6 +283,7 @@
                 need,
                 teams_within_guarantee: &teams_within_guarantee,
                 victims,
+                max_preemptions,
                 now,
                 max_silence,
             };
@@ -230,6 +295,7 @@
             // Peers are notified of lacking capacity only for starts that are urgent.
             partition.saturated |= result.unplaced > 0 && victims == Victims::Any;
             for (machine, count) in result.by_machine {
+                max_preemptions = max_preemptions.saturating_sub(count);
                 self.outbox.log(LogLevel::Info, || LogEvent::TasksPreempted {
                     partition: name.to_owned(),
                     machine,
@@ -268,28 +334,47 @@
     }
 
     /// Preempts the attempts with the lowest cost until `wanted` tasks of the job fit.
-    fn preempt_for(&mut self, request: &PreemptionRequest, mut wanted: u32) -> PreemptionResult {
-        let mut result = PreemptionResult::none(0);
-        let mut evictions = self.possible_evictions(request);
-        while wanted > 0 {
-            let Some(eviction) = evictions.pop() else { break };
+    fn preempt_for(&mut self, request: &PreemptionRequest, wanted: u32) -> PreemptionResult {
+        let PreemptionPlan { evictions, unplaced } = self.plan_preemption(request, wanted);
+        let mut result = PreemptionResult::none(unplaced);
+        for eviction in evictions {
             result.by_machine.push((eviction.machine.clone(), eviction.attempts.len()));
-            wanted -= eviction.tasks_placed.min(wanted);
-            let machine = self.evict(request, eviction);
+            self.evict(request, eviction);
+        }
+        result
+    }
+
+    /// Selects the attempts with the lowest cost until `wanted` tasks of the job fit. Each candidate
+    /// is visited once for the search and once if it is selected.
+    fn plan_preemption(&self, request: &PreemptionRequest, wanted: u32) -> PreemptionPlan {
+        let mut evictions = Vec::new();
+        let (mut unplaced, mut preempted) = (wanted, 0);
+        let mut machines = self.machines_with_candidates(request);
+        while unplaced > 0 {
+            if preempted >= request.max_preemptions {
+                // The others are not known to lack capacity.
+                unplaced = 0;
+                break;
+            }
+            let Some(mut cheapest) = machines.pop() else { break };
+            unplaced -= cheapest.next.tasks_placed.min(unplaced);
+            let attempts = cheapest.take_next();
+            self.work.add(attempts.len());
+            preempted += attempts.len();
+            evictions.push(Eviction { machine: cheapest.machine.name.clone(), attempts });
             // More attempts on the same machine may be worth preempting.
-            if let Some(next) = self.cheapest_eviction(request, &machine) {
-                let at = evictions.partition_point(|e| e.lost_work > next.lost_work);
-                evictions.insert(at, next);
+            if cheapest.select_next(&request.need) {
+                let at = machines.partition_point(|m| m.next.lost_work > cheapest.next.lost_work);
+                machines.insert(at, cheapest);
             }
         }
-        result.unplaced = wanted;
-        result
+        PreemptionPlan { evictions, unplaced }
     }
 
     /// Stops the attempts of an eviction, and reserves their capacity if some of them save before
-    /// they end. Returns the machine.
-    fn evict(&mut self, request: &PreemptionRequest, eviction: Eviction) -> String {
-        let Eviction { machine, attempts, .. } = eviction;
+    /// they end.
+    fn evict(&mut self, request: &PreemptionRequest, eviction: Eviction) {
+        let Eviction { machine, attempts } = eviction;
         if self.any_saves_before_end(&machine, &attempts) {
             self.reservations.reserve_preempted(&machine, request.spec.priority, request.now);
         }
@@ -300,7 +385,6 @@
                 self.stop_attempt(&machine, &key, leeway);
             }
         }
-        machine
     }
 
     /// Reports whether any of these attempts saves before it ends, so that they end at different
@@ -312,55 +396,41 @@
         on_machine.into_iter().any(|attempt| attempt.is_cheap_to_preempt)
     }
 
-    /// Returns the cheapest eviction of each machine where a task of the job can be made to fit, in
-    /// descending order of cost.
-    fn possible_evictions(&self, request: &PreemptionRequest) -> Vec<Eviction> {
-        let mut all: Vec<Eviction> = self
-            .machines
-            .keys()
-            .filter_map(|machine| self.cheapest_eviction(request, machine))
-            .collect();
-        all.sort_by(|a, b| b.lost_work.total_cmp(&a.lost_work));
+    /// Returns the machines where a task of the job can be made to fit, in descending order of the
+    /// cost.
+    fn machines_with_candidates(&self, request: &PreemptionRequest) -> Vec<MachineCandidates<'_>> {
+        let machines = self.machines.values();
+        let mut all: Vec<MachineCandidates> =
+            machines.filter_map(|machine| self.candidates_on(request, machine)).collect();
+        all.sort_by(|a, b| b.next.lost_work.total_cmp(&a.next.lost_work));
         all
     }
 
-    /// Returns the attempts to stop on a machine so that a task of the job fits there, those with
-    /// the least lost work first; `None` if it cannot be made to fit.
-    fn cheapest_eviction(
-        &self,
+    /// Returns the work that may be preempted on a machine; `None` if no task of the job can be made
+    /// to fit there.
+    fn candidates_on<'a>(
+        &'a self,
         request: &PreemptionRequest,
-        machine_name: &str,
-    ) -> Option<Eviction> {
-        let machine = self
-            .machines
-            .get(machine_name)
-            .filter(|m| m.accepts_tasks(request.now, request.max_silence))?;
+        machine: &'a Machine,
+    ) -> Option<MachineCandidates<'a>> {
         let machine_type = self.types.as_ref()?.get(&machine.record.machine_type)?;
-        if !machine_allowed(request.spec, machine) {
+        self.work.add(1);
+        if !machine.accepts_tasks(request.now, request.max_silence)
+            || !machine_allowed(request.spec, machine)
+        {
             return None;
         }
-        let mut free = machine.free;
-        let (mut lost_work, mut attempts) = (0.0, Vec::new());
-        for Candidate { cost, key, attempt } in self.candidates(request, machine) {
-            if free.fits(&request.need) {
-                break;
-            }
-            free.add(&attempt.required_resources);
-            lost_work += cost;
-            attempts.push(key.clone());
-        }
-        lost_work += request.image_pull_cost(machine, machine_type);
-        let tasks_placed = free.count_fitting(&request.need);
-        let fits = free.fits(&request.need) && !attempts.is_empty();
-        fits.then(|| Eviction {
-            lost_work,
-            tasks_placed,
-            machine: machine_name.to_owned(),
-            attempts,
-        })
+        self.work.add(machine.attempts.len());
+        let mut found = MachineCandidates {
+            machine,
+            candidates: self.candidates(request, machine),
+            pull_cost: request.image_pull_cost(machine, machine_type),
+            next: NextEviction::default(),
+        };
+        found.select_next(&request.need).then_some(found)
     }
 
-    /// Returns the attempts on a machine that may be preempted for the job, in ascending order of
+    /// Returns the attempts on a machine that may be preempted for the job, in descending order of
     /// cost.
     fn candidates<'a>(
         &'a self,
@@ -378,7 +448,9 @@
                 attempt,
             })
             .collect();
+        // Of equal candidates, the first by key is stopped first.
         candidates.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        candidates.reverse();
         candidates
     }
 
--- a/crates/quartzlever-core/src/work/tests/crowded_machines.rs
+++ b/crates/quartzlever-core/src/work/tests/crowded_machines.rs
@@ -1,6 +1,7 @@
 //! The work of a step on machines with as many attempts of the largest job as they may have.
 
 use super::*;
+use crate::scheduling::MAX_PREEMPTIONS;
 
 /// Attempts that fit into a heartbeat of 64 KiB.
 const LISTED_ATTEMPTS: u32 = 1_400;
@@ -105,3 +106,34 @@
     assert_eq!(partition.jobs["req-1"].ready.len(), LISTED_ATTEMPTS);
     assert_work_is_bounded(&core, "lost machine");
 }
+
+/// Guards against a search that preempts as many tasks as an accepted job has, each after a new
+/// search of its machine.
+#[test]
+fn a_search_preempts_a_bounded_number_of_attempts_for_the_largest_job() {
+    let mut core = core_with_crowded_machines(&JobSpec {
+        priority: Priority::BestEffort,
+        cpus: 8.0 / f64::from(LISTED_ATTEMPTS),
+        ..tiny_job(TASKS, |_| {})
+    });
+    let urgent = JobSpec {
+        id: "req-2".into(),
+        priority: Priority::Prod,
+        cpus: 8.0 / f64::from(LISTED_ATTEMPTS),
+        due_s: Some(1.0),
+        ..tiny_job(LARGEST_JOB, |_| {})
+    };
+    reconcile_test_job(&mut core, &urgent, 11, NOW);
+    let stopped = |core: &Core| {
+        core.partitions["one"].active_attempts().filter(|attempt| !attempt.wanted).count()
+    };
+    let mut before = 0;
+    for search in 0..4 {
+        step(&mut core, Vec::new(), "preemption");
+        let now_stopped = stopped(&core);
+        assert!(now_stopped - before <= MAX_PREEMPTIONS, "search {search}: {now_stopped}");
+        before = now_stopped;
+    }
+    assert_eq!(before, TASKS as usize, "the next searches go on");
+    assert!(core.partitions["one"].saturated, "then capacity is lacking");
+}
