The use of the teams' resources is summed once for a placement

Change: a placement sums the use of all teams once, when the first job of a team with limits comes, and adds what it starts itself. A cancellation queues each machine for a call once, not once for each attempt.

--- a/crates/quartzlever-core/src/machines/resources.rs
+++ b/crates/quartzlever-core/src/machines/resources.rs
@@ -49,6 +49,14 @@
         self.ram_gb -= need.ram_gb;
     }
 
+    /// Adds the resources that `tasks` tasks of `need` need.
+    pub fn add_tasks(&mut self, need: &Resources, tasks: u32) {
+        let tasks = f64::from(tasks);
+        self.cpus += need.cpus * tasks;
+        self.gpus += need.gpus * tasks;
+        self.ram_gb += need.ram_gb * tasks;
+    }
+
     /// Adds the resources that a task needed.
     pub fn add(&mut self, need: &Resources) {
         self.cpus += need.cpus;
--- a/crates/quartzlever-core/src/partition.rs
+++ b/crates/quartzlever-core/src/partition.rs
@@ -18,7 +18,6 @@
 use crate::machines::attempt::{Attempt, AttemptKey};
 use crate::machines::call_queue::CallQueue;
 use crate::machines::machine::Machine;
-use crate::machines::resources::Resources;
 use crate::scheduling::Reservations;
 use crate::scheduling::free_capacity_index::FreeCapacityIndex;
 use crate::store::cache::Cache;
@@ -238,6 +237,7 @@
         let mut active_attempts = 0;
         for name in self.machines_by_job.remove(id).into_iter().flatten() {
             let Some(machine) = self.machines.get_mut(&name) else { continue };
+            let mut active_on_machine = 0;
             for (_, attempt) in machine.attempts.range_mut(attempts_of_job.clone()) {
                 self.work.add(1);
                 attempt.wanted = false;
@@ -246,10 +246,13 @@
                     attempt.end_processed = true;
                 } else {
                     attempt.job_terminal_since.get_or_insert(since);
-                    self.call_queue.add_urgent(name.clone());
-                    active_attempts += 1;
+                    active_on_machine += 1;
                 }
             }
+            if active_on_machine > 0 {
+                self.call_queue.add_urgent(name);
+                active_attempts += active_on_machine;
+            }
         }
         if active_attempts > 0 {
             self.log_events.push(LogEvent::EndedJobSeen {
@@ -301,22 +304,6 @@
         self.placement_wanted = true;
     }
 
-    /// Returns the resources that a team's tasks may be using in this partition, and whether that
-    /// is certain: an attempt of an unknown job could belong to any team.
-    pub fn team_usage(&self, team: &str) -> (Resources, bool) {
-        let mut sum = Resources::default();
-        let mut certain = true;
-        for attempt in self.active_attempts() {
-            self.work.add(1);
-            if attempt.team == team {
-                sum.add(&attempt.required_resources);
-            } else if attempt.team.is_empty() {
-                certain = false;
-            }
-        }
-        (sum, certain)
-    }
-
     /// Returns the attempts that may still be on a machine.
     pub fn active_attempts(&self) -> impl Iterator<Item = &Attempt> {
         self.machines.values().flat_map(|m| m.attempts.values()).filter(|s| !s.has_exited())
--- a/crates/quartzlever-core/src/scheduling.rs
+++ b/crates/quartzlever-core/src/scheduling.rs
@@ -8,6 +8,7 @@
 //! - `distribution`: how many tasks of a job start on each of its feasible machines.
 //! - `preemption`: the preemption of work of lower priority where free capacity is lacking.
 //! - `reservations`: capacity that is reserved for certain jobs.
+//! - `team_usage`: the resources that the tasks of each team use.
 //! - `run_times`: estimates of the run times of tasks.
 //! - [`free_capacity_index`]: an index of machines by their free processors.
 
@@ -20,6 +21,7 @@
 mod reservations;
 mod run_times;
 mod score;
+mod team_usage;
 mod zones;
 
 use quartzlever_wire::Micros;
--- a/crates/quartzlever-core/src/scheduling/assignment.rs
+++ b/crates/quartzlever-core/src/scheduling/assignment.rs
@@ -5,7 +5,6 @@
 
 use std::collections::BTreeSet;
 
-use quartzlever_wire::users::JobSpec;
 use quartzlever_wire::workers::TaskId;
 use quartzlever_wire::{Micros, SECOND};
 
@@ -13,8 +12,9 @@
 use super::feasibility::{Feasibility, machine_allowed};
 use super::queue_order::urgency;
 use super::score::{Score, Scoring};
+use super::team_usage::TeamUsage;
 use super::zones::zone_capacity;
-use crate::config::Config;
+use crate::config::{Config, Team};
 use crate::jobs::partition_job::PartitionJob;
 use crate::machines::attempt::{Attempt, AttemptKey};
 use crate::machines::resources::Resources;
@@ -34,19 +34,20 @@
 const TRIAL_CHECK_INTERVAL: Micros = SECOND;
 
 /// Which starts a placement may make.
-#[derive(Clone, Copy)]
 struct PlacementScope<'a> {
     /// The only machine that may get tasks; `None` for all.
     only_machine: Option<&'a str>,
+    /// Number of starts that are left.
     max_starts: u32,
+    /// The use of the teams' resources, once a job of a team with limits was placed.
+    team_usage: Option<TeamUsage>,
 }
 
-/// The result of the placement of one job's tasks.
-#[derive(Clone, Copy, Debug, Default)]
-struct JobPlacement {
-    started: u32,
-    /// Whether tasks remain for lack of capacity.
-    lacks_capacity: bool,
+impl<'a> PlacementScope<'a> {
+    /// Creates the scope of a placement on all machines, or on one.
+    fn new(only_machine: Option<&'a str>) -> Self {
+        PlacementScope { only_machine, max_starts: MAX_STARTS_PER_PLACEMENT, team_usage: None }
+    }
 }
 
 impl Core {
@@ -66,21 +67,18 @@
         // job took two seconds on a controller with little processor time, and delayed submissions.
         // With many machines, starts that are not urgent wait for the next heartbeat instead.
         let next_heartbeat_by = now + self.config.workers.heartbeat_interval * 3 / 2;
-        let mut max_starts = MAX_STARTS_PER_PLACEMENT;
+        let mut scope = PlacementScope::new(None);
         for id in partition.queue_order(&self.config, &self.run_times, now) {
             if let Some(job) = partition.jobs.get_mut(&id) {
                 job.can_wait_for_heartbeat = many_machines
                     && urgency(&self.config, &self.run_times, job, now).latest_start
                         > next_heartbeat_by;
             }
-            let scope = PlacementScope { only_machine: None, max_starts };
-            let placement = partition.place_tasks(&self.config, &id, scope, now);
-            max_starts -= placement.started;
-            if placement.lacks_capacity {
+            if partition.place_tasks(&self.config, &id, &mut scope, now) {
                 partition.add_job_without_capacity(id);
             }
         }
-        partition.placement_wanted |= max_starts == 0;
+        partition.placement_wanted |= scope.max_starts == 0;
         partition.release_preempted_capacity(now);
         self.preempt(name);
     }
@@ -96,6 +94,7 @@
         }
         let _activity = self.work.begin(Activity::Placement);
         let waiting = std::mem::take(&mut partition.jobs_without_capacity);
+        let mut scope = PlacementScope::new(Some(machine));
         for id in &waiting {
             // Most machines are full, or nearly so, and are skipped here without a search.
             if partition
@@ -105,11 +104,7 @@
             {
                 break;
             }
-            let scope = PlacementScope {
-                only_machine: Some(machine),
-                max_starts: MAX_STARTS_PER_PLACEMENT,
-            };
-            partition.place_tasks(&self.config, id, scope, now);
+            partition.place_tasks(&self.config, id, &mut scope, now);
         }
         partition.jobs_without_capacity = waiting;
     }
@@ -145,27 +140,32 @@
         self.placement_due_at = Some(self.placement_due_at.map_or(at, |t| t.min(at)));
     }
 
-    /// Starts ready tasks of a job on machines with free capacity.
+    /// Starts ready tasks of a job on machines with free capacity. Returns whether tasks remain for
+    /// lack of capacity.
     fn place_tasks(
         &mut self,
         config: &Config,
         id: &str,
-        scope: PlacementScope,
+        scope: &mut PlacementScope,
         now: Micros,
-    ) -> JobPlacement {
+    ) -> bool {
         if let Some(job) = self.jobs.get_mut(id) {
             job.held_back = 0;
         }
         if !self.may_start_tasks(config, id, now) {
-            return JobPlacement::default();
+            return false;
         }
-        let Some(job) = self.jobs.get(id) else { return JobPlacement::default() };
+        let Some(job) = self.jobs.get(id) else { return false };
         let (spec, need, service) = (job.spec(), job.required_resources(), job.is_service());
         let machines = self.feasible_machines(config, job, scope.only_machine, now);
         if machines.is_empty() && scope.only_machine.is_some() {
-            return JobPlacement::default();
+            return false;
         }
-        let allowance = self.team_allowance(config, spec, &need);
+        let team = config.team(&spec.team).filter(|team| team.has_limits());
+        let allowance = team.map_or(u32::MAX, |team| {
+            let usage = scope.team_usage.get_or_insert_with(|| TeamUsage::of(self));
+            self.team_allowance(config, team, usage, &need)
+        });
         let on_trial = job.fails_everywhere() && !service;
         let wanted = allowance.min(job.placeable_count());
         let spreading = if service { Spreading::OnePerRound } else { Spreading::FillEach };
@@ -176,6 +176,10 @@
             scope.max_starts,
             spreading,
         );
+        if let Some((usage, team)) = scope.team_usage.as_mut().zip(team) {
+            usage.add(&team.name, &need, distribution.started);
+        }
+        scope.max_starts -= distribution.started;
         self.start_tasks(id, &machines, &distribution, now);
         if let Some(job) = self.jobs.get_mut(id) {
             job.held_back = distribution.held_back;
@@ -183,10 +187,7 @@
         // Tasks that only the team's limit or the number of starts holds back, and those of a job
         // that fails everywhere, do not count as lacking capacity.
         let lacking = wanted - distribution.started - distribution.held_back;
-        JobPlacement {
-            started: distribution.started,
-            lacks_capacity: allowance > 0 && lacking > 0 && !on_trial,
-        }
+        allowance > 0 && lacking > 0 && !on_trial
     }
 
     /// Returns what each of these machines can take of a job whose tasks need `need`.
@@ -276,20 +277,19 @@
         }
     }
 
-    /// Returns how many more tasks of a job may start within its team's limit. All attempts that
-    /// may be on a machine count as used. Returns 0 while the use is uncertain, and in every
-    /// partition but the one that the team is assigned to.
-    pub fn team_allowance(&self, config: &Config, spec: &JobSpec, need: &Resources) -> u32 {
-        let Some(team) = config.team(&spec.team).filter(|t| t.has_limits()) else {
-            return u32::MAX;
-        };
+    /// Returns how many more tasks that need `need` may start within their team's limit. Returns 0
+    /// while the use is uncertain, and in every partition but the one that the team is assigned to.
+    fn team_allowance(
+        &self,
+        config: &Config,
+        team: &Team,
+        usage: &TeamUsage,
+        need: &Resources,
+    ) -> u32 {
         if !self.recovery_complete || config.partition_of_team(&team.name) != self.name {
             return 0;
         }
-        let (used, certain) = self.team_usage(&team.name);
-        if !certain {
-            return 0;
-        }
+        let Some(used) = usage.of_team(&team.name) else { return 0 };
         let remaining = |most: f64, used: f64| if most > 0.0 { most - used } else { f64::INFINITY };
         let left = Resources {
             cpus: remaining(team.cpus_max, used.cpus),
--- a/crates/quartzlever-core/src/work/tests/crowded_machines.rs
+++ b/crates/quartzlever-core/src/work/tests/crowded_machines.rs
@@ -137,3 +137,63 @@
     assert_eq!(before, TASKS as usize, "the next searches go on");
     assert!(core.partitions["one"].saturated, "then capacity is lacking");
 }
+
+/// Heartbeats that the program handles in one step at most.
+const HEARTBEATS_PER_STEP: u32 = 64;
+
+/// Returns a controller with as many crowded machines as send heartbeats in one step, all of whose
+/// attempts are of job "req-1".
+fn core_with_crowded_fleet(job: &JobSpec) -> (Core, Vec<String>) {
+    let mut core = core_with_cache(&[("one", "one", 5)]);
+    let names: Vec<String> = (0..HEARTBEATS_PER_STEP).map(|n| format!("n-{n:02}")).collect();
+    let machines: Vec<(&str, &str, &str, bool)> =
+        names.iter().map(|name| (name.as_str(), "m", "a", false)).collect();
+    set_machines(&mut core, &machines);
+    reconcile_test_job(&mut core, job, 10, NOW);
+    let Some(partition) = core.partitions.get_mut("one") else { unreachable!() };
+    for (first, name) in (0..).step_by(LISTED_ATTEMPTS as usize).zip(&names) {
+        for index in first..first + LISTED_ATTEMPTS {
+            partition.start_task("req-1", index, name, NOW);
+        }
+    }
+    (core, names)
+}
+
+/// Guards against a batch of heartbeats that holds a controller.
+#[test]
+fn a_step_of_as_many_full_heartbeats_as_it_takes_is_bounded() {
+    let (mut core, names) = core_with_crowded_fleet(&tiny_job(LARGEST_JOB, |_| {}));
+    for (sequence, phase, cause) in
+        [(2, TaskPhase::Running, None), (3, TaskPhase::Exited, Some(ExitCause::Done))]
+    {
+        let commands = names.iter().zip(1..).map(|(name, id)| {
+            let heartbeat = heartbeat_with_all(&core, name, sequence, phase, cause);
+            Command::Heartbeat { id, heartbeat }
+        });
+        let commands = commands.collect();
+        step(&mut core, commands, "heartbeats of all machines");
+    }
+    let job = &core.partitions["one"].jobs["req-1"];
+    assert!(job.finished.len() >= HEARTBEATS_PER_STEP * LISTED_ATTEMPTS);
+}
+
+/// Guards against the use of a team's resources being summed over all attempts for each job of the
+/// queue.
+#[test]
+fn the_queue_of_a_team_with_limits_takes_one_pass_over_the_attempts() {
+    const QUEUED_JOBS: u32 = 100;
+    let all_running = HEARTBEATS_PER_STEP * LISTED_ATTEMPTS;
+    let job = tiny_job(all_running, |spec| spec.team = "tight".into());
+    let (mut core, _) = core_with_crowded_fleet(&job);
+    for number in 2..2 + QUEUED_JOBS {
+        let mut record = record_of(number, 1, "one");
+        record.job.team = "tight".into();
+        core.reconcile_job(record, 10 + u64::from(number));
+    }
+    step(&mut core, Vec::new(), "queue of a team with limits");
+    let placed =
+        |number: u32| !core.partitions["one"].jobs[&format!("req-{number}")].assignments.is_empty();
+    let count = (2..2 + QUEUED_JOBS).filter(|number| placed(*number)).count();
+    // The team may use 8 processors, of which the largest job uses 4.5, and each of these jobs 2.
+    assert_eq!(count, 1);
+}
