--- a/crates/quartzlever-core/tests/simulation/main.rs
+++ b/crates/quartzlever-core/tests/simulation/main.rs
@@ -15,4 +15,5 @@
 mod safety;
 mod services;
 mod sim;
+mod tiny_tasks;
 mod upgrade;
