--- a/crates/quartzlever-core/src/scheduling/distribution.rs
+++ b/crates/quartzlever-core/src/scheduling/distribution.rs
@@ -61,56 +61,27 @@
     max_starts: u32,
     spreading: Spreading,
 ) -> Distribution {
-    let limit = wanted.min(max_starts);
-    let starts = match spreading {
-        Spreading::FillEach => fill_each(&mut rooms, &mut zones, limit),
-        Spreading::OnePerRound => one_per_round(&mut rooms, &mut zones, limit),
+    let per_round = match spreading {
+        Spreading::FillEach => u32::MAX,
+        Spreading::OnePerRound => 1,
     };
-    let started = starts.iter().map(|start| start.tasks).sum();
-    let held_back = count_room(&rooms, zones, wanted - started);
-    Distribution { starts, started, held_back }
-}
-
-fn fill_each(
-    rooms: &mut [MachineRoom],
-    zones: &mut ZoneCapacity,
-    limit: u32,
-) -> Vec<MachineStarts> {
-    let mut starts = Vec::new();
-    let mut left = limit;
-    for (index, room) in rooms.iter_mut().enumerate() {
-        if left == 0 {
-            break;
-        }
-        let tasks = start_on(room, zones, left);
-        if tasks > 0 {
-            starts.push(MachineStarts { room: index, tasks });
-            left -= tasks;
-        }
-    }
-    starts
-}
-
-fn one_per_round(
-    rooms: &mut [MachineRoom],
-    zones: &mut ZoneCapacity,
-    limit: u32,
-) -> Vec<MachineStarts> {
     let mut starts = Vec::new();
-    let mut left = limit;
+    let mut left = wanted.min(max_starts);
     let mut with_room: Vec<usize> = (0..rooms.len()).collect();
     while left > 0 && !with_room.is_empty() {
         // A machine without room in one round has none in the next.
-        with_room.retain(|&index| {
-            let tasks = start_on(&mut rooms[index], zones, left.min(1));
+        with_room.retain(|&room| {
+            let tasks = start_on(&mut rooms[room], &mut zones, left.min(per_round));
             if tasks > 0 {
-                starts.push(MachineStarts { room: index, tasks });
+                starts.push(MachineStarts { room, tasks });
                 left -= tasks;
             }
             tasks > 0
         });
     }
-    starts
+    let started = starts.iter().map(|start| start.tasks).sum();
+    let held_back = count_room(&rooms, zones, wanted - started);
+    Distribution { starts, started, held_back }
 }
 
 /// Starts up to `max_tasks` tasks on a machine. Returns their number.
--- a/crates/quartzlever-core/src/work/tests/large_records.rs
+++ b/crates/quartzlever-core/src/work/tests/large_records.rs
@@ -16,6 +16,22 @@
     ActiveJobRecord { finished, ..record_of(number, LARGEST_JOB, "one") }
 }
 
+/// Returns a controller that has acquired partition "one", whose jobs it has not loaded, and has done
+/// the first `steps` steps of that.
+fn core_loading_jobs(steps: usize) -> Core {
+    let mut core = core_with_cache(&[("one", "one", 35)]);
+    core.partitions.clear();
+    core.cache.set_revision(40);
+    for number in 0..MANY_JOBS {
+        core.cache.record_active_job(fragmented_record(number), 30);
+    }
+    core.begin_leadership("one", 35);
+    for _ in 0..steps {
+        step(&mut core, Vec::new(), "first steps");
+    }
+    core
+}
+
 /// Guards users' requests against hanging behind the largest job.
 #[test]
 fn the_largest_job_is_accepted_and_looked_up_at_once() {
@@ -55,16 +71,7 @@
 /// misses what changes meanwhile.
 #[test]
 fn the_jobs_of_an_acquired_partition_are_loaded_in_several_steps() {
-    let mut core = core_with_cache(&[("one", "one", 5)]);
-    core.partitions.clear();
-    core.cache.set_revision(40);
-    for number in 0..MANY_JOBS {
-        core.cache.record_active_job(fragmented_record(number), 30);
-    }
-    core.begin_leadership("one", 35);
-    for _ in 0..2 {
-        step(&mut core, Vec::new(), "first steps");
-    }
+    let mut core = core_loading_jobs(2);
     assert!(!core.partitions["one"].is_loaded(), "not everything is loaded in two steps");
     // "req-0" and "req-1" are loaded by now, the others are not yet.
     core.job_terminated("req-0", TerminalJobRecord { phase: JobPhase::Cancelled, done: 0 });
@@ -89,14 +96,7 @@
 /// Guards against a loaded part of the jobs outliving the listing that fills the cache anew.
 #[test]
 fn loading_begins_again_when_the_records_are_listed_anew() {
-    let mut core = core_with_cache(&[("one", "one", 35)]);
-    core.partitions.clear();
-    core.cache.set_revision(40);
-    for number in 0..MANY_JOBS {
-        core.cache.record_active_job(fragmented_record(number), 30);
-    }
-    core.begin_leadership("one", 35);
-    step(&mut core, Vec::new(), "first step");
+    let mut core = core_loading_jobs(1);
     assert!(!core.partitions["one"].jobs.is_empty());
     begin_listing(&mut core, 50);
     assert!(core.partitions["one"].jobs.is_empty());
