--- a/crates/quartzlever-core/src/machines/reconciliation/tests.rs
+++ b/crates/quartzlever-core/src/machines/reconciliation/tests.rs
@@ -88,6 +88,36 @@
     }
 }
 
+/// Guards against a lost attempt that stays unnoticed, as the list has the expected length.
+#[test]
+fn a_heartbeat_that_lists_an_attempt_twice_does_not_hide_that_another_is_missing() {
+    let mut core = core();
+    core.reconcile_job(job_record("0-3", ""), 10);
+    make_machine_usable(&mut core);
+    let (config, mut run_times) = (core.config.clone(), RunTimes::default());
+    let partition = core.partitions.get_mut("one").expect("partition one is led here");
+    for index in 0..2 {
+        partition.start_task("req-1", index, "n-1", NOW);
+    }
+    let running = |index: u32| AttemptStatus {
+        task: TaskId { job: "req-1".into(), index },
+        attempt: partition.jobs["req-1"].assignments[&index].attempt,
+        phase: TaskPhase::Running,
+        cause: None,
+        kept: None,
+    };
+    let both = Heartbeat { tasks: vec![running(0), running(1)], ..idle_heartbeat("n-1", 2, 5) };
+    let twice = Heartbeat { tasks: vec![running(0), running(0)], ..idle_heartbeat("n-1", 3, 5) };
+    partition.commands_for("n-1", MessageKind::HeartbeatAnswer, &Cache::default(), NOW);
+    for heartbeat in [both, twice] {
+        let source = StatusSource::Heartbeat;
+        partition.apply_heartbeat(&config, &mut run_times, &heartbeat, source, NOW);
+    }
+    let job = &partition.jobs["req-1"];
+    assert_eq!(job.assignments.keys().copied().collect::<Vec<_>>(), [0]);
+    assert!(job.ready.contains(1), "the missing attempt's task is queued again");
+}
+
 #[test]
 fn a_silent_machine_counts_as_empty_only_after_a_full_lease() {
     let lease_expired_after = 11 * SECOND + 10_000;
--- a/crates/quartzlever-core/src/scheduling/assignment.rs
+++ b/crates/quartzlever-core/src/scheduling/assignment.rs
@@ -70,6 +70,7 @@
         let mut scope = PlacementScope::new(None);
         for id in partition.queue_order(&self.config, &self.run_times, now) {
             if let Some(job) = partition.jobs.get_mut(&id) {
+                job.held_back = 0;
                 job.can_wait_for_heartbeat = many_machines
                     && urgency(&self.config, &self.run_times, job, now).latest_start
                         > next_heartbeat_by;
@@ -149,9 +150,6 @@
         scope: &mut PlacementScope,
         now: Micros,
     ) -> bool {
-        if let Some(job) = self.jobs.get_mut(id) {
-            job.held_back = 0;
-        }
         if !self.may_start_tasks(config, id, now) {
             return false;
         }
@@ -169,8 +167,9 @@
         let on_trial = job.fails_everywhere() && !service;
         let wanted = allowance.min(job.placeable_count());
         let spreading = if service { Spreading::OnePerRound } else { Spreading::FillEach };
+        let mut rooms = self.rooms_of(&machines, &need);
         let distribution = distribute(
-            self.rooms_of(&machines, &need),
+            &mut rooms,
             zone_capacity(self, job, &config.zones),
             wanted,
             scope.max_starts,
@@ -180,8 +179,10 @@
             usage.add(&team.name, &need, distribution.started);
         }
         scope.max_starts -= distribution.started;
-        self.start_tasks(id, &machines, &distribution, now);
-        if let Some(job) = self.jobs.get_mut(id) {
+        self.start_tasks(id, &rooms, &distribution, now);
+        if scope.only_machine.is_none()
+            && let Some(job) = self.jobs.get_mut(id)
+        {
             job.held_back = distribution.held_back;
         }
         // Tasks that only the team's limit or the number of starts holds back, and those of a job
@@ -259,13 +260,13 @@
     fn start_tasks(
         &mut self,
         id: &str,
-        machines: &[String],
+        rooms: &[MachineRoom],
         distribution: &Distribution,
         now: Micros,
     ) {
         let mut changed = BTreeSet::new();
         for start in &distribution.starts {
-            let Some(machine) = machines.get(start.room) else { continue };
+            let Some(machine) = rooms.get(start.room).map(|room| &room.machine) else { continue };
             for _ in 0..start.tasks {
                 let Some(index) = self.jobs.get(id).and_then(|j| j.ready.lowest()) else { break };
                 self.start_task(id, index, machine, now);
--- a/crates/quartzlever-core/src/scheduling/distribution.rs
+++ b/crates/quartzlever-core/src/scheduling/distribution.rs
@@ -53,9 +53,9 @@
 }
 
 /// Distributes up to `wanted` tasks, of which at most `max_starts` start now, over machines in the
-/// order of preference.
+/// order of preference, and subtracts them from the rooms.
 pub(super) fn distribute(
-    mut rooms: Vec<MachineRoom>,
+    rooms: &mut [MachineRoom],
     mut zones: ZoneCapacity,
     wanted: u32,
     max_starts: u32,
@@ -80,7 +80,7 @@
         });
     }
     let started = starts.iter().map(|start| start.tasks).sum();
-    let held_back = count_room(&rooms, zones, wanted - started);
+    let held_back = count_room(rooms, zones, wanted - started);
     Distribution { starts, started, held_back }
 }
 
--- a/crates/quartzlever-core/src/scheduling/distribution/tests.rs
+++ b/crates/quartzlever-core/src/scheduling/distribution/tests.rs
@@ -70,8 +70,8 @@
             3,
         ),
     ];
-    for (case, rooms, zones, wanted, most, spreading, starts, held_back) in cases {
-        let result = distribute(rooms, zones, wanted, most, spreading);
+    for (case, mut rooms, zones, wanted, most, spreading, starts, held_back) in cases {
+        let result = distribute(&mut rooms, zones, wanted, most, spreading);
         let found: Vec<(usize, u32)> = result.starts.iter().map(|s| (s.room, s.tasks)).collect();
         assert_eq!((found.as_slice(), result.held_back), (starts, held_back), "{case}");
     }
