--- a/crates/quartzlever-core/src/work/tests/placement.rs
+++ b/crates/quartzlever-core/src/work/tests/placement.rs
@@ -66,3 +66,44 @@
     assert_eq!(partition.jobs["req-1"].unplaced_count(), 3_400);
     assert_eq!(partition.jobs_without_capacity, ["req-1"]);
 }
+
+/// Guards against a step that makes as many starts as there are machines and tasks, and against jobs
+/// behind such a job that count as lacking capacity meanwhile.
+#[test]
+fn a_placement_on_many_machines_makes_a_thousand_starts() {
+    let mut core = core_with_cache(&[("one", "one", 5)]);
+    let names: Vec<String> = (0..20).map(|n| format!("n-{n:02}")).collect();
+    let machines: Vec<(&str, &str, &str, bool)> =
+        names.iter().map(|name| (name.as_str(), "m", "a", false)).collect();
+    set_machines(&mut core, &machines);
+    reconcile_test_job(&mut core, &tiny_job(LARGEST_JOB, |_| {}), 10, NOW);
+    core.reconcile_job(record_of(2, 3, "one"), 11);
+    step(&mut core, Vec::new(), "many machines");
+    assert_eq!(started(&core), 1_000);
+    let partition = &core.partitions["one"];
+    assert!(partition.jobs_without_capacity.is_empty());
+    assert!(partition.jobs.values().all(|job| job.unplaced_count() == 0));
+    step(&mut core, Vec::new(), "many machines");
+    assert_eq!(started(&core), 2_000, "the next placement goes on");
+}
+
+/// Guards against a machine that gets attempts without end while its heartbeats, which may have grown
+/// too long, do not arrive: replies to direct calls may be longer.
+#[test]
+fn a_machine_gets_as_many_attempts_as_a_message_starts_until_a_heartbeat_lists_them() {
+    let mut core = core_with_job(&tiny_job(LARGEST_JOB, |_| {}));
+    let attempts = |core: &Core| core.partitions["one"].machines["n-1"].attempts.len();
+    for sequence in 2..6 {
+        step(&mut core, Vec::new(), "direct calls");
+        let status = heartbeat_with_all(&core, "n-1", sequence, TaskPhase::Running, None);
+        let (config, mut run_times) = (core.config.clone(), RunTimes::default());
+        let (now, source) = (core.now, StatusSource::DirectReply);
+        let Some(partition) = core.partitions.get_mut("one") else { unreachable!() };
+        assert!(partition.apply_heartbeat(&config, &mut run_times, &status, source, now));
+        assert_eq!(attempts(&core), 200, "after {sequence} statuses");
+    }
+    let heartbeats = running_heartbeats(&core, 6);
+    step(&mut core, heartbeats, "heartbeats");
+    step(&mut core, Vec::new(), "heartbeats");
+    assert_eq!(attempts(&core), 400, "after a heartbeat");
+}
