--- a/crates/quartzlever-core/src/machines/machine.rs
+++ b/crates/quartzlever-core/src/machines/machine.rs
@@ -21,7 +21,7 @@
 /// Number of attempts on a machine that no heartbeat has listed, from which on it gets no more: no
 /// message could start more of them. The attempts of a machine thus stay within what its heartbeats
 /// list, and one message.
-pub(crate) const MAX_UNLISTED_ATTEMPTS: usize = MAX_COMMANDS;
+const MAX_UNLISTED_ATTEMPTS: usize = MAX_COMMANDS;
 /// Time after which a worker drops the answer to its heartbeat, and some for the way.
 const ANSWER_TIMEOUT: Micros = 5 * SECOND;
 /// Consecutive unacknowledged heartbeats after which a machine counts as ignoring commands.
--- a/crates/quartzlever-core/src/machines/resources.rs
+++ b/crates/quartzlever-core/src/machines/resources.rs
@@ -44,9 +44,7 @@
 
     /// Subtracts the resources that a task needs.
     pub fn subtract(&mut self, need: &Resources) {
-        self.cpus -= need.cpus;
-        self.gpus -= need.gpus;
-        self.ram_gb -= need.ram_gb;
+        self.subtract_tasks(need, 1);
     }
 
     /// Adds the resources that `tasks` tasks of `need` need.
@@ -59,9 +57,7 @@
 
     /// Adds the resources that a task needed.
     pub fn add(&mut self, need: &Resources) {
-        self.cpus += need.cpus;
-        self.gpus += need.gpus;
-        self.ram_gb += need.ram_gb;
+        self.add_tasks(need, 1);
     }
 
     /// Returns the number of tasks of `need` that fit.
--- a/crates/quartzlever-core/src/scheduling/assignment.rs
+++ b/crates/quartzlever-core/src/scheduling/assignment.rs
@@ -17,6 +17,7 @@
 use crate::config::{Config, Team};
 use crate::jobs::partition_job::PartitionJob;
 use crate::machines::attempt::{Attempt, AttemptKey};
+use crate::machines::machine::Machine;
 use crate::machines::resources::Resources;
 use crate::partition::Partition;
 use crate::router::Core;
@@ -155,8 +156,8 @@
         }
         let Some(job) = self.jobs.get(id) else { return false };
         let (spec, need, service) = (job.spec(), job.required_resources(), job.is_service());
-        let machines = self.feasible_machines(config, job, scope.only_machine, now);
-        if machines.is_empty() && scope.only_machine.is_some() {
+        let mut rooms = self.rooms_on_feasible_machines(config, job, scope.only_machine, now);
+        if rooms.is_empty() && scope.only_machine.is_some() {
             return false;
         }
         let team = config.team(&spec.team).filter(|team| team.has_limits());
@@ -167,7 +168,6 @@
         let on_trial = job.fails_everywhere() && !service;
         let wanted = allowance.min(job.placeable_count());
         let spreading = if service { Spreading::OnePerRound } else { Spreading::FillEach };
-        let mut rooms = self.rooms_of(&machines, &need);
         let distribution = distribute(
             &mut rooms,
             zone_capacity(self, job, &config.zones),
@@ -191,20 +191,6 @@
         allowance > 0 && lacking > 0 && !on_trial
     }
 
-    /// Returns what each of these machines can take of a job whose tasks need `need`.
-    fn rooms_of(&self, machines: &[String], need: &Resources) -> Vec<MachineRoom> {
-        self.work.add(machines.len());
-        let found = machines.iter().filter_map(|name| self.machines.get(name));
-        found
-            .map(|machine| MachineRoom {
-                machine: machine.name.clone(),
-                zone: machine.record.zone.clone(),
-                fitting: machine.free.count_fitting(need),
-                start_slots: machine.start_slots(),
-            })
-            .collect()
-    }
-
     /// Reports whether tasks of a job may start now. Also clears a job that failed everywhere if
     /// one of its attempts has outlasted the failed ones, and schedules a placement for the time
     /// when more tasks or machines become eligible.
@@ -225,35 +211,36 @@
         true
     }
 
-    /// Returns the machines on which a task of a job may start now, best first; at most
-    /// `only_machine` if given.
-    fn feasible_machines(
+    /// Returns the machines on which a task of a job may start now, best first, with what each can
+    /// take of the job; at most `only_machine` if given.
+    fn rooms_on_feasible_machines(
         &self,
         config: &Config,
         job: &PartitionJob,
         only_machine: Option<&str>,
         now: Micros,
-    ) -> Vec<String> {
+    ) -> Vec<MachineRoom> {
         let feasibility = Feasibility::new(self, config, job, now);
+        let feasible = |machine_name: &str| {
+            self.machines.get(machine_name).filter(|m| feasibility.can_start_on(m))
+        };
+        let need = job.required_resources();
         if let Some(machine_name) = only_machine {
-            let machine =
-                self.machines.get(machine_name).filter(|m| machine_allowed(job.spec(), m));
-            let found = machine.filter(|m| feasibility.can_start_on(m));
-            return found.map(|_| machine_name.to_owned()).into_iter().collect();
+            let found = feasible(machine_name).filter(|m| machine_allowed(job.spec(), m));
+            self.work.add(usize::from(found.is_some()));
+            return found.map(|machine| MachineRoom::of(machine, &need)).into_iter().collect();
         }
         self.work.add(if job.is_service() { job.assignments.len() } else { 0 });
         let scoring = Scoring::new(job);
         // The index returns only machines that satisfy the job's constraints.
-        let machines = self.free_capacity_index.machines_with_free_cpus(job.spec()).filter_map(
-            |machine_name| {
-                let machine =
-                    self.machines.get(machine_name).filter(|m| feasibility.can_start_on(m))?;
-                Some((scoring.score(machine), machine_name))
-            },
-        );
-        let mut scored: Vec<(Score, &str)> = machines.collect();
-        scored.sort_by(|a, b| a.0.compare(&b.0).then_with(|| a.1.cmp(b.1)));
-        scored.into_iter().map(|(_, machine_name)| machine_name.to_owned()).collect()
+        let machines = self.free_capacity_index.machines_with_free_cpus(job.spec());
+        let mut scored: Vec<(Score, &Machine)> = machines
+            .filter_map(feasible)
+            .map(|machine| (scoring.score(machine), &**machine))
+            .collect();
+        scored.sort_by(|a, b| a.0.compare(&b.0).then_with(|| a.1.name.cmp(&b.1.name)));
+        self.work.add(scored.len());
+        scored.into_iter().map(|(_, machine)| MachineRoom::of(machine, &need)).collect()
     }
 
     /// Starts the lowest ready tasks of a job on machines as distributed.
--- a/crates/quartzlever-core/src/scheduling/distribution.rs
+++ b/crates/quartzlever-core/src/scheduling/distribution.rs
@@ -5,6 +5,8 @@
 //! start and for each machine.
 
 use super::zones::ZoneCapacity;
+use crate::machines::machine::Machine;
+use crate::machines::resources::Resources;
 
 /// What a feasible machine can take of a job.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,6 +20,16 @@
 }
 
 impl MachineRoom {
+    /// Returns what a machine can take of a job whose tasks need `need`.
+    pub fn of(machine: &Machine, need: &Resources) -> Self {
+        MachineRoom {
+            machine: machine.name.clone(),
+            zone: machine.record.zone.clone(),
+            fitting: machine.free.count_fitting(need),
+            start_slots: machine.start_slots(),
+        }
+    }
+
     fn startable(&self) -> u32 {
         self.fitting.min(self.start_slots)
     }
--- a/crates/quartzlever-core/src/scheduling/preemption.rs
+++ b/crates/quartzlever-core/src/scheduling/preemption.rs
@@ -101,22 +101,6 @@
     }
 }
 
-/// The result of a preemption for one job.
-struct PreemptionResult {
-    /// Number of attempts preempted on each machine, in the order of the evictions.
-    by_machine: Vec<(String, usize)>,
-    /// Number of tasks for which no capacity could be freed.
-    unplaced: u32,
-    /// Number of attempts that were visited.
-    visited: usize,
-}
-
-impl PreemptionResult {
-    fn none(unplaced: u32) -> Self {
-        PreemptionResult { by_machine: Vec::new(), unplaced, visited: 0 }
-    }
-}
-
 impl Core {
     /// Preempts work for the jobs that found no capacity in the last placement.
     pub(super) fn preempt(&mut self, name: &str) {
@@ -165,15 +149,17 @@
                 now,
                 max_silence,
             };
-            let result = if may_have_victims {
-                partition.preempt_for(&request, wanted)
+            let plan = if may_have_victims {
+                partition.plan_preemption(&request, wanted)
             } else {
-                PreemptionResult::none(wanted)
+                PreemptionPlan::none(wanted)
             };
+            visited += plan.visited;
             // Peers are notified of lacking capacity only for starts that are urgent.
-            visited += result.visited;
-            partition.saturated |= result.unplaced > 0 && victims == Victims::Any;
-            for (machine, count) in result.by_machine {
+            partition.saturated |= plan.unplaced > 0 && victims == Victims::Any;
+            for eviction in plan.evictions {
+                let (machine, count) = (eviction.machine.clone(), eviction.attempts.len());
+                partition.evict(&request, eviction);
                 max_preemptions = max_preemptions.saturating_sub(count);
                 self.outbox.log(LogLevel::Info, || LogEvent::TasksPreempted {
                     partition: name.to_owned(),
@@ -224,17 +210,6 @@
         may
     }
 
-    /// Preempts the attempts with the lowest cost until `wanted` tasks of the job fit.
-    fn preempt_for(&mut self, request: &PreemptionRequest, wanted: u32) -> PreemptionResult {
-        let PreemptionPlan { evictions, unplaced, visited } = self.plan_preemption(request, wanted);
-        let mut result = PreemptionResult { by_machine: Vec::new(), unplaced, visited };
-        for eviction in evictions {
-            result.by_machine.push((eviction.machine.clone(), eviction.attempts.len()));
-            self.evict(request, eviction);
-        }
-        result
-    }
-
     /// Stops the attempts of an eviction, and reserves their capacity if some of them save before
     /// they end.
     fn evict(&mut self, request: &PreemptionRequest, eviction: Eviction) {
--- a/crates/quartzlever-core/src/scheduling/preemption/plan.rs
+++ b/crates/quartzlever-core/src/scheduling/preemption/plan.rs
@@ -146,6 +146,13 @@
     pub visited: usize,
 }
 
+impl PreemptionPlan {
+    /// Creates the plan for a job for which nothing may be preempted.
+    pub fn none(unplaced: u32) -> Self {
+        PreemptionPlan { evictions: Vec::new(), unplaced, visited: 0 }
+    }
+}
+
 impl Partition {
     /// Selects the attempts with the lowest cost until `wanted` tasks of the job fit. Each candidate
     /// is visited once for the search and once if it is selected.
--- a/crates/quartzlever-wire/src/ranges.rs
+++ b/crates/quartzlever-wire/src/ranges.rs
@@ -71,11 +71,6 @@
         self.set.insert(range);
     }
 
-    /// Removes a task.
-    pub fn remove(&mut self, index: u32) {
-        self.remove_range(index..index + 1);
-    }
-
     /// Adds a range of tasks, possibly empty, that are higher than all in the set.
     fn append_range(&mut self, range: Range<u32>) {
         if !range.is_empty() {
@@ -84,6 +79,11 @@
         }
     }
 
+    /// Removes a task.
+    pub fn remove(&mut self, index: u32) {
+        self.remove_range(index..index + 1);
+    }
+
     /// Removes a range of tasks.
     fn remove_range(&mut self, range: Range<u32>) {
         if range.is_empty() {
